--- /dev/null
+++ b/cmake/module.cmake
@@ -0,0 +1,59 @@
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS json)
+find_package(absl REQUIRED)
+find_package(cereal REQUIRED)
+find_package(fmt REQUIRED)
+
+add_compile_options(-Wall -Wextra -Werror)
+# GCC 12 reports false positives of these in coroutine frames and std::string.
+add_compile_options(-Wno-maybe-uninitialized -Wno-restrict
+                    -Wno-dangling-pointer)
+if(EELGRASSPOST_SANITIZE)
+  add_compile_options(-fsanitize=${EELGRASSPOST_SANITIZE}
+                      -fno-omit-frame-pointer -fno-sanitize-recover=all)
+  add_link_options(-fsanitize=${EELGRASSPOST_SANITIZE})
+endif()
+
+# Every module compiles Asio, JSON and cereal the same way.
+add_compile_definitions(BOOST_ASIO_NO_DEPRECATED BOOST_ERROR_CODE_HEADER_ONLY)
+
+# Adds the static library eelgrasspost_<name> from a module folder.
+# The module's public headers are in its include/ folder.
+function(eelgrasspost_module NAME)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+  set(target eelgrasspost_${NAME})
+  add_library(${target} STATIC ${ARG_SOURCES})
+  add_library(eelgrasspost::${NAME} ALIAS ${target})
+  set_target_properties(${target} PROPERTIES EXPORT_NAME ${NAME})
+  target_include_directories(${target}
+    PUBLIC
+      $<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}/include>
+      $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>
+    PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+  target_link_libraries(${target} PUBLIC ${ARG_DEPS})
+  install(TARGETS ${target} EXPORT eelgrasspostTargets
+          ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
+  install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
+endfunction()
+
+# Adds the Boost.Test program <name>_tests and registers it with CTest.
+function(eelgrasspost_test NAME)
+  if(NOT EELGRASSPOST_TESTS)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPS" ${ARGN})
+  if(NOT ARG_TIMEOUT)
+    set(ARG_TIMEOUT 120)
+  endif()
+  find_package(Boost 1.81 REQUIRED COMPONENTS unit_test_framework)
+  set(target ${NAME}_tests)
+  add_executable(${target} ${ARG_SOURCES})
+  target_compile_definitions(${target} PRIVATE BOOST_TEST_DYN_LINK)
+  target_include_directories(${target} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}
+                             ${CMAKE_CURRENT_SOURCE_DIR}/..)
+  target_link_libraries(${target} PRIVATE ${ARG_DEPS}
+                        Boost::unit_test_framework)
+  add_test(NAME ${NAME} COMMAND ${target} --log_level=test_suite
+                                --random=0)
+  set_tests_properties(${NAME} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+endfunction()
--- /dev/null
+++ b/src/app/internal/operatordoor.cpp
@@ -0,0 +1,178 @@
+#include "operatordoor.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "eelgrasspost/base/errors.h"
+#include "eelgrasspost/base/jsonfields.h"
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/batch/jobcodec.h"
+
+namespace eelgrasspost::app {
+
+namespace {
+
+namespace json = base::json;
+
+constexpr auto kCallTimeout = std::chrono::seconds(5);
+constexpr std::string_view kActorField = "Operator";
+
+auto Deadline() -> base::MonotonicTime
+{
+  return base::MonotonicClock::now() + kCallTimeout;
+}
+
+auto Json(unsigned aStatus, const json::object& aBody) -> net::HttpResponse
+{
+  return { aStatus,
+           { { "Content-Type", "application/json" } },
+           base::ToText(aBody) + "\n" };
+}
+
+auto HttpStatusOf(absl::StatusCode aCode) -> unsigned
+{
+  switch (aCode) {
+    case absl::StatusCode::kInvalidArgument:
+      return 400;
+    case absl::StatusCode::kNotFound:
+      return 404;
+    case absl::StatusCode::kAborted:
+    case absl::StatusCode::kAlreadyExists:
+      return 409;
+    case absl::StatusCode::kResourceExhausted:
+    case absl::StatusCode::kUnavailable:
+      return 503;
+    case absl::StatusCode::kDeadlineExceeded:
+      return 504;
+    default:
+      return 500;
+  }
+}
+
+auto Error(const absl::Status& aStatus) -> net::HttpResponse
+{
+  json::object body;
+  body["error"] = base::KindName(aStatus);
+  body["message"] = std::string(base::MessageOf(aStatus));
+  return Json(HttpStatusOf(aStatus.code()), body);
+}
+
+auto SubmitNote(OperatorParts aParts, net::HttpRequest aRequest)
+  -> net::Task<net::HttpResponse>
+{
+  auto actor = std::string(net::FindField(aRequest.mFields, kActorField));
+  const auto revision = co_await aParts.mNotes.Submit(
+    std::move(aRequest.mBody), std::move(actor), Deadline());
+  if (!revision.ok()) {
+    co_return Error(revision.status());
+  }
+  json::object body;
+  body["revision"] = *revision;
+  co_return Json(200, body);
+}
+
+auto SubmitJob(OperatorParts aParts, net::HttpRequest aRequest)
+  -> net::Task<net::HttpResponse>
+{
+  const auto job = batch::ParseJob(aRequest.mBody);
+  if (!job.ok()) {
+    co_return Error(job.status());
+  }
+  const auto status = co_await aParts.mJobs.Submit(*job, Deadline());
+  if (!status.ok()) {
+    co_return Error(status);
+  }
+  json::object body;
+  body["job"] = job->mId;
+  co_return Json(200, body);
+}
+
+auto ShowJob(OperatorParts aParts, std::string aJob)
+  -> net::Task<net::HttpResponse>
+{
+  const auto status = co_await aParts.mJobs.Status(std::move(aJob), Deadline());
+  if (!status.ok()) {
+    co_return Error(status.status());
+  }
+  co_return net::HttpResponse{ 200,
+                               { { "Content-Type", "application/json" } },
+                               batch::EncodeStatus(*status) + "\n" };
+}
+
+auto ShowStatus(const OperatorParts& aParts) -> net::HttpResponse
+{
+  json::array members;
+  for (const auto& it : aParts.mMembership.View()->mMembers) {
+    json::object member;
+    member["id"] = it.mIdentity.mId;
+    member["failure_domain"] = it.mIdentity.mFailureDomain;
+    member["state"] =
+      std::string(base::NameOf(membership::kMemberStateNames, it.mState));
+    member["revision"] = it.mLoad.mRevision;
+    members.push_back(std::move(member));
+  }
+  json::array held;
+  for (const auto& it : aParts.mOwnership.View()->mHeld) {
+    json::object worker;
+    worker["worker"] = it->mWorker.mId;
+    worker["token"] = platform::ToString(it->mToken);
+    worker["slots"] = it->mLedger.Slots();
+    worker["used"] = it->mLedger.Used();
+    held.push_back(std::move(worker));
+  }
+  const auto state = aParts.mNotes.InForce();
+  json::object body;
+  body["entry"] = aParts.mMembership.Self().mId;
+  body["revision"] = state ? state->mRevision : 0;
+  body["entries"] = std::move(members);
+  body["owned_workers"] = std::move(held);
+  return Json(200, body);
+}
+
+auto ShowReady(const OperatorParts& aParts) -> net::HttpResponse
+{
+  if (aParts.mStopping) {
+    return { 503, {}, "stopping\n" };
+  }
+  if (!aParts.mNotes.InForce()) {
+    return { 503, {}, "no release note is known yet\n" };
+  }
+  return { 200, {}, "ready\n" };
+}
+
+} // namespace
+
+auto AnswerOperator(OperatorParts aParts, net::HttpRequest aRequest)
+  -> net::Task<net::HttpResponse>
+{
+  const auto& target = aRequest.mTarget;
+  const auto isGet = aRequest.mMethod == "GET";
+  const auto isPost = aRequest.mMethod == "POST";
+  constexpr std::string_view kJobPath = "/jobs/";
+  if (isGet && target == "/health") {
+    co_return net::HttpResponse{ 200, {}, "alive\n" };
+  }
+  if (isGet && target == "/ready") {
+    co_return ShowReady(aParts);
+  }
+  if (isGet && target == "/metrics") {
+    co_return net::HttpResponse{ 200, {}, aParts.mMetrics.Render() };
+  }
+  if (isGet && target == "/status") {
+    co_return ShowStatus(aParts);
+  }
+  if (isPost && target == "/release-notes") {
+    co_return co_await SubmitNote(aParts, std::move(aRequest));
+  }
+  if (isPost && target == "/jobs") {
+    co_return co_await SubmitJob(aParts, std::move(aRequest));
+  }
+  if (isGet && target.starts_with(kJobPath)) {
+    co_return co_await ShowJob(aParts, target.substr(kJobPath.size()));
+  }
+  co_return net::HttpResponse{
+    404, {}, base::Cat("no page ", target, "; see docs/http-api.md\n")
+  };
+}
+
+} // namespace eelgrasspost::app
--- /dev/null
+++ b/src/batch/include/eelgrasspost/batch/batcherrors.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "eelgrasspost/base/errors.h"
+
+namespace eelgrasspost::batch {
+
+inline constexpr auto kBadJob = base::ErrorKind{
+  "bad_job",
+  absl::StatusCode::kInvalidArgument,
+  "correct the fields that are named and submit the job again",
+};
+
+inline constexpr auto kJobIdTaken = base::ErrorKind{
+  "job_id_taken",
+  absl::StatusCode::kAlreadyExists,
+  "choose another id, or submit the job as it was first submitted",
+};
+
+inline constexpr auto kUnknownJob = base::ErrorKind{
+  "unknown_job",
+  absl::StatusCode::kNotFound,
+  "check the job's id",
+};
+
+inline constexpr auto kJobOutcomeUnknown = base::ErrorKind{
+  "job_outcome_unknown",
+  absl::StatusCode::kUnavailable,
+  "submit the same job again; repeating it is harmless",
+};
+
+} // namespace eelgrasspost::batch
--- /dev/null
+++ b/src/framework/base/include/eelgrasspost/base/errors.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <absl/status/status.h>
+
+namespace eelgrasspost::base {
+
+/**
+ * One kind of error of a module: its name, its status code and what the
+ * reader of the message can do about it. Each module lists its kinds in
+ * <module>errors.h.
+ */
+struct ErrorKind
+{
+  std::string_view mName;
+  absl::StatusCode mCode;
+  std::string_view mRemedy;
+};
+
+/** Builds a status whose message is "<detail>; <remedy>". */
+auto MakeError(const ErrorKind& aKind, std::string_view aDetail)
+  -> absl::Status;
+
+/** Returns whether a status was built from a kind. */
+auto IsKind(const absl::Status& aStatus, const ErrorKind& aKind) -> bool;
+
+/** Returns the name of the kind that a status was built from, or its code. */
+auto KindName(const absl::Status& aStatus) -> std::string;
+
+} // namespace eelgrasspost::base
--- /dev/null
+++ b/src/framework/base/internal/errors.cpp
@@ -0,0 +1,35 @@
+#include "eelgrasspost/base/errors.h"
+
+#include "eelgrasspost/base/text.h"
+#include <absl/strings/cord.h>
+
+namespace eelgrasspost::base {
+
+namespace {
+
+constexpr char kKindPayload[] = "eelgrasspost/kind";
+
+} // namespace
+
+auto MakeError(const ErrorKind& aKind, std::string_view aDetail) -> absl::Status
+{
+  auto status =
+    absl::Status(aKind.mCode, Cat(aDetail, "; remedy: ", aKind.mRemedy));
+  status.SetPayload(kKindPayload, absl::Cord(std::string(aKind.mName)));
+  return status;
+}
+
+auto IsKind(const absl::Status& aStatus, const ErrorKind& aKind) -> bool
+{
+  return KindName(aStatus) == aKind.mName;
+}
+
+auto KindName(const absl::Status& aStatus) -> std::string
+{
+  if (auto payload = aStatus.GetPayload(kKindPayload)) {
+    return std::string(*payload);
+  }
+  return absl::StatusCodeToString(aStatus.code());
+}
+
+} // namespace eelgrasspost::base
--- /dev/null
+++ b/src/framework/net/include/eelgrasspost/net/http.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/status/status.h>
+
+#include "eelgrasspost/base/clock.h"
+#include "eelgrasspost/net/address.h"
+#include "eelgrasspost/net/asio.h"
+
+namespace eelgrasspost::net {
+
+struct HttpField
+{
+  std::string mName;
+  std::string mValue;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mName, mValue);
+  }
+};
+
+/** Finds a field by name, case ignored; empty when it is absent. */
+auto FindField(const std::vector<HttpField>& aFields, std::string_view aName)
+  -> std::string_view;
+
+struct HttpRequest
+{
+  std::string mMethod = "GET";
+  std::string mTarget = "/";
+  std::vector<HttpField> mFields;
+  std::string mBody;
+};
+
+struct HttpResponse
+{
+  unsigned mStatus = 200;
+  std::vector<HttpField> mFields;
+  std::string mBody;
+};
+
+/** How far a request got before its exchange failed. */
+enum class SendProgress
+{
+  /** No byte of the request was written. */
+  NothingSent,
+  /** Part or all of the request may have reached the other side. */
+  MaybeSent,
+};
+
+struct HttpExchange
+{
+  absl::Status mStatus;
+  SendProgress mProgress = SendProgress::NothingSent;
+  /** Valid only when mStatus is ok. */
+  HttpResponse mResponse;
+};
+
+/** Limits of the HTTP client; sizes in bytes. */
+struct HttpClientOptions
+{
+  /** Source IP of outgoing connections; empty lets the system choose. */
+  std::string mBindIp;
+  std::size_t mIdlePerAddress = 16;
+  std::uint64_t mBodyLimit = 8 * 1024 * 1024;
+};
+
+/**
+ * HTTP/1.1 client with a pool of idle connections for each pool thread. A
+ * connection whose exchange failed or timed out is closed, never reused.
+ */
+class HttpClient
+{
+public:
+  HttpClient(std::size_t aThreads, HttpClientOptions aOptions);
+  ~HttpClient();
+
+  /** Sends a request and waits for the whole answer until the deadline. */
+  auto Exchange(const Address& aAddress,
+                const HttpRequest& aRequest,
+                base::MonotonicTime aDeadline) -> Task<HttpExchange>;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+/** Limits of the HTTP server; sizes in bytes. */
+struct HttpServerOptions
+{
+  std::uint64_t mBodyLimit = 1024 * 1024;
+  std::uint32_t mHeaderLimit = 16 * 1024;
+  std::size_t mConnectionLimit = 4096;
+  /** Longest wait for a whole request, and for the next one. */
+  std::chrono::milliseconds mReadTimeout{ 15000 };
+  std::chrono::milliseconds mIdleTimeout{ 60000 };
+};
+
+using HttpHandler = std::function<Task<HttpResponse>(HttpRequest)>;
+
+class IoPool;
+
+/** HTTP/1.1 server whose connections are spread over a pool's threads. */
+class HttpServer
+{
+public:
+  HttpServer(IoPool& aPool, HttpServerOptions aOptions, HttpHandler aHandler);
+  ~HttpServer();
+
+  /** Binds and starts to accept; returns the bound address. */
+  auto Listen(const Address& aAddress) -> absl::StatusOr<Address>;
+  /** Closes the listening socket; open connections end after their request. */
+  auto StopAccepting() -> void;
+  /** Requests that a handler is working on now. */
+  auto InFlight() const -> std::size_t;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace eelgrasspost::net
--- /dev/null
+++ b/src/framework/net/internal/framewriter.cpp
@@ -0,0 +1,36 @@
+#include <boost/asio/write.hpp>
+
+#include "frame.h"
+
+namespace eelgrasspost::net {
+
+auto FrameWriter::Write(std::string_view aBytes) -> void
+{
+  if (mClosed) {
+    return;
+  }
+  mQueued += aBytes;
+  if (!mWriting) {
+    mWriting = true;
+    SpawnTask(mSocket.get_executor(), Drain());
+  }
+}
+
+auto FrameWriter::Drain() -> Task<void>
+{
+  const auto self = shared_from_this();
+  while (!mClosed && !mQueued.empty()) {
+    auto bytes = std::move(mQueued);
+    mQueued.clear();
+    boost::system::error_code ec;
+    co_await asio::async_write(mSocket,
+                               asio::buffer(bytes),
+                               asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+      mClosed = true;
+    }
+  }
+  mWriting = false;
+}
+
+} // namespace eelgrasspost::net
--- /dev/null
+++ b/src/framework/net/internal/httpclient.cpp
@@ -0,0 +1,209 @@
+#include <deque>
+#include <map>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/net/http.h"
+#include "eelgrasspost/net/iopool.h"
+
+namespace eelgrasspost::net {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+struct Connection
+{
+  explicit Connection(asio::any_io_executor aExecutor)
+    : mStream(std::move(aExecutor))
+  {
+  }
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+};
+
+using ConnectionPtr = std::unique_ptr<Connection>;
+
+/** Whether an idle connection is still open and has no stray bytes. */
+auto IsReusable(Connection& aConnection) -> bool
+{
+  auto& socket = aConnection.mStream.socket();
+  error_code ec;
+  char byte = 0;
+  socket.non_blocking(true, ec);
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+  return ec == asio::error::would_block;
+}
+
+auto ToBeast(const HttpRequest& aRequest, const Address& aAddress)
+  -> http::request<http::string_body>
+{
+  http::request<http::string_body> out;
+  out.version(11);
+  out.method_string(aRequest.mMethod);
+  out.target(aRequest.mTarget);
+  out.set(http::field::host, ToString(aAddress));
+  for (const auto& it : aRequest.mFields) {
+    out.insert(it.mName, it.mValue);
+  }
+  out.body() = aRequest.mBody;
+  out.prepare_payload();
+  return out;
+}
+
+auto FromBeast(http::response<http::string_body>&& aResponse) -> HttpResponse
+{
+  HttpResponse out;
+  out.mStatus = aResponse.result_int();
+  for (const auto& it : aResponse) {
+    out.mFields.push_back(
+      { std::string(it.name_string()), std::string(it.value()) });
+  }
+  out.mBody = std::move(aResponse.body());
+  return out;
+}
+
+auto Failure(std::string_view aWhat,
+             const Address& aAddress,
+             const error_code& aError,
+             SendProgress aProgress) -> HttpExchange
+{
+  const auto text =
+    base::Cat(aWhat, " ", ToString(aAddress), ": ", aError.message());
+  const auto isTimeout = aError == beast::error::timeout;
+  auto status = isTimeout ? absl::DeadlineExceededError(text)
+                          : absl::UnavailableError(text);
+  return { std::move(status), aProgress, {} };
+}
+
+auto Connect(Connection& aConnection,
+             const Address& aAddress,
+             const std::string& aBindIp) -> Task<error_code>
+{
+  error_code ec;
+  auto& socket = aConnection.mStream.socket();
+  const auto ip = asio::ip::make_address(aAddress.mIp, ec);
+  if (ec) {
+    co_return ec;
+  }
+  const auto target = Tcp::endpoint(ip, aAddress.mPort);
+  socket.open(target.protocol(), ec);
+  if (ec) {
+    co_return ec;
+  }
+  if (!aBindIp.empty()) {
+    socket.bind(Tcp::endpoint(asio::ip::make_address(aBindIp, ec), 0), ec);
+  }
+  co_await aConnection.mStream.async_connect(
+    target, asio::redirect_error(asio::use_awaitable, ec));
+  if (!ec) {
+    socket.set_option(Tcp::no_delay(true), ec);
+  }
+  co_return ec;
+}
+
+} // namespace
+
+auto FindField(const std::vector<HttpField>& aFields, std::string_view aName)
+  -> std::string_view
+{
+  for (const auto& it : aFields) {
+    if (base::EqualsIgnoreCase(it.mName, aName)) {
+      return it.mValue;
+    }
+  }
+  return {};
+}
+
+struct HttpClient::Impl
+{
+  using IdleConnections = std::map<Address, std::deque<ConnectionPtr>>;
+
+  HttpClientOptions mOptions;
+  /** One for each pool thread, used by that thread alone. */
+  std::vector<IdleConnections> mIdle;
+
+  auto TakeIdle(const Address& aAddress) -> ConnectionPtr
+  {
+    auto& idle = mIdle[ThisThreadIndex()][aAddress];
+    while (!idle.empty()) {
+      auto connection = std::move(idle.back());
+      idle.pop_back();
+      if (IsReusable(*connection)) {
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  auto KeepIdle(const Address& aAddress, ConnectionPtr aConnection) -> void
+  {
+    auto& idle = mIdle[ThisThreadIndex()][aAddress];
+    if (idle.size() < mOptions.mIdlePerAddress) {
+      aConnection->mStream.expires_never();
+      idle.push_back(std::move(aConnection));
+    }
+  }
+};
+
+HttpClient::HttpClient(std::size_t aThreads, HttpClientOptions aOptions)
+  : mImpl(std::make_unique<Impl>())
+{
+  mImpl->mOptions = std::move(aOptions);
+  mImpl->mIdle.resize(aThreads);
+}
+
+HttpClient::~HttpClient() = default;
+
+auto HttpClient::Exchange(const Address& aAddress,
+                          const HttpRequest& aRequest,
+                          base::MonotonicTime aDeadline) -> Task<HttpExchange>
+{
+  error_code ec;
+  auto connection = mImpl->TakeIdle(aAddress);
+  if (!connection) {
+    connection =
+      std::make_unique<Connection>(co_await asio::this_coro::executor);
+    connection->mStream.expires_at(aDeadline);
+    ec = co_await Connect(*connection, aAddress, mImpl->mOptions.mBindIp);
+    if (ec) {
+      co_return Failure(
+        "cannot connect to", aAddress, ec, SendProgress::NothingSent);
+    }
+  }
+  auto& stream = connection->mStream;
+  stream.expires_at(aDeadline);
+  const auto message = ToBeast(aRequest, aAddress);
+  co_await http::async_write(
+    stream, message, asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) {
+    co_return Failure("cannot send to", aAddress, ec, SendProgress::MaybeSent);
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(mImpl->mOptions.mBodyLimit);
+  parser.skip(aRequest.mMethod == "HEAD");
+  co_await http::async_read(stream,
+                            connection->mBuffer,
+                            parser,
+                            asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) {
+    co_return Failure("no answer from", aAddress, ec, SendProgress::MaybeSent);
+  }
+  auto response = parser.release();
+  if (response.keep_alive() && connection->mBuffer.size() == 0) {
+    mImpl->KeepIdle(aAddress, std::move(connection));
+  }
+  co_return HttpExchange{ absl::OkStatus(),
+                          SendProgress::MaybeSent,
+                          FromBeast(std::move(response)) };
+}
+
+} // namespace eelgrasspost::net
--- /dev/null
+++ b/src/framework/net/internal/httpserver.cpp
@@ -0,0 +1,235 @@
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/net/http.h"
+#include "eelgrasspost/net/iopool.h"
+
+namespace eelgrasspost::net {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+auto FromBeast(http::request<http::string_body>&& aRequest) -> HttpRequest
+{
+  HttpRequest out;
+  out.mMethod = std::string(aRequest.method_string());
+  out.mTarget = std::string(aRequest.target());
+  for (const auto& it : aRequest) {
+    out.mFields.push_back(
+      { std::string(it.name_string()), std::string(it.value()) });
+  }
+  out.mBody = std::move(aRequest.body());
+  return out;
+}
+
+auto IsHopByHop(const HttpField& aField) -> bool
+{
+  const auto field = http::string_to_field(aField.mName);
+  return field == http::field::connection ||
+         field == http::field::content_length ||
+         field == http::field::transfer_encoding ||
+         field == http::field::keep_alive;
+}
+
+auto ToBeast(HttpResponse&& aResponse, bool aKeepAlive, bool aIsHead)
+  -> http::response<http::string_body>
+{
+  http::response<http::string_body> out;
+  out.version(11);
+  out.result(aResponse.mStatus);
+  for (const auto& it : aResponse.mFields) {
+    if (!IsHopByHop(it)) {
+      out.insert(it.mName, it.mValue);
+    }
+  }
+  out.keep_alive(aKeepAlive);
+  out.body() = std::move(aResponse.mBody);
+  out.prepare_payload();
+  if (aIsHead) {
+    out.body().clear();
+  }
+  return out;
+}
+
+/** The answer to a request that cannot be parsed; nothing when the caller has
+ * gone. */
+auto AnswerToBadRequest(const error_code& aError) -> HttpResponse
+{
+  if (aError == http::error::body_limit) {
+    return { 413, {}, "the body is too large; send a smaller one\n" };
+  }
+  if (aError == http::error::header_limit) {
+    return { 431, {}, "the header is too large; send fewer fields\n" };
+  }
+  return { 400,
+           {},
+           base::Cat("the request is not HTTP/1.1 (",
+                     aError.message(),
+                     "); check the client\n") };
+}
+
+auto IsParseError(const error_code& aError) -> bool
+{
+  return aError.category() ==
+           http::make_error_code(http::error::body_limit).category() &&
+         aError != http::error::end_of_stream;
+}
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
+{
+  Impl(IoPool& aPool, HttpServerOptions aOptions, HttpHandler aHandler)
+    : mPool(aPool)
+    , mOptions(aOptions)
+    , mHandler(std::move(aHandler))
+    , mAcceptor(aPool.Executor(0))
+  {
+  }
+
+  IoPool& mPool;
+  HttpServerOptions mOptions;
+  HttpHandler mHandler;
+  Tcp::acceptor mAcceptor;
+  std::atomic<bool> mStopping{ false };
+  std::atomic<std::size_t> mConnections{ 0 };
+  std::atomic<std::size_t> mInFlight{ 0 };
+
+  auto Accept() -> Task<void>;
+  auto Serve(Tcp::socket aSocket) -> Task<void>;
+  auto Answer(beast::tcp_stream& aStream, HttpRequest aRequest, bool aKeepAlive)
+    -> Task<bool>;
+};
+
+auto HttpServer::Impl::Accept() -> Task<void>
+{
+  const auto self = shared_from_this();
+  while (!mStopping) {
+    error_code ec;
+    const auto executor = mPool.NextExecutor();
+    auto socket = co_await mAcceptor.async_accept(
+      executor, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (ec) {
+      constexpr auto kPauseAfterError = std::chrono::milliseconds(10);
+      co_await Sleep(kPauseAfterError);
+      continue;
+    }
+    if (mConnections >= mOptions.mConnectionLimit) {
+      continue;
+    }
+    SpawnTask(executor, Serve(std::move(socket)));
+  }
+}
+
+auto HttpServer::Impl::Serve(Tcp::socket aSocket) -> Task<void>
+{
+  const auto self = shared_from_this();
+  ++mConnections;
+  error_code ec;
+  aSocket.set_option(Tcp::no_delay(true), ec);
+  auto stream = beast::tcp_stream(std::move(aSocket));
+  beast::flat_buffer buffer;
+  auto keepAlive = true;
+  while (keepAlive) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(mOptions.mBodyLimit);
+    parser.header_limit(mOptions.mHeaderLimit);
+    stream.expires_after(mOptions.mIdleTimeout);
+    co_await http::async_read_header(
+      stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec) {
+      stream.expires_after(mOptions.mReadTimeout);
+      co_await http::async_read(
+        stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (ec && IsParseError(ec)) {
+      auto answer = ToBeast(AnswerToBadRequest(ec), false, false);
+      co_await http::async_write(
+        stream, answer, asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (ec || !parser.is_done()) {
+      break;
+    }
+    keepAlive = parser.get().keep_alive() && !mStopping;
+    stream.expires_never();
+    keepAlive = co_await Answer(stream, FromBeast(parser.release()), keepAlive);
+  }
+  stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
+  --mConnections;
+}
+
+auto HttpServer::Impl::Answer(beast::tcp_stream& aStream,
+                              HttpRequest aRequest,
+                              bool aKeepAlive) -> Task<bool>
+{
+  ++mInFlight;
+  const auto isHead = aRequest.mMethod == "HEAD";
+  auto response = co_await mHandler(std::move(aRequest));
+  const auto keepAlive = aKeepAlive && !mStopping;
+  auto message = ToBeast(std::move(response), keepAlive, isHead);
+  error_code ec;
+  aStream.expires_after(mOptions.mReadTimeout);
+  co_await http::async_write(
+    aStream, message, asio::redirect_error(asio::use_awaitable, ec));
+  --mInFlight;
+  co_return keepAlive && !ec;
+}
+
+HttpServer::HttpServer(IoPool& aPool,
+                       HttpServerOptions aOptions,
+                       HttpHandler aHandler)
+  : mImpl(std::make_shared<Impl>(aPool, aOptions, std::move(aHandler)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+auto HttpServer::Listen(const Address& aAddress) -> absl::StatusOr<Address>
+{
+  try {
+    const auto ip = asio::ip::make_address(aAddress.mIp);
+    const auto endpoint = Tcp::endpoint(ip, aAddress.mPort);
+    auto& acceptor = mImpl->mAcceptor;
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+    const auto bound = acceptor.local_endpoint();
+    SpawnTask(mImpl->mPool.Executor(0), mImpl->Accept());
+    return Address{ bound.address().to_string(), bound.port() };
+  } catch (const boost::system::system_error& e) {
+    return absl::UnavailableError(
+      base::Cat("cannot listen on ",
+                ToString(aAddress),
+                ": ",
+                e.what(),
+                "; choose another port or end its holder"));
+  }
+}
+
+auto HttpServer::StopAccepting() -> void
+{
+  mImpl->mStopping = true;
+  asio::post(mImpl->mPool.Executor(0), [impl = mImpl] {
+    error_code ec;
+    impl->mAcceptor.close(ec);
+  });
+}
+
+auto HttpServer::InFlight() const -> std::size_t
+{
+  return mImpl->mInFlight;
+}
+
+} // namespace eelgrasspost::net
--- /dev/null
+++ b/src/framework/net/internal/messageclient.cpp
@@ -0,0 +1,208 @@
+#include <atomic>
+#include <map>
+#include <unordered_map>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "eelgrasspost/base/text.h"
+#include "frame.h"
+
+namespace eelgrasspost::net {
+
+namespace {
+
+using Tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+/** A call that waits for its answer. */
+struct PendingCall
+{
+  explicit PendingCall(const asio::any_io_executor& aExecutor)
+    : mDone(aExecutor)
+  {
+  }
+  asio::steady_timer mDone;
+  bool mAnswered = false;
+  bool mFailed = false;
+  std::string mBytes;
+};
+
+using PendingCallPtr = std::shared_ptr<PendingCall>;
+
+/** One connection to one address, used by one thread alone. */
+struct Link : std::enable_shared_from_this<Link>
+{
+  explicit Link(const asio::any_io_executor& aExecutor)
+    : mSocket(aExecutor)
+    , mWriter(std::make_shared<FrameWriter>(mSocket))
+  {
+  }
+
+  Tcp::socket mSocket;
+  std::shared_ptr<FrameWriter> mWriter;
+  std::unordered_map<std::uint64_t, PendingCallPtr> mPending;
+  std::uint64_t mNextCorrelation = 1;
+  bool mBroken = false;
+
+  auto Fail() -> void
+  {
+    mBroken = true;
+    mWriter->Close();
+    error_code ec;
+    mSocket.close(ec);
+    for (auto& [id, it] : mPending) {
+      it->mFailed = true;
+      it->mDone.cancel();
+    }
+    mPending.clear();
+  }
+
+  auto ReadReplies(std::atomic<std::uint64_t>& aLate) -> Task<void>
+  {
+    const auto self = shared_from_this();
+    while (!mBroken) {
+      Frame frame;
+      error_code ec;
+      co_await ReadFrame(mSocket, frame, ec);
+      if (ec) {
+        Fail();
+        co_return;
+      }
+      auto it = mPending.find(frame.mCorrelation);
+      if (it == mPending.end()) {
+        ++aLate;
+        continue;
+      }
+      it->second->mAnswered = true;
+      it->second->mBytes = std::move(frame.mBytes);
+      it->second->mDone.cancel();
+      mPending.erase(it);
+    }
+  }
+};
+
+using LinkPtr = std::shared_ptr<Link>;
+
+/** Longest time that connecting may take when the deadline is further off. */
+constexpr auto kConnectTimeout = std::chrono::milliseconds(1000);
+
+auto Connect(Tcp::socket& aSocket,
+             const Address& aAddress,
+             const std::string& aBindIp,
+             base::MonotonicTime aDeadline) -> Task<error_code>
+{
+  error_code ec;
+  const auto target =
+    Tcp::endpoint(asio::ip::make_address(aAddress.mIp, ec), aAddress.mPort);
+  if (ec) {
+    co_return ec;
+  }
+  aSocket.open(target.protocol(), ec);
+  if (!aBindIp.empty()) {
+    aSocket.bind(Tcp::endpoint(asio::ip::make_address(aBindIp, ec), 0), ec);
+  }
+  const auto limit = base::MonotonicClock::now() + kConnectTimeout;
+  auto timer =
+    asio::steady_timer(aSocket.get_executor(), std::min(limit, aDeadline));
+  timer.async_wait([&aSocket](error_code aError) {
+    if (!aError) {
+      error_code ignored;
+      aSocket.close(ignored);
+    }
+  });
+  co_await aSocket.async_connect(target,
+                                 asio::redirect_error(asio::use_awaitable, ec));
+  timer.cancel();
+  if (!ec) {
+    aSocket.set_option(Tcp::no_delay(true), ec);
+  }
+  co_return ec;
+}
+
+} // namespace
+
+struct MessageClient::Impl
+{
+  using Links = std::map<Address, LinkPtr>;
+
+  std::string mBindIp;
+  /** One for each pool thread, used by that thread alone. */
+  std::vector<Links> mLinks;
+  std::atomic<std::uint64_t> mLateReplies{ 0 };
+
+  auto OpenLink(const Address& aAddress, base::MonotonicTime aDeadline)
+    -> Task<LinkPtr>
+  {
+    auto& links = mLinks[ThisThreadIndex()];
+    if (auto it = links.find(aAddress);
+        it != links.end() && !it->second->mBroken) {
+      co_return it->second;
+    }
+    auto link = std::make_shared<Link>(co_await asio::this_coro::executor);
+    const auto ec =
+      co_await Connect(link->mSocket, aAddress, mBindIp, aDeadline);
+    if (ec) {
+      co_return nullptr;
+    }
+    // Another call may have connected meanwhile; its link is kept.
+    auto& current = links[aAddress];
+    if (current && !current->mBroken) {
+      co_return current;
+    }
+    current = link;
+    SpawnTask(link->mSocket.get_executor(), link->ReadReplies(mLateReplies));
+    co_return link;
+  }
+};
+
+MessageClient::MessageClient(std::size_t aThreads, std::string aBindIp)
+  : mImpl(std::make_unique<Impl>())
+{
+  mImpl->mBindIp = std::move(aBindIp);
+  mImpl->mLinks.resize(aThreads);
+}
+
+MessageClient::~MessageClient() = default;
+
+auto MessageClient::Call(const Address& aAddress,
+                         MessageKind aKind,
+                         std::string aBytes,
+                         base::MonotonicTime aDeadline) -> Task<MessageReply>
+{
+  const auto link = co_await mImpl->OpenLink(aAddress, aDeadline);
+  if (!link) {
+    co_return MessageReply{ absl::UnavailableError(base::Cat(
+                              "cannot connect to entry ", ToString(aAddress))),
+                            SendProgress::NothingSent,
+                            {} };
+  }
+  const auto id = link->mNextCorrelation++;
+  auto call = std::make_shared<PendingCall>(link->mSocket.get_executor());
+  call->mDone.expires_at(aDeadline);
+  link->mPending.emplace(id, call);
+  link->mWriter->Write(
+    EncodeFrame({ id, static_cast<std::uint16_t>(aKind), std::move(aBytes) }));
+  error_code ec;
+  co_await call->mDone.async_wait(
+    asio::redirect_error(asio::use_awaitable, ec));
+  link->mPending.erase(id);
+  if (call->mAnswered) {
+    co_return MessageReply{ absl::OkStatus(),
+                            SendProgress::MaybeSent,
+                            std::move(call->mBytes) };
+  }
+  auto status =
+    call->mFailed
+      ? absl::UnavailableError(
+          base::Cat("the connection to entry ", ToString(aAddress), " broke"))
+      : absl::DeadlineExceededError(
+          base::Cat("no answer in time from entry ", ToString(aAddress)));
+  co_return MessageReply{ std::move(status), SendProgress::MaybeSent, {} };
+}
+
+auto MessageClient::LateReplies() const -> std::uint64_t
+{
+  return mImpl->mLateReplies;
+}
+
+} // namespace eelgrasspost::net
--- /dev/null
+++ b/src/framework/net/tests/net_tests.cpp
@@ -0,0 +1,110 @@
+#define BOOST_TEST_MODULE net
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+#include "eelgrasspost/net/http.h"
+#include "eelgrasspost/net/messages.h"
+
+namespace {
+
+using namespace eelgrasspost::net;
+using eelgrasspost::base::MonotonicClock;
+
+constexpr auto kWait = std::chrono::seconds(5);
+
+struct Echo
+{
+  std::string mText;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mText);
+  }
+};
+
+/** A pool whose tasks a test waits for. */
+struct PoolFixture
+{
+  PoolFixture() { mPool.Start(); }
+
+  template<typename T>
+  auto Await(Task<T> aTask) -> T
+  {
+    auto promise = std::make_shared<std::promise<T>>();
+    auto future = promise->get_future();
+    auto run = [](Task<T> aInner,
+                  std::shared_ptr<std::promise<T>> aPromise) -> Task<void> {
+      aPromise->set_value(co_await std::move(aInner));
+    };
+    mPool.Spawn(mPool.Executor(1), run(std::move(aTask), promise));
+    return future.get();
+  }
+
+  IoPool mPool{ 2 };
+};
+
+const auto kAnyPort = Address{ "127.0.0.1", 0 };
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(net, PoolFixture)
+
+BOOST_AUTO_TEST_CASE(httpclient_live_server_gets_whole_answer)
+{
+  auto handler = [](HttpRequest aRequest) -> Task<HttpResponse> {
+    co_return HttpResponse{ 200, {}, aRequest.mTarget + aRequest.mBody };
+  };
+  HttpServer server(mPool, {}, handler);
+  const auto address = server.Listen(kAnyPort);
+  BOOST_TEST_REQUIRE(address.ok());
+  HttpClient client(mPool.Size(), {});
+  const auto request = HttpRequest{ "POST", "/a", {}, "body" };
+  const auto exchange =
+    Await(client.Exchange(*address, request, MonotonicClock::now() + kWait));
+  BOOST_TEST_REQUIRE(exchange.mStatus.ok());
+  BOOST_TEST(exchange.mResponse.mBody == "/abody");
+  server.StopAccepting();
+}
+
+BOOST_AUTO_TEST_CASE(httpclient_refused_connection_says_nothing_sent)
+{
+  HttpClient client(mPool.Size(), {});
+  const auto exchange = Await(client.Exchange(
+    Address{ "127.0.0.1", 1 }, {}, MonotonicClock::now() + kWait));
+  BOOST_TEST(!exchange.mStatus.ok());
+  BOOST_TEST((exchange.mProgress == SendProgress::NothingSent));
+}
+
+BOOST_AUTO_TEST_CASE(messageclient_typed_call_gets_its_own_answer)
+{
+  MessageServer server(mPool);
+  HandleTyped<Echo, Echo>(
+    server, MessageKind::HandOver, [](Echo aEcho) -> Task<Echo> {
+      co_return Echo{ "re:" + aEcho.mText };
+    });
+  const auto address = server.Listen(kAnyPort);
+  BOOST_TEST_REQUIRE(address.ok());
+  MessageClient client(mPool.Size(), "");
+  for (const auto* text : { "one", "two" }) {
+    const auto reply = Await(CallTyped<Echo>(client,
+                                             *address,
+                                             MessageKind::HandOver,
+                                             Echo{ text },
+                                             MonotonicClock::now() + kWait));
+    BOOST_TEST_REQUIRE(reply.mStatus.ok());
+    BOOST_TEST(reply.mReply.mText == std::string("re:") + text);
+  }
+  server.Stop();
+}
+
+BOOST_AUTO_TEST_CASE(decode_truncated_bytes_gives_error)
+{
+  const auto bytes = Encode(Echo{ "hello" });
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    BOOST_TEST(!Decode<Echo>(bytes.substr(0, n)).ok());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/framework/snapshot/internal/snapshot.cpp
@@ -0,0 +1,41 @@
+#include "eelgrasspost/snapshot/snapshot.h"
+
+#include <urcu/urcu-memb.h>
+
+namespace eelgrasspost::snapshot {
+
+namespace {
+
+/** Keeps a thread registered with the library for as long as it lives. */
+struct ThreadRegistration
+{
+  ThreadRegistration() { urcu_memb_register_thread(); }
+  ~ThreadRegistration() { urcu_memb_unregister_thread(); }
+  ThreadRegistration(const ThreadRegistration&) = delete;
+  auto operator=(const ThreadRegistration&) -> ThreadRegistration& = delete;
+};
+
+auto RegisterThisThread() -> void
+{
+  thread_local ThreadRegistration registration;
+}
+
+} // namespace
+
+ReadSection::ReadSection()
+{
+  RegisterThisThread();
+  urcu_memb_read_lock();
+}
+
+ReadSection::~ReadSection()
+{
+  urcu_memb_read_unlock();
+}
+
+auto WaitForReaders() -> void
+{
+  urcu_memb_synchronize_rcu();
+}
+
+} // namespace eelgrasspost::snapshot
--- /dev/null
+++ b/src/framework/snapshot/tests/snapshot_tests.cpp
@@ -0,0 +1,44 @@
+#define BOOST_TEST_MODULE snapshot
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+#include <vector>
+
+#include "eelgrasspost/snapshot/snapshot.h"
+
+namespace {
+
+using eelgrasspost::snapshot::Snapshot;
+
+struct Pair
+{
+  int mFirst;
+  int mSecond;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(snapshot_under_concurrent_publish_reads_whole_values)
+{
+  auto cell = Snapshot<Pair>(std::make_shared<const Pair>(Pair{ 0, 0 }));
+  constexpr int kRounds = 500;
+  std::atomic<bool> torn{ false };
+  std::vector<std::jthread> readers;
+  readers.reserve(3);
+  for (int n = 0; n < 3; ++n) {
+    readers.emplace_back([&](const std::stop_token& aStop) {
+      while (!aStop.stop_requested()) {
+        const auto it = cell.Read();
+        if (it->mFirst != it->mSecond) {
+          torn = true;
+        }
+      }
+    });
+  }
+  for (int i = 1; i <= kRounds; ++i) {
+    cell.Publish(std::make_shared<const Pair>(Pair{ i, i }));
+  }
+  readers.clear();
+  BOOST_TEST(!torn);
+  BOOST_TEST(cell.Read()->mFirst == kRounds);
+}
--- /dev/null
+++ b/src/ownership/tests/slotledger_tests.cpp
@@ -0,0 +1,62 @@
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+#include "eelgrasspost/ownership/slotledger.h"
+
+namespace {
+
+using eelgrasspost::ownership::SlotLedger;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(slotledger)
+
+BOOST_AUTO_TEST_CASE(ledger_full_refuses_until_release)
+{
+  SlotLedger ledger(2, 1);
+  BOOST_TEST(ledger.TryReserve());
+  BOOST_TEST(!ledger.TryReserve());
+  ledger.Release();
+  BOOST_TEST(ledger.TryReserve());
+}
+
+BOOST_AUTO_TEST_CASE(ledger_unknown_attempt_keeps_its_slot)
+{
+  SlotLedger ledger(1, 0);
+  BOOST_TEST(ledger.TryReserve());
+  ledger.KeepForUnknown("a1");
+  BOOST_TEST(!ledger.TryReserve());
+  ledger.ForgetUnknown("a1");
+  ledger.ForgetUnknown("a1");
+  BOOST_TEST(ledger.Used() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ledger_many_threads_never_exceed_slots)
+{
+  constexpr int kSlots = 8;
+  SlotLedger ledger(kSlots, 0);
+  std::atomic<int> inside{ 0 };
+  std::atomic<int> most{ 0 };
+  std::vector<std::jthread> threads;
+  threads.reserve(4);
+  for (int n = 0; n < 4; ++n) {
+    threads.emplace_back([&] {
+      for (int i = 0; i < 20000; ++i) {
+        if (ledger.TryReserve()) {
+          const auto now = ++inside;
+          auto seen = most.load();
+          while (now > seen && !most.compare_exchange_weak(seen, now)) {
+          }
+          --inside;
+          ledger.Release();
+        }
+      }
+    });
+  }
+  threads.clear();
+  BOOST_TEST(most <= kSlots);
+  BOOST_TEST(ledger.Used() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/platform/internal/platformcall.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+
+#include <absl/status/statusor.h>
+
+#include "eelgrasspost/base/jsonfields.h"
+#include "eelgrasspost/net/http.h"
+
+namespace eelgrasspost::platform {
+
+struct PlatformAnswer
+{
+  unsigned mStatus = 0;
+  base::json::object mBody;
+};
+
+/** Posts a JSON object; errors are kNotReached, kNoAnswer and kBadAnswer. */
+auto PostJson(net::HttpClient& aClient,
+              net::Address aAddress,
+              std::string aTarget,
+              base::json::object aBody,
+              base::MonotonicTime aDeadline)
+  -> net::Task<absl::StatusOr<PlatformAnswer>>;
+
+} // namespace eelgrasspost::platform
--- /dev/null
+++ b/src/releasenote/include/eelgrasspost/releasenote/releasenotetypes.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "eelgrasspost/base/clock.h"
+#include "eelgrasspost/net/address.h"
+#include "eelgrasspost/platform/platformtypes.h"
+
+namespace eelgrasspost::releasenote {
+
+/** Where a service runs: an HTTP server on a worker. */
+struct EndpointSpec
+{
+  std::string mWorker;
+  net::Address mAddress;
+
+  auto operator<=>(const EndpointSpec&) const = default;
+};
+
+/** A service that a person waits on. */
+struct ServiceSpec
+{
+  std::string mName;
+  std::vector<EndpointSpec> mEndpoints;
+  /** Whether a request may be run again after an unknown outcome. */
+  bool mIdempotent = false;
+  /** Longest time for a request, in milliseconds; callers may ask for less. */
+  std::int64_t mDeadlineMs = 1000;
+  /** Retries allowed, as a percentage of recent successes. */
+  std::int64_t mRetryPercent = 10;
+  /** Requests that one entry lets wait for a slot. */
+  std::int64_t mQueueLimit = 64;
+
+  auto operator<=>(const ServiceSpec&) const = default;
+};
+
+/** A team and what its batch tasks may hold at once. */
+struct TeamSpec
+{
+  std::string mName;
+  platform::Resources mQuota;
+
+  auto operator<=>(const TeamSpec&) const = default;
+};
+
+/** A release note: what one operator adds, changes and withdraws. */
+struct ReleaseNote
+{
+  /** Revision that the note was written against. */
+  std::uint64_t mBase = 0;
+  std::vector<ServiceSpec> mAddedServices;
+  std::vector<ServiceSpec> mChangedServices;
+  std::vector<std::string> mWithdrawnServices;
+  std::vector<TeamSpec> mAddedTeams;
+  std::vector<TeamSpec> mChangedTeams;
+  std::vector<std::string> mWithdrawnTeams;
+};
+
+/** All that is in force at a revision. */
+struct ReleaseState
+{
+  /** Grows by one with each accepted note; 0 before the first. */
+  std::uint64_t mRevision = 0;
+  std::vector<ServiceSpec> mServices;
+  std::vector<TeamSpec> mTeams;
+
+  /** Null when the service is not in force. */
+  auto FindService(std::string_view aName) const -> const ServiceSpec*;
+  auto FindTeam(std::string_view aName) const -> const TeamSpec*;
+};
+
+} // namespace eelgrasspost::releasenote
--- /dev/null
+++ b/src/routing/include/eelgrasspost/routing/routingmodule.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <memory>
+
+#include "eelgrasspost/base/metrics.h"
+#include "eelgrasspost/membership/imembership.h"
+#include "eelgrasspost/net/messages.h"
+#include "eelgrasspost/ownership/iownership.h"
+#include "eelgrasspost/platform/itable.h"
+#include "eelgrasspost/releasenote/ireleasenotes.h"
+#include "eelgrasspost/routing/irouter.h"
+
+namespace eelgrasspost::routing {
+
+/** What a router works with. */
+struct RouterParts
+{
+  net::HttpClient& mHttp;
+  net::MessageClient& mMessages;
+  platform::ITable& mTable;
+  membership::IMembership& mMembership;
+  ownership::IOwnership& mOwnership;
+  releasenote::IReleaseNotes& mNotes;
+  base::Metrics& mMetrics;
+};
+
+auto MakeRouter(RouterParts aParts) -> std::unique_ptr<IRouter>;
+
+/** Runs the requests that other entries forward; called before Listen(). */
+auto HandleForwards(net::MessageServer& aServer, IRouter& aRouter) -> void;
+
+/** Answers a caller's HTTP request to /services/<name>/... */
+auto AnswerCaller(IRouter& aRouter,
+                  releasenote::IReleaseNotes& aNotes,
+                  net::HttpRequest aRequest) -> net::Task<net::HttpResponse>;
+
+} // namespace eelgrasspost::routing
--- /dev/null
+++ b/src/routing/internal/httpdoor.cpp
@@ -0,0 +1,114 @@
+#include <atomic>
+
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/platform/iworker.h"
+#include "eelgrasspost/routing/routingerrors.h"
+#include "eelgrasspost/routing/routingmodule.h"
+
+namespace eelgrasspost::routing {
+
+namespace {
+
+constexpr std::string_view kServicesPath = "/services/";
+constexpr std::string_view kOutcomeField = "Outcome";
+
+struct StatusOfKind
+{
+  base::ErrorKind mKind;
+  unsigned mHttpStatus;
+};
+
+constexpr auto kStatusOfKinds = std::array{
+  StatusOfKind{ kUnknownService, 404 }, StatusOfKind{ kMissingKey, 400 },
+  StatusOfKind{ kNoSlot, 503 },         StatusOfKind{ kDeadlinePassed, 504 },
+  StatusOfKind{ kEndpointFailed, 502 }, StatusOfKind{ kNotReady, 503 },
+};
+
+auto HttpStatusOf(const absl::Status& aError) -> unsigned
+{
+  for (const auto& it : kStatusOfKinds) {
+    if (base::IsKind(aError, it.mKind)) {
+      return it.mHttpStatus;
+    }
+  }
+  return 500;
+}
+
+auto ToResponse(ServiceOutcome aOutcome) -> net::HttpResponse
+{
+  auto name = std::string(base::NameOf(kOutcomeNames, aOutcome.mOutcome));
+  if (aOutcome.mOutcome == Outcome::Answered) {
+    aOutcome.mResponse.mFields.push_back({ std::string(kOutcomeField), name });
+    return std::move(aOutcome.mResponse);
+  }
+  return { HttpStatusOf(aOutcome.mError),
+           { { std::string(kOutcomeField), name } },
+           base::Cat(base::MessageOf(aOutcome.mError), "\n") };
+}
+
+auto Refuse(const base::ErrorKind& aKind, std::string_view aDetail)
+  -> net::HttpResponse
+{
+  return ToResponse({ Outcome::NotRun, {}, base::MakeError(aKind, aDetail) });
+}
+
+auto NewRequestId() -> std::string
+{
+  static std::atomic<std::uint64_t> counter{ 0 };
+  return base::Cat("r", base::WallClockMs(), "-", ++counter);
+}
+
+auto ToServiceRequest(net::HttpRequest aRequest,
+                      std::string aService,
+                      std::string aTarget,
+                      std::int64_t aLongestMs) -> ServiceRequest
+{
+  const auto asked = base::ParseNumber(
+    net::FindField(aRequest.mFields, platform::kDeadlineField));
+  const auto deadlineMs = std::min(asked.value_or(aLongestMs), aLongestMs);
+  ServiceRequest out;
+  out.mService = std::move(aService);
+  out.mTarget = std::move(aTarget);
+  out.mMethod = std::move(aRequest.mMethod);
+  out.mRequestId = net::FindField(aRequest.mFields, platform::kRequestIdField);
+  if (out.mRequestId.empty()) {
+    out.mRequestId = NewRequestId();
+  }
+  out.mIdempotencyKey = net::FindField(aRequest.mFields, "Idempotency-Key");
+  out.mFields = std::move(aRequest.mFields);
+  out.mBody = std::move(aRequest.mBody);
+  out.mDeadline = base::MonotonicClock::now() + base::Milliseconds(deadlineMs);
+  return out;
+}
+
+} // namespace
+
+auto AnswerCaller(IRouter& aRouter,
+                  releasenote::IReleaseNotes& aNotes,
+                  net::HttpRequest aRequest) -> net::Task<net::HttpResponse>
+{
+  const auto rest = aRequest.mTarget.substr(kServicesPath.size());
+  const auto slash = std::min(rest.find_first_of("/?"), rest.size());
+  const auto name = rest.substr(0, slash);
+  const auto target = slash < rest.size() ? rest.substr(slash) : "/";
+  const auto state = aNotes.InForce();
+  if (!state) {
+    co_return Refuse(kNotReady, "this entry knows no release note yet");
+  }
+  const auto* service = state->FindService(name);
+  if (service == nullptr) {
+    co_return Refuse(kUnknownService,
+                     base::Cat("no service ", name, " is in force"));
+  }
+  auto request =
+    ToServiceRequest(std::move(aRequest), name, target, service->mDeadlineMs);
+  if (request.mDeadline <= base::MonotonicClock::now()) {
+    co_return Refuse(kDeadlinePassed, "the deadline is not in the future");
+  }
+  if (!service->mIdempotent && request.mIdempotencyKey.empty()) {
+    co_return Refuse(kMissingKey, base::Cat(name, " is not idempotent"));
+  }
+  co_return ToResponse(co_await aRouter.Route(std::move(request)));
+}
+
+} // namespace eelgrasspost::routing
--- /dev/null
+++ b/tests/harness/childprocess.cpp
@@ -0,0 +1,104 @@
+#include "childprocess.h"
+
+#include <csignal>
+#include <stdexcept>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace eelgrasspost::harness {
+
+ChildProcess::ChildProcess(const std::string& aProgram,
+                           const std::vector<std::string>& aArguments,
+                           const std::string& aErrorFile)
+{
+  int pipeEnds[2];
+  if (pipe2(pipeEnds, O_CLOEXEC) != 0) {
+    throw std::runtime_error("no pipe");
+  }
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, pipeEnds[1], STDOUT_FILENO);
+  posix_spawn_file_actions_addopen(&actions,
+                                   STDERR_FILENO,
+                                   aErrorFile.c_str(),
+                                   O_CREAT | O_WRONLY | O_APPEND,
+                                   0600);
+  std::vector<char*> arguments;
+  arguments.push_back(const_cast<char*>(aProgram.c_str()));
+  for (const auto& it : aArguments) {
+    arguments.push_back(const_cast<char*>(it.c_str()));
+  }
+  arguments.push_back(nullptr);
+  const auto error = posix_spawn(
+    &mId, aProgram.c_str(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(pipeEnds[1]);
+  mOutput = pipeEnds[0];
+  if (error != 0) {
+    throw std::runtime_error("cannot start " + aProgram);
+  }
+}
+
+ChildProcess::~ChildProcess()
+{
+  if (!mEnded) {
+    Kill();
+  }
+  close(mOutput);
+}
+
+auto ChildProcess::ReadLine() -> std::string
+{
+  std::string line;
+  char byte = 0;
+  while (read(mOutput, &byte, 1) == 1 && byte != '\n') {
+    line.push_back(byte);
+  }
+  return line;
+}
+
+auto ChildProcess::Signal(int aSignal) -> void
+{
+  if (!mEnded) {
+    kill(mId, aSignal);
+  }
+}
+
+auto ChildProcess::Kill() -> void
+{
+  Signal(SIGKILL);
+  Wait();
+}
+
+auto ChildProcess::Pause() -> void
+{
+  Signal(SIGSTOP);
+}
+
+auto ChildProcess::Resume() -> void
+{
+  Signal(SIGCONT);
+}
+
+auto ChildProcess::Terminate() -> void
+{
+  Signal(SIGTERM);
+}
+
+auto ChildProcess::Wait() -> int
+{
+  if (mEnded) {
+    return -1;
+  }
+  int status = 0;
+  waitpid(mId, &status, 0);
+  mEnded = true;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+} // namespace eelgrasspost::harness
--- /dev/null
+++ b/tests/standin/workerstate.cpp
@@ -0,0 +1,215 @@
+#include "workerstate.h"
+
+namespace eelgrasspost::standin {
+
+namespace {
+
+using platform::AttemptState;
+
+auto AttemptName(const json::object& aBody) -> std::string
+{
+  return base::Cat(
+    base::TextField(aBody, "task"), "#", base::NumberField(aBody, "attempt"));
+}
+
+/** Reads NAME=NUMBER from a command. */
+auto NumberInCommand(const std::string& aCommand, const std::string& aName)
+  -> std::int64_t
+{
+  for (const auto& it : base::Split(aCommand, ' ')) {
+    if (it.starts_with(aName + "=")) {
+      return base::ParseNumber(it.substr(aName.size() + 1)).value_or(0);
+    }
+  }
+  return 0;
+}
+
+auto SaveCheckpoint(WorkerAttempt& aAttempt) -> void
+{
+  aAttempt.mReport.mCheckpoint =
+    base::Cat("ms=", aAttempt.mResumedMs + aAttempt.mReport.mUsedMs);
+}
+
+auto Start(WorkerState& aState, const json::object& aCommand) -> void
+{
+  const auto name = AttemptName(aCommand);
+  if (aState.mAttempts.contains(name)) {
+    return;
+  }
+  const auto now = base::MonotonicClock::now();
+  const auto command = base::TextField(aCommand, "command");
+  const auto lease =
+    base::Milliseconds(base::NumberField(aCommand, "lease_ms"));
+  WorkerAttempt attempt;
+  attempt.mReport.mTask = base::TextField(aCommand, "task");
+  attempt.mReport.mAttempt =
+    static_cast<std::uint64_t>(base::NumberField(aCommand, "attempt"));
+  attempt.mReport.mResources.mCpuMillis =
+    base::NumberField(aCommand, "cpu_millis");
+  attempt.mReport.mResources.mMemoryMb =
+    base::NumberField(aCommand, "memory_mb");
+  attempt.mReport.mResources.mAccelerators =
+    base::NumberField(aCommand, "accelerators");
+  attempt.mReport.mCheckpoint = base::TextField(aCommand, "checkpoint");
+  attempt.mResumedMs = NumberInCommand(attempt.mReport.mCheckpoint, "ms");
+  attempt.mRunMs = NumberInCommand(command, "run_ms");
+  attempt.mFails = aState.mFailsAll || NumberInCommand(command, "fail") != 0;
+  attempt.mLeaseUntil = now + lease;
+  attempt.mLastTick = now;
+  aState.mAttempts.emplace(name, std::move(attempt));
+  json::object start;
+  start["task"] = base::TextField(aCommand, "task");
+  start["attempt"] = base::NumberField(aCommand, "attempt");
+  start["at_ms"] = base::WallClockMs();
+  aState.mObserved.mStarts.push_back(std::move(start));
+}
+
+auto CarryOutOn(WorkerAttempt& aAttempt,
+                const std::string& aTarget,
+                const json::object& aBody) -> void
+{
+  const auto isRunning = aAttempt.mReport.mState == AttemptState::Running;
+  if (!isRunning) {
+    return;
+  }
+  if (aTarget == "/agent/renew") {
+    aAttempt.mLeaseUntil =
+      base::MonotonicClock::now() +
+      base::Milliseconds(base::NumberField(aBody, "lease_ms"));
+  } else if (aTarget == "/agent/throttle") {
+    aAttempt.mCpuPercent = base::NumberField(aBody, "percent", 100);
+  } else if (aTarget == "/agent/stop") {
+    if (base::BoolField(aBody, "checkpoint")) {
+      SaveCheckpoint(aAttempt);
+    }
+    aAttempt.mReport.mState = AttemptState::Stopped;
+  }
+}
+
+auto AdvanceOne(WorkerAttempt& aAttempt, base::MonotonicTime aNow) -> void
+{
+  auto& report = aAttempt.mReport;
+  if (report.mState != AttemptState::Running) {
+    return;
+  }
+  const auto passed =
+    std::chrono::duration_cast<base::Milliseconds>(aNow - aAttempt.mLastTick);
+  aAttempt.mLastTick = aNow;
+  report.mUsedMs += passed.count() * aAttempt.mCpuPercent / 100;
+  if (aNow >= aAttempt.mLeaseUntil) {
+    report.mState = AttemptState::LeaseLapsed;
+  } else if (aAttempt.mFails) {
+    report.mState = AttemptState::Failed;
+    report.mDetail = "the command failed";
+  } else if (aAttempt.mResumedMs + report.mUsedMs >= aAttempt.mRunMs) {
+    report.mState = AttemptState::Succeeded;
+  }
+}
+
+auto ToJson(const platform::AttemptReport& aReport) -> json::object
+{
+  json::object out;
+  out["task"] = aReport.mTask;
+  out["attempt"] = aReport.mAttempt;
+  out["state"] =
+    std::string(base::NameOf(platform::kAttemptStateNames, aReport.mState));
+  out["cpu_millis"] = aReport.mResources.mCpuMillis;
+  out["memory_mb"] = aReport.mResources.mMemoryMb;
+  out["accelerators"] = aReport.mResources.mAccelerators;
+  out["used_ms"] = aReport.mUsedMs;
+  out["checkpoint"] = aReport.mCheckpoint;
+  out["detail"] = aReport.mDetail;
+  return out;
+}
+
+} // namespace
+
+auto TakeToken(WorkerState& aState, const std::string& aToken) -> bool
+{
+  const auto token = platform::ParseFencingToken(aToken);
+  if (aState.mIgnoresTokens) {
+    return true;
+  }
+  if (!token || *token < aState.mHighestToken) {
+    return false;
+  }
+  aState.mHighestToken = *token;
+  return true;
+}
+
+auto CarryOut(WorkerState& aState,
+              const std::string& aTarget,
+              const json::object& aBody) -> void
+{
+  if (const auto* commands = base::ArrayField(aBody, "commands")) {
+    for (const auto& it : *commands) {
+      Start(aState, it.get_object());
+    }
+  }
+  const auto* attempts = base::ArrayField(aBody, "attempts");
+  if (attempts == nullptr) {
+    return;
+  }
+  for (const auto& it : *attempts) {
+    const auto found = aState.mAttempts.find(AttemptName(it.get_object()));
+    if (found == aState.mAttempts.end()) {
+      continue;
+    }
+    if (aTarget == "/agent/forget") {
+      aState.mAttempts.erase(found);
+    } else {
+      CarryOutOn(found->second, aTarget, aBody);
+    }
+  }
+}
+
+auto Advance(WorkerState& aState, base::MonotonicTime aNow) -> void
+{
+  std::int64_t cpuMillis = 0;
+  for (auto& [name, it] : aState.mAttempts) {
+    AdvanceOne(it, aNow);
+    if (it.mReport.mState == AttemptState::Running) {
+      cpuMillis += it.mReport.mResources.mCpuMillis;
+    }
+  }
+  auto& most = aState.mObserved.mMostCpuMillis;
+  most = std::max(most, cpuMillis);
+}
+
+auto ToReport(const WorkerState& aState) -> json::object
+{
+  json::array requests;
+  for (const auto& it : aState.mRequests) {
+    requests.emplace_back(it);
+  }
+  json::array attempts;
+  for (const auto& [name, it] : aState.mAttempts) {
+    attempts.push_back(ToJson(it.mReport));
+  }
+  json::object out;
+  out["incarnation"] = aState.mIncarnation;
+  out["highest_token"] = platform::ToString(aState.mHighestToken);
+  out["leaving"] = aState.mLeaving;
+  out["requests"] = std::move(requests);
+  out["attempts"] = std::move(attempts);
+  return out;
+}
+
+auto ToObservation(const WorkerState& aState) -> json::object
+{
+  const auto& observed = aState.mObserved;
+  json::object runs;
+  for (const auto& [request, count] : observed.mRunsByRequest) {
+    runs[request] = count;
+  }
+  json::object out;
+  out["worker"] = aState.mId;
+  out["most_requests"] = observed.mMostRequests;
+  out["requests_run"] = observed.mRequestsRun;
+  out["most_cpu_millis"] = observed.mMostCpuMillis;
+  out["runs_by_request"] = std::move(runs);
+  out["starts"] = observed.mStarts;
+  return out;
+}
+
+} // namespace eelgrasspost::standin
--- /dev/null
+++ b/tests/standin/workerstate.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "eelgrasspost/base/clock.h"
+#include "eelgrasspost/platform/platformtypes.h"
+#include "standin.h"
+
+namespace eelgrasspost::standin {
+
+/** One task attempt that a worker runs or has run. */
+struct WorkerAttempt
+{
+  platform::AttemptReport mReport;
+  base::MonotonicTime mLeaseUntil;
+  /** Length of the whole task, read from "run_ms" of its command. */
+  std::int64_t mRunMs = 0;
+  bool mFails = false;
+  /** Work done before this attempt, read from its checkpoint. */
+  std::int64_t mResumedMs = 0;
+  std::int64_t mCpuPercent = 100;
+  base::MonotonicTime mLastTick;
+};
+
+/** What a test asks of a worker afterwards. */
+struct WorkerObservation
+{
+  std::int64_t mMostRequests = 0;
+  std::int64_t mRequestsRun = 0;
+  std::int64_t mMostCpuMillis = 0;
+  /** How often each request ran, by request id. */
+  std::map<std::string, int> mRunsByRequest;
+  /** Task attempts that were started, in order. */
+  json::array mStarts;
+};
+
+struct WorkerState
+{
+  std::string mId;
+  std::string mIncarnation;
+  platform::FencingToken mHighestToken;
+  bool mLeaving = false;
+  bool mIgnoresTokens = false;
+  bool mFailsAll = false;
+  std::int64_t mExtraRequestMs = 0;
+  std::set<std::string> mRequests;
+  std::map<std::string, WorkerAttempt> mAttempts;
+  WorkerObservation mObserved;
+};
+
+/** Whether a command with a token is taken; raises the highest token. */
+auto TakeToken(WorkerState& aState, const std::string& aToken) -> bool;
+auto ToReport(const WorkerState& aState) -> json::object;
+auto ToObservation(const WorkerState& aState) -> json::object;
+/** Carries out an agent's command whose token has been taken. */
+auto CarryOut(WorkerState& aState,
+              const std::string& aTarget,
+              const json::object& aBody) -> void;
+/** Lets running attempts make progress, end and lapse. */
+auto Advance(WorkerState& aState, base::MonotonicTime aNow) -> void;
+
+} // namespace eelgrasspost::standin
