--- a/scripts/lint.py
+++ b/scripts/lint.py
@@ -24,7 +24,8 @@
 def preprocessed(command):
     """Returns the text that the compiler sees, without line numbers."""
     words = shlex.split(command["command"])
-    words = words[1:] if words[0].endswith("ccache") else words
+    launcher = [n for n, it in enumerate(words) if it.endswith("ccache")]
+    words = words[launcher[0] + 1:] if launcher else words
     output = words.index("-o")
     words = words[:output] + words[output + 2:]
     words = [it for it in words if it != "-c"] + ["-E", "-P"]
