Decide placement, order, evictions and probation by pure policies

Cause: the thin batch path took the first worker it owned and knew neither room, order nor failures; short work would queue behind long work. Ruled out: a scan over all workers (linear in 20,000), random probing (finds nothing when little is free), trust in declared run times (off by ten times). Change: src/placement with a placement index, wait order by used time, a reserve for short work, choice of evictions with budgets, an interference book and a probation book; bench_placement. Missing-field-initializers is no warning any more, as aggregates state what differs from the defaults. Failed first: worker_on_trial_returns_by_a_success_or_pauses_longer showed that failures of attempts already under way doubled a pause; they no longer do.

--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -8,6 +8,8 @@
 # GCC 12 reports false positives of these in coroutine frames and std::string.
 add_compile_options(-Wno-maybe-uninitialized -Wno-restrict
                     -Wno-dangling-pointer)
+# Aggregates state the members that differ from their defaults.
+add_compile_options(-Wno-missing-field-initializers)
 if(EELGRASSPOST_SANITIZE)
   add_compile_options(-fsanitize=${EELGRASSPOST_SANITIZE}
                       -fno-omit-frame-pointer -fno-sanitize-recover=all)
--- /dev/null
+++ b/src/placement/internal/eviction.cpp
@@ -0,0 +1,117 @@
+#include "eelgrasspost/placement/eviction.h"
+
+#include <algorithm>
+
+namespace eelgrasspost::placement {
+
+namespace {
+
+constexpr auto kBudgetWindow = std::chrono::minutes(1);
+
+/** The part of a demand that does not fit yet; zero where it does. */
+auto Missing(const Resources& aDemand, const Resources& aFree) -> Resources
+{
+  const auto gap = aDemand - aFree;
+  return { std::max<std::int64_t>(0, gap.mCpuMillis),
+           std::max<std::int64_t>(0, gap.mMemoryMb),
+           std::max<std::int64_t>(0, gap.mAccelerators) };
+}
+
+/** Whether a task's end would bring the demand nearer. */
+auto Helps(const RunningTask& aTask, const Resources& aMissing) -> bool
+{
+  const auto& held = aTask.mResources;
+  return (aMissing.mCpuMillis > 0 && held.mCpuMillis > 0) ||
+         (aMissing.mMemoryMb > 0 && held.mMemoryMb > 0) ||
+         (aMissing.mAccelerators > 0 && held.mAccelerators > 0);
+}
+
+/** Takes back victims that later ones have made needless. */
+auto DropNeedless(std::vector<const RunningTask*>& aVictims,
+                  Resources aFree,
+                  const Resources& aDemand) -> void
+{
+  for (auto it = aVictims.begin(); it != aVictims.end();) {
+    const auto without = aFree - (*it)->mResources;
+    if (Fits(aDemand, without)) {
+      aFree = without;
+      it = aVictims.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+} // namespace
+
+auto EvictionBudget::Left(const EvictionPolicy& aPolicy,
+                          base::MonotonicTime aNow) const -> std::int64_t
+{
+  const auto recent =
+    std::ranges::count_if(mRecent, [&](base::MonotonicTime aAt) {
+      return aNow - aAt < kBudgetWindow;
+    });
+  return std::max<std::int64_t>(0, aPolicy.mPerMinute - recent);
+}
+
+auto EvictionBudget::Record(base::MonotonicTime aNow) -> void
+{
+  std::erase_if(mRecent, [&](base::MonotonicTime aAt) {
+    return aNow - aAt >= kBudgetWindow;
+  });
+  mRecent.push_back(aNow);
+}
+
+auto MayEvict(const RunningTask& aTask,
+              const EvictionPolicy& aPolicy,
+              base::MonotonicTime aNow) -> bool
+{
+  const auto neverEvicted = aTask.mJobEvictedAt == base::MonotonicTime();
+  return !aTask.mUrgent &&
+         (neverEvicted || aNow - aTask.mJobEvictedAt >= aPolicy.mPerJob);
+}
+
+auto ChooseEvictions(const std::vector<RunningTask>& aRunning,
+                     const Resources& aFree,
+                     const Resources& aDemand,
+                     const EvictionPolicy& aPolicy,
+                     std::int64_t aBudget,
+                     base::MonotonicTime aNow) -> std::vector<std::string>
+{
+  std::vector<const RunningTask*> candidates;
+  for (const auto& it : aRunning) {
+    if (MayEvict(it, aPolicy, aNow)) {
+      candidates.push_back(&it);
+    }
+  }
+  std::ranges::sort(candidates, [](const auto* aOne, const auto* aOther) {
+    return std::tie(aOne->mSinceCheckpoint, aOne->mUsed, aOne->mTask) <
+           std::tie(aOther->mSinceCheckpoint, aOther->mUsed, aOther->mTask);
+  });
+  auto free = aFree;
+  std::vector<const RunningTask*> victims;
+  for (const auto* it : candidates) {
+    if (Fits(aDemand, free)) {
+      break;
+    }
+    if (Helps(*it, Missing(aDemand, free))) {
+      victims.push_back(it);
+      free = free + it->mResources;
+    }
+  }
+  if (!Fits(aDemand, free)) {
+    return {};
+  }
+  DropNeedless(victims, free, aDemand);
+  if (static_cast<std::int64_t>(victims.size()) > aBudget) {
+    return {};
+  }
+  std::vector<std::string> out;
+  out.reserve(victims.size());
+  for (const auto* it : victims) {
+    out.push_back(it->mTask);
+  }
+  return out;
+}
+
+} // namespace eelgrasspost::placement
--- /dev/null
+++ b/src/placement/internal/interference.cpp
@@ -0,0 +1,149 @@
+#include "eelgrasspost/placement/interference.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace eelgrasspost::placement {
+
+namespace {
+
+/** Samples are alike when their loads fall into one bucket of this width. */
+constexpr std::int64_t kLoadBucketPercent = 25;
+constexpr std::size_t kPairLimit = 4096;
+
+auto Decay(base::MonotonicTime aFrom,
+           base::MonotonicTime aTo,
+           base::Milliseconds aHalfLife) -> double
+{
+  const auto passed = std::chrono::duration<double, std::milli>(aTo - aFrom);
+  const auto halfLives =
+    passed.count() / static_cast<double>(aHalfLife.count());
+  return std::exp2(-std::max(0.0, halfLives));
+}
+
+/** The next step for a pair, given how much it disturbs. */
+auto NextMitigation(Mitigation aCurrent,
+                    double aSlowdown,
+                    base::MonotonicTime aSince,
+                    const InterferencePolicy& aPolicy,
+                    base::MonotonicTime aNow) -> Mitigation
+{
+  if (aSlowdown <= aPolicy.mLow) {
+    return Mitigation::None;
+  }
+  if (aCurrent == Mitigation::None) {
+    return aSlowdown >= aPolicy.mHigh ? Mitigation::Throttle : Mitigation::None;
+  }
+  const auto triedEnough = aNow - aSince >= aPolicy.mThrottleTrial;
+  if (aCurrent == Mitigation::Throttle && triedEnough &&
+      aSlowdown >= aPolicy.mHigh) {
+    return Mitigation::Evict;
+  }
+  return aCurrent;
+}
+
+} // namespace
+
+auto DecayedMean::Add(double aValue,
+                      base::MonotonicTime aAt,
+                      base::Milliseconds aHalfLife) -> void
+{
+  if (mWeight > 0 && aAt < mAt) {
+    const auto share = Decay(aAt, mAt, aHalfLife);
+    mSum += aValue * share;
+    mWeight += share;
+    return;
+  }
+  const auto keep = mWeight > 0 ? Decay(mAt, aAt, aHalfLife) : 0.0;
+  mSum = mSum * keep + aValue;
+  mWeight = mWeight * keep + 1;
+  mAt = aAt;
+}
+
+auto DecayedMean::WeightAt(base::MonotonicTime aNow,
+                           base::Milliseconds aHalfLife) const -> double
+{
+  return mWeight * Decay(mAt, aNow, aHalfLife);
+}
+
+InterferenceBook::InterferenceBook(InterferencePolicy aPolicy)
+  : mPolicy(aPolicy)
+{
+}
+
+auto InterferenceBook::Add(const LatencySample& aSample) -> void
+{
+  const auto bucket = aSample.mLoadPercent / kLoadBucketPercent;
+  if (aSample.mJobs.empty()) {
+    mAlone[aSample.mService][bucket].Add(
+      aSample.mLatencyMs, aSample.mMeasuredAt, mPolicy.mHalfLife);
+    return;
+  }
+  for (const auto& job : aSample.mJobs) {
+    auto& pair = mPairs[{ aSample.mService, job }];
+    pair.mBeside[bucket].Add(
+      aSample.mLatencyMs, aSample.mMeasuredAt, mPolicy.mHalfLife);
+  }
+  if (mPairs.size() > kPairLimit) {
+    ForgetLightest(aSample.mMeasuredAt);
+  }
+}
+
+auto InterferenceBook::ForgetLightest(base::MonotonicTime aNow) -> void
+{
+  const auto weight = [&](const auto& aEntry) {
+    double sum = 0;
+    for (const auto& [bucket, mean] : aEntry.second.mBeside) {
+      sum += mean.WeightAt(aNow, mPolicy.mHalfLife);
+    }
+    return sum;
+  };
+  mPairs.erase(std::ranges::min_element(mPairs, {}, weight));
+}
+
+auto InterferenceBook::Slowdown(const std::string& aService,
+                                const std::string& aJob,
+                                base::MonotonicTime aNow) const -> double
+{
+  const auto alone = mAlone.find(aService);
+  const auto pair = mPairs.find({ aService, aJob });
+  if (alone == mAlone.end() || pair == mPairs.end()) {
+    return 1.0;
+  }
+  double sum = 0;
+  double weight = 0;
+  for (const auto& [bucket, beside] : pair->second.mBeside) {
+    const auto base = alone->second.find(bucket);
+    if (base == alone->second.end() || base->second.Mean() <= 0) {
+      continue;
+    }
+    const auto both = std::min(beside.WeightAt(aNow, mPolicy.mHalfLife),
+                               base->second.WeightAt(aNow, mPolicy.mHalfLife));
+    sum += both * beside.Mean() / base->second.Mean();
+    weight += both;
+  }
+  return weight >= mPolicy.mLeastWeight ? sum / weight : 1.0;
+}
+
+auto InterferenceBook::Decide(const std::string& aService,
+                              const std::string& aJob,
+                              base::MonotonicTime aNow) -> Mitigation
+{
+  const auto it = mPairs.find({ aService, aJob });
+  if (it == mPairs.end()) {
+    return Mitigation::None;
+  }
+  auto& pair = it->second;
+  const auto next = NextMitigation(pair.mMitigation,
+                                   Slowdown(aService, aJob, aNow),
+                                   pair.mSince,
+                                   mPolicy,
+                                   aNow);
+  if (next != pair.mMitigation) {
+    pair.mMitigation = next;
+    pair.mSince = aNow;
+  }
+  return next;
+}
+
+} // namespace eelgrasspost::placement
--- /dev/null
+++ b/src/placement/internal/placementindex.cpp
@@ -0,0 +1,231 @@
+#include "eelgrasspost/placement/placementindex.h"
+
+#include <algorithm>
+
+#include "eelgrasspost/base/text.h"
+
+namespace eelgrasspost::placement {
+
+namespace {
+
+/** Candidates that a choice compares. */
+constexpr int kStarts = 4;
+/** Nodes that one search may visit for each level of the tree. */
+constexpr int kVisitsPerLevel = 8;
+
+constexpr auto kNothing = Resources{ -1, -1, -1 };
+
+auto Max(const Resources& aOne, const Resources& aOther) -> Resources
+{
+  return { std::max(aOne.mCpuMillis, aOther.mCpuMillis),
+           std::max(aOne.mMemoryMb, aOther.mMemoryMb),
+           std::max(aOne.mAccelerators, aOther.mAccelerators) };
+}
+
+auto Contains(const std::vector<std::string>& aList, const std::string& aText)
+  -> bool
+{
+  return std::ranges::find(aList, aText) != aList.end();
+}
+
+/** Mixes a seed, so that neighbouring seeds start far apart. */
+auto Mix(std::uint64_t aSeed) -> std::uint64_t
+{
+  constexpr std::uint64_t kGolden = 0x9E3779B97F4A7C15ULL;
+  constexpr std::uint64_t kMultiplier = 0xBF58476D1CE4E5B9ULL;
+  auto n = (aSeed + 1) * kGolden;
+  n = (n ^ (n >> 30)) * kMultiplier;
+  return n ^ (n >> 31);
+}
+
+/** Sorts candidates: spread first, then the least left over. */
+struct CandidateScore
+{
+  bool mSameRack = false;
+  bool mSameDomain = false;
+  std::int64_t mCpuLeft = 0;
+
+  auto operator<=>(const CandidateScore&) const = default;
+};
+
+auto ScoreOf(const PlacementDemand& aDemand, const WorkerRoom& aRoom)
+  -> CandidateScore
+{
+  return { Contains(aDemand.mUsedRacks, aRoom.mRack),
+           Contains(aDemand.mUsedDomains, aRoom.mFailureDomain),
+           aRoom.mFree.mCpuMillis - aDemand.mResources.mCpuMillis };
+}
+
+} // namespace
+
+auto PlacementIndex::Set(const WorkerRoom& aRoom) -> void
+{
+  const auto it = mSlotOf.find(aRoom.mWorker);
+  if (it != mSlotOf.end()) {
+    mRooms[it->second] = aRoom;
+    Update(it->second);
+    return;
+  }
+  std::size_t slot = mRooms.size();
+  if (mUnused.empty()) {
+    mRooms.push_back(aRoom);
+  } else {
+    slot = mUnused.back();
+    mUnused.pop_back();
+    mRooms[slot] = aRoom;
+  }
+  mSlotOf[aRoom.mWorker] = slot;
+  if (slot >= mLeaves) {
+    Grow();
+  } else {
+    Update(slot);
+  }
+}
+
+auto PlacementIndex::Remove(std::string_view aWorker) -> void
+{
+  const auto it = mSlotOf.find(std::string(aWorker));
+  if (it == mSlotOf.end()) {
+    return;
+  }
+  const auto slot = it->second;
+  mSlotOf.erase(it);
+  mRooms[slot] = WorkerRoom{};
+  mRooms[slot].mOpen = false;
+  mUnused.push_back(slot);
+  Update(slot);
+}
+
+auto PlacementIndex::Take(std::string_view aWorker, const Resources& aResources)
+  -> void
+{
+  const auto it = mSlotOf.find(std::string(aWorker));
+  if (it != mSlotOf.end()) {
+    auto& room = mRooms[it->second];
+    room.mFree = room.mFree - aResources;
+    Update(it->second);
+  }
+}
+
+auto PlacementIndex::Find(std::string_view aWorker) const -> const WorkerRoom*
+{
+  const auto it = mSlotOf.find(std::string(aWorker));
+  return it == mSlotOf.end() ? nullptr : &mRooms[it->second];
+}
+
+auto PlacementIndex::Grow() -> void
+{
+  mLeaves = std::max<std::size_t>(1, mLeaves);
+  while (mLeaves < mRooms.size()) {
+    mLeaves *= 2;
+  }
+  mTree.assign(2 * mLeaves, Node{ kNothing, kNothing });
+  for (std::size_t i = 0; i < mRooms.size(); ++i) {
+    Update(i);
+  }
+}
+
+auto PlacementIndex::Update(std::size_t aSlot) -> void
+{
+  const auto& room = mRooms[aSlot];
+  auto node = mLeaves + aSlot;
+  mTree[node] = room.mOpen ? Node{ room.mFree, room.mFree - room.mReserved }
+                           : Node{ kNothing, kNothing };
+  while (node > 1) {
+    node /= 2;
+    const auto& left = mTree[2 * node];
+    const auto& right = mTree[2 * node + 1];
+    mTree[node] = { Max(left.mShort, right.mShort),
+                    Max(left.mLong, right.mLong) };
+  }
+}
+
+auto PlacementIndex::LeafFits(const PlacementDemand& aDemand,
+                              std::size_t aSlot) const -> bool
+{
+  return aSlot < mRooms.size() &&
+         !Contains(aDemand.mAvoid, mRooms[aSlot].mWorker);
+}
+
+auto PlacementIndex::Descend(const PlacementDemand& aDemand,
+                             std::size_t aNode,
+                             std::size_t aFirst,
+                             std::size_t aWidth,
+                             std::size_t aFrom,
+                             int& aBudget) const -> std::optional<std::size_t>
+{
+  const auto& node = mTree[aNode];
+  const auto& most =
+    aDemand.mClass == WorkClass::Long ? node.mLong : node.mShort;
+  if (aFirst + aWidth <= aFrom || --aBudget < 0 ||
+      !Fits(aDemand.mResources, most)) {
+    return std::nullopt;
+  }
+  if (aWidth == 1) {
+    return LeafFits(aDemand, aFirst) ? std::optional(aFirst) : std::nullopt;
+  }
+  const auto half = aWidth / 2;
+  const auto left = Descend(aDemand, 2 * aNode, aFirst, half, aFrom, aBudget);
+  return left ? left
+              : Descend(
+                  aDemand, 2 * aNode + 1, aFirst + half, half, aFrom, aBudget);
+}
+
+auto PlacementIndex::FirstFit(const PlacementDemand& aDemand,
+                              std::size_t aFrom) const
+  -> std::optional<std::size_t>
+{
+  int levels = 1;
+  while ((std::size_t{ 1 } << levels) < mLeaves) {
+    ++levels;
+  }
+  auto budget = kVisitsPerLevel * (levels + 1);
+  const auto after = Descend(aDemand, 1, 0, mLeaves, aFrom, budget);
+  if (after || aFrom == 0) {
+    return after;
+  }
+  budget = kVisitsPerLevel * (levels + 1);
+  return Descend(aDemand, 1, 0, mLeaves, 0, budget);
+}
+
+auto PlacementIndex::Choose(const PlacementDemand& aDemand,
+                            std::uint64_t aSeed) const
+  -> std::optional<std::string>
+{
+  if (mSlotOf.empty()) {
+    return std::nullopt;
+  }
+  const WorkerRoom* best = nullptr;
+  for (int i = 0; i < kStarts; ++i) {
+    const auto start =
+      Mix(aSeed + static_cast<std::uint64_t>(i)) % mRooms.size();
+    const auto slot = FirstFit(aDemand, start);
+    if (!slot) {
+      continue;
+    }
+    const auto& room = mRooms[*slot];
+    if (best == nullptr || ScoreOf(aDemand, room) < ScoreOf(aDemand, *best)) {
+      best = &room;
+    }
+  }
+  return best == nullptr ? std::nullopt : std::optional(best->mWorker);
+}
+
+auto DescribeShortfall(const Resources& aDemand, const Resources& aCapacity)
+  -> std::string
+{
+  std::vector<std::string> parts;
+  const auto compare =
+    [&](std::string_view aName, std::int64_t aWanted, std::int64_t aHeld) {
+      if (aWanted > aHeld) {
+        parts.push_back(base::Cat(
+          aName, " ", aWanted, " is ", aWanted - aHeld, " above ", aHeld));
+      }
+    };
+  compare("cpu_millis", aDemand.mCpuMillis, aCapacity.mCpuMillis);
+  compare("memory_mb", aDemand.mMemoryMb, aCapacity.mMemoryMb);
+  compare("accelerators", aDemand.mAccelerators, aCapacity.mAccelerators);
+  return base::Join(parts, ", ");
+}
+
+} // namespace eelgrasspost::placement
--- /dev/null
+++ b/src/placement/tests/interference_tests.cpp
@@ -0,0 +1,65 @@
+#include <boost/test/unit_test.hpp>
+
+#include "eelgrasspost/placement/interference.h"
+
+namespace {
+
+using namespace eelgrasspost::placement;
+using eelgrasspost::base::Milliseconds;
+using eelgrasspost::base::MonotonicTime;
+
+struct InterferenceFixture
+{
+  auto Feed(double aAloneMs, double aBesideMs, std::int64_t aBesideLoad = 50)
+    -> void
+  {
+    for (int i = 0; i < 10; ++i) {
+      mNow += Milliseconds(1000);
+      mBook.Add({ "quotes", 50, aAloneMs, {}, mNow });
+      mBook.Add({ "quotes", aBesideLoad, aBesideMs, { "husk" }, mNow });
+    }
+  }
+  auto Decide() -> Mitigation { return mBook.Decide("quotes", "husk", mNow); }
+
+  InterferenceBook mBook{ InterferencePolicy{} };
+  MonotonicTime mNow = MonotonicTime() + std::chrono::hours(1);
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(interference, InterferenceFixture)
+
+BOOST_AUTO_TEST_CASE(pair_disturbing_is_throttled_before_evicted)
+{
+  Feed(20, 40);
+  BOOST_TEST((Decide() == Mitigation::Throttle));
+  BOOST_TEST((Decide() == Mitigation::Throttle));
+  Feed(20, 40);
+  BOOST_TEST((Decide() == Mitigation::Evict));
+}
+
+BOOST_AUTO_TEST_CASE(pair_between_limits_keeps_what_was_decided)
+{
+  Feed(20, 24);
+  BOOST_TEST((Decide() == Mitigation::None));
+  Feed(20, 200);
+  BOOST_TEST((Decide() == Mitigation::Throttle));
+}
+
+BOOST_AUTO_TEST_CASE(pair_at_unlike_load_gives_no_verdict)
+{
+  Feed(20, 60, 95);
+  BOOST_TEST(mBook.Slowdown("quotes", "husk", mNow) == 1.0);
+  BOOST_TEST((Decide() == Mitigation::None));
+}
+
+BOOST_AUTO_TEST_CASE(pair_old_samples_fade_from_the_verdict)
+{
+  Feed(20, 60);
+  BOOST_TEST(mBook.Slowdown("quotes", "husk", mNow) > 2.0);
+  mNow += Milliseconds(600000);
+  BOOST_TEST(mBook.Slowdown("quotes", "husk", mNow) == 1.0);
+  BOOST_TEST((Decide() == Mitigation::None));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/placement/tests/probation_tests.cpp
@@ -0,0 +1,69 @@
+#include <boost/test/unit_test.hpp>
+
+#include "eelgrasspost/placement/probation.h"
+
+namespace {
+
+using namespace eelgrasspost::placement;
+using eelgrasspost::base::Milliseconds;
+using eelgrasspost::base::MonotonicTime;
+
+struct ProbationFixture
+{
+  auto Run(const std::string& aWorker, const std::string& aJob, bool aSucceeded)
+    -> void
+  {
+    mBook.Record(aWorker, aJob, aSucceeded, mNow);
+  }
+
+  ProbationBook mBook{ ProbationPolicy{} };
+  MonotonicTime mNow = MonotonicTime() + std::chrono::hours(1);
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(probation, ProbationFixture)
+
+BOOST_AUTO_TEST_CASE(worker_failing_what_succeeds_elsewhere_is_paused)
+{
+  for (const auto* job : { "a", "b", "c" }) {
+    Run("good", job, true);
+    Run("bad", job, false);
+  }
+  BOOST_TEST((mBook.Standing("bad", mNow) == WorkerStanding::Paused));
+  BOOST_TEST((mBook.Standing("good", mNow) == WorkerStanding::Good));
+  for (const auto* job : { "a", "b", "c" }) {
+    BOOST_TEST(!mBook.ReasonToPark(job).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(worker_on_trial_returns_by_a_success_or_pauses_longer)
+{
+  for (const auto* job : { "a", "b", "c" }) {
+    Run("good", job, true);
+    Run("bad", job, false);
+  }
+  mNow += Milliseconds(30000);
+  BOOST_TEST((mBook.Standing("bad", mNow) == WorkerStanding::Trial));
+  Run("bad", "a", false);
+  mNow += Milliseconds(30000);
+  BOOST_TEST((mBook.Standing("bad", mNow) == WorkerStanding::Paused));
+  mNow += Milliseconds(30000);
+  Run("bad", "a", true);
+  BOOST_TEST((mBook.Standing("bad", mNow) == WorkerStanding::Good));
+}
+
+BOOST_AUTO_TEST_CASE(job_failing_on_many_good_workers_is_parked)
+{
+  for (const auto* worker : { "w1", "w2", "w3" }) {
+    Run(worker, "fine", true);
+    Run(worker, "broken", false);
+  }
+  BOOST_TEST(mBook.ReasonToPark("broken").has_value());
+  BOOST_TEST(!mBook.ReasonToPark("fine").has_value());
+  for (const auto* worker : { "w1", "w2", "w3" }) {
+    BOOST_TEST((mBook.Standing(worker, mNow) == WorkerStanding::Good));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
