Declare hand-over, leaving reports and a replaceable token

Cause: routing and batch need the ownership interfaces before the mechanisms behind them are whole.

Change: WorkerHold::Token() is read at each dispatch; IOwnership gains HandOver(), TakeOver() and ReportLeaving(); MakeOwnership takes OwnershipParts. A graceful stop hands over right after Leave(), as the other entries stop forwarding to it then.

--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -75,7 +75,15 @@
     });
   mMembership->AddContacts(mSettings.mSeeds);
   mNotes = releasenote::MakeReleaseNotes(*mTable, {});
-  mOwnership = ownership::MakeOwnership(*mVmList, *mWorker, *mMembership, {});
+  mOwnership = ownership::MakeOwnership({ *mVmList,
+                                          *mWorker,
+                                          *mTable,
+                                          *mMembership,
+                                          mMessageClient,
+                                          mMetrics,
+                                          mPool.Executor(0) },
+                                        {});
+  ownership::HandleHandOvers(mMessageServer, *mOwnership);
   mRouter = routing::MakeRouter({ mHttpClient,
                                   mMessageClient,
                                   *mTable,
@@ -125,8 +133,10 @@
 {
   constexpr auto kBalancerNotice = base::Milliseconds(1500);
   constexpr auto kCheckInterval = base::Milliseconds(20);
+  constexpr auto kHandOverLimit = base::Milliseconds(3000);
   mStopping = true;
   mMembership->Leave();
+  co_await mOwnership->HandOver(base::MonotonicClock::now() + kHandOverLimit);
   co_await net::Sleep(kBalancerNotice);
   mHttpServer.StopAccepting();
   while (mHttpServer.InFlight() > 0) {
--- a/src/app/internal/operatordoor.cpp
+++ b/src/app/internal/operatordoor.cpp
@@ -115,7 +115,7 @@
   for (const auto& it : aParts.mOwnership.View()->mHeld) {
     json::object worker;
     worker["worker"] = it->mWorker.mId;
-    worker["token"] = platform::ToString(it->mToken);
+    worker["token"] = platform::ToString(it->Token());
     worker["slots"] = it->mLedger.Slots();
     worker["used"] = it->mLedger.Used();
     held.push_back(std::move(worker));
--- a/src/batch/internal/jobs.cpp
+++ b/src/batch/internal/jobs.cpp
@@ -162,7 +162,7 @@
                        aTask.mCheckpoint,
                        job->mCommand });
   (void)co_await mParts.mWorker.Start(
-    hold->mWorker.mControl, hold->mToken, std::move(commands), deadline);
+    hold->mWorker.mControl, hold->Token(), std::move(commands), deadline);
 }
 
 auto Jobs::Follow(const platform::TableRow& aRow, TaskRecord aTask)
@@ -175,7 +175,7 @@
   }
   const auto report =
     co_await mParts.mWorker.Report(hold->mWorker.mControl, deadline);
-  if (!report.ok() || report->mHighestToken != hold->mToken) {
+  if (!report.ok() || report->mHighestToken != hold->Token()) {
     co_return;
   }
   for (const auto& it : report->mAttempts) {
@@ -186,7 +186,7 @@
     attempts.push_back({ it.mTask, it.mAttempt });
     if (it.mState == AttemptState::Running) {
       (void)co_await mParts.mWorker.Renew(hold->mWorker.mControl,
-                                          hold->mToken,
+                                          hold->Token(),
                                           std::move(attempts),
                                           mOptions.mLease,
                                           deadline);
--- a/src/ownership/include/eelgrasspost/ownership/ownershiptypes.h
+++ b/src/ownership/include/eelgrasspost/ownership/ownershiptypes.h
@@ -19,14 +19,23 @@
     : mWorker(std::move(aWorker))
     , mIncarnation(std::move(aIncarnation))
     , mLedger(mWorker.mSlots, aAlreadyUsed)
-    , mToken(std::move(aToken))
+    , mHolder(std::move(aToken.mHolder))
+    , mTokenNumber(aToken.mNumber)
   {
   }
 
+  /** The token for a command or request that is sent now. Read it for each
+   * one: it is replaced when this entry fences its own lost requests. */
+  auto Token() const -> platform::FencingToken
+  {
+    return { mTokenNumber.load(std::memory_order_acquire), mHolder };
+  }
+
   const platform::VmRecord mWorker;
   const std::string mIncarnation;
   SlotLedger mLedger;
-  const platform::FencingToken mToken;
+  const std::string mHolder;
+  std::atomic<std::uint64_t> mTokenNumber;
   /** End of the lease, counted from before its renewal was sent. */
   std::atomic<base::MonotonicTime> mLeaseUntil{};
   std::atomic<bool> mLeaving{ false };
@@ -45,6 +54,33 @@
   std::string mEntry;
 };
 
+/** Asks another entry to take workers over from their holder. */
+struct HandOverRequest
+{
+  std::string mFrom;
+  /** Whether the holder stops, so that no worker may come back to it. */
+  bool mIsStopping = false;
+  std::vector<std::string> mWorkers;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mFrom, mIsStopping, mWorkers);
+  }
+};
+
+struct HandOverReply
+{
+  /** Workers that the answering entry has claimed. */
+  std::vector<std::string> mTaken;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mTaken);
+  }
+};
+
 /** Ownership as this entry sees it. */
 struct OwnershipView
 {
--- a/src/ownership/internal/ownership.cpp
+++ b/src/ownership/internal/ownership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include "eelgrasspost/base/errors.h"
@@ -11,13 +12,8 @@
 
 namespace eelgrasspost::ownership {
 
-Ownership::Ownership(platform::IVmList& aVmList,
-                     platform::IWorker& aWorker,
-                     membership::IMembership& aMembership,
-                     OwnershipOptions aOptions)
-  : mVmList(aVmList)
-  , mWorker(aWorker)
-  , mMembership(aMembership)
+Ownership::Ownership(OwnershipParts aParts, OwnershipOptions aOptions)
+  : mParts(std::move(aParts))
   , mOptions(aOptions)
   , mView(std::make_shared<const OwnershipView>())
 {
@@ -32,7 +28,7 @@
 {
   while (true) {
     const auto deadline = base::MonotonicClock::now() + mOptions.mCallTimeout;
-    const auto vms = co_await mVmList.List(deadline);
+    const auto vms = co_await mParts.mVmList.List(deadline);
     if (vms.ok()) {
       std::vector<net::Address> contacts;
       mWorkers.clear();
@@ -43,7 +39,7 @@
           contacts.push_back(it.mControl);
         }
       }
-      mMembership.AddContacts(contacts);
+      mParts.mMembership.AddContacts(contacts);
     }
     co_await net::Sleep(mOptions.mVmListInterval);
   }
@@ -53,9 +49,9 @@
 {
   const auto executor = co_await net::asio::this_coro::executor;
   net::SpawnTask(executor, PollVmList());
-  while (true) {
-    const auto members = mMembership.View();
-    const auto& self = mMembership.Self().mId;
+  while (!mIsStopping) {
+    const auto members = mParts.mMembership.View();
+    const auto& self = mParts.mMembership.Self().mId;
     const auto assignments = AssignWorkers(mWorkers, *members);
     DropReassigned(assignments);
     for (const auto& it : assignments) {
@@ -71,7 +67,7 @@
 auto Ownership::DropReassigned(
   const std::vector<WorkerAssignment>& aAssignments) -> void
 {
-  const auto& self = mMembership.Self().mId;
+  const auto& self = mParts.mMembership.Self().mId;
   for (const auto& it : aAssignments) {
     const auto hold = mView.Read()->FindHeld(it.mWorker.mId);
     if (hold && it.mEntry != self) {
@@ -95,13 +91,15 @@
 {
   const auto sentAt = base::MonotonicClock::now();
   const auto deadline = sentAt + mOptions.mCallTimeout;
-  const auto before = co_await mWorker.Report(aWorker.mControl, deadline);
+  const auto before =
+    co_await mParts.mWorker.Report(aWorker.mControl, deadline);
   if (!before.ok()) {
     co_return;
   }
   const auto token = platform::FencingToken{ before->mHighestToken.mNumber + 1,
-                                             mMembership.Self().mId };
-  const auto after = co_await mWorker.Claim(aWorker.mControl, token, deadline);
+                                             mParts.mMembership.Self().mId };
+  const auto after =
+    co_await mParts.mWorker.Claim(aWorker.mControl, token, deadline);
   if (!after.ok()) {
     co_return;
   }
@@ -120,8 +118,8 @@
 auto Ownership::Renew(WorkerHoldPtr aHold) -> net::Task<void>
 {
   const auto sentAt = base::MonotonicClock::now();
-  const auto report = co_await mWorker.Claim(
-    aHold->mWorker.mControl, aHold->mToken, sentAt + mOptions.mCallTimeout);
+  const auto report = co_await mParts.mWorker.Claim(
+    aHold->mWorker.mControl, aHold->Token(), sentAt + mOptions.mCallTimeout);
   if (base::IsKind(report.status(), platform::kFenced)) {
     Drop(aHold);
     co_return;
@@ -137,10 +135,40 @@
   TakeReport(aHold, *report);
 }
 
+auto Ownership::HandOver(base::MonotonicTime /*aDeadline*/) -> net::Task<void>
+{
+  mIsStopping = true;
+  const auto held = mHeld;
+  for (const auto& it : held) {
+    Drop(it);
+  }
+  co_return;
+}
+
+auto Ownership::TakeOver(HandOverRequest /*aRequest*/)
+  -> net::Task<HandOverReply>
+{
+  co_return HandOverReply{};
+}
+
+auto Ownership::ReportLeaving(std::string_view aWorker) -> void
+{
+  const auto hold = mView.Read()->FindHeld(aWorker);
+  if (!hold || hold->mLeaving.exchange(true)) {
+    return;
+  }
+  net::asio::post(mParts.mControl, [this, hold] {
+    mParts.mMembership.AddLeavingWorker(
+      { hold->mWorker.mId, hold->mIncarnation });
+  });
+}
+
 auto Ownership::TakeReport(const WorkerHoldPtr& aHold,
                            const platform::WorkerReport& aReport) -> void
 {
-  aHold->mLeaving = aReport.mLeaving;
+  if (aReport.mLeaving) {
+    ReportLeaving(aHold->mWorker.mId);
+  }
   for (const auto& it : aHold->mLedger.UnknownAttempts()) {
     if (std::ranges::find(aReport.mRequests, it) == aReport.mRequests.end()) {
       aHold->mLedger.ForgetUnknown(it);
@@ -160,7 +188,7 @@
 {
   auto view = std::make_shared<OwnershipView>();
   view->mHeld = mHeld;
-  view->mAssignments = AssignWorkers(mWorkers, *mMembership.View());
+  view->mAssignments = AssignWorkers(mWorkers, *mParts.mMembership.View());
   mView.Publish(std::move(view));
 }
 
--- a/src/ownership/internal/ownership.h
+++ b/src/ownership/internal/ownership.h
@@ -10,13 +10,13 @@
 class Ownership : public IOwnership
 {
 public:
-  Ownership(platform::IVmList& aVmList,
-            platform::IWorker& aWorker,
-            membership::IMembership& aMembership,
-            OwnershipOptions aOptions);
+  Ownership(OwnershipParts aParts, OwnershipOptions aOptions);
 
   auto View() const -> std::shared_ptr<const OwnershipView> override;
   auto Run() -> net::Task<void> override;
+  auto HandOver(base::MonotonicTime aDeadline) -> net::Task<void> override;
+  auto ReportLeaving(std::string_view aWorker) -> void override;
+  auto TakeOver(HandOverRequest aRequest) -> net::Task<HandOverReply> override;
 
 private:
   auto PollVmList() -> net::Task<void>;
@@ -32,14 +32,13 @@
                   const platform::WorkerReport& aReport) -> void;
   auto Publish() -> void;
 
-  platform::IVmList& mVmList;
-  platform::IWorker& mWorker;
-  membership::IMembership& mMembership;
+  OwnershipParts mParts;
   OwnershipOptions mOptions;
   std::vector<platform::VmRecord> mWorkers;
   std::vector<WorkerHoldPtr> mHeld;
   /** Workers with a call under way. */
   std::set<std::string> mBusy;
+  bool mIsStopping = false;
   snapshot::Snapshot<OwnershipView> mView;
 };
 
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -80,7 +80,7 @@
   -> net::Task<ServiceOutcome>
 {
   const auto attemptId = NewAttemptId();
-  const auto request = ToHttp(aRequest, aHold->mToken, attemptId);
+  const auto request = ToHttp(aRequest, aHold->Token(), attemptId);
   auto exchange =
     co_await mParts.mHttp.Exchange(aEndpoint, request, aRequest.mDeadline);
   if (exchange.mStatus.ok()) {
