Bound decoding and keep promises over a forward

Cause: a message between entries could claim any length, and cereal allocated for it before it read a byte; a forwarded request lost the kind of its error, ran again when the message was duplicated, and its answer was not tied to its attempt.

Ruled out: a limit per field (each message would carry its own); a table of kinds on both sides of the hop (a new kind would be lost by an older entry). Letting a duplicate wait for the first run: it would need the outcome kept, and the caller's entry takes one answer in any case.

Change: BoundedInputArchive reads cereal's portable binary format and refuses a length above the bytes that are left; vectors of structures grow as elements come.

Seen to fail first: with the length check off, decode_length_beyond_message_allocates_nothing fails; with the memory and the id check off, runforward_duplicate_of_keyed_request_runs_once and outcomeof_answer_to_another_attempt_is_unknown fail.

--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -83,7 +83,7 @@
                                   *mOwnership,
                                   *mNotes,
                                   mMetrics });
-  routing::HandleForwards(mMessageServer, *mRouter);
+  routing::HandleForwards(mMessageServer, *mRouter, mMetrics);
   mJobs = batch::MakeJobs({ *mTable, *mWorker, *mOwnership }, {});
 }
 
--- a/src/framework/base/include/eelgrasspost/base/errors.h
+++ b/src/framework/base/include/eelgrasspost/base/errors.h
@@ -23,6 +23,12 @@
 auto MakeError(const ErrorKind& aKind, std::string_view aDetail)
   -> absl::Status;
 
+/** Rebuilds a status that came from another process: its code, the name of its
+ * kind and its whole message. */
+auto RestoreError(absl::StatusCode aCode,
+                  std::string_view aKindName,
+                  std::string_view aMessage) -> absl::Status;
+
 /** Returns whether a status was built from a kind. */
 auto IsKind(const absl::Status& aStatus, const ErrorKind& aKind) -> bool;
 
--- a/src/framework/base/internal/errors.cpp
+++ b/src/framework/base/internal/errors.cpp
@@ -19,6 +19,16 @@
   return status;
 }
 
+auto RestoreError(absl::StatusCode aCode,
+                  std::string_view aKindName,
+                  std::string_view aMessage) -> absl::Status
+{
+  auto status =
+    absl::Status(aCode, absl::string_view(aMessage.data(), aMessage.size()));
+  status.SetPayload(kKindPayload, absl::Cord(std::string(aKindName)));
+  return status;
+}
+
 auto IsKind(const absl::Status& aStatus, const ErrorKind& aKind) -> bool
 {
   return KindName(aStatus) == aKind.mName;
--- a/src/framework/net/include/eelgrasspost/net/codec.h
+++ b/src/framework/net/include/eelgrasspost/net/codec.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <bit>
+#include <cstring>
 #include <sstream>
-#include <streambuf>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 #include <absl/status/statusor.h>
 #include <cereal/archives/portable_binary.hpp>
@@ -13,24 +15,111 @@
 
 namespace eelgrasspost::net {
 
-/** Reads from bytes that it does not own. */
-class ViewBuffer : public std::streambuf
+static_assert(std::endian::native == std::endian::little,
+              "messages are little-endian");
+
+/**
+ * Reads what cereal's portable binary archive has written. A length that is
+ * greater than the bytes that are left is an error before anything is
+ * allocated for it.
+ */
+class BoundedInputArchive
+  : public cereal::InputArchive<BoundedInputArchive,
+                                cereal::AllowEmptyClassElision>
 {
 public:
-  explicit ViewBuffer(std::string_view aBytes)
+  explicit BoundedInputArchive(std::string_view aBytes)
+    : InputArchive(this)
+    , mLeft(aBytes)
   {
-    auto* begin = const_cast<char*>(aBytes.data());
-    setg(begin, begin, begin + aBytes.size());
+    std::uint8_t isLittleEndian = 0;
+    LoadBytes(&isLittleEndian, sizeof(isLittleEndian));
+    if (isLittleEndian != 1) {
+      throw cereal::Exception("the byte order is not little-endian");
+    }
   }
+
+  auto LoadBytes(void* aOut, std::size_t aCount) -> void
+  {
+    if (aCount > mLeft.size()) {
+      throw cereal::Exception("the message ends too early");
+    }
+    if (aCount > 0) {
+      std::memcpy(aOut, mLeft.data(), aCount);
+    }
+    mLeft.remove_prefix(aCount);
+  }
+  /** Each element takes at least one byte. */
+  auto CheckCount(cereal::size_type aCount) const -> void
+  {
+    if (aCount > mLeft.size()) {
+      throw cereal::Exception("a length is greater than the message");
+    }
+  }
+
+private:
+  std::string_view mLeft;
 };
 
+} // namespace eelgrasspost::net
+
+/** cereal looks up how enumerations were saved by the writing archive. */
+template<>
+struct cereal::traits::detail::get_output_from_input<
+  eelgrasspost::net::BoundedInputArchive>
+{
+  using type = cereal::PortableBinaryOutputArchive;
+};
+
+namespace eelgrasspost::net {
+
+template<typename T>
+auto load(BoundedInputArchive& archive, T& aValue)
+  -> std::enable_if_t<std::is_arithmetic_v<T>>
+{
+  archive.LoadBytes(&aValue, sizeof(aValue));
+}
+
+template<typename T>
+auto load(BoundedInputArchive& archive, cereal::BinaryData<T>& aData) -> void
+{
+  archive.LoadBytes(aData.data, static_cast<std::size_t>(aData.size));
+}
+
+template<typename T>
+auto load(BoundedInputArchive& archive, cereal::NameValuePair<T>& aPair) -> void
+{
+  archive(aPair.value);
+}
+
+template<typename T>
+auto load(BoundedInputArchive& archive, cereal::SizeTag<T>& aTag) -> void
+{
+  archive(aTag.size);
+  archive.CheckCount(aTag.size);
+}
+
+/** Grows a vector as its elements come, not by the length that is claimed. */
+template<typename T, typename A>
+auto load(BoundedInputArchive& archive, std::vector<T, A>& aVector)
+  -> std::enable_if_t<!std::is_arithmetic_v<T>>
+{
+  cereal::size_type n = 0;
+  archive(cereal::make_size_tag(n));
+  aVector.clear();
+  for (cereal::size_type i = 0; i < n; ++i) {
+    archive(aVector.emplace_back());
+  }
+}
+
 /** Encodes a message that has a cereal `serialize` member. */
 template<typename T>
 auto Encode(const T& aMessage) -> std::string
 {
   std::ostringstream out;
   {
-    auto archive = cereal::PortableBinaryOutputArchive(out);
+    auto archive = cereal::PortableBinaryOutputArchive(
+      out, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
     archive(aMessage);
   }
   return std::move(out).str();
@@ -41,9 +130,7 @@
 auto Decode(std::string_view aBytes) -> absl::StatusOr<T>
 {
   try {
-    auto buf = ViewBuffer(aBytes);
-    std::istream in(&buf);
-    auto archive = cereal::PortableBinaryInputArchive(in);
+    auto archive = BoundedInputArchive(aBytes);
     T out;
     archive(out);
     return out;
--- a/src/framework/net/tests/net_tests.cpp
+++ b/src/framework/net/tests/net_tests.cpp
@@ -24,6 +24,28 @@
   }
 };
 
+struct Batch
+{
+  std::vector<Echo> mEchoes;
+  std::vector<std::uint32_t> mNumbers;
+  std::optional<std::string> mNote;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mEchoes, mNumbers, mNote);
+  }
+};
+
+/** A message that claims a length and holds no byte of it. */
+auto ClaimingLength(std::uint64_t aLength, std::size_t aPadding) -> std::string
+{
+  auto out = std::string(1, '\1');
+  out.append(reinterpret_cast<const char*>(&aLength), sizeof(aLength));
+  out.append(aPadding, '\0');
+  return out;
+}
+
 /** A pool whose tasks a test waits for. */
 struct PoolFixture
 {
@@ -107,4 +129,31 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(decode_encoded_message_gives_it_back)
+{
+  const auto batch = Batch{ { { "one" }, { "" } }, { 7, 9 }, "note" };
+  const auto decoded = Decode<Batch>(Encode(batch));
+  BOOST_TEST_REQUIRE(decoded.ok());
+  BOOST_TEST(decoded->mEchoes.size() == 2U);
+  BOOST_TEST(decoded->mEchoes[0].mText == "one");
+  BOOST_TEST(decoded->mNumbers == batch.mNumbers);
+  BOOST_TEST((decoded->mNote == batch.mNote));
+}
+
+BOOST_AUTO_TEST_CASE(decode_length_beyond_message_allocates_nothing)
+{
+  constexpr std::uint64_t kHostile[] = { 17, 1ULL << 30, ~0ULL };
+  for (const auto length : kHostile) {
+    const auto bytes = ClaimingLength(length, 16);
+    const auto text = Decode<Echo>(bytes);
+    BOOST_TEST(!text.ok());
+    BOOST_TEST(text.status().message().find("greater than the message") !=
+               absl::string_view::npos);
+    const auto batch = Decode<Batch>(bytes);
+    BOOST_TEST(!batch.ok());
+    BOOST_TEST(batch.status().message().find("greater than the message") !=
+               absl::string_view::npos);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/routing/include/eelgrasspost/routing/routingmodule.h
+++ b/src/routing/include/eelgrasspost/routing/routingmodule.h
@@ -27,7 +27,9 @@
 auto MakeRouter(RouterParts aParts) -> std::unique_ptr<IRouter>;
 
 /** Runs the requests that other entries forward; called before Listen(). */
-auto HandleForwards(net::MessageServer& aServer, IRouter& aRouter) -> void;
+auto HandleForwards(net::MessageServer& aServer,
+                    IRouter& aRouter,
+                    base::Metrics& aMetrics) -> void;
 
 /** Answers a caller's HTTP request to /services/<name>/... */
 auto AnswerCaller(IRouter& aRouter,
--- a/src/routing/internal/forward.cpp
+++ b/src/routing/internal/forward.cpp
@@ -5,10 +5,35 @@
 
 namespace eelgrasspost::routing {
 
-auto ToForward(const ServiceRequest& aRequest) -> ForwardRequest
+namespace {
+
+auto ToForwardError(const absl::Status& aError) -> ForwardError
 {
-  return { aRequest.mService,
+  return { static_cast<std::int32_t>(aError.code()),
+           base::KindName(aError),
+           std::string(base::MessageOf(aError)) };
+}
+
+auto FromForwardError(const ForwardError& aError) -> absl::Status
+{
+  return base::RestoreError(
+    static_cast<absl::StatusCode>(aError.mCode), aError.mKind, aError.mMessage);
+}
+
+auto Unknown(std::string_view aDetail) -> ServiceOutcome
+{
+  return { Outcome::Unknown, {}, base::MakeError(kEndpointFailed, aDetail) };
+}
+
+} // namespace
+
+auto ToForward(const ServiceRequest& aRequest, std::string aAttemptId)
+  -> ForwardRequest
+{
+  return { std::move(aAttemptId),
+           aRequest.mService,
            aRequest.mRequestId,
+           aRequest.mIdempotencyKey,
            aRequest.mMethod,
            aRequest.mTarget,
            aRequest.mFields,
@@ -21,6 +46,7 @@
   ServiceRequest out;
   out.mService = std::move(aForward.mService);
   out.mRequestId = std::move(aForward.mRequestId);
+  out.mIdempotencyKey = std::move(aForward.mIdempotencyKey);
   out.mMethod = std::move(aForward.mMethod);
   out.mTarget = std::move(aForward.mTarget);
   out.mFields = std::move(aForward.mFields);
@@ -30,14 +56,15 @@
   return out;
 }
 
-auto ToReply(ServiceOutcome aOutcome) -> ForwardReply
+auto ToReply(ServiceOutcome aOutcome, std::string aAttemptId) -> ForwardReply
 {
   ForwardReply out;
+  out.mAttemptId = std::move(aAttemptId);
   out.mOutcome = aOutcome.mOutcome;
   out.mStatus = aOutcome.mResponse.mStatus;
   out.mFields = std::move(aOutcome.mResponse.mFields);
   out.mBody = std::move(aOutcome.mResponse.mBody);
-  out.mError = base::MessageOf(aOutcome.mError);
+  out.mError = ToForwardError(aOutcome.mError);
   return out;
 }
 
@@ -45,15 +72,102 @@
 {
   ServiceOutcome out;
   out.mOutcome = aReply.mOutcome;
-  out.mResponse.mStatus = aReply.mStatus;
-  out.mResponse.mFields = std::move(aReply.mFields);
-  out.mResponse.mBody = std::move(aReply.mBody);
-  if (out.mOutcome == Outcome::NotRun) {
-    out.mError = base::MakeError(kNoSlot, aReply.mError);
-  } else if (out.mOutcome == Outcome::Unknown) {
-    out.mError = base::MakeError(kEndpointFailed, aReply.mError);
+  if (out.mOutcome == Outcome::Answered) {
+    out.mResponse.mStatus = aReply.mStatus;
+    out.mResponse.mFields = std::move(aReply.mFields);
+    out.mResponse.mBody = std::move(aReply.mBody);
+  } else {
+    out.mError = FromForwardError(aReply.mError);
   }
   return out;
 }
 
+auto OutcomeOf(net::TypedReply<ForwardReply> aReply,
+               std::string_view aAttemptId) -> ServiceOutcome
+{
+  if (!aReply.mStatus.ok()) {
+    const auto message = base::MessageOf(aReply.mStatus);
+    if (aReply.mProgress == net::SendProgress::NothingSent) {
+      return { Outcome::NotRun, {}, base::MakeError(kNoSlot, message) };
+    }
+    return Unknown(message);
+  }
+  if (aReply.mReply.mAttemptId != aAttemptId) {
+    return Unknown("the owner answered another attempt");
+  }
+  const auto isOutcome =
+    base::NameOf(kOutcomeNames, aReply.mReply.mOutcome) != "unknown" ||
+    aReply.mReply.mOutcome == Outcome::Unknown;
+  return isOutcome ? FromReply(std::move(aReply.mReply))
+                   : Unknown("the owner answered an outcome of no name");
+}
+
+auto ForwardTo(net::MessageClient& aClient,
+               net::Address aOwner,
+               const ServiceRequest& aRequest,
+               std::string aAttemptId) -> net::Task<Forwarded>
+{
+  auto message = ToForward(aRequest, aAttemptId);
+  auto reply =
+    co_await net::CallTyped<ForwardReply>(aClient,
+                                          std::move(aOwner),
+                                          net::MessageKind::ForwardRequest,
+                                          std::move(message),
+                                          aRequest.mDeadline);
+  const auto wasSent = reply.mProgress == net::SendProgress::MaybeSent;
+  co_return Forwarded{ wasSent, OutcomeOf(std::move(reply), aAttemptId) };
+}
+
+auto SeenAttempts::Insert(const std::string& aAttemptId,
+                          base::MonotonicTime aNow) -> bool
+{
+  auto& shard = mShards[std::hash<std::string>()(aAttemptId) % kShards];
+  auto lock = std::lock_guard(shard.mMutex);
+  if (aNow - shard.mSwapped >= kRemembered) {
+    shard.mOld = std::move(shard.mYoung);
+    shard.mYoung.clear();
+    shard.mSwapped = aNow;
+  }
+  const auto isKnown = [&](const auto& aSeen) {
+    const auto it = aSeen.find(aAttemptId);
+    return it != aSeen.end() && aNow - it->second < kRemembered;
+  };
+  if (isKnown(shard.mYoung) || isKnown(shard.mOld)) {
+    return false;
+  }
+  shard.mYoung[aAttemptId] = aNow;
+  return true;
+}
+
+auto SeenAttempts::Size() const -> std::size_t
+{
+  std::size_t n = 0;
+  for (const auto& it : mShards) {
+    auto lock = std::lock_guard(it.mMutex);
+    n += it.mYoung.size() + it.mOld.size();
+  }
+  return n;
+}
+
+auto RunForward(IRouter& aRouter,
+                SeenAttempts& aSeen,
+                base::Counter& aDuplicates,
+                ForwardRequest aForward) -> net::Task<ForwardReply>
+{
+  auto attemptId = aForward.mAttemptId;
+  if (aForward.mRemainingMs <= 0) {
+    auto late =
+      base::MakeError(kDeadlinePassed, "the deadline passed on the way");
+    co_return ToReply({ Outcome::NotRun, {}, std::move(late) }, attemptId);
+  }
+  // Idempotent requests carry no key and need no memory.
+  if (!aForward.mIdempotencyKey.empty() &&
+      !aSeen.Insert(attemptId, base::MonotonicClock::now())) {
+    aDuplicates.Add();
+    co_return ToReply(Unknown("the forward was duplicated"), attemptId);
+  }
+  auto outcome = co_await aRouter.RouteHere(FromForward(std::move(aForward)));
+  co_return ToReply(std::move(outcome), std::move(attemptId));
+}
+
 } // namespace eelgrasspost::routing
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -146,21 +146,10 @@
     if (!owner || owner->mIdentity.mId == mParts.mMembership.Self().mId) {
       continue;
     }
-    auto reply =
-      co_await net::CallTyped<ForwardReply>(mParts.mMessages,
-                                            owner->mIdentity.mControl,
-                                            net::MessageKind::ForwardRequest,
-                                            ToForward(aRequest),
-                                            aRequest.mDeadline);
-    if (reply.mStatus.ok()) {
-      co_return FromReply(std::move(reply.mReply));
-    }
-    if (reply.mProgress == net::SendProgress::MaybeSent) {
-      co_return ServiceOutcome{
-        Outcome::Unknown,
-        {},
-        base::MakeError(kEndpointFailed, base::MessageOf(reply.mStatus))
-      };
+    auto forwarded = co_await ForwardTo(
+      mParts.mMessages, owner->mIdentity.mControl, aRequest, NewAttemptId());
+    if (forwarded.mWasSent) {
+      co_return std::move(forwarded.mOutcome);
     }
   }
   co_return NotRun(kNoSlot, "no entry has a free slot");
--- a/src/routing/routingmodule.cpp
+++ b/src/routing/routingmodule.cpp
@@ -10,15 +10,17 @@
   return std::make_unique<Router>(aParts);
 }
 
-auto HandleForwards(net::MessageServer& aServer, IRouter& aRouter) -> void
+auto HandleForwards(net::MessageServer& aServer,
+                    IRouter& aRouter,
+                    base::Metrics& aMetrics) -> void
 {
+  auto seen = std::make_shared<SeenAttempts>();
+  auto& duplicates = aMetrics.FindCounter("forwards_duplicated_total");
   net::HandleTyped<ForwardRequest, ForwardReply>(
     aServer,
     net::MessageKind::ForwardRequest,
-    [&aRouter](ForwardRequest aForward) -> net::Task<ForwardReply> {
-      auto outcome =
-        co_await aRouter.RouteHere(FromForward(std::move(aForward)));
-      co_return ToReply(std::move(outcome));
+    [&aRouter, &duplicates, seen](ForwardRequest aForward) {
+      return RunForward(aRouter, *seen, duplicates, std::move(aForward));
     });
 }
 
--- /dev/null
+++ b/src/routing/tests/forward_tests.cpp
@@ -0,0 +1,121 @@
+#define BOOST_TEST_MODULE routing_requests
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "eelgrasspost/routing/routingerrors.h"
+#include "internal/forward.h"
+
+namespace {
+
+using namespace eelgrasspost;
+using namespace eelgrasspost::routing;
+
+/** Counts the requests that reach it. */
+struct CountingRouter : IRouter
+{
+  auto Route(ServiceRequest aRequest) -> net::Task<ServiceOutcome> override
+  {
+    return RouteHere(std::move(aRequest));
+  }
+  auto RouteHere(ServiceRequest /*aRequest*/)
+    -> net::Task<ServiceOutcome> override
+  {
+    ++mRuns;
+    co_return ServiceOutcome{ Outcome::Answered, { 200, {}, "body" }, {} };
+  }
+
+  int mRuns = 0;
+};
+
+struct ForwardFixture
+{
+  auto Run(const ForwardRequest& aForward) -> ForwardReply
+  {
+    ForwardReply out;
+    net::asio::io_context context;
+    net::asio::co_spawn(context,
+                        RunForward(mRouter, mSeen, mDuplicates, aForward),
+                        [&](const std::exception_ptr&, ForwardReply aReply) {
+                          out = std::move(aReply);
+                        });
+    context.run();
+    return out;
+  }
+
+  CountingRouter mRouter;
+  SeenAttempts mSeen;
+  base::Counter mDuplicates;
+};
+
+auto MakeForward(const std::string& aAttemptId, const std::string& aKey)
+  -> ForwardRequest
+{
+  ForwardRequest out;
+  out.mAttemptId = aAttemptId;
+  out.mIdempotencyKey = aKey;
+  out.mRemainingMs = 1000;
+  return out;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(forward, ForwardFixture)
+
+BOOST_AUTO_TEST_CASE(runforward_duplicate_of_keyed_request_runs_once)
+{
+  const auto first = Run(MakeForward("entry-1-5-1", "bill-7"));
+  const auto second = Run(MakeForward("entry-1-5-1", "bill-7"));
+  const auto other = Run(MakeForward("entry-1-6-1", "bill-8"));
+  BOOST_TEST((first.mOutcome == Outcome::Answered));
+  BOOST_TEST((second.mOutcome == Outcome::Unknown));
+  BOOST_TEST((other.mOutcome == Outcome::Answered));
+  BOOST_TEST(mRouter.mRuns == 2);
+  BOOST_TEST(mDuplicates.Value() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(runforward_deadline_passed_on_the_way_is_not_run)
+{
+  auto late = MakeForward("entry-1-5-2", "bill-9");
+  late.mRemainingMs = 0;
+  const auto outcome = FromReply(Run(late));
+  BOOST_TEST((outcome.mOutcome == Outcome::NotRun));
+  BOOST_TEST(base::IsKind(outcome.mError, kDeadlinePassed));
+  BOOST_TEST(mRouter.mRuns == 0);
+}
+
+BOOST_AUTO_TEST_CASE(reply_error_over_the_hop_keeps_kind_and_message)
+{
+  const auto sent = base::MakeError(kUnknownService, "no service bills");
+  const auto bytes =
+    net::Encode(ToReply({ Outcome::NotRun, {}, sent }, "entry-1-5-3"));
+  const auto outcome = FromReply(*net::Decode<ForwardReply>(bytes));
+  BOOST_TEST(base::IsKind(outcome.mError, kUnknownService));
+  BOOST_TEST((outcome.mError == sent));
+}
+
+BOOST_AUTO_TEST_CASE(outcomeof_answer_to_another_attempt_is_unknown)
+{
+  net::TypedReply<ForwardReply> reply;
+  reply.mProgress = net::SendProgress::MaybeSent;
+  reply.mReply =
+    ToReply({ Outcome::Answered, { 200, {}, "x" }, {} }, "entry-1-5-4");
+  BOOST_TEST((OutcomeOf(reply, "entry-1-5-4").mOutcome == Outcome::Answered));
+  const auto crossed = OutcomeOf(reply, "entry-1-5-5");
+  BOOST_TEST((crossed.mOutcome == Outcome::Unknown));
+  BOOST_TEST(crossed.mResponse.mBody.empty());
+}
+
+BOOST_AUTO_TEST_CASE(seenattempts_long_run_forgets_the_old)
+{
+  const auto start = base::MonotonicTime();
+  constexpr int kCount = 1000;
+  for (int i = 0; i < kCount; ++i) {
+    const auto at = start + i * SeenAttempts::kRemembered / 10;
+    BOOST_TEST(mSeen.Insert(std::to_string(i), at));
+    BOOST_TEST(!mSeen.Insert(std::to_string(i), at));
+  }
+  BOOST_TEST(mSeen.Size() < 500U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
