--- a/src/routing/tests/forward_tests.cpp
+++ b/src/routing/tests/forward_tests.cpp
@@ -24,6 +24,7 @@
     ++mRuns;
     co_return ServiceOutcome{ Outcome::Answered, { 200, {}, "body" }, {} };
   }
+  auto Run() -> net::Task<void> override { co_return; }
 
   int mRuns = 0;
 };
