--- a/src/ownership/include/eelgrasspost/ownership/assignment.h
+++ b/src/ownership/include/eelgrasspost/ownership/assignment.h
@@ -8,12 +8,24 @@
 
 namespace eelgrasspost::ownership {
 
+/** Whether an entry may own workers of its failure domain. */
+auto MayOwn(const membership::Member& aMember) -> bool;
+
+/** Most workers that one of some entries is given: the average, rounded up. */
+auto LargestShare(std::size_t aWorkers, std::size_t aEntries) -> std::size_t;
+
 /**
  * Gives each worker to one live entry of its failure domain by highest random
- * weight, so that an entry's coming or going moves its share and no more.
+ * weight, no entry more than LargestShare(). A worker whose entry is full goes
+ * to its next one; the worker with the least weight gives way. The same
+ * workers and members give the same assignment, in any order.
  */
 auto AssignWorkers(const std::vector<platform::VmRecord>& aWorkers,
                    const membership::MemberView& aMembers)
   -> std::vector<WorkerAssignment>;
 
+/** Finds a worker in assignments sorted by worker id. */
+auto FindAssignmentIn(const std::vector<WorkerAssignment>& aAssignments,
+                      std::string_view aWorker) -> const WorkerAssignment*;
+
 } // namespace eelgrasspost::ownership
--- a/src/ownership/include/eelgrasspost/ownership/ownershipmodule.h
+++ b/src/ownership/include/eelgrasspost/ownership/ownershipmodule.h
@@ -14,10 +14,31 @@
 
 struct OwnershipOptions
 {
-  base::Milliseconds mRenewInterval{ 300 };
-  base::Milliseconds mLease{ 2000 };
+  /** Time between two renewals of a worker, and while a request's end is not
+   * known. */
+  base::Milliseconds mRenewInterval{ 1000 };
+  base::Milliseconds mQuickInterval{ 200 };
+  /** Renewals a second of one entry at most; with more workers each is renewed
+   * less often, down to a third of the lease. */
+  std::size_t mRenewalsPerSecond = 20;
+  /** Counted by the holder from before the renewal was sent. */
+  base::Milliseconds mLease{ 6000 };
+  /** Taken off by the holder and added by a taker that must wait. */
+  base::Milliseconds mDriftMargin{ 200 };
   base::Milliseconds mCallTimeout{ 1000 };
   base::Milliseconds mVmListInterval{ 1000 };
+  /** Time after the start in which holders that are not known yet are taken
+   * for present. */
+  base::Milliseconds mStartGrace{ 1200 };
+  /** Time between two fences of an entry's own lost requests on a worker. */
+  base::Milliseconds mFenceInterval{ 1000 };
+  /** Longest deadline of a request; how long a worker that cannot fence rests
+   * after a claim. */
+  base::Milliseconds mLongestRequest{ 30000 };
+  /** Calls to workers' agents at once. */
+  std::size_t mCallsAtOnce = 32;
+  /** Seeds the jitter; 0 takes a random seed. */
+  std::uint64_t mSeed = 0;
 };
 
 /** What ownership works with. */
--- a/src/ownership/include/eelgrasspost/ownership/ownershiptypes.h
+++ b/src/ownership/include/eelgrasspost/ownership/ownershiptypes.h
@@ -38,6 +38,8 @@
   std::atomic<std::uint64_t> mTokenNumber;
   /** End of the lease, counted from before its renewal was sent. */
   std::atomic<base::MonotonicTime> mLeaseUntil{};
+  /** Before this time all slots count as occupied. */
+  std::atomic<base::MonotonicTime> mUsableFrom{};
   std::atomic<bool> mLeaving{ false };
 };
 
@@ -84,6 +86,7 @@
 /** Ownership as this entry sees it. */
 struct OwnershipView
 {
+  /** Sorted by worker id. */
   std::vector<WorkerHoldPtr> mHeld;
   /** Every worker of every failure domain, sorted by id. */
   std::vector<WorkerAssignment> mAssignments;
--- a/src/ownership/include/eelgrasspost/ownership/slotledger.h
+++ b/src/ownership/include/eelgrasspost/ownership/slotledger.h
@@ -12,9 +12,9 @@
 namespace eelgrasspost::ownership {
 
 /**
- * The slots of one worker under one fencing token. Reserving and releasing are
- * lock-free. A slot whose request's end is not known stays occupied until a
- * report that was taken under a higher token shows that the request has ended.
+ * The slots of one worker under one hold. Reserving and releasing are
+ * lock-free. A slot whose request's end is not known stays occupied until it
+ * is proved that the request has ended or can never start.
  */
 class SlotLedger
 {
@@ -25,10 +25,26 @@
   auto TryReserve() -> bool;
   /** Gives a slot back. */
   auto Release() -> void;
-  /** Keeps a slot occupied for a request whose end is not known. */
+  /** Keeps a reserved slot occupied for a request whose end is not known and
+   * that may still be on its way to the worker. */
   auto KeepForUnknown(std::string aAttemptId) -> void;
-  /** Takes the attempts that wait for a report. */
+  /** The same for a request that the worker has reported. */
+  auto KeepForArrived(std::string aAttemptId) -> void;
+  /** Attempts whose end is not known. */
   auto UnknownAttempts() const -> std::vector<std::string>;
+  /** Whether an unknown attempt may still be on its way, so that its absence
+   * from a report proves nothing. */
+  auto HasUnfenced() const -> bool;
+  /** Notes that the worker has taken a higher token than these attempts
+   * carry: those that have not arrived will be refused. */
+  auto MarkFenced(const std::vector<std::string>& aAttempts) -> void;
+  /** Takes in the attempts of a report. An unknown attempt that is listed has
+   * arrived; one that is absent and cannot arrive any more has ended, and its
+   * slot is freed. */
+  auto TakeReport(const std::vector<std::string>& aRunning) -> void;
+  /** Frees the slots of attempts that have been unknown since before a time;
+   * for workers that cannot fence. */
+  auto ForgetOlderThan(base::MonotonicTime aTime) -> void;
   /** Frees the slot of an attempt that is known to have ended. */
   auto ForgetUnknown(const std::string& aAttemptId) -> void;
   /** No slot is given from now on. */
@@ -38,11 +54,18 @@
   auto Used() const -> std::int64_t;
 
 private:
+  struct Unknown
+  {
+    std::string mId;
+    bool mMayArrive = true;
+    base::MonotonicTime mSince;
+  };
+
   const std::int64_t mSlots;
   std::atomic<std::int64_t> mUsed;
   std::atomic<bool> mClosed{ false };
   mutable std::mutex mUnknownMutex;
-  std::vector<std::string> mUnknown;
+  std::vector<Unknown> mUnknown;
 };
 
 } // namespace eelgrasspost::ownership
--- a/src/ownership/internal/ownership.cpp
+++ b/src/ownership/internal/ownership.cpp
@@ -5,16 +5,53 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 
-#include "eelgrasspost/base/errors.h"
+#include "eelgrasspost/base/text.h"
 #include "eelgrasspost/net/iopool.h"
-#include "eelgrasspost/ownership/assignment.h"
-#include "eelgrasspost/platform/platformerrors.h"
 
 namespace eelgrasspost::ownership {
 
+namespace {
+
+constexpr auto kTick = base::Milliseconds(50);
+
+auto SeedOf(const OwnershipOptions& aOptions) -> std::uint64_t
+{
+  return aOptions.mSeed != 0 ? aOptions.mSeed : std::random_device{}();
+}
+
+/** What an assignment depends on, as text. */
+auto AssignmentKey(const membership::MemberView& aMembers,
+                   std::uint64_t aWorkersVersion) -> std::string
+{
+  auto out = base::Cat(aWorkersVersion);
+  for (const auto& it : aMembers.mMembers) {
+    if (MayOwn(it)) {
+      base::Append(out, "\n", it.mIdentity.mId);
+    }
+  }
+  return out;
+}
+
+auto SameWorkers(const std::vector<platform::VmRecord>& aLeft,
+                 const std::vector<platform::VmRecord>& aRight) -> bool
+{
+  return std::ranges::equal(
+    aLeft,
+    aRight,
+    [](const platform::VmRecord& aOne, const platform::VmRecord& aOther) {
+      return aOne.mId == aOther.mId && aOne.mControl == aOther.mControl &&
+             aOne.mState == aOther.mState && aOne.mSlots == aOther.mSlots;
+    });
+}
+
+} // namespace
+
 Ownership::Ownership(OwnershipParts aParts, OwnershipOptions aOptions)
   : mParts(std::move(aParts))
   , mOptions(aOptions)
+  , mMetrics(mParts.mMetrics)
+  , mRandom(SeedOf(aOptions))
+  , mStartedAt(base::MonotonicClock::now())
   , mView(std::make_shared<const OwnershipView>())
 {
 }
@@ -24,131 +61,196 @@
   return mView.Read();
 }
 
+auto Ownership::Context() -> TenderContext
+{
+  return { mParts.mWorker, mParts.mMembership, mOptions, mMetrics,
+           mRandom,        mStartedAt };
+}
+
 auto Ownership::PollVmList() -> net::Task<void>
 {
   while (true) {
     const auto deadline = base::MonotonicClock::now() + mOptions.mCallTimeout;
     const auto vms = co_await mParts.mVmList.List(deadline);
     if (vms.ok()) {
-      std::vector<net::Address> contacts;
-      mWorkers.clear();
-      for (const auto& it : *vms) {
-        if (it.mKind == platform::VmKind::Worker) {
-          mWorkers.push_back(it);
-        } else {
-          contacts.push_back(it.mControl);
-        }
-      }
-      mParts.mMembership.AddContacts(contacts);
+      TakeVmList(*vms);
     }
     co_await net::Sleep(mOptions.mVmListInterval);
   }
 }
 
-auto Ownership::Run() -> net::Task<void>
+auto Ownership::TakeVmList(const std::vector<platform::VmRecord>& aVms) -> void
 {
-  const auto executor = co_await net::asio::this_coro::executor;
-  net::SpawnTask(executor, PollVmList());
-  while (!mIsStopping) {
-    const auto members = mParts.mMembership.View();
-    const auto& self = mParts.mMembership.Self().mId;
-    const auto assignments = AssignWorkers(mWorkers, *members);
-    DropReassigned(assignments);
-    for (const auto& it : assignments) {
-      if (it.mEntry == self && mBusy.insert(it.mWorker.mId).second) {
-        net::SpawnTask(executor, Tend(it.mWorker));
-      }
+  std::vector<net::Address> contacts;
+  std::vector<platform::VmRecord> workers;
+  for (const auto& it : aVms) {
+    if (it.mKind == platform::VmKind::Worker) {
+      workers.push_back(it);
+    } else {
+      contacts.push_back(it.mControl);
     }
-    Publish();
-    co_await net::Sleep(mOptions.mRenewInterval);
+  }
+  mParts.mMembership.AddContacts(contacts);
+  if (!SameWorkers(workers, mWorkers)) {
+    mWorkers = std::move(workers);
+    ++mWorkersVersion;
+    RefreshTenders();
   }
 }
 
-auto Ownership::DropReassigned(
-  const std::vector<WorkerAssignment>& aAssignments) -> void
+auto Ownership::RefreshTenders() -> void
 {
-  const auto& self = mParts.mMembership.Self().mId;
-  for (const auto& it : aAssignments) {
-    const auto hold = mView.Read()->FindHeld(it.mWorker.mId);
-    if (hold && it.mEntry != self) {
-      Drop(hold);
+  const auto& domain = mParts.mMembership.Self().mFailureDomain;
+  std::map<std::string, TenderPtr, std::less<>> next;
+  for (const auto& it : mWorkers) {
+    if (it.mFailureDomain != domain) {
+      continue;
     }
+    const auto known = mTenders.find(it.mId);
+    auto tender =
+      known == mTenders.end() ? std::make_shared<Tender>() : known->second;
+    tender->mWorker = it;
+    next.emplace(it.mId, std::move(tender));
   }
+  // A worker that the lagging list dropped is kept while its hold lasts.
+  const auto now = base::MonotonicClock::now();
+  for (const auto& [id, tender] : mTenders) {
+    if (tender->mIsBusy ||
+        (tender->mHold && now < tender->mHold->mLeaseUntil.load())) {
+      next.emplace(id, tender);
+    }
+  }
+  mTenders = std::move(next);
 }
 
-auto Ownership::Tend(platform::VmRecord aWorker) -> net::Task<void>
+auto Ownership::RefreshAssignments() -> void
 {
-  const auto held = mView.Read()->FindHeld(aWorker.mId);
-  if (held) {
-    co_await Renew(held);
-  } else {
-    co_await Claim(aWorker);
+  const auto members = mParts.mMembership.View();
+  auto key = AssignmentKey(*members, mWorkersVersion);
+  if (key == mAssignedFor) {
+    return;
   }
-  mBusy.erase(aWorker.mId);
+  mAssignments = AssignWorkers(mWorkers, *members);
+  mAssignedFor = std::move(key);
+  Publish();
+}
+
+auto Ownership::IsOurs(const Tender& aTender) const -> bool
+{
+  const auto* assignment = FindAssignmentIn(mAssignments, aTender.mWorker.mId);
+  return assignment != nullptr &&
+         assignment->mEntry == mParts.mMembership.Self().mId;
 }
 
-auto Ownership::Claim(platform::VmRecord aWorker) -> net::Task<void>
+auto Ownership::HeldTenders() const -> TenderList
 {
-  const auto sentAt = base::MonotonicClock::now();
-  const auto deadline = sentAt + mOptions.mCallTimeout;
-  const auto before =
-    co_await mParts.mWorker.Report(aWorker.mControl, deadline);
-  if (!before.ok()) {
-    co_return;
+  TenderList out;
+  for (const auto& [id, tender] : mTenders) {
+    if (tender->mHold) {
+      out.push_back(tender);
+    }
   }
-  const auto token = platform::FencingToken{ before->mHighestToken.mNumber + 1,
-                                             mParts.mMembership.Self().mId };
-  const auto after =
-    co_await mParts.mWorker.Claim(aWorker.mControl, token, deadline);
-  if (!after.ok()) {
-    co_return;
+  return out;
+}
+
+auto Ownership::NextDue(const Tender& aTender) const -> base::Milliseconds
+{
+  if (!aTender.mHold->mLedger.UnknownAttempts().empty()) {
+    return mOptions.mQuickInterval;
   }
-  const auto running = static_cast<std::int64_t>(after->mRequests.size());
-  auto hold =
-    std::make_shared<WorkerHold>(aWorker, token, after->mIncarnation, running);
-  for (const auto& it : after->mRequests) {
-    hold->mLedger.KeepForUnknown(it);
+  const auto held = static_cast<std::int64_t>(mView.Read()->mHeld.size());
+  const auto perSecond = static_cast<std::int64_t>(mOptions.mRenewalsPerSecond);
+  const auto paced = base::Milliseconds(held * 1000 / perSecond);
+  return std::clamp(paced, mOptions.mRenewInterval, mOptions.mLease / 3);
+}
+
+auto Ownership::Run() -> net::Task<void>
+{
+  const auto executor = co_await net::asio::this_coro::executor;
+  net::SpawnTask(executor, PollVmList());
+  while (true) {
+    RefreshAssignments();
+    SpreadLeaving();
+    co_await TendAll();
+    if (!mIsStopping) {
+      co_await StartHandOvers();
+    }
+    co_await net::Sleep(kTick);
   }
-  hold->mLeaving = after->mLeaving;
-  hold->mLeaseUntil = sentAt + mOptions.mLease;
-  mHeld.push_back(std::move(hold));
-  Publish();
 }
 
-auto Ownership::Renew(WorkerHoldPtr aHold) -> net::Task<void>
+auto Ownership::TendAll() -> net::Task<void>
 {
-  const auto sentAt = base::MonotonicClock::now();
-  const auto report = co_await mParts.mWorker.Claim(
-    aHold->mWorker.mControl, aHold->Token(), sentAt + mOptions.mCallTimeout);
-  if (base::IsKind(report.status(), platform::kFenced)) {
-    Drop(aHold);
-    co_return;
+  const auto executor = co_await net::asio::this_coro::executor;
+  const auto now = base::MonotonicClock::now();
+  for (const auto& [id, tender] : mTenders) {
+    if (mCallsUnderWay >= mOptions.mCallsAtOnce) {
+      break;
+    }
+    auto dueAt = tender->mDueAt;
+    if (tender->mHold && tender->mHold->mLedger.HasUnfenced()) {
+      dueAt = std::min(dueAt, tender->mFenceNotBefore);
+    }
+    const auto mayTend = tender->mHold || (!mIsStopping && IsOurs(*tender));
+    if (tender->mIsBusy || now < dueAt || !mayTend) {
+      continue;
+    }
+    tender->mIsBusy = true;
+    ++mCallsUnderWay;
+    net::SpawnTask(executor, Tend(tender));
   }
-  if (!report.ok()) {
-    co_return;
+}
+
+auto Ownership::Tend(TenderPtr aTender) -> net::Task<void>
+{
+  const auto heldBefore = aTender->mHold;
+  if (aTender->mHold) {
+    co_await Renew(Context(), *aTender);
+  } else {
+    aTender->mMachine.Process(HoldEvent::HoldDownOver);
+    co_await TryClaim(Context(), *aTender, ClaimCause::Assigned);
   }
-  if (report->mIncarnation != aHold->mIncarnation) {
-    Drop(aHold);
-    co_return;
+  if (aTender->mHold) {
+    aTender->mDueAt = base::MonotonicClock::now() + NextDue(*aTender);
+  }
+  aTender->mIsBusy = false;
+  --mCallsUnderWay;
+  if (aTender->mHold != heldBefore) {
+    Publish();
   }
-  aHold->mLeaseUntil = sentAt + mOptions.mLease;
-  TakeReport(aHold, *report);
 }
 
-auto Ownership::HandOver(base::MonotonicTime /*aDeadline*/) -> net::Task<void>
+auto Ownership::IsListedLeaving(const WorkerHold& aHold) -> bool
 {
-  mIsStopping = true;
-  const auto held = mHeld;
-  for (const auto& it : held) {
-    Drop(it);
+  const auto found = mTenders.find(aHold.mWorker.mId);
+  const auto isListed =
+    found != mTenders.end() &&
+    found->second->mWorker.mState == platform::VmState::Leaving;
+  if (!isListed) {
+    mListedLeaving.erase(aHold.mWorker.mId);
+    return false;
   }
-  co_return;
+  const auto listed =
+    mListedLeaving.try_emplace(aHold.mWorker.mId, aHold.mIncarnation);
+  return listed.first->second == aHold.mIncarnation;
 }
 
-auto Ownership::TakeOver(HandOverRequest /*aRequest*/)
-  -> net::Task<HandOverReply>
+auto Ownership::SpreadLeaving() -> void
 {
-  co_return HandOverReply{};
+  const auto members = mParts.mMembership.View();
+  for (const auto& it : HeldTenders()) {
+    const auto& hold = *it->mHold;
+    const auto worker =
+      membership::LeavingWorker{ hold.mWorker.mId, hold.mIncarnation };
+    const auto isKnown = members->IsLeaving(worker);
+    const auto isListed = IsListedLeaving(hold);
+    if (isKnown || isListed) {
+      it->mHold->mLeaving = true;
+    }
+    if (it->mHold->mLeaving.load() && !isKnown) {
+      mParts.mMembership.AddLeavingWorker(worker);
+    }
+  }
 }
 
 auto Ownership::ReportLeaving(std::string_view aWorker) -> void
@@ -163,32 +265,14 @@
   });
 }
 
-auto Ownership::TakeReport(const WorkerHoldPtr& aHold,
-                           const platform::WorkerReport& aReport) -> void
-{
-  if (aReport.mLeaving) {
-    ReportLeaving(aHold->mWorker.mId);
-  }
-  for (const auto& it : aHold->mLedger.UnknownAttempts()) {
-    if (std::ranges::find(aReport.mRequests, it) == aReport.mRequests.end()) {
-      aHold->mLedger.ForgetUnknown(it);
-    }
-  }
-}
-
-auto Ownership::Drop(const WorkerHoldPtr& aHold) -> void
-{
-  aHold->mLedger.Close();
-  aHold->mLeaseUntil = base::MonotonicTime();
-  std::erase(mHeld, aHold);
-  Publish();
-}
-
 auto Ownership::Publish() -> void
 {
   auto view = std::make_shared<OwnershipView>();
-  view->mHeld = mHeld;
-  view->mAssignments = AssignWorkers(mWorkers, *mParts.mMembership.View());
+  for (const auto& it : HeldTenders()) {
+    view->mHeld.push_back(it->mHold);
+  }
+  view->mAssignments = mAssignments;
+  mMetrics.mHeld.Set(static_cast<std::int64_t>(view->mHeld.size()));
   mView.Publish(std::move(view));
 }
 
--- a/src/ownership/internal/slotledger.cpp
+++ b/src/ownership/internal/slotledger.cpp
@@ -4,6 +4,16 @@
 
 namespace eelgrasspost::ownership {
 
+namespace {
+
+auto Contains(const std::vector<std::string>& aTexts, const std::string& aText)
+  -> bool
+{
+  return std::ranges::find(aTexts, aText) != aTexts.end();
+}
+
+} // namespace
+
 SlotLedger::SlotLedger(std::int64_t aSlots, std::int64_t aAlreadyUsed)
   : mSlots(aSlots)
   , mUsed(aAlreadyUsed)
@@ -32,19 +42,70 @@
 auto SlotLedger::KeepForUnknown(std::string aAttemptId) -> void
 {
   auto lock = std::lock_guard(mUnknownMutex);
-  mUnknown.push_back(std::move(aAttemptId));
+  mUnknown.push_back(
+    { std::move(aAttemptId), true, base::MonotonicClock::now() });
+}
+
+auto SlotLedger::KeepForArrived(std::string aAttemptId) -> void
+{
+  auto lock = std::lock_guard(mUnknownMutex);
+  mUnknown.push_back(
+    { std::move(aAttemptId), false, base::MonotonicClock::now() });
 }
 
 auto SlotLedger::UnknownAttempts() const -> std::vector<std::string>
 {
   auto lock = std::lock_guard(mUnknownMutex);
-  return mUnknown;
+  std::vector<std::string> out;
+  for (const auto& it : mUnknown) {
+    out.push_back(it.mId);
+  }
+  return out;
+}
+
+auto SlotLedger::HasUnfenced() const -> bool
+{
+  auto lock = std::lock_guard(mUnknownMutex);
+  return std::ranges::any_of(mUnknown, &Unknown::mMayArrive);
+}
+
+auto SlotLedger::MarkFenced(const std::vector<std::string>& aAttempts) -> void
+{
+  auto lock = std::lock_guard(mUnknownMutex);
+  for (auto& it : mUnknown) {
+    if (Contains(aAttempts, it.mId)) {
+      it.mMayArrive = false;
+    }
+  }
+}
+
+auto SlotLedger::TakeReport(const std::vector<std::string>& aRunning) -> void
+{
+  auto lock = std::lock_guard(mUnknownMutex);
+  const auto hasEnded = [&](Unknown& aUnknown) {
+    if (Contains(aRunning, aUnknown.mId)) {
+      aUnknown.mMayArrive = false;
+      return false;
+    }
+    return !aUnknown.mMayArrive;
+  };
+  const auto ended = std::erase_if(mUnknown, hasEnded);
+  mUsed.fetch_sub(static_cast<std::int64_t>(ended), std::memory_order_release);
+}
+
+auto SlotLedger::ForgetOlderThan(base::MonotonicTime aTime) -> void
+{
+  auto lock = std::lock_guard(mUnknownMutex);
+  const auto forgotten = std::erase_if(
+    mUnknown, [&](const Unknown& aUnknown) { return aUnknown.mSince < aTime; });
+  mUsed.fetch_sub(static_cast<std::int64_t>(forgotten),
+                  std::memory_order_release);
 }
 
 auto SlotLedger::ForgetUnknown(const std::string& aAttemptId) -> void
 {
   auto lock = std::lock_guard(mUnknownMutex);
-  const auto it = std::ranges::find(mUnknown, aAttemptId);
+  const auto it = std::ranges::find(mUnknown, aAttemptId, &Unknown::mId);
   if (it != mUnknown.end()) {
     mUnknown.erase(it);
     Release();
--- a/src/ownership/tests/slotledger_tests.cpp
+++ b/src/ownership/tests/slotledger_tests.cpp
@@ -32,6 +32,39 @@
   BOOST_TEST(ledger.Used() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(ledger_absent_attempt_that_may_arrive_keeps_its_slot)
+{
+  SlotLedger ledger(1, 0);
+  BOOST_TEST(ledger.TryReserve());
+  ledger.KeepForUnknown("a1");
+  ledger.TakeReport({});
+  BOOST_TEST(ledger.Used() == 1);
+  BOOST_TEST(ledger.HasUnfenced());
+  ledger.MarkFenced({ "a1" });
+  BOOST_TEST(!ledger.HasUnfenced());
+  ledger.TakeReport({});
+  BOOST_TEST(ledger.Used() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ledger_attempt_seen_in_a_report_is_freed_when_absent)
+{
+  SlotLedger ledger(1, 0);
+  BOOST_TEST(ledger.TryReserve());
+  ledger.KeepForUnknown("a1");
+  ledger.TakeReport({ "a1" });
+  BOOST_TEST(ledger.Used() == 1);
+  ledger.TakeReport({});
+  BOOST_TEST(ledger.Used() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ledger_fenced_attempt_in_a_report_keeps_its_slot)
+{
+  SlotLedger ledger(1, 1);
+  ledger.KeepForArrived("a1");
+  ledger.TakeReport({ "a1" });
+  BOOST_TEST(ledger.Used() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(ledger_many_threads_never_exceed_slots)
 {
   constexpr int kSlots = 8;
--- a/src/platform/include/eelgrasspost/platform/platformtypes.h
+++ b/src/platform/include/eelgrasspost/platform/platformtypes.h
@@ -87,6 +87,8 @@
   net::Address mControl;
   /** Requests that a worker's endpoints may hold at once, all together. */
   std::int64_t mSlots = 0;
+  /** Whether a worker refuses lower fencing tokens. */
+  bool mFences = true;
   Resources mResources;
 };
 
@@ -147,6 +149,8 @@
   /** Changes whenever the worker forgets its tokens and its work. */
   std::string mIncarnation;
   FencingToken mHighestToken;
+  /** In the answer to a claim: the highest token until then. */
+  FencingToken mReplacedToken;
   bool mLeaving = false;
   /** Attempt ids of the requests that its endpoints are working on. */
   std::vector<std::string> mRequests;
--- a/src/platform/internal/httpvmlist.cpp
+++ b/src/platform/internal/httpvmlist.cpp
@@ -26,6 +26,7 @@
   vm.mRack = base::TextField(aObject, "rack");
   vm.mControl = *control;
   vm.mSlots = base::NumberField(aObject, "slots");
+  vm.mFences = base::BoolField(aObject, "fences", true);
   vm.mResources.mCpuMillis = base::NumberField(aObject, "cpu_millis");
   vm.mResources.mMemoryMb = base::NumberField(aObject, "memory_mb");
   vm.mResources.mAccelerators = base::NumberField(aObject, "accelerators");
--- a/src/platform/internal/httpworker.cpp
+++ b/src/platform/internal/httpworker.cpp
@@ -74,6 +74,9 @@
   WorkerReport out;
   out.mIncarnation = base::TextField(aObject, "incarnation");
   out.mHighestToken = *token;
+  out.mReplacedToken =
+    ParseFencingToken(base::TextField(aObject, "replaced_token"))
+      .value_or(FencingToken());
   out.mLeaving = base::BoolField(aObject, "leaving");
   out.mCpuMillisUsed = base::NumberField(aObject, "cpu_millis_used");
   for (const auto& it : *requests) {
--- a/tests/standin/workeragent.cpp
+++ b/tests/standin/workeragent.cpp
@@ -70,6 +70,12 @@
   aState.mLeaving = base::BoolField(aBody, "leaving", aState.mLeaving);
   aState.mIgnoresTokens =
     base::BoolField(aBody, "ignores_tokens", aState.mIgnoresTokens);
+  if (base::BoolField(aBody, "restart")) {
+    aState.mIncarnation += "+";
+    aState.mHighestToken = {};
+    aState.mRequests.clear();
+    aState.mAttempts.clear();
+  }
   aState.mFailsAll = base::BoolField(aBody, "fails_all", aState.mFailsAll);
   aState.mExtraRequestMs =
     base::NumberField(aBody, "extra_request_ms", aState.mExtraRequestMs);
@@ -84,11 +90,18 @@
   if (aRequest.mTarget == "/agent/report") {
     return Reply(200, ToReport(aState));
   }
-  if (!TakeToken(aState, base::TextField(body, "token"))) {
+  const auto token = base::TextField(body, "token");
+  const auto replaced = platform::ToString(aState.mHighestToken);
+  const auto isTaken = aRequest.mTarget == "/agent/claim"
+                         ? TakeClaim(aState, token)
+                         : TakeToken(aState, token);
+  if (!isTaken) {
     return Reply(409, ToReport(aState));
   }
   CarryOut(aState, aRequest.mTarget, body);
-  return Reply(200, ToReport(aState));
+  auto report = ToReport(aState);
+  report["replaced_token"] = replaced;
+  return Reply(200, report);
 }
 
 auto Handle(WorkerState& aState, net::HttpRequest aRequest)
--- a/tests/standin/workerstate.cpp
+++ b/tests/standin/workerstate.cpp
@@ -124,7 +124,7 @@
 
 } // namespace
 
-auto TakeToken(WorkerState& aState, const std::string& aToken) -> bool
+auto TakeClaim(WorkerState& aState, const std::string& aToken) -> bool
 {
   const auto token = platform::ParseFencingToken(aToken);
   if (aState.mIgnoresTokens) {
@@ -137,6 +137,12 @@
   return true;
 }
 
+auto TakeToken(const WorkerState& aState, const std::string& aToken) -> bool
+{
+  const auto token = platform::ParseFencingToken(aToken);
+  return aState.mIgnoresTokens || (token && *token == aState.mHighestToken);
+}
+
 auto CarryOut(WorkerState& aState,
               const std::string& aTarget,
               const json::object& aBody) -> void
--- a/tests/standin/workerstate.h
+++ b/tests/standin/workerstate.h
@@ -50,8 +50,11 @@
   WorkerObservation mObserved;
 };
 
-/** Whether a command with a token is taken; raises the highest token. */
-auto TakeToken(WorkerState& aState, const std::string& aToken) -> bool;
+/** Whether a claim with a token is taken; raises the highest token. */
+auto TakeClaim(WorkerState& aState, const std::string& aToken) -> bool;
+/** Whether a command or request with a token is taken: only the newest claim's
+ * is, so that a restarted worker takes nothing that was sent before. */
+auto TakeToken(const WorkerState& aState, const std::string& aToken) -> bool;
 auto ToReport(const WorkerState& aState) -> json::object;
 auto ToObservation(const WorkerState& aState) -> json::object;
 /** Carries out an agent's command whose token has been taken. */
