Route by an immutable plan, with queues, limits and retries

Cause: the thin path walked all endpoints of a service for each request, refused when its own slots were full, and knew neither queues nor limits, retries or other failure domains.

Peers are chosen on their heartbeat's load corrected by what this entry has in flight there. Spilling to another failure domain turns with hysteresis. random and least remain as baselines by the setting routing.policy.

Tests: table tests and fixed-seed loops of each policy (routing), and wholepath; both passed five times in a row.

Conclusion: behaviour under load is still to be measured.

--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -90,7 +90,8 @@
                                   *mMembership,
                                   *mOwnership,
                                   *mNotes,
-                                  mMetrics });
+                                  mMetrics,
+                                  { mSettings.mChoicePolicy } });
   routing::HandleForwards(mMessageServer, *mRouter, mMetrics);
   mJobs = batch::MakeJobs({ *mTable, *mWorker, *mOwnership }, {});
 }
@@ -110,6 +111,7 @@
   mPool.Spawn(control0, mMembership->Run());
   mPool.Spawn(control0, mNotes->Run());
   mPool.Spawn(control0, mOwnership->Run());
+  mPool.Spawn(control0, mRouter->Run());
   mPool.Spawn(control0, mJobs->Run());
   mPool.Spawn(control0, WaitForSignal());
   std::cout << "listening http=" << net::ToString(*http)
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -2,6 +2,9 @@
 
 #include <array>
 
+#include "eelgrasspost/base/enumnames.h"
+#include "eelgrasspost/base/text.h"
+
 namespace eelgrasspost::app {
 
 namespace {
@@ -96,6 +99,14 @@
                 0,
                 "control addresses of other entries, for a start without the "
                 "platform" },
+  SettingField{ "routing",
+                "policy",
+                SettingKind::Text,
+                "p2c",
+                0,
+                0,
+                "choice of worker: p2c; random and least are baselines for "
+                "measurements" },
 };
 
 auto AddressOf(const base::SettingValues& aValues,
@@ -132,6 +143,13 @@
   out.mTable = AddressOf(*values, "platform", "table");
   out.mObjectStore = AddressOf(*values, "platform", "object_store");
   out.mVmList = AddressOf(*values, "platform", "vm_list");
+  const auto policy = values->Text("routing", "policy");
+  const auto choice = base::ValueOf(routing::kChoicePolicyNames, policy);
+  if (!choice) {
+    return absl::InvalidArgumentError(base::Cat(
+      aPath, ": routing.policy = ", policy, "; write p2c, random or least"));
+  }
+  out.mChoicePolicy = *choice;
   for (const auto& it : values->List("peers", "seeds")) {
     out.mSeeds.push_back(net::ParseAddress(it).value_or(net::Address{}));
   }
--- a/src/app/internal/entrysettings.h
+++ b/src/app/internal/entrysettings.h
@@ -6,6 +6,7 @@
 
 #include "eelgrasspost/base/settings.h"
 #include "eelgrasspost/net/address.h"
+#include "eelgrasspost/routing/routingtypes.h"
 
 namespace eelgrasspost::app {
 
@@ -25,6 +26,7 @@
   net::Address mVmList;
   std::vector<net::Address> mSeeds;
   std::size_t mThreads = 2;
+  routing::ChoicePolicy mChoicePolicy = routing::ChoicePolicy::TwoChoices;
 };
 
 /** Every setting of the INI file; docs/settings.md is checked against it. */
--- a/src/routing/include/eelgrasspost/routing/irouter.h
+++ b/src/routing/include/eelgrasspost/routing/irouter.h
@@ -16,6 +16,9 @@
   /** Runs a request on an own worker only. */
   virtual auto RouteHere(ServiceRequest aRequest)
     -> net::Task<ServiceOutcome> = 0;
+  /** Keeps the routing plan and this entry's load up to date until the process
+   * ends; belongs to thread 0. */
+  virtual auto Run() -> net::Task<void> = 0;
 };
 
 } // namespace eelgrasspost::routing
--- a/src/routing/include/eelgrasspost/routing/routingmodule.h
+++ b/src/routing/include/eelgrasspost/routing/routingmodule.h
@@ -22,6 +22,7 @@
   ownership::IOwnership& mOwnership;
   releasenote::IReleaseNotes& mNotes;
   base::Metrics& mMetrics;
+  RouterOptions mOptions = {};
 };
 
 auto MakeRouter(RouterParts aParts) -> std::unique_ptr<IRouter>;
--- a/src/routing/include/eelgrasspost/routing/routingtypes.h
+++ b/src/routing/include/eelgrasspost/routing/routingtypes.h
@@ -42,6 +42,30 @@
   std::vector<net::HttpField> mFields;
   std::string mBody;
   base::MonotonicTime mDeadline;
+  /** When the router of this entry got it; set by the router. */
+  base::MonotonicTime mReceivedAt{};
+};
+
+/** How a worker or a peer is chosen. */
+enum class ChoicePolicy : std::uint8_t
+{
+  /** The less loaded of two random candidates. */
+  TwoChoices,
+  /** Any candidate; a baseline. */
+  Random,
+  /** The least loaded by what is known; a baseline. */
+  Least,
+};
+
+inline constexpr auto kChoicePolicyNames = std::array{
+  base::EnumName<ChoicePolicy>{ ChoicePolicy::TwoChoices, "p2c" },
+  base::EnumName<ChoicePolicy>{ ChoicePolicy::Random, "random" },
+  base::EnumName<ChoicePolicy>{ ChoicePolicy::Least, "least" },
+};
+
+struct RouterOptions
+{
+  ChoicePolicy mPolicy = ChoicePolicy::TwoChoices;
 };
 
 struct ServiceOutcome
--- /dev/null
+++ b/src/routing/internal/limiter.cpp
@@ -0,0 +1,52 @@
+#include "limiter.h"
+
+#include <algorithm>
+
+namespace eelgrasspost::routing {
+
+namespace {
+
+constexpr double kWeightOfSample = 1.0 / 16;
+/** One outlier must not move the average past a bound. */
+constexpr double kHighestSample = 4.0;
+constexpr double kShrinkAbove = 1.5;
+constexpr double kGrowBelow = 1.2;
+constexpr double kShrinkFactor = 0.8;
+constexpr auto kChangeInterval = base::Milliseconds(200);
+
+} // namespace
+
+auto Observe(LimiterState& aState,
+             double aSlowdown,
+             std::int64_t aSlots,
+             base::MonotonicTime aNow) -> void
+{
+  const auto slots = static_cast<double>(aSlots);
+  if (aState.mLimit <= 0) {
+    aState.mLimit = slots;
+  }
+  const auto sample = std::min(aSlowdown, kHighestSample);
+  aState.mSlowdown += (sample - aState.mSlowdown) * kWeightOfSample;
+  if (aNow - aState.mChangedAt < kChangeInterval) {
+    return;
+  }
+  if (aState.mSlowdown > kShrinkAbove) {
+    aState.mLimit = std::max(1.0, aState.mLimit * kShrinkFactor);
+    aState.mChangedAt = aNow;
+  } else if (aState.mSlowdown < kGrowBelow && aState.mLimit < slots) {
+    aState.mLimit = std::min(slots, aState.mLimit + 1.0);
+    aState.mChangedAt = aNow;
+  }
+}
+
+auto CurrentLimit(const LimiterState& aState, std::int64_t aSlots)
+  -> std::int64_t
+{
+  if (aState.mLimit <= 0) {
+    return aSlots;
+  }
+  const auto whole = static_cast<std::int64_t>(aState.mLimit);
+  return std::clamp<std::int64_t>(whole, 1, aSlots);
+}
+
+} // namespace eelgrasspost::routing
--- a/src/routing/internal/router.h
+++ b/src/routing/internal/router.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include "attempt.h"
 #include "eelgrasspost/routing/routingmodule.h"
+#include "eelgrasspost/snapshot/snapshot.h"
+#include "peerchoice.h"
+#include "slotgate.h"
 
 namespace eelgrasspost::routing {
 
@@ -11,19 +15,41 @@
 
   auto Route(ServiceRequest aRequest) -> net::Task<ServiceOutcome> override;
   auto RouteHere(ServiceRequest aRequest) -> net::Task<ServiceOutcome> override;
+  auto Run() -> net::Task<void> override;
 
 private:
-  /** One try at one endpoint whose slot has been reserved. */
-  auto Attempt(ownership::WorkerHoldPtr aHold,
-               net::Address aEndpoint,
-               const ServiceRequest& aRequest) -> net::Task<ServiceOutcome>;
-  /** Hands a request to the owner of one of the service's workers. */
-  auto Forward(ServiceRequest aRequest,
-               const releasenote::ServiceSpec& aService)
+  /** Runs a request here, or at the entry that is expected to be sooner. */
+  auto Place(const ServicePlanPtr& aPlan, const ServiceRequest& aRequest)
     -> net::Task<ServiceOutcome>;
+  /** Places without what is known of load, as the baselines do. */
+  auto PlaceByBaseline(const ServicePlanPtr& aPlan,
+                       const ServiceRequest& aRequest)
+    -> net::Task<ServiceOutcome>;
+  /** Tries a peer; NotRun when there is none or it refuses. */
+  auto ForwardTo(const ServicePlan& aPlan,
+                 const PlannedPeer* aPeer,
+                 const ServiceRequest& aRequest) -> net::Task<ServiceOutcome>;
+  /** A peer of another failure domain, when going there pays. */
+  auto ChooseSpill(const ServicePlan& aPlan, const ServiceRequest& aRequest)
+    -> const PlannedPeer*;
+  /** Waits for a slot here and runs the request. */
+  auto QueueHere(const ServicePlanPtr& aPlan, const ServiceRequest& aRequest)
+    -> net::Task<ServiceOutcome>;
+  /** Runs a request in a reserved slot, and again elsewhere if it may. */
+  auto RunHere(Grant aGrant, const ServiceRequest& aRequest)
+    -> net::Task<ServiceOutcome>;
+  /** Whether a forwarded request may be tried here after all. */
+  auto MayRunAfter(const ServiceOutcome& aOutcome,
+                   const ServicePlan& aPlan,
+                   const ServiceRequest& aRequest) -> bool;
+  auto RefreshPlan() -> void;
+  auto ShareLoad() -> void;
   auto NewAttemptId() -> std::string;
 
   RouterParts mParts;
+  PlanInputs mInputs;
+  LearnedStates mStates;
+  snapshot::Snapshot<RoutingPlan> mPlan;
   std::atomic<std::uint64_t> mAttempts{ 0 };
 };
 
--- /dev/null
+++ b/src/routing/internal/routingplan.cpp
@@ -0,0 +1,212 @@
+#include "routingplan.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace eelgrasspost::routing {
+
+namespace {
+
+using membership::Member;
+using membership::MemberState;
+using releasenote::ServiceSpec;
+
+/** Indices over the inputs, so that each endpoint costs two look-ups. */
+struct Lookup
+{
+  ByName<ownership::WorkerHoldPtr> mHeld;
+  /** Entry that should own a worker. */
+  ByName<const Member*> mOwnerOf;
+};
+
+auto MakeLookup(const PlanInputs& aInputs,
+                const membership::MemberIdentity& aSelf) -> Lookup
+{
+  ByName<const Member*> members;
+  for (const auto& it : aInputs.mMembers->mMembers) {
+    if (it.mState == MemberState::Alive && it.mIdentity.mId != aSelf.mId) {
+      members[it.mIdentity.mId] = &it;
+    }
+  }
+  Lookup out;
+  for (const auto& it : aInputs.mOwnership->mHeld) {
+    out.mHeld[it->mWorker.mId] = it;
+  }
+  for (const auto& it : aInputs.mOwnership->mAssignments) {
+    const auto member = members.find(it.mEntry);
+    if (member != members.end()) {
+      out.mOwnerOf[it.mWorker.mId] = member->second;
+    }
+  }
+  return out;
+}
+
+template<typename T>
+auto Obtain(ByName<std::shared_ptr<T>>& aStates, const std::string& aName)
+  -> std::shared_ptr<T>
+{
+  auto& state = aStates[aName];
+  if (!state) {
+    state = std::make_shared<T>();
+  }
+  return state;
+}
+
+auto AddPeers(ServicePlan& aPlan,
+              const ServiceSpec& aService,
+              const Lookup& aLookup,
+              const membership::MemberIdentity& aSelf,
+              LearnedStates& aStates) -> void
+{
+  std::unordered_set<const Member*> seen;
+  for (const auto& it : aService.mEndpoints) {
+    const auto found = aLookup.mOwnerOf.find(it.mWorker);
+    if (found == aLookup.mOwnerOf.end() || !seen.insert(found->second).second) {
+      continue;
+    }
+    const auto& identity = found->second->mIdentity;
+    const auto isNear = identity.mFailureDomain == aSelf.mFailureDomain;
+    auto& peers = isNear ? aPlan.mNear : aPlan.mFar;
+    peers.push_back({ identity.mId,
+                      identity.mControl,
+                      Obtain(aStates.mPeers, identity.mId) });
+  }
+}
+
+auto AddOwnWorkers(ServicePlan& aPlan,
+                   const ServiceSpec& aService,
+                   const Lookup& aLookup,
+                   LearnedStates& aStates) -> void
+{
+  auto& endpoints = aStates.mEndpoints[aService.mName];
+  ByName<EndpointStatePtr> kept;
+  for (const auto& it : aService.mEndpoints) {
+    const auto held = aLookup.mHeld.find(it.mWorker);
+    if (held == aLookup.mHeld.end()) {
+      continue;
+    }
+    kept[it.mWorker] = Obtain(endpoints, it.mWorker);
+    aPlan.mSlots += held->second->mLedger.Slots();
+    aPlan.mOwn.push_back({ held->second,
+                           it.mAddress,
+                           Obtain(aStates.mWorkers, it.mWorker),
+                           kept[it.mWorker] });
+  }
+  endpoints = std::move(kept);
+}
+
+auto PlanService(const ServiceSpec& aService,
+                 const Lookup& aLookup,
+                 const membership::MemberIdentity& aSelf,
+                 LearnedStates& aStates,
+                 base::Metrics& aMetrics) -> ServicePlanPtr
+{
+  auto out = std::make_shared<ServicePlan>();
+  out->mName = aService.mName;
+  out->mIdempotent = aService.mIdempotent;
+  out->mRetryPercent = aService.mRetryPercent;
+  out->mQueueLimit = aService.mQueueLimit;
+  auto& state = aStates.mServices[aService.mName];
+  if (!state) {
+    state = std::make_shared<ServiceState>(aMetrics, aService.mName);
+  }
+  out->mState = state;
+  AddOwnWorkers(*out, aService, aLookup, aStates);
+  AddPeers(*out, aService, aLookup, aSelf, aStates);
+  auto lock = std::lock_guard(state->mMutex);
+  state->mEjected =
+    std::ranges::count_if(out->mOwn, [](const PlannedWorker& aWorker) {
+      return aWorker.mEndpoint->mEjected.load();
+    });
+  return out;
+}
+
+auto RemoveGone(const RoutingPlan& aPlan,
+                const PlanInputs& aInputs,
+                LearnedStates& aStates) -> void
+{
+  std::erase_if(aStates.mServices, [&](const auto& aState) {
+    return !aPlan.mServices.contains(aState.first);
+  });
+  std::erase_if(aStates.mEndpoints, [&](const auto& aState) {
+    return !aPlan.mServices.contains(aState.first);
+  });
+  std::erase_if(aStates.mWorkers, [&](const auto& aState) {
+    return !aPlan.mServicesOfWorker.contains(aState.first);
+  });
+  std::erase_if(aStates.mPeers, [&](const auto& aState) {
+    return aInputs.mMembers->Find(aState.first) == nullptr;
+  });
+}
+
+auto SameMembers(const membership::MemberView& aLeft,
+                 const membership::MemberView& aRight) -> bool
+{
+  return std::ranges::equal(
+    aLeft.mMembers,
+    aRight.mMembers,
+    [](const Member& aOne, const Member& aOther) {
+      return aOne.mState == aOther.mState &&
+             aOne.mIdentity.mId == aOther.mIdentity.mId &&
+             aOne.mIdentity.mIncarnation == aOther.mIdentity.mIncarnation &&
+             aOne.mIdentity.mControl == aOther.mIdentity.mControl;
+    });
+}
+
+auto SameOwnership(const ownership::OwnershipView& aLeft,
+                   const ownership::OwnershipView& aRight) -> bool
+{
+  using ownership::WorkerAssignment;
+  return aLeft.mHeld == aRight.mHeld &&
+         std::ranges::equal(
+           aLeft.mAssignments,
+           aRight.mAssignments,
+           [](const WorkerAssignment& aOne, const WorkerAssignment& aOther) {
+             return aOne.mEntry == aOther.mEntry &&
+                    aOne.mWorker.mId == aOther.mWorker.mId;
+           });
+}
+
+} // namespace
+
+auto RoutingPlan::FindService(std::string_view aName) const -> ServicePlanPtr
+{
+  const auto it = mServices.find(aName);
+  return it == mServices.end() ? nullptr : it->second;
+}
+
+auto GivesSamePlan(const PlanInputs& aLeft, const PlanInputs& aRight) -> bool
+{
+  if (aLeft.mNotes != aRight.mNotes || !aLeft.mOwnership || !aLeft.mMembers) {
+    return false;
+  }
+  const auto sameOwnership =
+    aLeft.mOwnership == aRight.mOwnership ||
+    SameOwnership(*aLeft.mOwnership, *aRight.mOwnership);
+  const auto sameMembers = aLeft.mMembers == aRight.mMembers ||
+                           SameMembers(*aLeft.mMembers, *aRight.mMembers);
+  return sameOwnership && sameMembers;
+}
+
+auto BuildPlan(const PlanInputs& aInputs,
+               const membership::MemberIdentity& aSelf,
+               LearnedStates& aStates,
+               base::Metrics& aMetrics) -> std::shared_ptr<const RoutingPlan>
+{
+  auto out = std::make_shared<RoutingPlan>();
+  if (!aInputs.mNotes) {
+    return out;
+  }
+  const auto lookup = MakeLookup(aInputs, aSelf);
+  for (const auto& it : aInputs.mNotes->mServices) {
+    const auto plan = PlanService(it, lookup, aSelf, aStates, aMetrics);
+    out->mServices[it.mName] = plan;
+    for (const auto& worker : plan->mOwn) {
+      out->mServicesOfWorker[worker.mHold->mWorker.mId].push_back(plan);
+    }
+  }
+  RemoveGone(*out, aInputs, aStates);
+  return out;
+}
+
+} // namespace eelgrasspost::routing
--- /dev/null
+++ b/src/routing/internal/slotgate.cpp
@@ -0,0 +1,211 @@
+#include "slotgate.h"
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "choice.h"
+#include "randomnumber.h"
+
+namespace eelgrasspost::routing {
+
+namespace asio = net::asio;
+
+namespace {
+
+/** Reserves a slot on an endpoint that is left out, if its probe is due. */
+auto TakeSlotForProbe(const ServicePlan& aPlan, base::MonotonicTime aNow)
+  -> const PlannedWorker*
+{
+  if (aPlan.mState->mEjected.load(std::memory_order_relaxed) == 0) {
+    return nullptr;
+  }
+  auto lock = std::lock_guard(aPlan.mState->mMutex);
+  for (const auto& it : aPlan.mOwn) {
+    const auto isUsable =
+      it.mEndpoint->mEjected && ownership::MayUse(*it.mHold, aNow);
+    if (isUsable && TryProbe(it.mEndpoint->mHealth, aNow) &&
+        it.mHold->mLedger.TryReserve()) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+auto TakeSlotOf(const ServicePlan& aPlan,
+                ChoicePolicy aPolicy,
+                const TriedWorkers& aTried,
+                base::MonotonicTime aNow) -> const PlannedWorker*
+{
+  const auto loadOf = [&](std::size_t aIndex) {
+    const auto& worker = aPlan.mOwn[aIndex];
+    const auto isTried =
+      std::ranges::find(aTried, worker.mHold.get()) != aTried.end();
+    return CandidateLoad{ worker.mHold->mLedger.Used(),
+                          isTried ? 0 : UsableSlots(worker, aNow) };
+  };
+  // A slot that was free when chosen may be taken by then.
+  constexpr int kTries = 4;
+  for (int i = 0; i < kTries; ++i) {
+    const auto n = Choose(aPolicy, aPlan.mOwn.size(), RandomNumber(), loadOf);
+    if (!n) {
+      return nullptr;
+    }
+    const auto& worker = aPlan.mOwn[*n];
+    if (worker.mHold->mLedger.TryReserve()) {
+      return &worker;
+    }
+  }
+  return nullptr;
+}
+
+auto Wake(const WaiterPtr& aWaiter) -> void
+{
+  asio::post(aWaiter->mTimer.get_executor(),
+             [aWaiter] { aWaiter->mTimer.cancel(); });
+}
+
+/** Time at which a waiter gives up, so that it is not run in vain. */
+auto GiveUpAt(const ServicePlan& aPlan, base::MonotonicTime aDeadline)
+  -> base::MonotonicTime
+{
+  return aDeadline - aPlan.mState->mServiceTime.Value();
+}
+
+auto NoteLength(ServiceState& aState) -> void
+{
+  aState.mMetrics.mQueue.Set(aState.mQueue.Size());
+}
+
+} // namespace
+
+auto UsableSlots(const PlannedWorker& aWorker, base::MonotonicTime aNow)
+  -> std::int64_t
+{
+  if (aWorker.mEndpoint->mEjected.load(std::memory_order_relaxed) ||
+      !ownership::MayUse(*aWorker.mHold, aNow)) {
+    return 0;
+  }
+  return std::min(aWorker.mHold->mLedger.Slots(),
+                  aWorker.mWorker->mLimit.load(std::memory_order_relaxed));
+}
+
+auto UsableSlots(const ServicePlan& aPlan, base::MonotonicTime aNow)
+  -> std::int64_t
+{
+  std::int64_t sum = 0;
+  for (const auto& it : aPlan.mOwn) {
+    sum += UsableSlots(it, aNow);
+  }
+  return sum;
+}
+
+auto TryTakeSlot(const ServicePlanPtr& aPlan,
+                 ChoicePolicy aPolicy,
+                 const TriedWorkers& aTried) -> Grant
+{
+  const auto now = base::MonotonicClock::now();
+  const auto* probed = aTried.empty() ? TakeSlotForProbe(*aPlan, now) : nullptr;
+  if (probed != nullptr) {
+    return { aPlan, probed, Refusal::None };
+  }
+  return { aPlan, TakeSlotOf(*aPlan, aPolicy, aTried, now), Refusal::None };
+}
+
+auto TakeSlotInTurn(const ServicePlanPtr& aPlan, ChoicePolicy aPolicy) -> Grant
+{
+  if (aPlan->mState->mWaiting.load() > 0) {
+    return { aPlan, nullptr, Refusal::None };
+  }
+  return TryTakeSlot(aPlan, aPolicy, {});
+}
+
+auto ViewQueue(const ServicePlan& aPlan, base::MonotonicTime aDeadline)
+  -> QueueView
+{
+  const auto now = base::MonotonicClock::now();
+  auto& state = *aPlan.mState;
+  auto lock = std::lock_guard(state.mMutex);
+  return { state.mQueue.CountAhead(aDeadline),
+           state.mQueue.Size(),
+           aPlan.mQueueLimit,
+           UsableSlots(aPlan, now),
+           state.mServiceTime.Value() };
+}
+
+auto WaitForSlot(ServicePlanPtr aPlan,
+                 ChoicePolicy aPolicy,
+                 base::MonotonicTime aDeadline) -> net::Task<Grant>
+{
+  auto& state = *aPlan->mState;
+  const auto view = ViewQueue(*aPlan, aDeadline);
+  const auto refusal = Admit(view, base::MonotonicClock::now(), aDeadline);
+  if (refusal != Refusal::None) {
+    co_return Grant{ aPlan, nullptr, refusal };
+  }
+  auto waiter = std::make_shared<Waiter>(co_await asio::this_coro::executor);
+  waiter->mTimer.expires_at(GiveUpAt(*aPlan, aDeadline));
+  ++state.mWaiting;
+  WaitKey key;
+  {
+    auto lock = std::lock_guard(state.mMutex);
+    key = state.mQueue.Push(aDeadline, waiter);
+    NoteLength(state);
+  }
+  // A slot may have got free before the push.
+  WakeWaiters(aPlan, aPolicy);
+  boost::system::error_code ec;
+  co_await waiter->mTimer.async_wait(
+    asio::redirect_error(asio::use_awaitable, ec));
+  auto lock = std::lock_guard(state.mMutex);
+  if (state.mQueue.Remove(key)) {
+    --state.mWaiting;
+    NoteLength(state);
+  }
+  if (waiter->mGranted == nullptr) {
+    co_return Grant{ aPlan, nullptr, Refusal::Expired };
+  }
+  co_return Grant{ waiter->mPlan, waiter->mGranted, Refusal::None };
+}
+
+auto WakeWaiters(const ServicePlanPtr& aPlan, ChoicePolicy aPolicy) -> void
+{
+  auto& state = *aPlan->mState;
+  if (state.mWaiting.load() == 0) {
+    return;
+  }
+  const auto now = base::MonotonicClock::now();
+  auto lock = std::lock_guard(state.mMutex);
+  while (state.mQueue.Size() > 0) {
+    const auto* worker = TakeSlotOf(*aPlan, aPolicy, {}, now);
+    if (worker == nullptr) {
+      break;
+    }
+    const auto waiter = *state.mQueue.Pop();
+    --state.mWaiting;
+    waiter->mGranted = worker;
+    waiter->mPlan = aPlan;
+    Wake(waiter);
+  }
+  NoteLength(state);
+}
+
+auto WakeWaitersOf(const RoutingPlan& aPlan,
+                   std::string_view aWorker,
+                   ChoicePolicy aPolicy) -> void
+{
+  // Orders the release of the slot before the look at the waiters.
+  std::atomic_thread_fence(std::memory_order_seq_cst);
+  const auto found = aPlan.mServicesOfWorker.find(aWorker);
+  if (found == aPlan.mServicesOfWorker.end()) {
+    return;
+  }
+  for (const auto& it : found->second) {
+    WakeWaiters(it, aPolicy);
+  }
+}
+
+} // namespace eelgrasspost::routing
--- a/src/routing/tests/forward_tests.cpp
+++ b/src/routing/tests/forward_tests.cpp
@@ -25,6 +25,8 @@
     co_return ServiceOutcome{ Outcome::Answered, { 200, {}, "body" }, {} };
   }
 
+  auto Run() -> net::Task<void> override { co_return; }
+
   int mRuns = 0;
 };
 
--- /dev/null
+++ b/src/routing/tests/plan_tests.cpp
@@ -0,0 +1,125 @@
+#include <boost/test/unit_test.hpp>
+
+#include "eelgrasspost/base/text.h"
+#include "internal/routingplan.h"
+#include "internal/slotgate.h"
+
+namespace {
+
+using namespace eelgrasspost;
+using namespace eelgrasspost::routing;
+
+auto MakeMember(const std::string& aId,
+                const std::string& aDomain,
+                membership::MemberState aState) -> membership::Member
+{
+  membership::Member out;
+  out.mIdentity.mId = aId;
+  out.mIdentity.mFailureDomain = aDomain;
+  out.mState = aState;
+  return out;
+}
+
+auto MakeWorker(const std::string& aId) -> platform::VmRecord
+{
+  platform::VmRecord out;
+  out.mId = aId;
+  out.mSlots = 2;
+  return out;
+}
+
+/** Entry e1 owns w1; e2 near and e3 far own w2 and w3; e4 is dead. */
+struct PlanFixture
+{
+  PlanFixture()
+  {
+    using membership::MemberState;
+    auto members = std::make_shared<membership::MemberView>();
+    members->mMembers = { MakeMember("e1", "a", MemberState::Alive),
+                          MakeMember("e2", "a", MemberState::Alive),
+                          MakeMember("e3", "b", MemberState::Alive),
+                          MakeMember("e4", "b", MemberState::Dead) };
+    auto ownership = std::make_shared<ownership::OwnershipView>();
+    mHold = std::make_shared<ownership::WorkerHold>(
+      MakeWorker("w1"), platform::FencingToken{ 1, "e1" }, "1", 0);
+    mHold->mLeaseUntil = base::MonotonicClock::now() + std::chrono::hours(1);
+    ownership->mHeld = { mHold };
+    ownership->mAssignments = { { MakeWorker("w1"), "e1" },
+                                { MakeWorker("w2"), "e2" },
+                                { MakeWorker("w3"), "e3" },
+                                { MakeWorker("w4"), "e4" } };
+    auto notes = std::make_shared<releasenote::ReleaseState>();
+    releasenote::ServiceSpec service;
+    service.mName = "quotes";
+    for (int i = 1; i <= 4; ++i) {
+      service.mEndpoints.push_back({ base::Cat("w", i), {} });
+    }
+    notes->mServices = { service };
+    mInputs = { notes, ownership, members };
+    mSelf = members->mMembers[0].mIdentity;
+  }
+
+  auto Build() -> ServicePlanPtr
+  {
+    return BuildPlan(mInputs, mSelf, mStates, mMetrics)->FindService("quotes");
+  }
+
+  PlanInputs mInputs;
+  ownership::WorkerHoldPtr mHold;
+  membership::MemberIdentity mSelf;
+  LearnedStates mStates;
+  base::Metrics mMetrics;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(plan, PlanFixture)
+
+BOOST_AUTO_TEST_CASE(plan_of_a_service_has_own_workers_and_living_peers)
+{
+  const auto service = Build();
+  BOOST_TEST_REQUIRE(service);
+  BOOST_TEST(service->mSlots == 2);
+  BOOST_TEST_REQUIRE(service->mNear.size() == 1U);
+  BOOST_TEST(service->mNear[0].mId == "e2");
+  BOOST_TEST_REQUIRE(service->mFar.size() == 1U);
+  BOOST_TEST(service->mFar[0].mId == "e3");
+}
+
+BOOST_AUTO_TEST_CASE(plan_rebuilt_keeps_what_was_learned)
+{
+  const auto before = Build();
+  before->mOwn[0].mEndpoint->mEjected = true;
+  const auto after = Build();
+  BOOST_TEST(after->mState == before->mState);
+  BOOST_TEST(after->mOwn[0].mEndpoint->mEjected.load());
+  BOOST_TEST(after->mState->mEjected.load() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(plan_inputs_differ_in_load_alone_are_the_same)
+{
+  auto members = std::make_shared<membership::MemberView>(*mInputs.mMembers);
+  members->mMembers[1].mLoad.mUsedSlots = 7;
+  ++members->mMembers[1].mHeartbeat;
+  auto other = mInputs;
+  other.mMembers = members;
+  BOOST_TEST(GivesSamePlan(mInputs, other));
+  members->mMembers[1].mState = membership::MemberState::Leaving;
+  BOOST_TEST(!GivesSamePlan(mInputs, other));
+}
+
+BOOST_AUTO_TEST_CASE(slots_taken_by_limit_or_lapsed_lease_give_no_grant)
+{
+  const auto service = Build();
+  service->mOwn[0].mWorker->mLimit = 1;
+  const auto take = [&] {
+    return TryTakeSlot(service, ChoicePolicy::TwoChoices, {}).mWorker;
+  };
+  BOOST_TEST(take() != nullptr);
+  BOOST_TEST(take() == nullptr);
+  service->mOwn[0].mWorker->mLimit = WorkerState::kNoLimit;
+  mHold->mLeaseUntil = base::MonotonicTime();
+  BOOST_TEST(take() == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
