Add an open-loop load tool, and a proxy that idles quietly

Cause: no program sent requests at a rate and told what became of them; the proxy woke 10,000 times a second for each idle direction of a connection, so that it could not stand between 8 entries under load.

The proxy waits for chunks by a timer that the reader cancels, and takes delay_us beside delay_ms. The harness can start totals of entries and workers, and workers reached directly.

--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -10,6 +10,7 @@
 #include "eelgrasspost/base/logging.h"
 #include "eelgrasspost/base/text.h"
 #include "entry.h"
+#include "loadcommand.h"
 
 namespace eelgrasspost::app {
 
@@ -22,6 +23,9 @@
   "  note submit FILE --entry IP:PORT submit a release note\n"
   "  job submit FILE --entry IP:PORT  submit a job\n"
   "  job show ID --entry IP:PORT      show a job\n"
+  "  load --entry IP:PORT,... --service NAME --steps RATE:SECONDS,...\n"
+  "       --deadline-ms N [--path /PATH]\n"
+  "                                   send requests, show what became of them\n"
   "  status --entry IP:PORT           show what an entry sees\n";
 
 struct Arguments
@@ -30,6 +34,7 @@
   std::string mSettings;
   std::string mEntry;
   std::string mOperator;
+  LoadArguments mLoad;
 };
 
 auto ParseArguments(int aCount, char** aArguments) -> absl::StatusOr<Arguments>
@@ -38,6 +43,10 @@
   options.add_options()("settings", "INI file", cxxopts::value<std::string>())(
     "entry", "IP:PORT of an entry", cxxopts::value<std::string>())(
     "operator", "who asks", cxxopts::value<std::string>())(
+    "service", "name of a service", cxxopts::value<std::string>())(
+    "path", "path below the service", cxxopts::value<std::string>())(
+    "steps", "RATE:SECONDS,...", cxxopts::value<std::string>())(
+    "deadline-ms", "of each request", cxxopts::value<std::string>())(
     "words", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({ "words" });
   try {
@@ -53,6 +62,11 @@
     out.mSettings = text("settings");
     out.mEntry = text("entry");
     out.mOperator = text("operator");
+    out.mLoad.mEntries = out.mEntry;
+    out.mLoad.mService = text("service");
+    out.mLoad.mPath = parsed.count("path") > 0 ? text("path") : "/";
+    out.mLoad.mSteps = text("steps");
+    out.mLoad.mDeadlineMs = base::ParseNumber(text("deadline-ms")).value_or(0);
     return out;
   } catch (const std::exception& e) {
     return absl::InvalidArgumentError(e.what());
@@ -152,6 +166,9 @@
   if (command == "check-settings") {
     return CheckSettings(*arguments);
   }
+  if (command == "load") {
+    return RunLoadCommand(arguments->mLoad);
+  }
   if (command == "status") {
     return Ask(*arguments, { "GET", "/status", {}, "" });
   }
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -68,7 +68,9 @@
 
 auto Cluster::StartWorkers() -> void
 {
-  const auto count = mOptions.mDomains * mOptions.mWorkersPerDomain;
+  const auto count = mOptions.mWorkers > 0
+                       ? mOptions.mWorkers
+                       : mOptions.mDomains * mOptions.mWorkersPerDomain;
   mWorkerProcess = std::make_unique<ChildProcess>(
     EELGRASSPOST_STANDIN,
     std::vector<std::string>{ "worker", "--count", base::Cat(count) },
@@ -78,7 +80,9 @@
     worker.mId = base::Cat("worker-", i + 1);
     worker.mDomain = DomainName(i % mOptions.mDomains);
     worker.mDirect = AddressIn(mWorkerProcess->ReadLine(), worker.mId);
-    worker.mProxied = AddLink(worker.mId, worker.mDirect);
+    worker.mProxied = mOptions.mDirectWorkers
+                        ? worker.mDirect
+                        : AddLink(worker.mId, worker.mDirect);
     json::object vm;
     vm["id"] = worker.mId;
     vm["kind"] = "worker";
@@ -95,7 +99,9 @@
 
 auto Cluster::PrepareEntries() -> void
 {
-  const auto count = mOptions.mDomains * mOptions.mEntriesPerDomain;
+  const auto count = mOptions.mEntries > 0
+                       ? mOptions.mEntries
+                       : mOptions.mDomains * mOptions.mEntriesPerDomain;
   for (int i = 0; i < count; ++i) {
     EntryNode entry;
     entry.mId = base::Cat("entry-", i + 1);
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -16,6 +16,11 @@
   int mEntriesPerDomain = 2;
   int mWorkersPerDomain = 2;
   int mSlots = 8;
+  /** Totals that take the place of the counts per domain; 0 leaves those. */
+  int mEntries = 0;
+  int mWorkers = 0;
+  /** Entries reach workers without the proxy, for measurements. */
+  bool mDirectWorkers = false;
   /** Added to the settings file of every entry. */
   std::string mExtraSettings;
 };
--- a/tests/standin/proxy.cpp
+++ b/tests/standin/proxy.cpp
@@ -42,6 +42,7 @@
   fault.mCutBack = base::BoolField(aBody, "cut_back");
   fault.mRefuse = base::BoolField(aBody, "refuse");
   fault.mDelayMs = base::NumberField(aBody, "delay_ms");
+  fault.mDelayUs = base::NumberField(aBody, "delay_us");
   fault.mCloseAfterBack = base::NumberField(aBody, "close_after_back", -1);
   fault.mDropPercent = base::NumberField(aBody, "drop_percent");
   fault.mDuplicatePercent = base::NumberField(aBody, "duplicate_percent");
--- a/tests/standin/proxylink.cpp
+++ b/tests/standin/proxylink.cpp
@@ -24,6 +24,12 @@
 constexpr std::size_t kChunkBytes = 64 * 1024;
 constexpr auto kCutCheck = base::Milliseconds(2);
 
+auto DelayOf(const LinkFault& aFault) -> base::Microseconds
+{
+  return base::Milliseconds(aFault.mDelayMs) +
+         base::Microseconds(aFault.mDelayUs);
+}
+
 struct Chunk
 {
   std::string mBytes;
@@ -62,6 +68,14 @@
   bool mBack = false;
   std::deque<Chunk> mChunks;
   bool mEnded = false;
+  /** Cancelled when a chunk comes in or the reading ends. */
+  asio::steady_timer mNews{ mRelay->mClient.get_executor() };
+
+  Direction(RelayPtr aRelay, bool aBack)
+    : mRelay(std::move(aRelay))
+    , mBack(aBack)
+  {
+  }
 
   auto From() -> Tcp::socket&
   {
@@ -94,9 +108,11 @@
     if (!ec) {
       aDirection->mChunks.push_back(
         { buf.substr(0, n), base::MonotonicClock::now() });
+      aDirection->mNews.cancel();
     }
   }
   aDirection->mEnded = true;
+  aDirection->mNews.cancel();
 }
 
 /** Cuts a chunk back when the fault says to end after so many bytes. */
@@ -122,10 +138,13 @@
       if (aDirection->mEnded) {
         break;
       }
-      co_await net::Sleep(base::Microseconds(100));
+      error_code ignored;
+      aDirection->mNews.expires_at(base::MonotonicTime::max());
+      co_await aDirection->mNews.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
       continue;
     }
-    const auto delay = base::Milliseconds(aDirection->Fault().mDelayMs);
+    const auto delay = DelayOf(aDirection->Fault());
     const auto due = aDirection->mChunks.front().mReadAt + delay;
     const auto now = base::MonotonicClock::now();
     if (aDirection->IsCut()) {
@@ -170,9 +189,7 @@
   aRelay->mClient.set_option(Tcp::no_delay(true), ec);
   const auto executor = aRelay->mClient.get_executor();
   for (const auto back : { false, true }) {
-    auto direction = std::make_shared<Direction>();
-    direction->mRelay = aRelay;
-    direction->mBack = back;
+    auto direction = std::make_shared<Direction>(aRelay, back);
     net::SpawnTask(executor, ReadChunks(direction));
     net::SpawnTask(executor, WriteChunks(direction));
   }
--- a/tests/standin/proxylink.h
+++ b/tests/standin/proxylink.h
@@ -17,6 +17,8 @@
   bool mCutBack = false;
   bool mRefuse = false;
   std::int64_t mDelayMs = 0;
+  /** Microseconds beside those milliseconds. */
+  std::int64_t mDelayUs = 0;
   /** Closes a connection after so many bytes back; negative never does. */
   std::int64_t mCloseAfterBack = -1;
   std::int64_t mDropPercent = 0;
