Measure requests at the size of 50 workers, steady and at a crest

Change: eelgrasspost-bench-requests starts 3 failure domains with 50 workers of 8 slots and 8 entries, 1.5 ms links between the domains by the proxy, and prints for each policy the load tool's table, the entries' processor time and the most slots used, then the time that an entry adds.

With work of 200 ms the same share of load needs half the requests.

--- /dev/null
+++ b/tools/bench/requests/main.cpp
@@ -0,0 +1,278 @@
+/**
+ * Measures requests at the size of 3 failure domains, 50 workers of 8 slots
+ * and 8 entries, as real processes on one machine: each policy steady, at a
+ * crest of four times the load, and steady again; then the time that an entry
+ * adds. Prints tables; asserts nothing.
+ */
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+
+#include <unistd.h>
+
+#include <cxxopts.hpp>
+
+#include "cluster.h"
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/load/loadrun.h"
+
+namespace {
+
+using namespace eelgrasspost;
+namespace json = base::json;
+
+constexpr int kDomains = 3;
+constexpr int kEntries = 8;
+constexpr int kWorkers = 50;
+constexpr int kSlots = 8;
+constexpr double kCrestFactor = 4;
+constexpr std::int64_t kLinkDelayUs = 1500;
+
+struct BenchOptions
+{
+  std::string mPolicies = "p2c,random,least";
+  std::int64_t mWorkMs = 200;
+  std::int64_t mDeadlineMs = 1000;
+  /** Steady load in percent of what the slots carry. */
+  std::int64_t mSteadyPercent = 40;
+  std::int64_t mSteadySeconds = 4;
+  std::int64_t mCrestSeconds = 4;
+};
+
+auto MakeCluster(const std::string& aPolicy)
+  -> std::unique_ptr<harness::Cluster>
+{
+  harness::ClusterOptions options;
+  options.mDomains = kDomains;
+  options.mEntries = kEntries;
+  options.mWorkers = kWorkers;
+  options.mSlots = kSlots;
+  options.mDirectWorkers = true;
+  options.mExtraSettings = base::Cat("[routing]\npolicy = ", aPolicy, "\n");
+  auto out = std::make_unique<harness::Cluster>(options);
+  for (const auto& to : out->mEntries) {
+    for (const auto& from : out->mEntries) {
+      if (to.mDomain != from.mDomain) {
+        json::object fault;
+        fault["from"] = from.mIp;
+        fault["delay_us"] = kLinkDelayUs;
+        out->Fault(to.mId, std::move(fault));
+      }
+    }
+  }
+  if (!out->WaitForOwners()) {
+    throw std::runtime_error("the workers are not owned");
+  }
+  out->PutInForce(out->NoteAdding("quotes", true));
+  return out;
+}
+
+/** Processor time that a process has used, in microseconds. */
+auto CpuTimeOf(pid_t aProcess) -> std::int64_t
+{
+  constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
+  constexpr int kFieldsBefore = 11;
+  auto in = std::ifstream(base::Cat("/proc/", aProcess, "/stat"));
+  std::string text;
+  std::getline(in, text);
+  auto fields = std::istringstream(text.substr(text.rfind(')') + 1));
+  std::string skipped;
+  for (int i = 0; i < kFieldsBefore; ++i) {
+    fields >> skipped;
+  }
+  std::int64_t user = 0;
+  std::int64_t system = 0;
+  fields >> user >> system;
+  return (user + system) * kMicrosecondsPerSecond / sysconf(_SC_CLK_TCK);
+}
+
+auto EntriesCpuTime(const harness::Cluster& aCluster) -> std::int64_t
+{
+  std::int64_t sum = 0;
+  for (const auto& it : aCluster.mEntries) {
+    sum += CpuTimeOf(it.mProcess->Id());
+  }
+  return sum;
+}
+
+auto MostSlotsUsed(harness::Cluster& aCluster) -> std::int64_t
+{
+  std::int64_t most = 0;
+  for (std::size_t i = 0; i < aCluster.mWorkers.size(); ++i) {
+    const auto observed = aCluster.Observed(i);
+    most = std::max(most, base::NumberField(observed, "most_requests"));
+  }
+  return most;
+}
+
+auto EntryTargets(const harness::Cluster& aCluster)
+  -> std::vector<load::LoadTarget>
+{
+  std::vector<load::LoadTarget> out;
+  for (const auto& it : aCluster.mEntries) {
+    out.push_back({ it.mHttp, {} });
+  }
+  return out;
+}
+
+auto InMs(base::Microseconds aTime) -> double
+{
+  constexpr double kMicrosecondsPerMs = 1000;
+  return static_cast<double>(aTime.count()) / kMicrosecondsPerMs;
+}
+
+auto PrintAims(const load::LoadPlan& aPlan,
+               const std::vector<load::StepResult>& aResults,
+               double aCapacity) -> void
+{
+  constexpr std::size_t kSteady = 0;
+  constexpr std::size_t kCrest = 2;
+  const auto& crest = aResults[kCrest];
+  const auto seconds =
+    std::chrono::duration<double>(aPlan.mSteps[kCrest].mTime).count();
+  const auto p99 = [&](std::size_t aStep) {
+    return InMs(load::QuantileOf(aResults[aStep].mAnsweredTimes, 0.99));
+  };
+  fmt::print("crest: answered in time {:.1f}% of what the slots carry, p99 "
+             "{:.2f} x steady, refusals p99 {:.2f} ms\n",
+             100.0 * static_cast<double>(crest.mInTime) / (aCapacity * seconds),
+             p99(kCrest) / p99(kSteady),
+             InMs(load::QuantileOf(crest.mRefusalTimes, 0.99)));
+}
+
+/** Sums a counter of all entries, over its labels. */
+auto SumOfCounter(harness::Cluster& aCluster, const std::string& aName)
+  -> std::int64_t
+{
+  std::int64_t sum = 0;
+  for (const auto& it : aCluster.mEntries) {
+    const auto page = aCluster.Http().Get(it.mHttp, "/metrics");
+    for (const auto& line : base::Split(page.mResponse.mBody, '\n')) {
+      if (line.starts_with("eelgrasspost_" + aName + "{")) {
+        const auto value = line.substr(line.rfind(' ') + 1);
+        sum += base::ParseNumber(value).value_or(0);
+      }
+    }
+  }
+  return sum;
+}
+
+auto PrintCounters(harness::Cluster& aCluster) -> void
+{
+  for (const auto* it : { "forwards_total",
+                          "spills_total",
+                          "retries_total",
+                          "ejections_total" }) {
+    fmt::print("{} {}  ", it, SumOfCounter(aCluster, it));
+  }
+  fmt::print("\n");
+}
+
+auto MeasurePolicy(const std::string& aPolicy, const BenchOptions& aOptions)
+  -> void
+{
+  constexpr double kMsPerSecond = 1000;
+  constexpr double kPercent = 100;
+  const auto cluster = MakeCluster(aPolicy);
+  const auto capacity =
+    kWorkers * kSlots * kMsPerSecond / static_cast<double>(aOptions.mWorkMs);
+  const auto steady =
+    capacity * static_cast<double>(aOptions.mSteadyPercent) / kPercent;
+  const auto crest = steady * kCrestFactor;
+  const auto steadyTime = std::chrono::seconds(aOptions.mSteadySeconds);
+  load::LoadPlan plan;
+  plan.mTargets = EntryTargets(*cluster);
+  plan.mPath = base::Cat("/services/quotes/site?work_ms=", aOptions.mWorkMs);
+  plan.mDeadline = base::Milliseconds(aOptions.mDeadlineMs);
+  plan.mSteps = {
+    { steady, steady, steadyTime },
+    { steady, crest, std::chrono::seconds(2) },
+    { crest, crest, std::chrono::seconds(aOptions.mCrestSeconds) },
+    { steady, steady, steadyTime }
+  };
+  const auto before = EntriesCpuTime(*cluster);
+  const auto results = load::RunLoad(plan);
+  const auto cpuTime = EntriesCpuTime(*cluster) - before;
+  std::int64_t sent = 0;
+  for (const auto& it : results) {
+    sent += it.mSent;
+  }
+  fmt::print("\npolicy {}\n{}", aPolicy, load::ToTable(plan, results));
+  PrintAims(plan, results, capacity);
+  fmt::print("entries' processor time {:.0f} us a request, most slots used of "
+             "a worker {}\n",
+             static_cast<double>(cpuTime) / static_cast<double>(sent),
+             MostSlotsUsed(*cluster));
+  PrintCounters(*cluster);
+}
+
+/** The workers that an entry owns, as targets under its token. */
+auto OwnedWorkers(harness::Cluster& aCluster, std::size_t aEntry)
+  -> std::vector<load::LoadTarget>
+{
+  std::vector<load::LoadTarget> out;
+  const auto status = aCluster.Status(aEntry);
+  for (const auto& it : *base::ArrayField(status, "owned_workers")) {
+    const auto id = base::TextField(it.get_object(), "worker");
+    const auto worker =
+      std::ranges::find(aCluster.mWorkers, id, &harness::WorkerNode::mId);
+    const auto token = base::TextField(it.get_object(), "token");
+    out.push_back({ worker->mDirect, { { "Fencing-Token", token } } });
+  }
+  return out;
+}
+
+/** Compares a caller's median through an entry with that without it. */
+auto MeasureAddedTime() -> void
+{
+  constexpr int kRounds = 3;
+  const auto cluster = MakeCluster("p2c");
+  load::LoadPlan through;
+  through.mTargets = { { cluster->mEntries[0].mHttp, {} } };
+  through.mPath = "/services/quotes/site?work_ms=2";
+  through.mSteps = load::ParseSteps("300:2").value();
+  through.mThreads = 1;
+  auto direct = through;
+  direct.mTargets = OwnedWorkers(*cluster, 0);
+  direct.mPath = "/site?work_ms=2";
+  fmt::print("\ntime added by an entry at the median, 300 requests a second\n");
+  for (int i = 0; i < kRounds; ++i) {
+    const auto without = load::RunLoad(direct);
+    const auto with = load::RunLoad(through);
+    const auto median = [](const std::vector<load::StepResult>& aResults) {
+      return InMs(load::QuantileOf(aResults[0].mAnsweredTimes, 0.5));
+    };
+    fmt::print("direct {:.3f} ms, through an entry {:.3f} ms: added {:.3f} "
+               "ms\n",
+               median(without),
+               median(with),
+               median(with) - median(without));
+  }
+}
+
+auto ParseOptions(int aCount, char** aArguments) -> BenchOptions
+{
+  BenchOptions out;
+  auto options = cxxopts::Options("eelgrasspost-bench-requests");
+  options.add_options()("policies", "", cxxopts::value(out.mPolicies))(
+    "work-ms", "", cxxopts::value(out.mWorkMs))(
+    "deadline-ms", "", cxxopts::value(out.mDeadlineMs))(
+    "steady-percent", "", cxxopts::value(out.mSteadyPercent))(
+    "steady-seconds", "", cxxopts::value(out.mSteadySeconds))(
+    "crest-seconds", "", cxxopts::value(out.mCrestSeconds));
+  options.parse(aCount, aArguments);
+  return out;
+}
+
+} // namespace
+
+auto main(int aCount, char** aArguments) -> int
+{
+  const auto options = ParseOptions(aCount, aArguments);
+  for (const auto& it : base::Split(options.mPolicies, ',')) {
+    MeasurePolicy(it, options);
+  }
+  MeasureAddedTime();
+  return 0;
+}
