--- a/src/routing/internal/attempt.h
+++ b/src/routing/internal/attempt.h
@@ -13,6 +13,8 @@
   ServiceOutcome mOutcome;
   /** Whether it speaks against the endpoint's health. */
   bool mIsFailure = false;
+  /** Whether the endpoint said that it leaves. */
+  bool mIsLeaving = false;
   base::Microseconds mTime{ 0 };
 };
 
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -75,6 +75,9 @@
     auto result =
       co_await RunAttempt(mParts.mHttp, worker, aRequest, NewAttemptId());
     LearnFrom(result, *plan, worker);
+    if (result.mIsLeaving) {
+      mParts.mOwnership.ReportLeaving(worker.mHold->mWorker.mId);
+    }
     const auto added = MicrosecondsSince(aRequest.mReceivedAt) - result.mTime;
     state.mMetrics.mAddedTime.Record(static_cast<double>(added.count()));
     WakeWaitersOf(
@@ -250,10 +253,9 @@
   auto forwarded = co_await routing::ForwardTo(
     mParts.mMessages, aPeer->mControl, aRequest, NewAttemptId());
   --state->mInFlight;
-  if (!forwarded.mWasSent) {
-    state->mFullUntil = base::MonotonicClock::now() + kLongestPause;
-  } else if (forwarded.mOutcome.mOutcome == Outcome::NotRun) {
-    const auto pause = aPlan.mState->mServiceTime.Value() / kPauseDivisor;
+  if (forwarded.mOutcome.mOutcome == Outcome::NotRun) {
+    const auto usual = aPlan.mState->mServiceTime.Value() / kPauseDivisor;
+    const auto pause = forwarded.mWasSent ? usual : kLongestPause;
     state->mFullUntil =
       base::MonotonicClock::now() + std::min(pause, kLongestPause);
   }
