Accept notes by a settled submission and pass revisions on between peers

Cause: the thin code took the head row's version for the revision, wrote the whole state with each revision, called a lost answer a failure and let entries learn of notes from the table alone. Ruled out: a copy of the state in each revision row (bytes would follow the state); several rows for one note (a note is at most 256 KiB instead, and one row holds it); a submission id of the operator's choosing (the digest of actor and note needs none). Change: a note is read strictly, with all mistakes at once. One transaction writes head, revision and audit rows against the head's real version. A Boost.MSM machine settles conflicts and lost answers by reading the revision that the note wanted. Specs lie in buckets that states share, so a change costs a bucket. Entries that are behind read single revisions from the table or a peer, or else the whole state in 16 pieces from the object store or a peer; a digest guards each step. Heartbeats carry the revision (IMembership::SetRevision; SetLoad leaves it).

--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -74,7 +74,9 @@
       mDatagrams.Send(aTo, aBytes);
     });
   mMembership->AddContacts(mSettings.mSeeds);
-  mNotes = releasenote::MakeReleaseNotes(*mTable, {});
+  mNotes = releasenote::MakeReleaseNotes(
+    { *mTable, *mObjectStore, *mMembership, mMessageClient, mMetrics }, {});
+  releasenote::HandlePulls(mMessageServer, mPool.Executor(0), *mNotes);
   mOwnership = ownership::MakeOwnership(*mVmList, *mWorker, *mMembership, {});
   mRouter = routing::MakeRouter({ mHttpClient,
                                   mMessageClient,
--- a/src/app/internal/operatordoor.cpp
+++ b/src/app/internal/operatordoor.cpp
@@ -124,6 +124,10 @@
   json::object body;
   body["entry"] = aParts.mMembership.Self().mId;
   body["revision"] = state ? state->mRevision : 0;
+  const auto standing = aParts.mNotes.Standing();
+  body["revision_known"] = standing.mIsKnown;
+  body["revision_in_force_ms"] = standing.mInForceFor.count();
+  body["revision_confirmed_ms_ago"] = standing.mConfirmedAgo.count();
   body["entries"] = std::move(members);
   body["owned_workers"] = std::move(held);
   return Json(200, body);
--- a/src/membership/include/eelgrasspost/membership/imembership.h
+++ b/src/membership/include/eelgrasspost/membership/imembership.h
@@ -23,7 +23,9 @@
   /** Entries to send heartbeats to, beside those already known. */
   virtual auto AddContacts(const std::vector<net::Address>& aContacts)
     -> void = 0;
+  /** Leaves the revision as it is. */
   virtual auto SetLoad(MemberLoad aLoad) -> void = 0;
+  virtual auto SetRevision(std::uint64_t aRevision) -> void = 0;
   /** Says to the others that this entry leaves. */
   virtual auto Leave() -> void = 0;
   virtual auto AddLeavingWorker(LeavingWorker aWorker) -> void = 0;
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -41,9 +41,16 @@
 
 auto Membership::SetLoad(MemberLoad aLoad) -> void
 {
+  aLoad.mRevision = mOwn.mLoad.mRevision;
   mOwn.mLoad = aLoad;
 }
 
+auto Membership::SetRevision(std::uint64_t aRevision) -> void
+{
+  mOwn.mLoad.mRevision = aRevision;
+  Publish();
+}
+
 auto Membership::Leave() -> void
 {
   mOwn.mState = MemberState::Leaving;
--- a/src/membership/internal/membership.h
+++ b/src/membership/internal/membership.h
@@ -16,6 +16,7 @@
   auto View() const -> std::shared_ptr<const MemberView> override;
   auto AddContacts(const std::vector<net::Address>& aContacts) -> void override;
   auto SetLoad(MemberLoad aLoad) -> void override;
+  auto SetRevision(std::uint64_t aRevision) -> void override;
   auto Leave() -> void override;
   auto AddLeavingWorker(LeavingWorker aWorker) -> void override;
   auto Receive(std::string_view aBytes) -> void override;
--- a/src/releasenote/include/eelgrasspost/releasenote/releasenoteerrors.h
+++ b/src/releasenote/include/eelgrasspost/releasenote/releasenoteerrors.h
@@ -22,4 +22,24 @@
   "submit the same note again; repeating it is harmless",
 };
 
+/** Nothing of the note was written. */
+inline constexpr auto kNoteNotSubmitted = base::ErrorKind{
+  "note_not_submitted",
+  absl::StatusCode::kUnavailable,
+  "submit the note again when the platform's table answers",
+};
+
+/** Stored or received state that does not fit together. */
+inline constexpr auto kBadState = base::ErrorKind{
+  "bad_state",
+  absl::StatusCode::kDataLoss,
+  "check that all entries run the same version",
+};
+
+inline constexpr auto kUnknownRevision = base::ErrorKind{
+  "unknown_revision",
+  absl::StatusCode::kNotFound,
+  "list the revisions with 'eelgrasspost note history'",
+};
+
 } // namespace eelgrasspost::releasenote
--- a/src/releasenote/include/eelgrasspost/releasenote/releasenotetypes.h
+++ b/src/releasenote/include/eelgrasspost/releasenote/releasenotetypes.h
@@ -7,6 +7,7 @@
 #include "eelgrasspost/base/clock.h"
 #include "eelgrasspost/net/address.h"
 #include "eelgrasspost/platform/platformtypes.h"
+#include "eelgrasspost/releasenote/spectable.h"
 
 namespace eelgrasspost::releasenote {
 
@@ -66,12 +67,53 @@
 {
   /** Grows by one with each accepted note; 0 before the first. */
   std::uint64_t mRevision = 0;
-  std::vector<ServiceSpec> mServices;
-  std::vector<TeamSpec> mTeams;
+  SpecTable<ServiceSpec> mServices;
+  SpecTable<TeamSpec> mTeams;
+  /** Of all specs, whatever their order; kept up with each change. */
+  std::uint64_t mDigest = 0;
 
   /** Null when the service is not in force. */
   auto FindService(std::string_view aName) const -> const ServiceSpec*;
   auto FindTeam(std::string_view aName) const -> const TeamSpec*;
 };
 
+/** One accepted note: what a revision changed, and who submitted it. */
+struct NoteRevision
+{
+  std::uint64_t mRevision = 0;
+  std::string mActor;
+  /** Milliseconds since the Unix epoch by the accepting entry's clock. */
+  std::int64_t mWhenMs = 0;
+  /** Names the submission, so that its repetition is recognised. */
+  std::string mSubmission;
+  /** Digest of the state after the change. */
+  std::uint64_t mDigest = 0;
+  ReleaseNote mNote;
+};
+
+/** One line of a plan: what a note would do to an object. */
+struct PlannedChange
+{
+  /** "service" or "team". */
+  std::string mSort;
+  /** "add", "change" or "withdraw". */
+  std::string mAction;
+  std::string mName;
+  /** The spec as JSON before and after; empty when there is none. */
+  std::string mBefore;
+  std::string mAfter;
+};
+
+/** How well this entry knows what is in force. */
+struct NoteStanding
+{
+  /** False until a revision is known, be it 0. */
+  bool mIsKnown = false;
+  std::uint64_t mRevision = 0;
+  /** Time since the revision came into force here. */
+  base::Milliseconds mInForceFor{ 0 };
+  /** Time since the table or a peer last confirmed it as the newest. */
+  base::Milliseconds mConfirmedAgo{ 0 };
+};
+
 } // namespace eelgrasspost::releasenote
--- a/src/releasenote/internal/noteapply.cpp
+++ b/src/releasenote/internal/noteapply.cpp
@@ -1,4 +1,4 @@
-#include <algorithm>
+#include "noteapply.h"
 
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/releasenote/notecodec.h"
@@ -8,90 +8,186 @@
 
 namespace {
 
-using Errors = std::vector<std::string>;
-
 template<typename Spec>
-auto Find(std::vector<Spec>& aSpecs, std::string_view aName)
+struct NoteSection
+{
+  std::string_view mSort;
+  SpecTable<Spec> ReleaseState::*mTable;
+  const std::vector<Spec>& mAdded;
+  const std::vector<Spec>& mChanged;
+  const std::vector<std::string>& mWithdrawn;
+};
+
+auto ServicesOf(const ReleaseNote& aNote) -> NoteSection<ServiceSpec>
+{
+  return { "services",
+           &ReleaseState::mServices,
+           aNote.mAddedServices,
+           aNote.mChangedServices,
+           aNote.mWithdrawnServices };
+}
+
+auto TeamsOf(const ReleaseNote& aNote) -> NoteSection<TeamSpec>
 {
-  return std::ranges::find(aSpecs, aName, &Spec::mName);
+  return { "teams",
+           &ReleaseState::mTeams,
+           aNote.mAddedTeams,
+           aNote.mChangedTeams,
+           aNote.mWithdrawnTeams };
 }
 
-/** Adds, changes and withdraws the objects of one sort. */
 template<typename Spec>
-auto ApplySection(std::string_view aSort,
-                  std::vector<Spec>& aSpecs,
-                  const std::vector<Spec>& aAdded,
-                  const std::vector<Spec>& aChanged,
-                  const std::vector<std::string>& aWithdrawn,
-                  Errors& aErrors) -> void
+auto CheckSection(const ReleaseState& aState,
+                  const NoteSection<Spec>& aSection,
+                  Mistakes& aMistakes) -> void
 {
-  for (const auto& name : aWithdrawn) {
-    auto it = Find(aSpecs, name);
-    if (it == aSpecs.end()) {
-      aErrors.push_back(base::Cat(
-        aSort, ".withdraw: ", name, " is not in force; leave it out"));
-      continue;
+  const auto& specs = aState.*aSection.mTable;
+  const auto check = [&](std::string_view aList,
+                         std::size_t aIndex,
+                         const std::string& aName,
+                         bool aMustExist) {
+    const auto exists = specs.Find(aName) != nullptr;
+    if (exists == aMustExist) {
+      return;
     }
-    aSpecs.erase(it);
+    const auto* text =
+      exists ? " is in force already; move it to 'change'"
+             : " is not in force; correct the name, or add it first";
+    aMistakes.push_back(
+      base::Cat(aSection.mSort, ".", aList, "[", aIndex, "]: ", aName, text));
+  };
+  for (std::size_t i = 0; i < aSection.mAdded.size(); ++i) {
+    check("add", i, aSection.mAdded[i].mName, false);
   }
-  for (const auto& spec : aChanged) {
-    auto it = Find(aSpecs, spec.mName);
-    if (it == aSpecs.end()) {
-      aErrors.push_back(base::Cat(
-        aSort, ".change: ", spec.mName, " is not in force; add it instead"));
-      continue;
-    }
-    *it = spec;
+  for (std::size_t i = 0; i < aSection.mChanged.size(); ++i) {
+    check("change", i, aSection.mChanged[i].mName, true);
   }
-  for (const auto& spec : aAdded) {
-    if (Find(aSpecs, spec.mName) != aSpecs.end()) {
-      aErrors.push_back(base::Cat(aSort,
-                                  ".add: ",
-                                  spec.mName,
-                                  " is in force already; change it instead"));
-      continue;
-    }
-    aSpecs.push_back(spec);
+  for (std::size_t i = 0; i < aSection.mWithdrawn.size(); ++i) {
+    check("withdraw", i, aSection.mWithdrawn[i], true);
+  }
+}
+
+template<typename Spec>
+auto ApplySection(ReleaseState& aState, const NoteSection<Spec>& aSection)
+  -> void
+{
+  auto& specs = aState.*aSection.mTable;
+  for (const auto& name : aSection.mWithdrawn) {
+    EraseSpec(aState, specs, name);
+  }
+  for (const auto& spec : aSection.mChanged) {
+    PutSpec(aState, specs, spec);
+  }
+  for (const auto& spec : aSection.mAdded) {
+    PutSpec(aState, specs, spec);
+  }
+}
+
+template<typename Spec>
+auto PlanSection(const ReleaseState& aState,
+                 const NoteSection<Spec>& aSection,
+                 const std::string& aSort,
+                 std::vector<PlannedChange>& aOut) -> void
+{
+  const auto& specs = aState.*aSection.mTable;
+  const auto textOf = [](const Spec* aSpec) {
+    return aSpec == nullptr ? std::string() : base::ToText(ToJson(*aSpec));
+  };
+  for (const auto& it : aSection.mAdded) {
+    aOut.push_back({ aSort, "add", it.mName, "", textOf(&it) });
+  }
+  for (const auto& it : aSection.mChanged) {
+    aOut.push_back(
+      { aSort, "change", it.mName, textOf(specs.Find(it.mName)), textOf(&it) });
+  }
+  for (const auto& it : aSection.mWithdrawn) {
+    aOut.push_back({ aSort, "withdraw", it, textOf(specs.Find(it)), "" });
   }
 }
 
+template<typename Spec>
+auto CountsOf(const NoteSection<Spec>& aSection) -> std::string
+{
+  return fmt::format("{} +{} ~{} -{}",
+                     aSection.mSort,
+                     aSection.mAdded.size(),
+                     aSection.mChanged.size(),
+                     aSection.mWithdrawn.size());
+}
+
+auto CheckNote(const ReleaseState& aState, const ReleaseNote& aNote) -> Mistakes
+{
+  Mistakes out;
+  CheckSection(aState, ServicesOf(aNote), out);
+  CheckSection(aState, TeamsOf(aNote), out);
+  return out;
+}
+
 } // namespace
 
 auto ReleaseState::FindService(std::string_view aName) const
   -> const ServiceSpec*
 {
-  const auto it = std::ranges::find(mServices, aName, &ServiceSpec::mName);
-  return it == mServices.end() ? nullptr : &*it;
+  return mServices.Find(aName);
 }
 
 auto ReleaseState::FindTeam(std::string_view aName) const -> const TeamSpec*
 {
-  const auto it = std::ranges::find(mTeams, aName, &TeamSpec::mName);
-  return it == mTeams.end() ? nullptr : &*it;
+  return mTeams.Find(aName);
 }
 
 auto ApplyNote(const ReleaseState& aState, const ReleaseNote& aNote)
   -> absl::StatusOr<ReleaseState>
 {
-  Errors errors;
+  const auto mistakes = CheckNote(aState, aNote);
+  if (!mistakes.empty()) {
+    return base::MakeError(kBadNote, base::Join(mistakes, "\n"));
+  }
   auto next = aState;
   next.mRevision = aState.mRevision + 1;
-  ApplySection("services",
-               next.mServices,
-               aNote.mAddedServices,
-               aNote.mChangedServices,
-               aNote.mWithdrawnServices,
-               errors);
-  ApplySection("teams",
-               next.mTeams,
-               aNote.mAddedTeams,
-               aNote.mChangedTeams,
-               aNote.mWithdrawnTeams,
-               errors);
-  if (!errors.empty()) {
-    return base::MakeError(kBadNote, base::Join(errors, "\n"));
+  ApplySection(next, ServicesOf(aNote));
+  ApplySection(next, TeamsOf(aNote));
+  return next;
+}
+
+auto ApplyRevision(const ReleaseState& aState, const NoteRevision& aRevision)
+  -> absl::StatusOr<ReleaseState>
+{
+  if (aRevision.mRevision != aState.mRevision + 1) {
+    return base::MakeError(kBadState,
+                           base::Cat("revision ",
+                                     aRevision.mRevision,
+                                     " does not follow revision ",
+                                     aState.mRevision));
+  }
+  auto next = ApplyNote(aState, aRevision.mNote);
+  if (!next.ok()) {
+    return base::MakeError(kBadState, base::MessageOf(next.status()));
+  }
+  if (next->mDigest != aRevision.mDigest) {
+    return base::MakeError(
+      kBadState,
+      base::Cat("the state at revision ", next->mRevision, " differs"));
   }
   return next;
 }
 
+auto PlanNote(const ReleaseState& aState, const ReleaseNote& aNote)
+  -> absl::StatusOr<std::vector<PlannedChange>>
+{
+  const auto mistakes = CheckNote(aState, aNote);
+  if (!mistakes.empty()) {
+    return base::MakeError(kBadNote, base::Join(mistakes, "\n"));
+  }
+  std::vector<PlannedChange> out;
+  PlanSection(aState, ServicesOf(aNote), "service", out);
+  PlanSection(aState, TeamsOf(aNote), "team", out);
+  return out;
+}
+
+auto SummaryOf(const ReleaseNote& aNote) -> std::string
+{
+  return CountsOf(ServicesOf(aNote)) + ", " + CountsOf(TeamsOf(aNote));
+}
+
 } // namespace eelgrasspost::releasenote
--- a/src/releasenote/internal/notecodec.cpp
+++ b/src/releasenote/internal/notecodec.cpp
@@ -1,229 +1,234 @@
 #include "eelgrasspost/releasenote/notecodec.h"
 
-#include "eelgrasspost/base/jsonfields.h"
+#include <limits>
+#include <set>
+
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/releasenote/releasenoteerrors.h"
+#include "speccodec.h"
 
 namespace eelgrasspost::releasenote {
 
 namespace {
 
-namespace json = base::json;
-using Errors = std::vector<std::string>;
+constexpr auto kRevision =
+  NumberRange{ 0, std::numeric_limits<std::int64_t>::max(), "a revision" };
 
-auto ParseEndpoints(const json::object& aService,
-                    const std::string& aPlace,
-                    Errors& aErrors) -> std::vector<EndpointSpec>
+/** Names of one sort that the note has used so far. */
+class NamesInNote
 {
-  std::vector<EndpointSpec> out;
-  const auto* endpoints = base::ArrayField(aService, "endpoints");
-  if (endpoints == nullptr || endpoints->empty()) {
-    aErrors.push_back(aPlace + ".endpoints: list at least one "
-                               "{\"worker\": ID, \"address\": \"IP:PORT\"}");
-    return out;
+public:
+  auto Add(const std::string& aPlace,
+           const std::string& aName,
+           Mistakes& aMistakes) -> void
+  {
+    if (!aName.empty() && !mNames.insert(aName).second) {
+      aMistakes.push_back(base::Cat(
+        aPlace, ": ", aName, " is named twice in this note; name it once"));
+    }
   }
-  for (const auto& it : *endpoints) {
-    const auto* object = it.if_object();
-    const auto worker = object ? base::TextField(*object, "worker") : "";
-    const auto address =
-      net::ParseAddress(object ? base::TextField(*object, "address") : "");
-    if (worker.empty() || !address.ok()) {
-      aErrors.push_back(
-        base::Cat(aPlace,
-                  ".endpoints[",
-                  out.size(),
-                  "]: write {\"worker\": ID, \"address\": \"IP:PORT\"}"));
-      out.emplace_back();
+
+private:
+  std::set<std::string> mNames;
+};
+
+template<typename Spec, typename Read>
+auto ReadList(FieldReader& aSection,
+              std::string_view aKey,
+              NamesInNote& aNames,
+              Mistakes& aMistakes,
+              Read aRead) -> std::vector<Spec>
+{
+  std::vector<Spec> out;
+  const auto* list = aSection.Array(aKey);
+  for (std::size_t i = 0; list != nullptr && i < list->size(); ++i) {
+    const auto place = base::Cat(aSection.PlaceOf(aKey), "[", i, "]");
+    const auto* object = (*list)[i].if_object();
+    if (object == nullptr) {
+      aMistakes.push_back(place + ": is no object; write { ... }");
       continue;
     }
-    out.push_back({ worker, *address });
+    out.push_back(aRead(*object, place, aMistakes));
+    aNames.Add(place + ".name", out.back().mName, aMistakes);
   }
   return out;
 }
 
-auto ParseService(const json::object& aObject,
-                  const std::string& aPlace,
-                  Errors& aErrors) -> ServiceSpec
+auto ReadNames(FieldReader& aSection,
+               std::string_view aKey,
+               NamesInNote& aNames,
+               Mistakes& aMistakes) -> std::vector<std::string>
 {
-  ServiceSpec out;
-  out.mName = base::TextField(aObject, "name");
-  if (out.mName.empty()) {
-    aErrors.push_back(aPlace + ".name: give the service a name");
-  }
-  out.mEndpoints = ParseEndpoints(aObject, aPlace, aErrors);
-  out.mIdempotent = base::BoolField(aObject, "idempotent", out.mIdempotent);
-  out.mDeadlineMs = base::NumberField(aObject, "deadline_ms", out.mDeadlineMs);
-  out.mRetryPercent =
-    base::NumberField(aObject, "retry_percent", out.mRetryPercent);
-  out.mQueueLimit = base::NumberField(aObject, "queue_limit", out.mQueueLimit);
-  out.mSlotCpuMillis =
-    base::NumberField(aObject, "slot_cpu_millis", out.mSlotCpuMillis);
-  out.mSlotMemoryMb =
-    base::NumberField(aObject, "slot_memory_mb", out.mSlotMemoryMb);
-  if (out.mDeadlineMs <= 0) {
-    aErrors.push_back(aPlace + ".deadline_ms: write milliseconds above 0");
+  std::vector<std::string> out;
+  const auto* list = aSection.Array(aKey);
+  for (std::size_t i = 0; list != nullptr && i < list->size(); ++i) {
+    const auto place = base::Cat(aSection.PlaceOf(aKey), "[", i, "]");
+    const auto* text = (*list)[i].if_string();
+    if (text == nullptr) {
+      aMistakes.push_back(place + ": is no text; write a name in quotes");
+      continue;
+    }
+    out.emplace_back(text->data(), text->size());
+    aNames.Add(place, out.back(), aMistakes);
   }
   return out;
 }
 
-auto ParseTeam(const json::object& aObject,
-               const std::string& aPlace,
-               Errors& aErrors) -> TeamSpec
+auto ReadServices(const json::object& aObject,
+                  ReleaseNote& aOut,
+                  Mistakes& aMistakes) -> void
 {
-  TeamSpec out;
-  out.mName = base::TextField(aObject, "name");
-  if (out.mName.empty()) {
-    aErrors.push_back(aPlace + ".name: give the team a name");
-  }
-  out.mQuota.mCpuMillis = base::NumberField(aObject, "cpu_millis");
-  out.mQuota.mMemoryMb = base::NumberField(aObject, "memory_mb");
-  out.mQuota.mAccelerators = base::NumberField(aObject, "accelerators");
-  return out;
+  NamesInNote names;
+  auto section = FieldReader(aObject, "services", aMistakes);
+  aOut.mAddedServices =
+    ReadList<ServiceSpec>(section, "add", names, aMistakes, ReadService);
+  aOut.mChangedServices =
+    ReadList<ServiceSpec>(section, "change", names, aMistakes, ReadService);
+  aOut.mWithdrawnServices = ReadNames(section, "withdraw", names, aMistakes);
+  section.Finish();
 }
 
-template<typename Spec, typename Parse>
-auto ParseList(const json::object& aSection,
-               std::string_view aKey,
-               const std::string& aPlace,
-               Errors& aErrors,
-               Parse aParse) -> std::vector<Spec>
+auto ReadTeams(const json::object& aObject,
+               ReleaseNote& aOut,
+               Mistakes& aMistakes) -> void
 {
-  std::vector<Spec> out;
-  const auto* list = base::ArrayField(aSection, aKey);
-  if (list == nullptr) {
-    return out;
-  }
-  for (const auto& it : *list) {
-    const auto place = base::Cat(aPlace, ".", aKey, "[", out.size(), "]");
-    const auto* object = it.if_object();
-    if (object == nullptr) {
-      aErrors.push_back(place + ": write an object { ... }");
-      out.emplace_back();
-      continue;
-    }
-    out.push_back(aParse(*object, place, aErrors));
-  }
-  return out;
+  NamesInNote names;
+  auto section = FieldReader(aObject, "teams", aMistakes);
+  aOut.mAddedTeams =
+    ReadList<TeamSpec>(section, "add", names, aMistakes, ReadTeam);
+  aOut.mChangedTeams =
+    ReadList<TeamSpec>(section, "change", names, aMistakes, ReadTeam);
+  aOut.mWithdrawnTeams = ReadNames(section, "withdraw", names, aMistakes);
+  section.Finish();
 }
 
-auto ParseNames(const json::object& aSection, std::string_view aKey)
-  -> std::vector<std::string>
+auto ReadNote(const json::object& aObject, Mistakes& aMistakes) -> ReleaseNote
 {
-  std::vector<std::string> out;
-  if (const auto* list = base::ArrayField(aSection, aKey)) {
-    for (const auto& it : *list) {
-      if (const auto* text = it.if_string()) {
-        out.emplace_back(text->data(), text->size());
-      }
-    }
+  ReleaseNote out;
+  auto reader = FieldReader(aObject, "", aMistakes);
+  out.mBase =
+    static_cast<std::uint64_t>(reader.Number("base", kRevision, std::nullopt));
+  if (const auto* it = reader.Object("services")) {
+    ReadServices(*it, out, aMistakes);
+  }
+  if (const auto* it = reader.Object("teams")) {
+    ReadTeams(*it, out, aMistakes);
   }
+  reader.Finish();
   return out;
 }
 
-auto ToJson(const ServiceSpec& aService) -> json::object
+template<typename Spec>
+auto Section(const std::vector<Spec>& aAdded,
+             const std::vector<Spec>& aChanged,
+             const std::vector<std::string>& aWithdrawn) -> json::object
 {
-  json::array endpoints;
-  for (const auto& it : aService.mEndpoints) {
-    json::object endpoint;
-    endpoint["worker"] = it.mWorker;
-    endpoint["address"] = net::ToString(it.mAddress);
-    endpoints.push_back(std::move(endpoint));
-  }
   json::object out;
-  out["name"] = aService.mName;
-  out["endpoints"] = std::move(endpoints);
-  out["idempotent"] = aService.mIdempotent;
-  out["deadline_ms"] = aService.mDeadlineMs;
-  out["retry_percent"] = aService.mRetryPercent;
-  out["queue_limit"] = aService.mQueueLimit;
-  out["slot_cpu_millis"] = aService.mSlotCpuMillis;
-  out["slot_memory_mb"] = aService.mSlotMemoryMb;
+  json::array added;
+  for (const auto& it : aAdded) {
+    added.push_back(ToJson(it));
+  }
+  json::array changed;
+  for (const auto& it : aChanged) {
+    changed.push_back(ToJson(it));
+  }
+  json::array withdrawn;
+  for (const auto& it : aWithdrawn) {
+    withdrawn.push_back(json::value(it));
+  }
+  out["add"] = std::move(added);
+  out["change"] = std::move(changed);
+  out["withdraw"] = std::move(withdrawn);
   return out;
 }
 
-auto ToJson(const TeamSpec& aTeam) -> json::object
+auto NoteToJson(const ReleaseNote& aNote) -> json::object
 {
   json::object out;
-  out["name"] = aTeam.mName;
-  out["cpu_millis"] = aTeam.mQuota.mCpuMillis;
-  out["memory_mb"] = aTeam.mQuota.mMemoryMb;
-  out["accelerators"] = aTeam.mQuota.mAccelerators;
+  out["base"] = aNote.mBase;
+  out["services"] = Section(
+    aNote.mAddedServices, aNote.mChangedServices, aNote.mWithdrawnServices);
+  out["teams"] =
+    Section(aNote.mAddedTeams, aNote.mChangedTeams, aNote.mWithdrawnTeams);
   return out;
 }
 
-auto ErrorOf(const Errors& aErrors) -> absl::Status
+auto ErrorOf(const base::ErrorKind& aKind, const Mistakes& aMistakes)
+  -> absl::Status
 {
-  return base::MakeError(kBadNote, base::Join(aErrors, "\n"));
+  return base::MakeError(aKind, base::Join(aMistakes, "\n"));
 }
 
 } // namespace
 
 auto ParseNote(std::string_view aText) -> absl::StatusOr<ReleaseNote>
 {
+  if (aText.size() > kNoteLimit) {
+    return base::MakeError(kBadNote,
+                           base::Cat("the note has ",
+                                     aText.size(),
+                                     " bytes; split it into notes of at most ",
+                                     kNoteLimit));
+  }
   const auto root = base::ParseObject(aText);
   if (!root.ok()) {
     return base::MakeError(kBadNote, base::MessageOf(root.status()));
   }
-  Errors errors;
-  ReleaseNote out;
-  out.mBase = static_cast<std::uint64_t>(base::NumberField(*root, "base"));
-  if (!root->contains("base")) {
-    errors.emplace_back("base: name the revision that the note builds on");
-  }
-  if (const auto* it = base::ObjectField(*root, "services")) {
-    out.mAddedServices =
-      ParseList<ServiceSpec>(*it, "add", "services", errors, ParseService);
-    out.mChangedServices =
-      ParseList<ServiceSpec>(*it, "change", "services", errors, ParseService);
-    out.mWithdrawnServices = ParseNames(*it, "withdraw");
+  Mistakes mistakes;
+  auto note = ReadNote(*root, mistakes);
+  if (!mistakes.empty()) {
+    return ErrorOf(kBadNote, mistakes);
   }
-  if (const auto* it = base::ObjectField(*root, "teams")) {
-    out.mAddedTeams =
-      ParseList<TeamSpec>(*it, "add", "teams", errors, ParseTeam);
-    out.mChangedTeams =
-      ParseList<TeamSpec>(*it, "change", "teams", errors, ParseTeam);
-    out.mWithdrawnTeams = ParseNames(*it, "withdraw");
-  }
-  if (!errors.empty()) {
-    return ErrorOf(errors);
-  }
-  return out;
+  return note;
 }
 
-auto EncodeState(const ReleaseState& aState) -> std::string
+auto EncodeNote(const ReleaseNote& aNote) -> std::string
+{
+  return base::ToText(NoteToJson(aNote));
+}
+
+auto EncodeRevision(const NoteRevision& aRevision) -> std::string
 {
-  json::array services;
-  for (const auto& it : aState.mServices) {
-    services.push_back(ToJson(it));
-  }
-  json::array teams;
-  for (const auto& it : aState.mTeams) {
-    teams.push_back(ToJson(it));
-  }
   json::object out;
-  out["revision"] = aState.mRevision;
-  out["services"] = std::move(services);
-  out["teams"] = std::move(teams);
+  out["revision"] = aRevision.mRevision;
+  out["actor"] = aRevision.mActor;
+  out["when_ms"] = aRevision.mWhenMs;
+  out["submission"] = aRevision.mSubmission;
+  out["digest"] = fmt::format("{:016x}", aRevision.mDigest);
+  out["note"] = NoteToJson(aRevision.mNote);
   return base::ToText(out);
 }
 
-auto DecodeState(std::string_view aText) -> absl::StatusOr<ReleaseState>
+auto DecodeRevision(std::string_view aText) -> absl::StatusOr<NoteRevision>
 {
   const auto root = base::ParseObject(aText);
-  if (!root.ok()) {
-    return root.status();
+  const auto* note = root.ok() ? base::ObjectField(*root, "note") : nullptr;
+  if (note == nullptr) {
+    return base::MakeError(kBadState, "a revision without its note");
+  }
+  Mistakes mistakes;
+  NoteRevision out;
+  out.mNote = ReadNote(*note, mistakes);
+  if (!mistakes.empty()) {
+    return ErrorOf(kBadState, mistakes);
   }
-  Errors errors;
-  ReleaseState out;
   out.mRevision =
     static_cast<std::uint64_t>(base::NumberField(*root, "revision"));
-  out.mServices =
-    ParseList<ServiceSpec>(*root, "services", "state", errors, ParseService);
-  out.mTeams = ParseList<TeamSpec>(*root, "teams", "state", errors, ParseTeam);
-  if (!errors.empty()) {
-    return ErrorOf(errors);
-  }
+  out.mActor = base::TextField(*root, "actor");
+  out.mWhenMs = base::NumberField(*root, "when_ms");
+  out.mSubmission = base::TextField(*root, "submission");
+  constexpr int kHexadecimal = 16;
+  out.mDigest = std::strtoull(
+    base::TextField(*root, "digest").c_str(), nullptr, kHexadecimal);
   return out;
 }
 
+auto SubmissionOf(const ReleaseNote& aNote, std::string_view aActor)
+  -> std::string
+{
+  const auto note = EncodeNote(aNote);
+  return fmt::format(
+    "{:016x}{:016x}", DigestOf(note), DigestOf(base::Cat(aActor, "\n", note)));
+}
+
 } // namespace eelgrasspost::releasenote
--- /dev/null
+++ b/src/releasenote/internal/notepulls.cpp
@@ -0,0 +1,148 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/net/iopool.h"
+#include "eelgrasspost/releasenote/notecodec.h"
+#include "eelgrasspost/releasenote/releasenoteerrors.h"
+#include "eelgrasspost/releasenote/releasenotelogevents.h"
+#include "releasenotes.h"
+
+namespace eelgrasspost::releasenote {
+
+namespace asio = net::asio;
+using membership::MemberState;
+
+namespace {
+
+/** How long a starting entry waits to hear from all peers before it takes the
+ * newest revision among them. */
+constexpr auto kSettleTime = base::Milliseconds(600);
+constexpr auto kPullTimeout = base::Milliseconds(1500);
+
+} // namespace
+
+auto ReleaseNotes::ChoosePeer() -> std::optional<net::Address>
+{
+  const auto view = mParts.mMembership.View();
+  const auto& self = mParts.mMembership.Self();
+  const auto isKnown = mMemory.Newest() != nullptr;
+  std::vector<const membership::Member*> best;
+  for (const auto& it : view->mMembers) {
+    const auto isOther = it.mIdentity.mId != self.mId;
+    const auto isReachable = it.mState != MemberState::Dead;
+    const auto isAhead = !isKnown || it.mLoad.mRevision > Revision();
+    if (!isOther || !isReachable || !isAhead) {
+      continue;
+    }
+    const auto rank = [&](const membership::Member& aMember) {
+      return std::pair(isKnown ? 0 : aMember.mLoad.mRevision,
+                       aMember.mIdentity.mFailureDomain == self.mFailureDomain);
+    };
+    if (!best.empty() && rank(it) > rank(*best.front())) {
+      best.clear();
+    }
+    if (best.empty() || rank(it) == rank(*best.front())) {
+      best.push_back(&it);
+    }
+  }
+  if (best.empty()) {
+    return std::nullopt;
+  }
+  return best[mRandom() % best.size()]->mIdentity.mControl;
+}
+
+auto ReleaseNotes::PullLoop() -> net::Task<void>
+{
+  co_await net::Sleep(kSettleTime);
+  while (true) {
+    const auto peer = ChoosePeer();
+    if (peer) {
+      co_await PullFrom(*peer);
+    }
+    co_await net::Sleep(mOptions.mPullInterval);
+  }
+}
+
+auto ReleaseNotes::PullFrom(net::Address aPeer) -> net::Task<void>
+{
+  const auto request =
+    PullRequest{ mMemory.Newest() != nullptr, Revision(), 0, 0 };
+  const auto deadline = base::MonotonicClock::now() + kPullTimeout;
+  auto reply =
+    co_await net::CallTyped<PullReply>(mParts.mMessages,
+                                       aPeer,
+                                       net::MessageKind::ReleaseNotePull,
+                                       request,
+                                       deadline);
+  mParts.mMetrics.FindCounter("note_pulls_total").Add();
+  if (!reply.mStatus.ok() || !reply.mReply.mIsKnown) {
+    co_return;
+  }
+  for (auto& it : reply.mReply.mRevisions) {
+    mParts.mMetrics.FindCounter("note_pulled_bytes_total").Add(it.size());
+    if (!AddRevision(std::move(it)).ok()) {
+      co_return;
+    }
+  }
+  if (reply.mReply.mPieces > 0) {
+    co_await PullPieces(std::move(aPeer), std::move(reply.mReply));
+  } else if (!mMemory.Newest() && reply.mReply.mNewest == 0) {
+    AddState(ReleaseState{});
+  }
+}
+
+auto ReleaseNotes::PullPieces(net::Address aPeer, PullReply aFirst)
+  -> net::Task<void>
+{
+  ReleaseState state;
+  auto status = AddStatePiece(state, aFirst.mPiece);
+  for (std::uint32_t i = 1; status.ok() && i < aFirst.mPieces; ++i) {
+    const auto request = PullRequest{
+      mMemory.Newest() != nullptr, Revision(), aFirst.mStateRevision, i
+    };
+    const auto deadline = base::MonotonicClock::now() + kPullTimeout;
+    const auto reply =
+      co_await net::CallTyped<PullReply>(mParts.mMessages,
+                                         aPeer,
+                                         net::MessageKind::ReleaseNotePull,
+                                         request,
+                                         deadline);
+    const auto isSame = reply.mStatus.ok() &&
+                        reply.mReply.mStateRevision == aFirst.mStateRevision;
+    if (!isSame) {
+      co_return;
+    }
+    mParts.mMetrics.FindCounter("note_pulled_bytes_total")
+      .Add(reply.mReply.mPiece.size());
+    status = AddStatePiece(state, reply.mReply.mPiece);
+  }
+  if (status.ok() && state.mDigest != aFirst.mStateDigest) {
+    status = base::MakeError(kBadState, "a peer's state is not whole");
+  }
+  if (!status.ok()) {
+    base::Log(kStateRefused, base::MessageOf(status));
+    co_return;
+  }
+  state.mRevision = aFirst.mStateRevision;
+  AddState(std::move(state));
+}
+
+auto HandlePulls(net::MessageServer& aServer,
+                 net::asio::any_io_executor aExecutor,
+                 IReleaseNotes& aNotes) -> void
+{
+  net::HandleTyped<PullRequest, PullReply>(
+    aServer,
+    net::MessageKind::ReleaseNotePull,
+    [executor = std::move(aExecutor),
+     &aNotes](PullRequest aRequest) -> net::Task<PullReply> {
+      auto answer = [&]() -> net::Task<PullReply> {
+        co_return aNotes.AnswerPull(aRequest);
+      };
+      co_return co_await asio::co_spawn(
+        executor, answer(), asio::use_awaitable);
+    });
+}
+
+} // namespace eelgrasspost::releasenote
--- a/src/releasenote/internal/releasenotes.cpp
+++ b/src/releasenote/internal/releasenotes.cpp
@@ -1,46 +1,33 @@
 #include "releasenotes.h"
 
-#include "eelgrasspost/base/jsonfields.h"
+#include <functional>
+
+#include <boost/asio/this_coro.hpp>
+
 #include "eelgrasspost/base/text.h"
-#include "eelgrasspost/net/iopool.h"
-#include "eelgrasspost/platform/platformerrors.h"
 #include "eelgrasspost/releasenote/notecodec.h"
 #include "eelgrasspost/releasenote/releasenoteerrors.h"
+#include "eelgrasspost/releasenote/releasenotelogevents.h"
 
 namespace eelgrasspost::releasenote {
 
-namespace json = base::json;
-using platform::TableUse;
-
-auto RevisionKey(std::uint64_t aRevision) -> std::string
-{
-  return fmt::format("note/revision/{:012}", aRevision);
-}
-
 namespace {
 
-auto AuditRow(std::uint64_t aRevision,
-              const std::string& aActor,
-              const std::string& aNote) -> platform::TableWrite
+auto Since(base::MonotonicTime aTime) -> base::Milliseconds
 {
-  json::object record;
-  record["what"] = "release_note";
-  record["who"] = aActor;
-  record["when_ms"] = base::WallClockMs();
-  record["before"] = aRevision - 1;
-  record["after"] = aRevision;
-  record["note"] = aNote;
-  return { fmt::format("audit/note/{:012}", aRevision),
-           base::ToText(record),
-           platform::kAbsent };
+  return std::chrono::duration_cast<base::Milliseconds>(
+    base::MonotonicClock::now() - aTime);
 }
 
 } // namespace
 
-ReleaseNotes::ReleaseNotes(platform::ITable& aTable,
-                           ReleaseNoteOptions aOptions)
-  : mTable(aTable)
+ReleaseNotes::ReleaseNotes(ReleaseNoteParts aParts, ReleaseNoteOptions aOptions)
+  : mParts(aParts)
   , mOptions(aOptions)
+  , mInForceSince(base::MonotonicClock::now())
+  , mConfirmedAt(mInForceSince)
+  , mRandom(static_cast<std::uint32_t>(
+      std::hash<std::string>()(aParts.mMembership.Self().mId)))
 {
 }
 
@@ -49,96 +36,88 @@
   return mInForce.Read();
 }
 
-auto ReleaseNotes::Adopt(ReleaseState aState) -> void
+auto ReleaseNotes::Revision() const -> std::uint64_t
 {
+  return mMemory.Newest() ? mMemory.Newest()->mRevision : 0;
+}
+
+auto ReleaseNotes::Standing() const -> NoteStanding
+{
+  return { mMemory.Newest() != nullptr,
+           Revision(),
+           Since(mInForceSince),
+           Since(mConfirmedAt) };
+}
+
+auto ReleaseNotes::Adopt() -> void
+{
+  const auto& newest = mMemory.Newest();
   const auto current = mInForce.Read();
-  if (current && current->mRevision >= aState.mRevision) {
+  if (!newest || (current && current->mRevision >= newest->mRevision)) {
     return;
   }
-  mInForce.Publish(std::make_shared<const ReleaseState>(std::move(aState)));
+  mInForce.Publish(newest);
+  mInForceSince = base::MonotonicClock::now();
+  mParts.mMembership.SetRevision(newest->mRevision);
+  mParts.mMetrics.FindGauge("note_revision")
+    .Set(static_cast<std::int64_t>(newest->mRevision));
+  base::Log(kRevisionInForce, base::Cat(newest->mRevision));
 }
 
-auto ReleaseNotes::ReadNewest(base::MonotonicTime aDeadline)
-  -> net::Task<absl::StatusOr<ReleaseState>>
+auto ReleaseNotes::AddRevision(std::string aText) -> absl::Status
 {
-  const auto head = co_await mTable.Read(
-    TableUse::ReleaseNote, std::string(kHeadKey), aDeadline);
-  if (!head.ok()) {
-    co_return head.status();
-  }
-  if (!*head) {
-    co_return ReleaseState{};
-  }
-  const auto revision = base::ParseNumber<std::uint64_t>((*head)->mValue);
-  const auto row = co_await mTable.Read(
-    TableUse::ReleaseNote, RevisionKey(revision.value_or(0)), aDeadline);
-  if (!row.ok()) {
-    co_return row.status();
-  }
-  if (!*row) {
-    co_return base::MakeError(platform::kBadAnswer, "a head without its note");
+  auto status = mMemory.AddRevision(std::move(aText));
+  if (!status.ok()) {
+    base::Log(kStateRefused, base::MessageOf(status));
   }
-  co_return DecodeState((*row)->mValue);
+  Adopt();
+  return status;
 }
 
-auto ReleaseNotes::Submit(std::string aNoteText,
-                          std::string aActor,
-                          base::MonotonicTime aDeadline)
-  -> net::Task<absl::StatusOr<std::uint64_t>>
+auto ReleaseNotes::AddState(ReleaseState aState) -> void
+{
+  mMemory.AddState(std::move(aState));
+  Adopt();
+}
+
+auto ReleaseNotes::Plan(std::string aNoteText,
+                        std::optional<std::uint64_t> aAgainst) const
+  -> absl::StatusOr<NotePlan>
 {
   const auto note = ParseNote(aNoteText);
   if (!note.ok()) {
-    co_return note.status();
-  }
-  const auto newest = co_await ReadNewest(aDeadline);
-  if (!newest.ok()) {
-    co_return newest.status();
+    return note.status();
   }
-  if (note->mBase != newest->mRevision) {
-    co_return base::MakeError(kRevisionConflict,
-                              base::Cat("the note builds on revision ",
-                                        note->mBase,
-                                        " but revision ",
-                                        newest->mRevision,
-                                        " is the newest"));
+  if (!mMemory.Newest()) {
+    return base::MakeError(kUnknownRevision,
+                           "this entry knows no revision yet");
   }
-  auto next = ApplyNote(*newest, *note);
-  if (!next.ok()) {
-    co_return next.status();
+  const auto against = aAgainst.value_or(Revision());
+  const auto state = mMemory.StateAt(against);
+  if (!state) {
+    return base::MakeError(
+      kUnknownRevision,
+      base::Cat("revision ",
+                against,
+                " is none of the last that this entry keeps; the newest is ",
+                Revision()));
   }
-  const auto revision = next->mRevision;
-  std::vector<platform::TableWrite> writes;
-  writes.push_back(
-    { std::string(kHeadKey),
-      base::Cat(revision),
-      newest->mRevision == 0 ? platform::kAbsent : newest->mRevision });
-  writes.push_back(
-    { RevisionKey(revision), EncodeState(*next), platform::kAbsent });
-  writes.push_back(AuditRow(revision, aActor, aNoteText));
-  const auto status =
-    co_await mTable.Commit(TableUse::ReleaseNote, std::move(writes), aDeadline);
-  if (base::IsKind(status, platform::kVersionConflict)) {
-    co_return base::MakeError(
-      kRevisionConflict,
-      base::Cat("another note became revision ", revision, " first"));
+  auto changes = PlanNote(*state, *note);
+  if (!changes.ok()) {
+    return changes.status();
   }
-  if (!status.ok()) {
-    co_return base::MakeError(kNoteOutcomeUnknown, base::MessageOf(status));
-  }
-  Adopt(*std::move(next));
-  co_return revision;
+  return NotePlan{ against, Revision(), *std::move(changes) };
+}
+
+auto ReleaseNotes::AnswerPull(const PullRequest& aRequest) const -> PullReply
+{
+  return mMemory.AnswerPull(aRequest);
 }
 
 auto ReleaseNotes::Run() -> net::Task<void>
 {
-  while (true) {
-    const auto deadline = base::MonotonicClock::now() + mOptions.mCallTimeout;
-    auto newest = co_await ReadNewest(deadline);
-    if (newest.ok()) {
-      Adopt(*std::move(newest));
-    }
-    co_await net::Sleep(mOptions.mPollInterval);
-  }
+  net::SpawnTask(co_await net::asio::this_coro::executor, PullLoop());
+  co_await PollLoop();
 }
 
 } // namespace eelgrasspost::releasenote
--- a/src/releasenote/internal/releasenotes.h
+++ b/src/releasenote/internal/releasenotes.h
@@ -1,36 +1,92 @@
 #pragma once
 
+#include <random>
+
 #include "eelgrasspost/releasenote/releasenotemodule.h"
 #include "eelgrasspost/snapshot/snapshot.h"
+#include "notememory.h"
+#include "noterows.h"
+#include "submission.h"
 
 namespace eelgrasspost::releasenote {
 
-/** Keys of the rows that hold the notes. */
-inline constexpr std::string_view kHeadKey = "note/head";
-auto RevisionKey(std::uint64_t aRevision) -> std::string;
-
 class ReleaseNotes : public IReleaseNotes
 {
 public:
-  ReleaseNotes(platform::ITable& aTable, ReleaseNoteOptions aOptions);
+  ReleaseNotes(ReleaseNoteParts aParts, ReleaseNoteOptions aOptions);
 
   auto InForce() const -> std::shared_ptr<const ReleaseState> override;
+  auto Standing() const -> NoteStanding override;
   auto Submit(std::string aNoteText,
               std::string aActor,
               base::MonotonicTime aDeadline)
     -> net::Task<absl::StatusOr<std::uint64_t>> override;
+  auto Plan(std::string aNoteText, std::optional<std::uint64_t> aAgainst) const
+    -> absl::StatusOr<NotePlan> override;
+  auto History(std::uint64_t aAfter,
+               std::size_t aLimit,
+               base::MonotonicTime aDeadline)
+    -> net::Task<absl::StatusOr<std::vector<NoteRevision>>> override;
+  auto AnswerPull(const PullRequest& aRequest) const -> PullReply override;
   auto Run() -> net::Task<void> override;
 
 private:
-  /** Reads the newest state from the table; revision 0 if there is none. */
-  auto ReadNewest(base::MonotonicTime aDeadline)
+  /** What one submission works on. */
+  struct Work
+  {
+    ReleaseNote mNote;
+    std::string mActor;
+    std::string mSubmission;
+    base::MonotonicTime mDeadline;
+    Head mHead;
+    NoteRevision mRevision;
+  };
+
+  // notesubmit.cpp
+  auto ObserveHead(Work& aWork) -> net::Task<SubmissionEvent>;
+  auto ObserveWinner(const Work& aWork) -> net::Task<SubmissionEvent>;
+  auto PrepareRevision(Work& aWork) -> net::Task<absl::Status>;
+  auto CommitRevision(const Work& aWork) -> net::Task<SubmissionEvent>;
+  auto Conclude(const Work& aWork, SubmissionStep aStep)
+    -> absl::StatusOr<std::uint64_t>;
+
+  // notefetch.cpp
+  auto ReadHead(base::MonotonicTime aDeadline)
+    -> net::Task<absl::StatusOr<Head>>;
+  /** Reads what the table has beyond this entry's revision. */
+  auto CatchUp(std::uint64_t aHead, base::MonotonicTime aDeadline)
+    -> net::Task<absl::Status>;
+  auto LoadCheckpoint(base::MonotonicTime aDeadline) -> net::Task<absl::Status>;
+  auto LoadPieces(Checkpoint aCheckpoint, base::MonotonicTime aDeadline)
     -> net::Task<absl::StatusOr<ReleaseState>>;
-  /** Puts a state in force unless a newer one is. */
-  auto Adopt(ReleaseState aState) -> void;
+  auto StoreCheckpoint(std::shared_ptr<const ReleaseState> aState)
+    -> net::Task<void>;
+  auto StorePieces(const ReleaseState& aState) -> net::Task<absl::Status>;
+  auto DeleteOldRevisions(std::uint64_t aCheckpoint) -> net::Task<void>;
+  auto PollLoop() -> net::Task<void>;
+  auto PollInterval() const -> base::Milliseconds;
+
+  // notepulls.cpp
+  auto PullLoop() -> net::Task<void>;
+  auto PullFrom(net::Address aPeer) -> net::Task<void>;
+  auto PullPieces(net::Address aPeer, PullReply aFirst) -> net::Task<void>;
+  /** A member that is ahead, nearest first; null if none is. */
+  auto ChoosePeer() -> std::optional<net::Address>;
+
+  /** Puts what the memory has as its newest in force. */
+  auto Adopt() -> void;
+  auto AddRevision(std::string aText) -> absl::Status;
+  auto AddState(ReleaseState aState) -> void;
+  auto Revision() const -> std::uint64_t;
 
-  platform::ITable& mTable;
+  ReleaseNoteParts mParts;
   ReleaseNoteOptions mOptions;
+  NoteMemory mMemory;
   snapshot::Snapshot<ReleaseState> mInForce{ nullptr };
+  base::MonotonicTime mInForceSince;
+  base::MonotonicTime mConfirmedAt;
+  bool mIsTableAway = false;
+  std::minstd_rand mRandom;
 };
 
 } // namespace eelgrasspost::releasenote
--- /dev/null
+++ b/src/releasenote/internal/statecodec.cpp
@@ -0,0 +1,102 @@
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/releasenote/notecodec.h"
+#include "eelgrasspost/releasenote/releasenoteerrors.h"
+#include "noteapply.h"
+
+namespace eelgrasspost::releasenote {
+
+namespace {
+
+constexpr auto kBuckets = SpecTable<ServiceSpec>::kBuckets;
+constexpr auto kBucketsPerPiece = kBuckets / kStatePieces;
+
+template<typename Spec>
+auto EncodeBuckets(const SpecTable<Spec>& aSpecs,
+                   std::size_t aFirst,
+                   std::size_t aCount) -> json::array
+{
+  json::array out;
+  for (auto n = aFirst; n < aFirst + aCount; ++n) {
+    const auto* bucket = aSpecs.BucketAt(n);
+    if (bucket == nullptr) {
+      continue;
+    }
+    for (const auto& it : *bucket) {
+      out.push_back(ToJson(it));
+    }
+  }
+  return out;
+}
+
+auto EncodeRange(const ReleaseState& aState,
+                 std::size_t aFirst,
+                 std::size_t aCount) -> std::string
+{
+  json::object out;
+  out["revision"] = aState.mRevision;
+  out["services"] = EncodeBuckets(aState.mServices, aFirst, aCount);
+  out["teams"] = EncodeBuckets(aState.mTeams, aFirst, aCount);
+  return base::ToText(out);
+}
+
+template<typename Spec, typename Read>
+auto AddSpecs(const json::object& aObject,
+              std::string_view aKey,
+              SpecTable<Spec>& aSpecs,
+              ReleaseState& aState,
+              Mistakes& aMistakes,
+              Read aRead) -> void
+{
+  const auto* list = base::ArrayField(aObject, aKey);
+  for (std::size_t i = 0; list != nullptr && i < list->size(); ++i) {
+    const auto* object = (*list)[i].if_object();
+    const auto place = base::Cat("state.", aKey, "[", i, "]");
+    if (object == nullptr) {
+      aMistakes.push_back(place + ": is no object");
+      continue;
+    }
+    PutSpec(aState, aSpecs, aRead(*object, place, aMistakes));
+  }
+}
+
+} // namespace
+
+auto EncodeStatePiece(const ReleaseState& aState, std::size_t aPiece)
+  -> std::string
+{
+  return EncodeRange(aState, aPiece * kBucketsPerPiece, kBucketsPerPiece);
+}
+
+auto AddStatePiece(ReleaseState& aState, std::string_view aText) -> absl::Status
+{
+  const auto root = base::ParseObject(aText);
+  if (!root.ok()) {
+    return base::MakeError(kBadState, base::MessageOf(root.status()));
+  }
+  Mistakes mistakes;
+  aState.mRevision =
+    static_cast<std::uint64_t>(base::NumberField(*root, "revision"));
+  AddSpecs(*root, "services", aState.mServices, aState, mistakes, ReadService);
+  AddSpecs(*root, "teams", aState.mTeams, aState, mistakes, ReadTeam);
+  if (!mistakes.empty()) {
+    return base::MakeError(kBadState, base::Join(mistakes, "\n"));
+  }
+  return absl::OkStatus();
+}
+
+auto EncodeState(const ReleaseState& aState) -> std::string
+{
+  return EncodeRange(aState, 0, kBuckets);
+}
+
+auto DecodeState(std::string_view aText) -> absl::StatusOr<ReleaseState>
+{
+  ReleaseState out;
+  const auto status = AddStatePiece(out, aText);
+  if (!status.ok()) {
+    return status;
+  }
+  return out;
+}
+
+} // namespace eelgrasspost::releasenote
--- a/src/releasenote/releasenotemodule.cpp
+++ b/src/releasenote/releasenotemodule.cpp
@@ -4,10 +4,10 @@
 
 namespace eelgrasspost::releasenote {
 
-auto MakeReleaseNotes(platform::ITable& aTable, ReleaseNoteOptions aOptions)
+auto MakeReleaseNotes(ReleaseNoteParts aParts, ReleaseNoteOptions aOptions)
   -> std::unique_ptr<IReleaseNotes>
 {
-  return std::make_unique<ReleaseNotes>(aTable, aOptions);
+  return std::make_unique<ReleaseNotes>(aParts, aOptions);
 }
 
 } // namespace eelgrasspost::releasenote
