--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -28,6 +28,17 @@
   return out;
 }
 
+auto StoreOptions(const EntrySettings& aSettings)
+  -> platform::StoreClientOptions
+{
+  platform::StoreClientOptions out;
+  out.mReadsPerSecond = static_cast<double>(aSettings.mStoreReads);
+  out.mWritesPerSecond = static_cast<double>(aSettings.mStoreWrites);
+  out.mSeed =
+    static_cast<std::uint32_t>(std::hash<std::string>()(aSettings.mId));
+  return out;
+}
+
 } // namespace
 
 Entry::Entry(EntrySettings aSettings)
@@ -57,7 +68,9 @@
 
 auto Entry::MakeModules(const net::Address& aControl) -> void
 {
-  mTable = platform::MakeHttpTable(mHttpClient, mSettings.mTable);
+  mHttpTable = platform::MakeHttpTable(mHttpClient, mSettings.mTable);
+  mTable =
+    platform::MakeStoreClient(*mHttpTable, mMetrics, StoreOptions(mSettings));
   mObjectStore =
     platform::MakeHttpObjectStore(mHttpClient, mSettings.mObjectStore);
   mVmList = platform::MakeHttpVmList(mHttpClient, mSettings.mVmList);
@@ -105,6 +118,7 @@
   mPool.Spawn(control0, mNotes->Run());
   mPool.Spawn(control0, mOwnership->Run());
   mPool.Spawn(control0, mJobs->Run());
+  mPool.Spawn(control0, ShareTable());
   mPool.Spawn(control0, WaitForSignal());
   std::cout << "listening http=" << net::ToString(*http)
             << " control=" << net::ToString(*control) << std::endl;
@@ -116,6 +130,15 @@
   mPool.Run();
 }
 
+auto Entry::ShareTable() -> net::Task<void>
+{
+  constexpr auto kInterval = base::Milliseconds(1000);
+  while (true) {
+    mTable->SetEntries(mMembership->View()->mMembers.size());
+    co_await net::Sleep(kInterval);
+  }
+}
+
 auto Entry::WaitForSignal() -> net::Task<void>
 {
   auto signals = asio::signal_set(mPool.Executor(0), SIGTERM, SIGINT);
--- a/src/app/internal/entry.h
+++ b/src/app/internal/entry.h
@@ -10,6 +10,7 @@
 #include "eelgrasspost/net/messages.h"
 #include "eelgrasspost/ownership/iownership.h"
 #include "eelgrasspost/platform/platformmodule.h"
+#include "eelgrasspost/platform/storeclient.h"
 #include "eelgrasspost/releasenote/ireleasenotes.h"
 #include "eelgrasspost/routing/irouter.h"
 #include "entrysettings.h"
@@ -35,6 +36,8 @@
   auto ListenControl() -> absl::StatusOr<net::Address>;
   auto MakeModules(const net::Address& aControl) -> void;
   auto StopGracefully() -> net::Task<void>;
+  /** Keeps this entry to its share of the table. */
+  auto ShareTable() -> net::Task<void>;
   auto WaitForSignal() -> net::Task<void>;
 
   EntrySettings mSettings;
@@ -45,7 +48,8 @@
   net::MessageServer mMessageServer;
   net::DatagramSocket mDatagrams;
   net::HttpServer mHttpServer;
-  std::unique_ptr<platform::ITable> mTable;
+  std::unique_ptr<platform::ITable> mHttpTable;
+  std::unique_ptr<platform::IStoreClient> mTable;
   std::unique_ptr<platform::IObjectStore> mObjectStore;
   std::unique_ptr<platform::IVmList> mVmList;
   std::unique_ptr<platform::IWorker> mWorker;
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -96,6 +96,21 @@
                 0,
                 "control addresses of other entries, for a start without the "
                 "platform" },
+  SettingField{ "store",
+                "reads_per_second",
+                SettingKind::Integer,
+                "2000",
+                10,
+                1000000,
+                "reads of the table that all entries together may make" },
+  SettingField{ "store",
+                "writes_per_second",
+                SettingKind::Integer,
+                "400",
+                10,
+                1000000,
+                "transactions of the table that all entries together may "
+                "make" },
 };
 
 auto AddressOf(const base::SettingValues& aValues,
@@ -132,6 +147,8 @@
   out.mTable = AddressOf(*values, "platform", "table");
   out.mObjectStore = AddressOf(*values, "platform", "object_store");
   out.mVmList = AddressOf(*values, "platform", "vm_list");
+  out.mStoreReads = values->Integer("store", "reads_per_second");
+  out.mStoreWrites = values->Integer("store", "writes_per_second");
   for (const auto& it : values->List("peers", "seeds")) {
     out.mSeeds.push_back(net::ParseAddress(it).value_or(net::Address{}));
   }
--- a/src/app/internal/entrysettings.h
+++ b/src/app/internal/entrysettings.h
@@ -25,6 +25,9 @@
   net::Address mVmList;
   std::vector<net::Address> mSeeds;
   std::size_t mThreads = 2;
+  /** What all entries together may ask of the table in a second. */
+  std::int64_t mStoreReads = 2000;
+  std::int64_t mStoreWrites = 400;
 };
 
 /** Every setting of the INI file; docs/settings.md is checked against it. */
--- a/src/platform/include/eelgrasspost/platform/platformerrors.h
+++ b/src/platform/include/eelgrasspost/platform/platformerrors.h
@@ -25,6 +25,13 @@
   "try again later",
 };
 
+/** The call would exceed its use's share of the table; nothing was written. */
+inline constexpr auto kStoreBusy = base::ErrorKind{
+  "store_busy",
+  absl::StatusCode::kUnavailable,
+  "try again later, or raise the share of this use",
+};
+
 /** The answer does not follow the contract. */
 inline constexpr auto kBadAnswer = base::ErrorKind{
   "bad_answer",
--- /dev/null
+++ b/tests/integration/tablecontract_tests.cpp
@@ -0,0 +1,92 @@
+#define BOOST_TEST_MODULE tablecontract
+#include <boost/test/unit_test.hpp>
+
+#include "cluster.h"
+#include "eelgrasspost/platform/platformerrors.h"
+#include "eelgrasspost/platform/platformmodule.h"
+#include "platform/tests/faketable.h"
+#include "platform/tests/runtask.h"
+
+namespace {
+
+using namespace eelgrasspost::platform;
+using tests::RunTask;
+namespace base = eelgrasspost::base;
+namespace harness = eelgrasspost::harness;
+namespace net = eelgrasspost::net;
+
+auto Soon() -> base::MonotonicTime
+{
+  return base::MonotonicClock::now() + std::chrono::seconds(10);
+}
+
+/** The contract of ITable, which every implementation has to keep. */
+auto CheckContract(ITable& aTable) -> void
+{
+  const auto commit = [&](std::vector<TableWrite> aWrites) {
+    return RunTask(aTable.Commit(TableUse::Batch, std::move(aWrites), Soon()));
+  };
+  const auto versionOf = [&](const std::string& aKey) {
+    const auto row = RunTask(aTable.Read(TableUse::Batch, aKey, Soon()));
+    return *row ? (*row)->mVersion : kAbsent;
+  };
+  BOOST_TEST(versionOf("t/a") == kAbsent);
+  BOOST_TEST(commit({ { "t/a", "1", kAbsent }, { "t/b", "1", kAbsent } }).ok());
+  BOOST_TEST(versionOf("t/a") == 1U);
+  const auto conflict = commit({ { "t/c", "1", kAbsent }, { "t/a", "2", 7 } });
+  BOOST_TEST(base::IsKind(conflict, kVersionConflict));
+  BOOST_TEST(versionOf("t/c") == kAbsent);
+  BOOST_TEST(commit({ { "t/a", "2", 1 } }).ok());
+  BOOST_TEST(commit({ { "t/b", "2", std::nullopt } }).ok());
+  BOOST_TEST(versionOf("t/a") == 2U);
+  BOOST_TEST(versionOf("t/b") == 2U);
+  const auto rows =
+    RunTask(aTable.Scan(TableUse::Batch, "t/", "t/a", 10, Soon()));
+  BOOST_TEST_REQUIRE(rows.ok());
+  BOOST_TEST(rows->size() == 1U);
+  BOOST_TEST(rows->front().mKey == "t/b");
+  BOOST_TEST(commit({ { "t/a", std::nullopt, 2 } }).ok());
+  BOOST_TEST(versionOf("t/a") == kAbsent);
+  BOOST_TEST(commit({ { "t/a", "3", kAbsent } }).ok());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(tablecontract)
+
+BOOST_AUTO_TEST_CASE(table_in_memory_keeps_the_contract)
+{
+  tests::FakeTable table;
+  CheckContract(table);
+}
+
+BOOST_AUTO_TEST_CASE(table_over_http_keeps_the_contract)
+{
+  harness::ClusterOptions options;
+  options.mEntriesPerDomain = 0;
+  harness::Cluster cluster(options);
+  net::HttpClient client(1, {});
+  const auto table = MakeHttpTable(client, cluster.Platform());
+  CheckContract(*table);
+}
+
+BOOST_AUTO_TEST_CASE(table_over_http_that_is_away_says_whether_it_was_reached)
+{
+  harness::ClusterOptions options;
+  options.mEntriesPerDomain = 0;
+  harness::Cluster cluster(options);
+  net::HttpClient client(1, {});
+  const auto table = MakeHttpTable(client, cluster.Platform());
+  base::json::object down;
+  down["down"] = true;
+  cluster.PlatformFault(down);
+  const auto unanswered = RunTask(
+    table->Commit(TableUse::Batch, { { "t/a", "1", kAbsent } }, Soon()));
+  BOOST_TEST(base::IsKind(unanswered, kNoAnswer));
+  const auto nobody = MakeHttpTable(client, { "127.0.0.1", 1 });
+  const auto unreached = RunTask(
+    nobody->Commit(TableUse::Batch, { { "t/a", "1", kAbsent } }, Soon()));
+  BOOST_TEST(base::IsKind(unreached, kNotReached));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
