--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -90,7 +90,15 @@
   mNotes = releasenote::MakeReleaseNotes(
     { *mTable, *mObjectStore, *mMembership, mMessageClient, mMetrics }, {});
   releasenote::HandlePulls(mMessageServer, mPool.Executor(0), *mNotes);
-  mOwnership = ownership::MakeOwnership(*mVmList, *mWorker, *mMembership, {});
+  mOwnership = ownership::MakeOwnership({ *mVmList,
+                                          *mWorker,
+                                          *mTable,
+                                          *mMembership,
+                                          mMessageClient,
+                                          mMetrics,
+                                          mPool.Executor(0) },
+                                        {});
+  ownership::HandleHandOvers(mMessageServer, *mOwnership);
   mRouter = routing::MakeRouter({ mHttpClient,
                                   mMessageClient,
                                   *mTable,
@@ -98,7 +106,7 @@
                                   *mOwnership,
                                   *mNotes,
                                   mMetrics });
-  routing::HandleForwards(mMessageServer, *mRouter);
+  routing::HandleForwards(mMessageServer, *mRouter, mMetrics);
   mJobs = batch::MakeJobs({ *mTable, *mWorker, *mOwnership }, {});
 }
 
@@ -150,8 +158,10 @@
 {
   constexpr auto kBalancerNotice = base::Milliseconds(1500);
   constexpr auto kCheckInterval = base::Milliseconds(20);
+  constexpr auto kHandOverLimit = base::Milliseconds(3000);
   mStopping = true;
   mMembership->Leave();
+  co_await mOwnership->HandOver(base::MonotonicClock::now() + kHandOverLimit);
   co_await net::Sleep(kBalancerNotice);
   mHttpServer.StopAccepting();
   while (mHttpServer.InFlight() > 0) {
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -80,7 +80,7 @@
   -> net::Task<ServiceOutcome>
 {
   const auto attemptId = NewAttemptId();
-  const auto request = ToHttp(aRequest, aHold->mToken, attemptId);
+  const auto request = ToHttp(aRequest, aHold->Token(), attemptId);
   auto exchange =
     co_await mParts.mHttp.Exchange(aEndpoint, request, aRequest.mDeadline);
   if (exchange.mStatus.ok()) {
@@ -146,21 +146,10 @@
     if (!owner || owner->mIdentity.mId == mParts.mMembership.Self().mId) {
       continue;
     }
-    auto reply =
-      co_await net::CallTyped<ForwardReply>(mParts.mMessages,
-                                            owner->mIdentity.mControl,
-                                            net::MessageKind::ForwardRequest,
-                                            ToForward(aRequest),
-                                            aRequest.mDeadline);
-    if (reply.mStatus.ok()) {
-      co_return FromReply(std::move(reply.mReply));
-    }
-    if (reply.mProgress == net::SendProgress::MaybeSent) {
-      co_return ServiceOutcome{
-        Outcome::Unknown,
-        {},
-        base::MakeError(kEndpointFailed, base::MessageOf(reply.mStatus))
-      };
+    auto forwarded = co_await ForwardTo(
+      mParts.mMessages, owner->mIdentity.mControl, aRequest, NewAttemptId());
+    if (forwarded.mWasSent) {
+      co_return std::move(forwarded.mOutcome);
     }
   }
   co_return NotRun(kNoSlot, "no entry has a free slot");
