Bound heartbeats in bytes and judge members by a state machine

Cause: each heartbeat carried every member in full to every member, so bytes grew with the square of the entries; an entry that was paused held all others dead when it woke; what a third party suspected was taken over; dead members and leaving workers were kept for ever.

Change: a datagram has at most 1,400 bytes: the sender in full, digests of 21 bytes (own failure domain first), two other members in full and six leaving workers in turn. Three targets an interval. Each entry judges silence by its own clock; growth of the heartbeat, also heard indirectly, refutes suspicion. A gap in its own judging is not counted as silence. A member's states are a Boost.MSM machine, checked by random events. Leaving workers carry their age and expire after 10 minutes.

--- a/src/membership/internal/memberlist.h
+++ b/src/membership/internal/memberlist.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "eelgrasspost/membership/membershipmodule.h"
+#include "membermachine.h"
 
 namespace eelgrasspost::membership {
 
@@ -12,19 +13,59 @@
 {
   Member mMember;
   base::MonotonicTime mHeardAt;
+  MemberMachine mMachine;
+};
+
+/** A leaving worker and when that was first said, by this entry's clock. */
+struct TrackedLeaving
+{
+  LeavingWorker mWorker;
+  base::MonotonicTime mSaidAt;
+};
+
+/** How far a member's heartbeat is known to have come, in 21 bytes. */
+struct MemberDigest
+{
+  /** Hash of the member's id. */
+  std::uint64_t mKey = 0;
+  std::uint64_t mIncarnation = 0;
+  std::uint32_t mHeartbeat = 0;
+  bool mIsLeaving = false;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mKey, mIncarnation, mHeartbeat, mIsLeaving);
+  }
+};
+
+/** A leaving worker as it travels. Ages add up on the way, so that one that
+ * nobody says any more expires everywhere. */
+struct LeavingNotice
+{
+  LeavingWorker mWorker;
+  std::uint32_t mAgeMs = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mWorker, mAgeMs);
+  }
 };
 
 /** A datagram between entries. */
 struct Heartbeat
 {
   Member mSender;
+  std::vector<MemberDigest> mDigests;
+  /** A few members in full, in turn, for those that do not know them. */
   std::vector<Member> mOthers;
-  std::vector<LeavingWorker> mLeavingWorkers;
+  std::vector<LeavingNotice> mLeavingWorkers;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mSender, mOthers, mLeavingWorkers);
+    archive(mSender, mDigests, mOthers, mLeavingWorkers);
   }
 };
 
@@ -33,16 +74,44 @@
 {
   MemberIdentity mSelf;
   std::vector<TrackedMember> mMembers;
-  std::vector<LeavingWorker> mLeavingWorkers;
+  std::vector<TrackedLeaving> mLeaving;
+  base::MonotonicTime mJudgedAt;
+  /** Places from which the next heartbeat goes on. */
+  std::size_t mNextOther = 0;
+  std::size_t mNextDigest = 0;
+  std::size_t mNextLeaving = 0;
 };
 
-/** Takes in what was heard of one member; older knowledge changes nothing. */
+auto DigestKey(std::string_view aId) -> std::uint64_t;
+
+/** Takes in what was heard of one member; older knowledge changes nothing.
+ * Returns whether a state changed or the member is new. */
 auto Learn(MemberList& aList, const Member& aMember, base::MonotonicTime aNow)
-  -> void;
+  -> bool;
+auto LearnDigest(MemberList& aList,
+                 const MemberDigest& aDigest,
+                 base::MonotonicTime aNow) -> bool;
+/** Returns whether the worker was not known to leave. */
+auto LearnLeaving(MemberList& aList,
+                  const LeavingNotice& aNotice,
+                  base::MonotonicTime aNow) -> bool;
 
-/** Judges silent members by the time since their heartbeat last grew. */
+/**
+ * Judges silent members by the time since their heartbeat last grew, and
+ * forgets what is old. A gap between two calls is this process's own pause:
+ * it is not counted as the others' silence.
+ */
 auto Judge(MemberList& aList,
            const MembershipOptions& aOptions,
            base::MonotonicTime aNow) -> void;
 
+/**
+ * Fills a heartbeat up to the datagram limit: the members of the own failure
+ * domain first, in turn, then the others, in turn.
+ */
+auto MakeHeartbeat(MemberList& aList,
+                   const Member& aSelf,
+                   const MembershipOptions& aOptions,
+                   base::MonotonicTime aNow) -> Heartbeat;
+
 } // namespace eelgrasspost::membership
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -47,15 +47,21 @@
 auto Membership::Leave() -> void
 {
   mOwn.mState = MemberState::Leaving;
-  SendHeartbeats();
+  ++mOwn.mHeartbeat;
+  const auto now = base::MonotonicClock::now();
+  const auto bytes = net::Encode(MakeHeartbeat(mList, mOwn, mOptions, now));
+  for (const auto& it : mList.mMembers) {
+    if (it.mMember.mState != MemberState::Dead) {
+      mSend(it.mMember.mIdentity.mControl, bytes);
+    }
+  }
   Publish();
 }
 
 auto Membership::AddLeavingWorker(LeavingWorker aWorker) -> void
 {
-  auto& known = mList.mLeavingWorkers;
-  if (std::ranges::find(known, aWorker) == known.end()) {
-    known.push_back(std::move(aWorker));
+  const auto now = base::MonotonicClock::now();
+  if (LearnLeaving(mList, { std::move(aWorker), 0 }, now)) {
     Publish();
   }
 }
@@ -67,34 +73,63 @@
     return;
   }
   const auto now = base::MonotonicClock::now();
-  Learn(mList, heartbeat->mSender, now);
+  auto isNews = Learn(mList, heartbeat->mSender, now);
+  for (const auto& it : heartbeat->mDigests) {
+    isNews |= LearnDigest(mList, it, now);
+  }
   for (const auto& it : heartbeat->mOthers) {
-    Learn(mList, it, now);
+    isNews |= Learn(mList, it, now);
   }
   for (const auto& it : heartbeat->mLeavingWorkers) {
-    AddLeavingWorker(it);
+    isNews |= LearnLeaving(mList, it, now);
+  }
+  if (isNews) {
+    Publish();
   }
-  Publish();
 }
 
-auto Membership::SendHeartbeats() -> void
+auto Membership::ChooseTargets() -> std::vector<net::Address>
 {
-  ++mOwn.mHeartbeat;
-  auto heartbeat = Heartbeat{ mOwn, {}, mList.mLeavingWorkers };
+  std::vector<net::Address> near;
+  std::vector<net::Address> far;
+  auto unheard = mContacts;
   for (const auto& it : mList.mMembers) {
-    if (it.mMember.mState != MemberState::Dead) {
-      heartbeat.mOthers.push_back(it.mMember);
+    const auto& identity = it.mMember.mIdentity;
+    if (it.mMember.mState == MemberState::Dead) {
+      unheard.push_back(identity.mControl);
+      continue;
     }
+    std::erase(unheard, identity.mControl);
+    const auto isNear = identity.mFailureDomain == mList.mSelf.mFailureDomain;
+    (isNear ? near : far).push_back(identity.mControl);
   }
-  const auto bytes = net::Encode(heartbeat);
-  auto targets = mContacts;
-  for (const auto& it : mList.mMembers) {
-    const auto& address = it.mMember.mIdentity.mControl;
-    if (std::ranges::find(targets, address) == targets.end()) {
-      targets.push_back(address);
+  std::vector<net::Address> out;
+  const auto take = [&](const std::vector<net::Address>& aFrom,
+                        std::size_t aMost,
+                        std::size_t& aNext) {
+    for (std::size_t i = 0; i < std::min(aMost, aFrom.size()); ++i) {
+      out.push_back(aFrom[aNext++ % aFrom.size()]);
     }
+  };
+  // One in each interval goes to other failure domains or to those that were
+  // not heard of, so that cuts that heal are noticed.
+  const auto fanout = std::max<std::size_t>(mOptions.mFanout, 2);
+  take(near, fanout - 1, mNextNear);
+  const auto isUnheardsTurn =
+    mList.mMembers.empty() || mOwn.mHeartbeat % 3 == 0;
+  if (isUnheardsTurn && !unheard.empty()) {
+    take(unheard, fanout - out.size(), mNextUnheard);
   }
-  for (const auto& it : targets) {
+  take(far, fanout - std::min(fanout, out.size()), mNextFar);
+  return out;
+}
+
+auto Membership::SendHeartbeats() -> void
+{
+  ++mOwn.mHeartbeat;
+  const auto now = base::MonotonicClock::now();
+  const auto bytes = net::Encode(MakeHeartbeat(mList, mOwn, mOptions, now));
+  for (const auto& it : ChooseTargets()) {
     mSend(it, bytes);
   }
 }
@@ -106,7 +141,9 @@
   for (const auto& it : mList.mMembers) {
     view->mMembers.push_back(it.mMember);
   }
-  view->mLeavingWorkers = mList.mLeavingWorkers;
+  for (const auto& it : mList.mLeaving) {
+    view->mLeavingWorkers.push_back(it.mWorker);
+  }
   mView.Publish(std::move(view));
 }
 
--- a/src/membership/internal/membership.h
+++ b/src/membership/internal/membership.h
@@ -22,6 +22,8 @@
   auto Run() -> net::Task<void> override;
 
 private:
+  /** Members of the own failure domain in turn, and one beyond them. */
+  auto ChooseTargets() -> std::vector<net::Address>;
   auto SendHeartbeats() -> void;
   auto Publish() -> void;
 
@@ -30,6 +32,9 @@
   Member mOwn;
   MemberList mList;
   std::vector<net::Address> mContacts;
+  std::size_t mNextNear = 0;
+  std::size_t mNextFar = 0;
+  std::size_t mNextUnheard = 0;
   snapshot::Snapshot<MemberView> mView;
 };
 
