Route keyed requests once, pass fields on, drain in steps

Cause: the door dropped the caller's own fields and took any value of the fields that it reads; a stop ended the process while idle connections could bring a request, and while others' forwards ran.

Change: a request of a service that is not idempotent goes through RouteOnce (claim, route, record). Caller's fields go on without those of the connection and of the system, answers back likewise, so no caller forges Fencing-Token or Attempt-Id. Bad, doubled or overlong fields get 400, CONNECT and TRACE 405, a reused key 422, each with its remedy; answers to what cannot be parsed say Outcome: not_run. The HTTP client drops an answer that echoes another Attempt-Id, counts it and closes the connection. A stop drains callers (answers say Connection: close, quiet connections are closed), then forwards, then recordings.

Ruled out: shortening the idle timer of each connection on a stop (an operation under way keeps its old timer).

--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -9,8 +9,10 @@
 
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/batch/batchmodule.h"
+#include "eelgrasspost/idempotency/idempotencymodule.h"
 #include "eelgrasspost/membership/membershipmodule.h"
 #include "eelgrasspost/ownership/ownershipmodule.h"
+#include "eelgrasspost/platform/iworker.h"
 #include "eelgrasspost/releasenote/releasenotemodule.h"
 #include "eelgrasspost/routing/routingmodule.h"
 #include "operatordoor.h"
@@ -21,10 +23,21 @@
 
 namespace {
 
+constexpr auto kDrainCheck = base::Milliseconds(20);
+
 auto ClientOptions(const EntrySettings& aSettings) -> net::HttpClientOptions
 {
   net::HttpClientOptions out;
   out.mBindIp = aSettings.mBindIp;
+  out.mEchoField = platform::kAttemptIdField;
+  return out;
+}
+
+auto ServerOptions() -> net::HttpServerOptions
+{
+  net::HttpServerOptions out;
+  // What cannot be parsed has reached no endpoint.
+  out.mRefusalFields = { { "Outcome", "not_run" } };
   return out;
 }
 
@@ -37,7 +50,7 @@
   , mMessageClient(mSettings.mThreads, mSettings.mBindIp)
   , mMessageServer(mPool)
   , mDatagrams(mPool)
-  , mHttpServer(mPool, {}, [this](net::HttpRequest aRequest) {
+  , mHttpServer(mPool, ServerOptions(), [this](net::HttpRequest aRequest) {
     return Answer(std::move(aRequest));
   })
 {
@@ -84,6 +97,13 @@
                                           mPool.Executor(0) },
                                         {});
   ownership::HandleHandOvers(mMessageServer, *mOwnership);
+  mKeys = idempotency::MakeIdempotency(
+    { *mTable,
+      *mObjectStore,
+      mPool.Executor(0),
+      mMetrics,
+      base::Cat(self.mId, "-", self.mIncarnation) },
+    { mSettings.mKeyRetention });
   mRouter = routing::MakeRouter({ mHttpClient,
                                   mMessageClient,
                                   *mTable,
@@ -111,6 +131,7 @@
   mPool.Spawn(control0, mNotes->Run());
   mPool.Spawn(control0, mOwnership->Run());
   mPool.Spawn(control0, mJobs->Run());
+  mPool.Spawn(control0, mKeys->Run());
   mPool.Spawn(control0, WaitForSignal());
   std::cout << "listening http=" << net::ToString(*http)
             << " control=" << net::ToString(*control) << std::endl;
@@ -132,24 +153,58 @@
 auto Entry::StopGracefully() -> net::Task<void>
 {
   constexpr auto kBalancerNotice = base::Milliseconds(1500);
-  constexpr auto kCheckInterval = base::Milliseconds(20);
   constexpr auto kHandOverLimit = base::Milliseconds(3000);
   mStopping = true;
   mMembership->Leave();
   co_await mOwnership->HandOver(base::MonotonicClock::now() + kHandOverLimit);
   co_await net::Sleep(kBalancerNotice);
+  co_await DrainCallers();
+  co_await DrainForwards();
+  co_await FinishRecording();
+  mPool.Stop();
+}
+
+auto Entry::DrainCallers() -> net::Task<void>
+{
+  // Within it each answer says that its connection closes.
+  constexpr auto kGrace = base::Milliseconds(1000);
   mHttpServer.StopAccepting();
-  while (mHttpServer.InFlight() > 0) {
-    co_await net::Sleep(kCheckInterval);
+  co_await net::Sleep(kGrace);
+  while (mHttpServer.Connections() > 0) {
+    mHttpServer.CloseQuiet();
+    co_await net::Sleep(kDrainCheck);
+  }
+}
+
+auto Entry::DrainForwards() -> net::Task<void>
+{
+  // Other entries may still hold an older view of who owns a worker.
+  constexpr auto kQuiet = base::Milliseconds(300);
+  auto taken = mMessageServer.Taken();
+  auto quietSince = base::MonotonicClock::now();
+  while (base::MonotonicClock::now() - quietSince < kQuiet) {
+    co_await net::Sleep(kDrainCheck);
+    if (mMessageServer.InFlight() > 0 || mMessageServer.Taken() != taken) {
+      taken = mMessageServer.Taken();
+      quietSince = base::MonotonicClock::now();
+    }
+  }
+}
+
+auto Entry::FinishRecording() -> net::Task<void>
+{
+  constexpr auto kLimit = base::Milliseconds(10000);
+  const auto until = base::MonotonicClock::now() + kLimit;
+  while (mKeys->Recording() > 0 && base::MonotonicClock::now() < until) {
+    co_await net::Sleep(kDrainCheck);
   }
-  mPool.Stop();
 }
 
 auto Entry::Answer(net::HttpRequest aRequest) -> net::Task<net::HttpResponse>
 {
   if (aRequest.mTarget.starts_with("/services/")) {
     co_return co_await routing::AnswerCaller(
-      *mRouter, *mNotes, std::move(aRequest));
+      *mRouter, *mNotes, *mKeys, std::move(aRequest));
   }
   auto parts = OperatorParts{ mMetrics, *mMembership, *mOwnership,
                               *mNotes,  *mJobs,       mStopping };
--- a/src/app/internal/entry.h
+++ b/src/app/internal/entry.h
@@ -4,6 +4,7 @@
 
 #include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/batch/ijobs.h"
+#include "eelgrasspost/idempotency/iidempotency.h"
 #include "eelgrasspost/membership/imembership.h"
 #include "eelgrasspost/net/datagram.h"
 #include "eelgrasspost/net/http.h"
@@ -35,6 +36,10 @@
   auto ListenControl() -> absl::StatusOr<net::Address>;
   auto MakeModules(const net::Address& aControl) -> void;
   auto StopGracefully() -> net::Task<void>;
+  /** Steps of a graceful stop, in their order. */
+  auto DrainCallers() -> net::Task<void>;
+  auto DrainForwards() -> net::Task<void>;
+  auto FinishRecording() -> net::Task<void>;
   auto WaitForSignal() -> net::Task<void>;
 
   EntrySettings mSettings;
@@ -52,6 +57,7 @@
   std::unique_ptr<membership::IMembership> mMembership;
   std::unique_ptr<releasenote::IReleaseNotes> mNotes;
   std::unique_ptr<ownership::IOwnership> mOwnership;
+  std::unique_ptr<idempotency::IIdempotency> mKeys;
   std::unique_ptr<routing::IRouter> mRouter;
   std::unique_ptr<batch::IJobs> mJobs;
   std::atomic<bool> mStopping{ false };
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -88,6 +88,13 @@
                 0,
                 0,
                 "address of the VM list" },
+  SettingField{ "requests",
+                "key_retention_s",
+                SettingKind::Integer,
+                "86400",
+                60,
+                2592000,
+                "seconds for which an idempotency key is remembered" },
   SettingField{ "peers",
                 "seeds",
                 SettingKind::AddressList,
@@ -129,6 +136,8 @@
   out.mControl = AddressOf(*values, "listen", "control");
   out.mAdvertise = AddressOf(*values, "listen", "advertise");
   out.mBindIp = values->Text("listen", "bind_ip");
+  out.mKeyRetention =
+    std::chrono::seconds(values->Integer("requests", "key_retention_s"));
   out.mTable = AddressOf(*values, "platform", "table");
   out.mObjectStore = AddressOf(*values, "platform", "object_store");
   out.mVmList = AddressOf(*values, "platform", "vm_list");
--- a/src/app/internal/entrysettings.h
+++ b/src/app/internal/entrysettings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "eelgrasspost/base/clock.h"
 #include "eelgrasspost/base/settings.h"
 #include "eelgrasspost/net/address.h"
 
@@ -25,6 +26,7 @@
   net::Address mVmList;
   std::vector<net::Address> mSeeds;
   std::size_t mThreads = 2;
+  base::Milliseconds mKeyRetention{ 0 };
 };
 
 /** Every setting of the INI file; docs/settings.md is checked against it. */
--- a/src/framework/net/include/eelgrasspost/net/http.h
+++ b/src/framework/net/include/eelgrasspost/net/http.h
@@ -71,6 +71,9 @@
   std::string mBindIp;
   std::size_t mIdlePerAddress = 16;
   std::uint64_t mBodyLimit = 8 * 1024 * 1024;
+  /** Name of a request field that an answer may echo; an answer that echoes
+   * another value belongs to another request and fails the exchange. */
+  std::string mEchoField;
 };
 
 /**
@@ -87,6 +90,8 @@
   auto Exchange(const Address& aAddress,
                 const HttpRequest& aRequest,
                 base::MonotonicTime aDeadline) -> Task<HttpExchange>;
+  /** Answers that echoed another request's id. */
+  auto CrossedAnswers() const -> std::uint64_t;
 
 private:
   struct Impl;
@@ -102,6 +107,8 @@
   /** Longest wait for a whole request, and for the next one. */
   std::chrono::milliseconds mReadTimeout{ 15000 };
   std::chrono::milliseconds mIdleTimeout{ 60000 };
+  /** Added to answers to requests that never reach the handler. */
+  std::vector<HttpField> mRefusalFields;
 };
 
 using HttpHandler = std::function<Task<HttpResponse>(HttpRequest)>;
@@ -119,6 +126,10 @@
   auto Listen(const Address& aAddress) -> absl::StatusOr<Address>;
   /** Closes the listening socket; open connections end after their request. */
   auto StopAccepting() -> void;
+  /** Closes the connections on which nothing has come in since their last
+   * answer; only after StopAccepting(). */
+  auto CloseQuiet() -> void;
+  auto Connections() const -> std::size_t;
   /** Requests that a handler is working on now. */
   auto InFlight() const -> std::size_t;
 
--- a/src/framework/net/include/eelgrasspost/net/messages.h
+++ b/src/framework/net/include/eelgrasspost/net/messages.h
@@ -70,6 +70,10 @@
   auto Handle(MessageKind aKind, Handler aHandler) -> void;
   auto Listen(const Address& aAddress) -> absl::StatusOr<Address>;
   auto Stop() -> void;
+  /** Messages that a handler is working on now. */
+  auto InFlight() const -> std::size_t;
+  /** Messages taken since the start. */
+  auto Taken() const -> std::uint64_t;
 
 private:
   struct Impl;
--- a/src/framework/net/internal/httpclient.cpp
+++ b/src/framework/net/internal/httpclient.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <deque>
 #include <map>
 
@@ -84,6 +85,17 @@
   return { std::move(status), aProgress, {} };
 }
 
+/** Whether an answer echoes another request's id. */
+auto IsCrossed(const std::string& aEchoField,
+               const HttpRequest& aRequest,
+               const http::response<http::string_body>& aResponse) -> bool
+{
+  const auto it = aResponse.find(aEchoField);
+  return !aEchoField.empty() && it != aResponse.end() &&
+         std::string_view(it->value().data(), it->value().size()) !=
+           FindField(aRequest.mFields, aEchoField);
+}
+
 auto Connect(Connection& aConnection,
              const Address& aAddress,
              const std::string& aBindIp) -> Task<error_code>
@@ -130,6 +142,7 @@
   HttpClientOptions mOptions;
   /** One for each pool thread, used by that thread alone. */
   std::vector<IdleConnections> mIdle;
+  std::atomic<std::uint64_t> mCrossed{ 0 };
 
   auto TakeIdle(const Address& aAddress) -> ConnectionPtr
   {
@@ -163,6 +176,11 @@
 
 HttpClient::~HttpClient() = default;
 
+auto HttpClient::CrossedAnswers() const -> std::uint64_t
+{
+  return mImpl->mCrossed;
+}
+
 auto HttpClient::Exchange(const Address& aAddress,
                           const HttpRequest& aRequest,
                           base::MonotonicTime aDeadline) -> Task<HttpExchange>
@@ -198,6 +216,14 @@
     co_return Failure("no answer from", aAddress, ec, SendProgress::MaybeSent);
   }
   auto response = parser.release();
+  if (IsCrossed(mImpl->mOptions.mEchoField, aRequest, response)) {
+    ++mImpl->mCrossed;
+    co_return HttpExchange{ absl::DataLossError(base::Cat(
+                              ToString(aAddress),
+                              " answered another request on this connection")),
+                            SendProgress::MaybeSent,
+                            {} };
+  }
   if (response.keep_alive() && connection->mBuffer.size() == 0) {
     mImpl->KeepIdle(aAddress, std::move(connection));
   }
--- a/src/framework/net/internal/httpserver.cpp
+++ b/src/framework/net/internal/httpserver.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -83,15 +85,37 @@
          aError != http::error::end_of_stream;
 }
 
+/** An open connection, used by one thread alone. */
+struct OpenConnection
+{
+  explicit OpenConnection(Tcp::socket aSocket)
+    : mStream(std::move(aSocket))
+  {
+  }
+
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  bool mIsAnswering = false;
+
+  /** Whether no byte of a request has come in since the last answer. */
+  auto IsQuiet() -> bool
+  {
+    error_code ec;
+    const auto waiting = mStream.socket().available(ec);
+    return !mIsAnswering && mBuffer.size() == 0 && waiting == 0;
+  }
+};
+
 } // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
 {
   Impl(IoPool& aPool, HttpServerOptions aOptions, HttpHandler aHandler)
     : mPool(aPool)
-    , mOptions(aOptions)
+    , mOptions(std::move(aOptions))
     , mHandler(std::move(aHandler))
     , mAcceptor(aPool.Executor(0))
+    , mOpen(aPool.Size())
   {
   }
 
@@ -99,12 +123,16 @@
   HttpServerOptions mOptions;
   HttpHandler mHandler;
   Tcp::acceptor mAcceptor;
+  /** One for each pool thread, used by that thread alone. */
+  std::vector<std::set<OpenConnection*>> mOpen;
   std::atomic<bool> mStopping{ false };
   std::atomic<std::size_t> mConnections{ 0 };
   std::atomic<std::size_t> mInFlight{ 0 };
 
   auto Accept() -> Task<void>;
   auto Serve(Tcp::socket aSocket) -> Task<void>;
+  auto ServeRequests(OpenConnection& aConnection) -> Task<void>;
+  auto Refuse(beast::tcp_stream& aStream, error_code aError) -> Task<void>;
   auto Answer(beast::tcp_stream& aStream, HttpRequest aRequest, bool aKeepAlive)
     -> Task<bool>;
 };
@@ -138,8 +166,20 @@
   ++mConnections;
   error_code ec;
   aSocket.set_option(Tcp::no_delay(true), ec);
-  auto stream = beast::tcp_stream(std::move(aSocket));
-  beast::flat_buffer buffer;
+  auto connection = OpenConnection(std::move(aSocket));
+  auto& open = mOpen[ThisThreadIndex()];
+  open.insert(&connection);
+  co_await ServeRequests(connection);
+  open.erase(&connection);
+  connection.mStream.socket().shutdown(Tcp::socket::shutdown_send, ec);
+  --mConnections;
+}
+
+auto HttpServer::Impl::ServeRequests(OpenConnection& aConnection) -> Task<void>
+{
+  auto& stream = aConnection.mStream;
+  auto& buffer = aConnection.mBuffer;
+  error_code ec;
   auto keepAlive = true;
   while (keepAlive) {
     http::request_parser<http::string_body> parser;
@@ -148,25 +188,35 @@
     stream.expires_after(mOptions.mIdleTimeout);
     co_await http::async_read_header(
       stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    // From here on the connection counts as busy also while its body comes.
+    aConnection.mIsAnswering = true;
     if (!ec) {
       stream.expires_after(mOptions.mReadTimeout);
       co_await http::async_read(
         stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
     }
     if (ec && IsParseError(ec)) {
-      auto answer = ToBeast(AnswerToBadRequest(ec), false, false);
-      co_await http::async_write(
-        stream, answer, asio::redirect_error(asio::use_awaitable, ec));
+      co_await Refuse(stream, ec);
     }
     if (ec || !parser.is_done()) {
-      break;
+      co_return;
     }
     keepAlive = parser.get().keep_alive() && !mStopping;
     stream.expires_never();
     keepAlive = co_await Answer(stream, FromBeast(parser.release()), keepAlive);
+    aConnection.mIsAnswering = false;
   }
-  stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
-  --mConnections;
+}
+
+auto HttpServer::Impl::Refuse(beast::tcp_stream& aStream, error_code aError)
+  -> Task<void>
+{
+  auto response = AnswerToBadRequest(aError);
+  response.mFields = mOptions.mRefusalFields;
+  auto message = ToBeast(std::move(response), false, false);
+  error_code ec;
+  co_await http::async_write(
+    aStream, message, asio::redirect_error(asio::use_awaitable, ec));
 }
 
 auto HttpServer::Impl::Answer(beast::tcp_stream& aStream,
@@ -189,7 +239,8 @@
 HttpServer::HttpServer(IoPool& aPool,
                        HttpServerOptions aOptions,
                        HttpHandler aHandler)
-  : mImpl(std::make_shared<Impl>(aPool, aOptions, std::move(aHandler)))
+  : mImpl(
+      std::make_shared<Impl>(aPool, std::move(aOptions), std::move(aHandler)))
 {
 }
 
@@ -227,6 +278,24 @@
   });
 }
 
+auto HttpServer::CloseQuiet() -> void
+{
+  for (std::size_t i = 0; i < mImpl->mPool.Size(); ++i) {
+    asio::post(mImpl->mPool.Executor(i), [impl = mImpl, i] {
+      for (auto* it : impl->mOpen[i]) {
+        if (it->IsQuiet()) {
+          it->mStream.close();
+        }
+      }
+    });
+  }
+}
+
+auto HttpServer::Connections() const -> std::size_t
+{
+  return mImpl->mConnections;
+}
+
 auto HttpServer::InFlight() const -> std::size_t
 {
   return mImpl->mInFlight;
--- a/src/framework/net/internal/messageserver.cpp
+++ b/src/framework/net/internal/messageserver.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <unordered_map>
 
 #include "eelgrasspost/base/text.h"
@@ -40,6 +41,8 @@
   IoPool& mPool;
   Tcp::acceptor mAcceptor;
   std::unordered_map<std::uint16_t, Handler> mHandlers;
+  std::atomic<std::size_t> mInFlight{ 0 };
+  std::atomic<std::uint64_t> mTaken{ 0 };
 
   auto Accept() -> Task<void>
   {
@@ -83,7 +86,10 @@
   {
     const auto self = shared_from_this();
     const auto& handler = mHandlers.at(aFrame.mKind);
+    ++mTaken;
+    ++mInFlight;
     auto bytes = co_await handler(std::move(aFrame.mBytes));
+    --mInFlight;
     if (bytes.empty()) {
       error_code ec;
       aLink->mSocket.close(ec);
@@ -129,6 +135,16 @@
   }
 }
 
+auto MessageServer::InFlight() const -> std::size_t
+{
+  return mImpl->mInFlight;
+}
+
+auto MessageServer::Taken() const -> std::uint64_t
+{
+  return mImpl->mTaken;
+}
+
 auto MessageServer::Stop() -> void
 {
   asio::post(mImpl->mPool.Executor(0), [impl = mImpl] {
--- a/src/routing/include/eelgrasspost/routing/routingerrors.h
+++ b/src/routing/include/eelgrasspost/routing/routingerrors.h
@@ -34,6 +34,18 @@
   "ask the service whether the request ran before sending it again",
 };
 
+inline constexpr auto kBadField = base::ErrorKind{
+  "bad_field",
+  absl::StatusCode::kInvalidArgument,
+  "correct the field that is named, or leave it out",
+};
+
+inline constexpr auto kBadMethod = base::ErrorKind{
+  "bad_method",
+  absl::StatusCode::kInvalidArgument,
+  "use GET, HEAD, POST, PUT, PATCH or DELETE",
+};
+
 inline constexpr auto kNotReady = base::ErrorKind{
   "not_ready",
   absl::StatusCode::kUnavailable,
--- a/src/routing/include/eelgrasspost/routing/routingmodule.h
+++ b/src/routing/include/eelgrasspost/routing/routingmodule.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "eelgrasspost/base/metrics.h"
+#include "eelgrasspost/idempotency/iidempotency.h"
 #include "eelgrasspost/membership/imembership.h"
 #include "eelgrasspost/net/messages.h"
 #include "eelgrasspost/ownership/iownership.h"
@@ -34,6 +35,7 @@
 /** Answers a caller's HTTP request to /services/<name>/... */
 auto AnswerCaller(IRouter& aRouter,
                   releasenote::IReleaseNotes& aNotes,
+                  idempotency::IIdempotency& aKeys,
                   net::HttpRequest aRequest) -> net::Task<net::HttpResponse>;
 
 } // namespace eelgrasspost::routing
--- a/src/routing/internal/httpdoor.cpp
+++ b/src/routing/internal/httpdoor.cpp
@@ -1,9 +1,13 @@
+#include <algorithm>
 #include <atomic>
 
+#include "atmostonce.h"
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/idempotency/idempotencyerrors.h"
 #include "eelgrasspost/platform/iworker.h"
 #include "eelgrasspost/routing/routingerrors.h"
 #include "eelgrasspost/routing/routingmodule.h"
+#include "passedfields.h"
 
 namespace eelgrasspost::routing {
 
@@ -11,6 +15,9 @@
 
 constexpr std::string_view kServicesPath = "/services/";
 constexpr std::string_view kOutcomeField = "Outcome";
+constexpr std::string_view kKeyField = "Idempotency-Key";
+/** Longest Idempotency-Key and Request-Id, in bytes. */
+constexpr std::size_t kLongestId = 255;
 
 struct StatusOfKind
 {
@@ -19,9 +26,17 @@
 };
 
 constexpr auto kStatusOfKinds = std::array{
-  StatusOfKind{ kUnknownService, 404 }, StatusOfKind{ kMissingKey, 400 },
-  StatusOfKind{ kNoSlot, 503 },         StatusOfKind{ kDeadlinePassed, 504 },
-  StatusOfKind{ kEndpointFailed, 502 }, StatusOfKind{ kNotReady, 503 },
+  StatusOfKind{ kUnknownService, 404 },
+  StatusOfKind{ kMissingKey, 400 },
+  StatusOfKind{ kNoSlot, 503 },
+  StatusOfKind{ kDeadlinePassed, 504 },
+  StatusOfKind{ kEndpointFailed, 502 },
+  StatusOfKind{ kNotReady, 503 },
+  StatusOfKind{ kBadField, 400 },
+  StatusOfKind{ kBadMethod, 405 },
+  StatusOfKind{ idempotency::kKeyNotClaimed, 503 },
+  StatusOfKind{ idempotency::kKeyReused, 422 },
+  StatusOfKind{ idempotency::kFirstUnknown, 502 },
 };
 
 auto HttpStatusOf(const absl::Status& aError) -> unsigned
@@ -38,6 +53,7 @@
 {
   auto name = std::string(base::NameOf(kOutcomeNames, aOutcome.mOutcome));
   if (aOutcome.mOutcome == Outcome::Answered) {
+    aOutcome.mResponse.mFields = FieldsForCaller(aOutcome.mResponse.mFields);
     aOutcome.mResponse.mFields.push_back({ std::string(kOutcomeField), name });
     return std::move(aOutcome.mResponse);
   }
@@ -52,6 +68,49 @@
   return ToResponse({ Outcome::NotRun, {}, base::MakeError(aKind, aDetail) });
 }
 
+/** An id is of visible ASCII, so that it is safe in rows, logs and fields. */
+auto IsId(std::string_view aText) -> bool
+{
+  const auto isVisible = [](char aChar) { return aChar > ' ' && aChar <= '~'; };
+  return aText.size() <= kLongestId && std::ranges::all_of(aText, isVisible);
+}
+
+/** Checks the fields that the system itself reads; each at most once. */
+auto CheckFields(const std::vector<net::HttpField>& aFields) -> absl::Status
+{
+  constexpr auto kRead = std::array<std::string_view, 3>{
+    kKeyField, platform::kRequestIdField, platform::kDeadlineField
+  };
+  for (const auto name : kRead) {
+    const auto isName = [&](const net::HttpField& aField) {
+      return base::EqualsIgnoreCase(aField.mName, name);
+    };
+    if (std::ranges::count_if(aFields, isName) > 1) {
+      return base::MakeError(kBadField, base::Cat(name, " is there twice"));
+    }
+    if (!IsId(net::FindField(aFields, name))) {
+      return base::MakeError(
+        kBadField,
+        base::Cat(name, " is not of 1 to 255 visible ASCII characters"));
+    }
+  }
+  const auto deadline = net::FindField(aFields, platform::kDeadlineField);
+  if (!deadline.empty() && !base::ParseNumber(deadline)) {
+    return base::MakeError(
+      kBadField, base::Cat(platform::kDeadlineField, " is not a number"));
+  }
+  return absl::OkStatus();
+}
+
+auto CheckRequest(const net::HttpRequest& aRequest) -> absl::Status
+{
+  if (aRequest.mMethod == "CONNECT" || aRequest.mMethod == "TRACE") {
+    return base::MakeError(
+      kBadMethod, base::Cat(aRequest.mMethod, " is not passed to services"));
+  }
+  return CheckFields(aRequest.mFields);
+}
+
 auto NewRequestId() -> std::string
 {
   static std::atomic<std::uint64_t> counter{ 0 };
@@ -74,8 +133,8 @@
   if (out.mRequestId.empty()) {
     out.mRequestId = NewRequestId();
   }
-  out.mIdempotencyKey = net::FindField(aRequest.mFields, "Idempotency-Key");
-  out.mFields = std::move(aRequest.mFields);
+  out.mIdempotencyKey = net::FindField(aRequest.mFields, kKeyField);
+  out.mFields = FieldsForEndpoint(aRequest.mFields);
   out.mBody = std::move(aRequest.mBody);
   out.mDeadline = base::MonotonicClock::now() + base::Milliseconds(deadlineMs);
   return out;
@@ -85,6 +144,7 @@
 
 auto AnswerCaller(IRouter& aRouter,
                   releasenote::IReleaseNotes& aNotes,
+                  idempotency::IIdempotency& aKeys,
                   net::HttpRequest aRequest) -> net::Task<net::HttpResponse>
 {
   const auto rest = aRequest.mTarget.substr(kServicesPath.size());
@@ -100,6 +160,9 @@
     co_return Refuse(kUnknownService,
                      base::Cat("no service ", name, " is in force"));
   }
+  if (const auto bad = CheckRequest(aRequest); !bad.ok()) {
+    co_return ToResponse({ Outcome::NotRun, {}, bad });
+  }
   auto request =
     ToServiceRequest(std::move(aRequest), name, target, service->mDeadlineMs);
   if (request.mDeadline <= base::MonotonicClock::now()) {
@@ -108,6 +171,10 @@
   if (!service->mIdempotent && request.mIdempotencyKey.empty()) {
     co_return Refuse(kMissingKey, base::Cat(name, " is not idempotent"));
   }
+  if (!service->mIdempotent) {
+    co_return ToResponse(
+      co_await RouteOnce(aRouter, aKeys, std::move(request)));
+  }
   co_return ToResponse(co_await aRouter.Route(std::move(request)));
 }
 
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -51,6 +51,7 @@
   out.mMethod = aRequest.mMethod;
   out.mTarget = aRequest.mTarget;
   out.mBody = aRequest.mBody;
+  out.mFields = aRequest.mFields;
   out.mFields.push_back(
     { std::string(platform::kFencingTokenField), platform::ToString(aToken) });
   out.mFields.push_back({ std::string(platform::kAttemptIdField), aAttemptId });
