--- a/src/app/internal/entrysettings.h
+++ b/src/app/internal/entrysettings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "eelgrasspost/base/clock.h"
 #include "eelgrasspost/base/settings.h"
 #include "eelgrasspost/net/address.h"
 #include "eelgrasspost/routing/routingtypes.h"
@@ -30,6 +31,7 @@
   /** What all entries together may ask of the table in a second. */
   std::int64_t mStoreReads = 2000;
   std::int64_t mStoreWrites = 400;
+  base::Milliseconds mKeyRetention{ 0 };
 };
 
 /** Every setting of the INI file; docs/settings.md is checked against it. */
