--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -287,6 +287,25 @@
   return mHttp.Exchange(mEntries[aEntry].mHttp, request);
 }
 
+auto Cluster::WorkerFault(std::size_t aWorker, const json::object& aFault)
+  -> void
+{
+  mHttp.Post(mWorkers[aWorker].mDirect, "/faults", aFault);
+}
+
+auto Cluster::Counter(std::size_t aEntry, const std::string& aName)
+  -> std::int64_t
+{
+  const auto page = mHttp.Get(mEntries[aEntry].mHttp, "/metrics");
+  std::int64_t sum = 0;
+  for (const auto& it : base::Split(page.mResponse.mBody, '\n')) {
+    if (it.starts_with(base::Cat("eelgrasspost_", aName, "{"))) {
+      sum += base::ParseNumber(it.substr(it.rfind(' ') + 1)).value_or(0);
+    }
+  }
+  return sum;
+}
+
 auto Cluster::Observed(std::size_t aWorker) -> json::object
 {
   return mHttp.Post(mWorkers[aWorker].mDirect, "/observed", {});
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -81,6 +81,10 @@
             const std::string& aTarget,
             std::vector<net::HttpField> aFields = {},
             const std::string& aBody = {}) -> net::HttpExchange;
+  /** A worker's faults: leaving, fails_all, extra_request_ms and others. */
+  auto WorkerFault(std::size_t aWorker, const json::object& aFault) -> void;
+  /** Sums a counter of an entry over its labels. */
+  auto Counter(std::size_t aEntry, const std::string& aName) -> std::int64_t;
   /** What a worker saw: most_requests, runs_by_request, starts. */
   auto Observed(std::size_t aWorker) -> json::object;
 
--- a/tests/standin/workeragent.cpp
+++ b/tests/standin/workeragent.cpp
@@ -57,6 +57,9 @@
     co_await net::Sleep(base::Milliseconds(ms));
   }
   aState.mRequests.erase(attempt);
+  if (aState.mFailsAll) {
+    co_return ReplyError(500, "the endpoint fails all");
+  }
   json::object out;
   out["worker"] = aState.mId;
   out["request"] = request;
--- a/tools/bench/requests/main.cpp
+++ b/tools/bench/requests/main.cpp
@@ -146,14 +146,8 @@
   -> std::int64_t
 {
   std::int64_t sum = 0;
-  for (const auto& it : aCluster.mEntries) {
-    const auto page = aCluster.Http().Get(it.mHttp, "/metrics");
-    for (const auto& line : base::Split(page.mResponse.mBody, '\n')) {
-      if (line.starts_with("eelgrasspost_" + aName + "{")) {
-        const auto value = line.substr(line.rfind(' ') + 1);
-        sum += base::ParseNumber(value).value_or(0);
-      }
-    }
+  for (std::size_t i = 0; i < aCluster.mEntries.size(); ++i) {
+    sum += aCluster.Counter(i, aName);
   }
   return sum;
 }
