--- a/src/routing/tests/plan_tests.cpp
+++ b/src/routing/tests/plan_tests.cpp
@@ -54,7 +54,7 @@
     for (int i = 1; i <= 4; ++i) {
       service.mEndpoints.push_back({ base::Cat("w", i), {} });
     }
-    notes->mServices = { service };
+    notes->mServices.Put(service);
     mInputs = { notes, ownership, members };
     mSelf = members->mMembers[0].mIdentity;
   }
