Decide on batch work by partitions and write it in groups

Cause: the thin lifecycle scanned every task each 200 ms, wrote each task alone, placed everything on one worker and could start a task twice when its start was late.

Ruled out: a table transaction per start (far above the store's rate); an index row per task (as many rows again); judging a lost worker by lease time alone, since an entry that took the worker over while the table is away may renew the lease; a job's tasks written with its row at any size (unbounded transactions).

Change: 16 tasks share a row; 256 partitions of rows have one decider each by rendezvous hashing over the member view, and conditional writes keep it safe when views differ. A decider writes all starts and ends of a tick in one transaction. Owners of workers keep room before the write and start after it; a write in doubt is settled by reading the row and, if need be, raising its version. Deciders without room ask other owners. Leases are renewed in one call per worker, never through the table. Ends are forgotten at the worker after their commit, and never while a start may still arrive under the same token. Jobs can be listed and cancelled, over HTTP and from the command line. A job that no worker can hold is refused.

Tried: a range-for over an initializer list across co_await broke coroutine frames with GCC 12 (the entry ended by SIGSEGV); replaced by two calls.

--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -7,9 +7,11 @@
 
 #include <cxxopts.hpp>
 
+#include "eelgrasspost/base/jsonfields.h"
 #include "eelgrasspost/base/logging.h"
 #include "eelgrasspost/base/text.h"
 #include "entry.h"
+#include "jobscommand.h"
 
 namespace eelgrasspost::app {
 
@@ -22,6 +24,9 @@
   "  note submit FILE --entry IP:PORT submit a release note\n"
   "  job submit FILE --entry IP:PORT  submit a job\n"
   "  job show ID --entry IP:PORT      show a job\n"
+  "  job list [AFTER] --entry IP:PORT list jobs, after an id\n"
+  "  job cancel ID... --entry IP:PORT cancel jobs\n"
+  "  (job commands take --json)\n"
   "  status --entry IP:PORT           show what an entry sees\n";
 
 struct Arguments
@@ -30,6 +35,7 @@
   std::string mSettings;
   std::string mEntry;
   std::string mOperator;
+  bool mJson = false;
 };
 
 auto ParseArguments(int aCount, char** aArguments) -> absl::StatusOr<Arguments>
@@ -38,6 +44,7 @@
   options.add_options()("settings", "INI file", cxxopts::value<std::string>())(
     "entry", "IP:PORT of an entry", cxxopts::value<std::string>())(
     "operator", "who asks", cxxopts::value<std::string>())(
+    "json", "print the entry's answer as it is")(
     "words", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({ "words" });
   try {
@@ -53,6 +60,7 @@
     out.mSettings = text("settings");
     out.mEntry = text("entry");
     out.mOperator = text("operator");
+    out.mJson = parsed.count("json") > 0;
     return out;
   } catch (const std::exception& e) {
     return absl::InvalidArgumentError(e.what());
@@ -86,7 +94,10 @@
   }
   constexpr unsigned kFirstError = 400;
   const auto failed = exchange.mResponse.mStatus >= kFirstError;
-  (failed ? std::cerr : std::cout) << exchange.mResponse.mBody;
+  const auto& body = exchange.mResponse.mBody;
+  const auto isReadable =
+    !failed && !aArguments.mJson && aRequest.mTarget.starts_with("/jobs");
+  (failed ? std::cerr : std::cout) << (isReadable ? ReadableJobs(body) : body);
   return failed ? ExitCode::Failed : ExitCode::Done;
 }
 
@@ -104,6 +115,17 @@
   return Ask(aArguments, { "POST", std::move(aTarget), {}, text.str() });
 }
 
+auto CancelJobs(const Arguments& aArguments) -> ExitCode
+{
+  base::json::array ids;
+  for (std::size_t i = 2; i < aArguments.mWords.size(); ++i) {
+    ids.emplace_back(aArguments.mWords[i]);
+  }
+  base::json::object body;
+  body["jobs"] = std::move(ids);
+  return Ask(aArguments, { "POST", "/jobs/cancel", {}, base::ToText(body) });
+}
+
 auto CheckSettings(const Arguments& aArguments) -> ExitCode
 {
   const auto settings = LoadEntrySettings(aArguments.mSettings);
@@ -164,6 +186,13 @@
   if (command == "job show" && words.size() == 3) {
     return Ask(*arguments, { "GET", "/jobs/" + words[2], {}, "" });
   }
+  if (command == "job list") {
+    const auto after = words.size() > 2 ? "?after=" + words[2] : std::string();
+    return Ask(*arguments, { "GET", "/jobs" + after, {}, "" });
+  }
+  if (command == "job cancel" && words.size() > 2) {
+    return CancelJobs(*arguments);
+  }
   std::cerr << kUsage;
   return ExitCode::Usage;
 }
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -84,7 +84,15 @@
                                   *mNotes,
                                   mMetrics });
   routing::HandleForwards(mMessageServer, *mRouter);
-  mJobs = batch::MakeJobs({ *mTable, *mWorker, *mOwnership }, {});
+  mJobs = batch::MakeJobs({ *mTable,
+                            *mWorker,
+                            *mOwnership,
+                            *mMembership,
+                            *mNotes,
+                            mMetrics,
+                            mMessageClient },
+                          {});
+  batch::HandlePlaceTasks(mMessageServer, *mJobs, mPool.Executor(0));
 }
 
 auto Entry::Start() -> absl::Status
--- a/src/app/internal/operatordoor.cpp
+++ b/src/app/internal/operatordoor.cpp
@@ -6,7 +6,7 @@
 #include "eelgrasspost/base/errors.h"
 #include "eelgrasspost/base/jsonfields.h"
 #include "eelgrasspost/base/text.h"
-#include "eelgrasspost/batch/jobcodec.h"
+#include "jobsdoor.h"
 
 namespace eelgrasspost::app {
 
@@ -17,11 +17,6 @@
 constexpr auto kCallTimeout = std::chrono::seconds(5);
 constexpr std::string_view kActorField = "Operator";
 
-auto Deadline() -> base::MonotonicTime
-{
-  return base::MonotonicClock::now() + kCallTimeout;
-}
-
 auto Json(unsigned aStatus, const json::object& aBody) -> net::HttpResponse
 {
   return { aStatus,
@@ -49,56 +44,20 @@
   }
 }
 
-auto Error(const absl::Status& aStatus) -> net::HttpResponse
-{
-  json::object body;
-  body["error"] = base::KindName(aStatus);
-  body["message"] = std::string(base::MessageOf(aStatus));
-  return Json(HttpStatusOf(aStatus.code()), body);
-}
-
 auto SubmitNote(OperatorParts aParts, net::HttpRequest aRequest)
   -> net::Task<net::HttpResponse>
 {
   auto actor = std::string(net::FindField(aRequest.mFields, kActorField));
   const auto revision = co_await aParts.mNotes.Submit(
-    std::move(aRequest.mBody), std::move(actor), Deadline());
+    std::move(aRequest.mBody), std::move(actor), CallDeadline());
   if (!revision.ok()) {
-    co_return Error(revision.status());
+    co_return ErrorAnswer(revision.status());
   }
   json::object body;
   body["revision"] = *revision;
   co_return Json(200, body);
 }
 
-auto SubmitJob(OperatorParts aParts, net::HttpRequest aRequest)
-  -> net::Task<net::HttpResponse>
-{
-  const auto job = batch::ParseJob(aRequest.mBody);
-  if (!job.ok()) {
-    co_return Error(job.status());
-  }
-  const auto status = co_await aParts.mJobs.Submit(*job, Deadline());
-  if (!status.ok()) {
-    co_return Error(status);
-  }
-  json::object body;
-  body["job"] = job->mId;
-  co_return Json(200, body);
-}
-
-auto ShowJob(OperatorParts aParts, std::string aJob)
-  -> net::Task<net::HttpResponse>
-{
-  const auto status = co_await aParts.mJobs.Status(std::move(aJob), Deadline());
-  if (!status.ok()) {
-    co_return Error(status.status());
-  }
-  co_return net::HttpResponse{ 200,
-                               { { "Content-Type", "application/json" } },
-                               batch::EncodeStatus(*status) + "\n" };
-}
-
 auto ShowStatus(const OperatorParts& aParts) -> net::HttpResponse
 {
   json::array members;
@@ -142,13 +101,32 @@
 
 } // namespace
 
+auto CallDeadline() -> base::MonotonicTime
+{
+  return base::MonotonicClock::now() + kCallTimeout;
+}
+
+auto JsonAnswer(unsigned aStatus, std::string aText) -> net::HttpResponse
+{
+  return { aStatus,
+           { { "Content-Type", "application/json" } },
+           std::move(aText) + "\n" };
+}
+
+auto ErrorAnswer(const absl::Status& aStatus) -> net::HttpResponse
+{
+  json::object body;
+  body["error"] = base::KindName(aStatus);
+  body["message"] = std::string(base::MessageOf(aStatus));
+  return Json(HttpStatusOf(aStatus.code()), body);
+}
+
 auto AnswerOperator(OperatorParts aParts, net::HttpRequest aRequest)
   -> net::Task<net::HttpResponse>
 {
   const auto& target = aRequest.mTarget;
   const auto isGet = aRequest.mMethod == "GET";
   const auto isPost = aRequest.mMethod == "POST";
-  constexpr std::string_view kJobPath = "/jobs/";
   if (isGet && target == "/health") {
     co_return net::HttpResponse{ 200, {}, "alive\n" };
   }
@@ -164,11 +142,8 @@
   if (isPost && target == "/release-notes") {
     co_return co_await SubmitNote(aParts, std::move(aRequest));
   }
-  if (isPost && target == "/jobs") {
-    co_return co_await SubmitJob(aParts, std::move(aRequest));
-  }
-  if (isGet && target.starts_with(kJobPath)) {
-    co_return co_await ShowJob(aParts, target.substr(kJobPath.size()));
+  if (auto answer = co_await AnswerJobs(aParts, aRequest)) {
+    co_return *std::move(answer);
   }
   co_return net::HttpResponse{
     404, {}, base::Cat("no page ", target, "; see docs/http-api.md\n")
--- a/src/app/internal/operatordoor.h
+++ b/src/app/internal/operatordoor.h
@@ -19,4 +19,10 @@
 auto AnswerOperator(OperatorParts aParts, net::HttpRequest aRequest)
   -> net::Task<net::HttpResponse>;
 
+/** Deadline of the calls that an operator's request leads to. */
+auto CallDeadline() -> base::MonotonicTime;
+auto JsonAnswer(unsigned aStatus, std::string aText) -> net::HttpResponse;
+/** An answer with the error's kind and its message, which names the remedy. */
+auto ErrorAnswer(const absl::Status& aStatus) -> net::HttpResponse;
+
 } // namespace eelgrasspost::app
--- a/src/batch/include/eelgrasspost/batch/batcherrors.h
+++ b/src/batch/include/eelgrasspost/batch/batcherrors.h
@@ -28,4 +28,16 @@
   "submit the same job again; repeating it is harmless",
 };
 
+inline constexpr auto kNoWorkerHolds = base::ErrorKind{
+  "no_worker_holds",
+  absl::StatusCode::kInvalidArgument,
+  "ask for less, or add a worker that is large enough",
+};
+
+inline constexpr auto kJobsUnavailable = base::ErrorKind{
+  "jobs_unavailable",
+  absl::StatusCode::kUnavailable,
+  "try again when the table service answers",
+};
+
 } // namespace eelgrasspost::batch
--- a/src/batch/include/eelgrasspost/batch/batchmodule.h
+++ b/src/batch/include/eelgrasspost/batch/batchmodule.h
@@ -2,18 +2,36 @@
 
 #include <memory>
 
+#include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/batch/ijobs.h"
+#include "eelgrasspost/membership/imembership.h"
+#include "eelgrasspost/net/messages.h"
 #include "eelgrasspost/ownership/iownership.h"
 #include "eelgrasspost/platform/itable.h"
 #include "eelgrasspost/platform/iworker.h"
+#include "eelgrasspost/releasenote/ireleasenotes.h"
 
 namespace eelgrasspost::batch {
 
 struct BatchOptions
 {
+  /** Shortest time between two grouped writes of this entry. */
   base::Milliseconds mTick{ 200 };
+  /** Shortest time between two looks for rows that others changed. */
+  base::Milliseconds mPollInterval{ 500 };
+  /** Between two calls to a worker for report and renewals. */
+  base::Milliseconds mTendInterval{ 1000 };
+  /** Lease of an attempt at its worker. */
   base::Milliseconds mLease{ 5000 };
   base::Milliseconds mCallTimeout{ 2000 };
+  /** For a report of a worker that another entry owns. */
+  base::Milliseconds mOtherReportTimeout{ 500 };
+  /** Age at which an attempt that is not among this entry's blocks, or a
+   * start whose write is in doubt, is settled by reading its row. */
+  base::Milliseconds mSettleAfter{ 3000 };
+  /** How long a worker must be missing from the VM list before its attempts
+   * are held to have ended with it. */
+  base::Milliseconds mGoneAfter{ 30000 };
 };
 
 struct BatchParts
@@ -21,9 +39,18 @@
   platform::ITable& mTable;
   platform::IWorker& mWorker;
   ownership::IOwnership& mOwnership;
+  membership::IMembership& mMembership;
+  releasenote::IReleaseNotes& mNotes;
+  base::Metrics& mMetrics;
+  net::MessageClient& mMessages;
 };
 
 auto MakeJobs(BatchParts aParts, BatchOptions aOptions)
   -> std::unique_ptr<IJobs>;
 
+/** Answers other entries that look for room; before the server listens. */
+auto HandlePlaceTasks(net::MessageServer& aServer,
+                      IJobs& aJobs,
+                      net::asio::any_io_executor aThread0) -> void;
+
 } // namespace eelgrasspost::batch
--- /dev/null
+++ b/src/batch/internal/dispatchplacing.cpp
@@ -0,0 +1,101 @@
+#include <algorithm>
+
+#include "dispatcher.h"
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/batch/batchlogevents.h"
+#include "keys.h"
+
+namespace eelgrasspost::batch {
+
+auto Dispatcher::PendingInOrder() const -> std::vector<TaskSlot>
+{
+  struct Candidate
+  {
+    TaskSlot mTask;
+    bool mIsUrgent = false;
+    std::int64_t mUsedMs = 0;
+  };
+  std::vector<Candidate> candidates;
+  for (const auto& [key, block] : mBlocks) {
+    const auto state = mPartitions.find(block.mPartition);
+    if (state == mPartitions.end() || state->second.mIsStale) {
+      continue;
+    }
+    for (std::size_t i = 0; i < block.mBlock.mTasks.size(); ++i) {
+      const auto& task = block.mBlock.mTasks[i];
+      if (task.mState == TaskState::Pending) {
+        candidates.push_back(
+          { { key, i }, block.mBlock.mSpec.mUrgent, task.mUsedMs });
+      }
+    }
+  }
+  // Declared run times are far off: short work is what has used little.
+  std::ranges::stable_sort(candidates,
+                           [](const Candidate& aLeft, const Candidate& aRight) {
+                             return aLeft.mIsUrgent != aRight.mIsUrgent
+                                      ? aLeft.mIsUrgent
+                                      : aLeft.mUsedMs < aRight.mUsedMs;
+                           });
+  std::vector<TaskSlot> out;
+  out.reserve(candidates.size());
+  for (auto& it : candidates) {
+    out.push_back(std::move(it.mTask));
+  }
+  return out;
+}
+
+auto Dispatcher::PlaceHere() -> std::vector<TaskSlot>
+{
+  const auto notes = mParts.mNotes.InForce();
+  auto rooms = MakeRoomIndex(mTender, notes.get(), base::MonotonicClock::now());
+  std::vector<TaskSlot> left;
+  for (auto& it : PendingInOrder()) {
+    auto& block = mBlocks[it.mKey];
+    if (!Place(block, it.mSlot, rooms) && !ParkIfNoneHolds(block, it.mSlot)) {
+      left.push_back(std::move(it));
+    }
+  }
+  return left;
+}
+
+auto Dispatcher::ParkIfNoneHolds(CachedBlock& aBlock, std::size_t aSlot) -> bool
+{
+  const auto& spec = aBlock.mBlock.mSpec;
+  const auto why = WhyNoneHolds(spec, *mParts.mOwnership.View());
+  if (why.empty() || !ApplyPark(aBlock.mBlock.mTasks[aSlot], why)) {
+    return false;
+  }
+  aBlock.mIsDirty = true;
+  base::Log(kTaskParked, base::Cat(spec.mId, ": ", why));
+  return true;
+}
+
+auto Dispatcher::Place(CachedBlock& aBlock,
+                       std::size_t aSlot,
+                       RoomIndex& aRooms) -> bool
+{
+  const auto& spec = aBlock.mBlock.mSpec;
+  auto& task = aBlock.mBlock.mTasks[aSlot];
+  const auto worker = TakeRoom(aRooms, spec.mResources, task.mFailedOn);
+  if (!worker) {
+    return false;
+  }
+  const auto& hold = *worker->mHold;
+  if (!ApplyStart(task, hold.mWorker.mId, hold.mToken, hold.mIncarnation)) {
+    return false;
+  }
+  const auto key = AttemptKey{ NameOf(aBlock, aSlot), task.mAttempt };
+  mTender.Reserve(worker,
+                  { key.mTask,
+                    key.mAttempt,
+                    spec.mResources,
+                    mOptions.mLease.count(),
+                    task.mCheckpoint,
+                    spec.mCommand },
+                  aBlock.mVersion);
+  aBlock.mIsDirty = true;
+  mPlannedStarts.push_back({ worker, key });
+  return true;
+}
+
+} // namespace eelgrasspost::batch
--- a/src/batch/internal/jobs.cpp
+++ b/src/batch/internal/jobs.cpp
@@ -1,78 +1,78 @@
 #include "jobs.h"
 
+#include <algorithm>
+
+#include <boost/asio/this_coro.hpp>
+
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/batch/batcherrors.h"
 #include "eelgrasspost/batch/jobcodec.h"
 #include "eelgrasspost/net/iopool.h"
-#include "eelgrasspost/platform/platformerrors.h"
+#include "keys.h"
 
 namespace eelgrasspost::batch {
 
 namespace {
 
-using platform::AttemptState;
-using platform::TableUse;
-
-constexpr std::size_t kScanLimit = 1000;
-
-auto JobKey(const std::string& aJob) -> std::string
-{
-  return "job/" + aJob;
-}
-
-auto TaskKey(const std::string& aJob, std::int64_t aIndex) -> std::string
-{
-  return fmt::format("task/{}/{:06}", aJob, aIndex);
-}
-
-auto TaskName(const TaskRecord& aTask) -> std::string
-{
-  return base::Cat(aTask.mJob, "/", aTask.mIndex);
-}
+/** Blocks of a job that are written with its row; more follow later. */
+constexpr std::int64_t kBlocksWithJob = 16;
+/** Cancellations that one transaction writes, at most. */
+constexpr std::size_t kCancelsPerCommit = 250;
+/** Jobs of one call whose ids are checked before they are cancelled. */
+constexpr std::size_t kCheckedCancels = 16;
 
 } // namespace
 
 Jobs::Jobs(BatchParts aParts, BatchOptions aOptions)
   : mParts(aParts)
   , mOptions(aOptions)
+  , mTable(aParts.mTable, aParts.mMetrics, aOptions.mCallTimeout)
+  , mTender(aParts, aOptions, mTable)
+  , mDispatcher(aParts, aOptions, mTable, mTender)
 {
+  mTender.SetIsFollowed(
+    [this](const AttemptKey& aKey) { return mDispatcher.Follows(aKey); });
 }
 
-auto Jobs::ReadJob(const std::string& aJob, base::MonotonicTime aDeadline)
-  -> net::Task<absl::StatusOr<JobSpec>>
+auto Jobs::ReadJob(std::string aJob) -> net::Task<absl::StatusOr<JobRecord>>
 {
-  const auto row =
-    co_await mParts.mTable.Read(TableUse::Batch, JobKey(aJob), aDeadline);
+  const auto row = co_await mTable.Read(JobKey(aJob));
   if (!row.ok()) {
-    co_return row.status();
+    co_return base::MakeError(kJobsUnavailable, base::MessageOf(row.status()));
   }
   if (!*row) {
     co_return base::MakeError(kUnknownJob, base::Cat("no job ", aJob));
   }
-  co_return ParseJob((*row)->mValue);
+  co_return DecodeJob((*row)->mValue);
 }
 
-auto Jobs::Submit(JobSpec aSpec, base::MonotonicTime aDeadline)
+auto Jobs::Submit(JobSpec aSpec, base::MonotonicTime /*aDeadline*/)
   -> net::Task<absl::Status>
 {
-  const auto text = EncodeJob(aSpec);
+  const auto why = WhyNoneHolds(aSpec, *mParts.mOwnership.View());
+  if (!why.empty()) {
+    co_return base::MakeError(kNoWorkerHolds, why);
+  }
+  const auto blocks = BlocksOf(aSpec);
+  const auto isSmall = blocks <= kBlocksWithJob;
+  const auto job = JobRecord{ aSpec, false, isSmall ? blocks : 0 };
   std::vector<platform::TableWrite> writes;
-  writes.push_back({ JobKey(aSpec.mId), text, platform::kAbsent });
-  for (std::int64_t i = 0; i < aSpec.mTasks; ++i) {
-    TaskRecord task;
-    task.mJob = aSpec.mId;
-    task.mIndex = i;
+  writes.push_back({ JobKey(aSpec.mId), EncodeJob(job), platform::kAbsent });
+  if (isSmall) {
+    AddNewBlocks(aSpec, 0, blocks, writes);
+  } else {
+    const auto home = PartitionOf(aSpec.mId, 0);
     writes.push_back(
-      { TaskKey(aSpec.mId, i), EncodeTask(task), platform::kAbsent });
+      { GrowPrefix(home) + aSpec.mId, std::string(), std::nullopt });
+    writes.push_back({ ChangeKey(home), std::string(), std::nullopt });
   }
-  const auto status = co_await mParts.mTable.Commit(
-    TableUse::Batch, std::move(writes), aDeadline);
+  const auto status = co_await mTable.Commit(std::move(writes));
   if (status.ok()) {
     co_return status;
   }
-  const auto present = co_await ReadJob(aSpec.mId, aDeadline);
+  const auto present = co_await ReadJob(aSpec.mId);
   if (present.ok()) {
-    co_return EncodeJob(*present) == text
+    co_return present->mSpec == aSpec
       ? absl::OkStatus()
       : base::MakeError(kJobIdTaken,
                         base::Cat("another job has the id ", aSpec.mId));
@@ -80,134 +80,161 @@
   co_return base::MakeError(kJobOutcomeUnknown, base::MessageOf(status));
 }
 
-auto Jobs::Status(std::string aJob, base::MonotonicTime aDeadline)
+auto Jobs::ReadLiveBlocks(JobRecord aJob, std::vector<TaskBlock>& aBlocks)
+  -> net::Task<absl::Status>
+{
+  std::set<std::int64_t> ended;
+  for (const auto& it : aBlocks) {
+    ended.insert(it.mIndex);
+  }
+  for (std::int64_t i = 0; i < aJob.mBlocksWritten; ++i) {
+    if (ended.contains(i)) {
+      continue;
+    }
+    auto row = co_await mTable.Read(BlockKey(aJob.mSpec.mId, i));
+    if (row.ok() && !*row) {
+      // It has ended since its job's ended blocks were read.
+      row = co_await mTable.Read(DoneKey(aJob.mSpec.mId, i));
+    }
+    if (!row.ok()) {
+      co_return row.status();
+    }
+    auto block = *row ? DecodeBlock((*row)->mValue)
+                      : absl::NotFoundError("a block is missing");
+    if (!block.ok()) {
+      co_return block.status();
+    }
+    aBlocks.push_back(*std::move(block));
+  }
+  co_return absl::OkStatus();
+}
+
+auto Jobs::Status(std::string aJob, base::MonotonicTime /*aDeadline*/)
   -> net::Task<absl::StatusOr<JobStatus>>
 {
-  auto spec = co_await ReadJob(aJob, aDeadline);
-  if (!spec.ok()) {
-    co_return spec.status();
+  const auto job = co_await ReadJob(aJob);
+  if (!job.ok()) {
+    co_return job.status();
   }
-  const auto rows = co_await mParts.mTable.Scan(
-    TableUse::Batch, base::Cat("task/", aJob, "/"), "", kScanLimit, aDeadline);
+  const auto rows = co_await mTable.ScanAll(DonePrefix(aJob));
   if (!rows.ok()) {
-    co_return rows.status();
+    co_return base::MakeError(kJobsUnavailable, base::MessageOf(rows.status()));
   }
-  auto out = JobStatus{ *std::move(spec), {} };
+  std::vector<TaskBlock> blocks;
   for (const auto& it : *rows) {
-    const auto task = DecodeTask(it.mValue);
-    if (task.ok()) {
-      out.mTasks.push_back(*task);
+    if (auto block = DecodeBlock(it.mValue); block.ok()) {
+      blocks.push_back(*std::move(block));
     }
   }
-  co_return out;
-}
-
-auto Jobs::Run() -> net::Task<void>
-{
-  while (true) {
-    co_await Tick();
-    co_await net::Sleep(mOptions.mTick);
+  const auto status = co_await ReadLiveBlocks(*job, blocks);
+  if (!status.ok()) {
+    co_return base::MakeError(kJobsUnavailable, base::MessageOf(status));
   }
+  std::ranges::sort(blocks, {}, &TaskBlock::mIndex);
+  const auto state = JobStateOf(*job, blocks);
+  co_return JobStatus{ job->mSpec, state, std::move(blocks) };
 }
 
-auto Jobs::Tick() -> net::Task<void>
+auto Jobs::List(std::string aAfter, base::MonotonicTime /*aDeadline*/)
+  -> net::Task<absl::StatusOr<std::vector<JobRecord>>>
 {
-  const auto deadline = base::MonotonicClock::now() + mOptions.mCallTimeout;
-  const auto rows = co_await mParts.mTable.Scan(
-    TableUse::Batch, "task/", "", kScanLimit, deadline);
+  const auto after = aAfter.empty() ? std::string() : JobKey(aAfter);
+  const auto rows = co_await mTable.ScanPage(std::string(kJobPrefix), after);
   if (!rows.ok()) {
-    co_return;
+    co_return base::MakeError(kJobsUnavailable, base::MessageOf(rows.status()));
   }
+  std::vector<JobRecord> out;
   for (const auto& it : *rows) {
-    const auto task = DecodeTask(it.mValue);
-    if (!task.ok()) {
-      continue;
-    }
-    if (task->mState == TaskState::Pending) {
-      co_await Place(it, *task);
-    } else if (task->mState == TaskState::Running) {
-      co_await Follow(it, *task);
+    if (auto job = DecodeJob(it.mValue); job.ok()) {
+      out.push_back(*std::move(job));
     }
   }
+  co_return out;
 }
 
-auto Jobs::Place(const platform::TableRow& aRow, TaskRecord aTask)
-  -> net::Task<void>
+auto Jobs::CheckKnown(std::vector<std::string> aJobs) -> net::Task<absl::Status>
 {
-  const auto deadline = base::MonotonicClock::now() + mOptions.mCallTimeout;
-  const auto view = mParts.mOwnership.View();
-  if (view->mHeld.empty()) {
-    co_return;
-  }
-  const auto hold = view->mHeld.front();
-  const auto job = co_await ReadJob(aTask.mJob, deadline);
-  if (!job.ok() || !ownership::MayUse(*hold, base::MonotonicClock::now())) {
-    co_return;
-  }
-  aTask.mState = TaskState::Running;
-  aTask.mWorker = hold->mWorker.mId;
-  ++aTask.mAttempt;
-  std::vector<platform::TableWrite> writes;
-  writes.push_back({ aRow.mKey, EncodeTask(aTask), aRow.mVersion });
-  const auto status =
-    co_await mParts.mTable.Commit(TableUse::Batch, std::move(writes), deadline);
-  if (!status.ok()) {
-    co_return;
-  }
-  std::vector<platform::StartCommand> commands;
-  commands.push_back({ TaskName(aTask),
-                       aTask.mAttempt,
-                       job->mResources,
-                       mOptions.mLease.count(),
-                       aTask.mCheckpoint,
-                       job->mCommand });
-  (void)co_await mParts.mWorker.Start(
-    hold->mWorker.mControl, hold->mToken, std::move(commands), deadline);
+  for (const auto& it : aJobs) {
+    const auto job = co_await ReadJob(it);
+    if (!job.ok()) {
+      co_return job.status();
+    }
+  }
+  co_return absl::OkStatus();
 }
 
-auto Jobs::Follow(const platform::TableRow& aRow, TaskRecord aTask)
-  -> net::Task<void>
+auto Jobs::Cancel(std::vector<std::string> aJobs,
+                  base::MonotonicTime /*aDeadline*/) -> net::Task<absl::Status>
 {
-  const auto deadline = base::MonotonicClock::now() + mOptions.mCallTimeout;
-  const auto hold = mParts.mOwnership.View()->FindHeld(aTask.mWorker);
-  if (!hold) {
-    co_return;
-  }
-  const auto report =
-    co_await mParts.mWorker.Report(hold->mWorker.mControl, deadline);
-  if (!report.ok() || report->mHighestToken != hold->mToken) {
-    co_return;
-  }
-  for (const auto& it : report->mAttempts) {
-    if (it.mTask != TaskName(aTask) || it.mAttempt != aTask.mAttempt) {
-      continue;
+  if (aJobs.size() <= kCheckedCancels) {
+    const auto status = co_await CheckKnown(aJobs);
+    if (!status.ok()) {
+      co_return status;
+    }
+  }
+  for (std::size_t from = 0; from < aJobs.size(); from += kCancelsPerCommit) {
+    const auto until = std::min(from + kCancelsPerCommit, aJobs.size());
+    std::vector<platform::TableWrite> writes;
+    std::set<std::uint32_t> homes;
+    for (auto i = from; i < until; ++i) {
+      const auto home = PartitionOf(aJobs[i], 0);
+      writes.push_back({ CancelPrefix(home) + aJobs[i],
+                         std::string(kCancelRequested),
+                         std::nullopt });
+      homes.insert(home);
     }
-    std::vector<platform::AttemptRef> attempts;
-    attempts.push_back({ it.mTask, it.mAttempt });
-    if (it.mState == AttemptState::Running) {
-      (void)co_await mParts.mWorker.Renew(hold->mWorker.mControl,
-                                          hold->mToken,
-                                          std::move(attempts),
-                                          mOptions.mLease,
-                                          deadline);
-      co_return;
+    for (const auto it : homes) {
+      writes.push_back({ ChangeKey(it), std::string(), std::nullopt });
     }
-    if (it.mState == AttemptState::Succeeded) {
-      aTask.mState = TaskState::Succeeded;
-      std::vector<platform::TableWrite> writes;
-      writes.push_back({ aRow.mKey, EncodeTask(aTask), aRow.mVersion });
-      (void)co_await mParts.mTable.Commit(
-        TableUse::Batch, std::move(writes), deadline);
-      co_return;
+    const auto status = co_await mTable.Commit(std::move(writes));
+    if (!status.ok()) {
+      co_return base::MakeError(kJobsUnavailable, base::MessageOf(status));
     }
   }
-  // The worker does not know the attempt, and a start that comes late under an
-  // older token is refused.
-  aTask.mState = TaskState::Pending;
-  std::vector<platform::TableWrite> writes;
-  writes.push_back({ aRow.mKey, EncodeTask(aTask), aRow.mVersion });
-  (void)co_await mParts.mTable.Commit(
-    TableUse::Batch, std::move(writes), deadline);
+  co_return absl::OkStatus();
+}
+
+auto Jobs::PlaceFor(const PlaceRequest& aRequest) -> PlaceReply
+{
+  for (const auto& it : aRequest.mVerdicts) {
+    const auto worker = mTender.Find(it.mWorker);
+    const auto key = AttemptKey{ it.mTask, it.mAttempt };
+    if (worker && it.mIsWritten) {
+      mTender.Confirm(worker, key);
+      mTender.SendNow(worker);
+    } else if (worker) {
+      mTender.Withdraw(worker, key);
+    }
+  }
+  const auto notes = mParts.mNotes.InForce();
+  auto rooms = MakeRoomIndex(mTender, notes.get(), base::MonotonicClock::now());
+  PlaceReply out;
+  for (const auto& it : aRequest.mItems) {
+    const auto worker = TakeRoom(rooms, it.mResources, it.mFailedOn);
+    if (!worker) {
+      continue;
+    }
+    const auto& hold = *worker->mHold;
+    mTender.Reserve(worker,
+                    { it.mTask,
+                      it.mAttempt,
+                      it.mResources,
+                      mOptions.mLease.count(),
+                      it.mCheckpoint,
+                      it.mCommand },
+                    it.mExpectedVersion);
+    out.mPlaced.push_back(
+      { it.mTask, hold.mWorker.mId, hold.mToken, hold.mIncarnation });
+  }
+  return out;
+}
+
+auto Jobs::Run() -> net::Task<void>
+{
+  const auto executor = co_await net::asio::this_coro::executor;
+  net::SpawnTask(executor, mTender.Run());
+  net::SpawnTask(executor, mTender.RunSettling());
+  co_await mDispatcher.Run();
 }
 
 } // namespace eelgrasspost::batch
--- a/src/batch/internal/jobs.h
+++ b/src/batch/internal/jobs.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "eelgrasspost/batch/batchmodule.h"
+#include "dispatcher.h"
 
 namespace eelgrasspost::batch {
 
@@ -13,19 +13,24 @@
     -> net::Task<absl::Status> override;
   auto Status(std::string aJob, base::MonotonicTime aDeadline)
     -> net::Task<absl::StatusOr<JobStatus>> override;
+  auto List(std::string aAfter, base::MonotonicTime aDeadline)
+    -> net::Task<absl::StatusOr<std::vector<JobRecord>>> override;
+  auto Cancel(std::vector<std::string> aJobs, base::MonotonicTime aDeadline)
+    -> net::Task<absl::Status> override;
+  auto PlaceFor(const PlaceRequest& aRequest) -> PlaceReply override;
   auto Run() -> net::Task<void> override;
 
 private:
-  auto Tick() -> net::Task<void>;
-  auto Place(const platform::TableRow& aRow, TaskRecord aTask)
-    -> net::Task<void>;
-  auto Follow(const platform::TableRow& aRow, TaskRecord aTask)
-    -> net::Task<void>;
-  auto ReadJob(const std::string& aJob, base::MonotonicTime aDeadline)
-    -> net::Task<absl::StatusOr<JobSpec>>;
+  auto ReadJob(std::string aJob) -> net::Task<absl::StatusOr<JobRecord>>;
+  auto CheckKnown(std::vector<std::string> aJobs) -> net::Task<absl::Status>;
+  auto ReadLiveBlocks(JobRecord aJob, std::vector<TaskBlock>& aBlocks)
+    -> net::Task<absl::Status>;
 
   BatchParts mParts;
   BatchOptions mOptions;
+  BatchTable mTable;
+  WorkerTender mTender;
+  Dispatcher mDispatcher;
 };
 
 } // namespace eelgrasspost::batch
--- /dev/null
+++ b/src/batch/internal/settling.cpp
@@ -0,0 +1,143 @@
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/batch/batchlogevents.h"
+#include "eelgrasspost/batch/jobcodec.h"
+#include "eelgrasspost/net/iopool.h"
+#include "keys.h"
+#include "workertender.h"
+
+namespace eelgrasspost::batch {
+
+namespace {
+
+using platform::AttemptState;
+
+/** Whether a row says that an attempt is the task's running one. */
+auto IsRunningAttempt(const std::optional<TaskRecord>& aTask,
+                      const AttemptKey& aKey) -> bool
+{
+  return aTask && aTask->mState == TaskState::Running &&
+         aTask->mAttempt == aKey.mAttempt;
+}
+
+} // namespace
+
+auto WorkerTender::RunSettling() -> net::Task<void>
+{
+  while (true) {
+    const auto workers = mWorkers;
+    for (const auto& [name, it] : workers) {
+      co_await SettleReserved(it);
+      co_await SettleStrangers(it);
+    }
+    co_await net::Sleep(mOptions.mTendInterval);
+  }
+}
+
+auto WorkerTender::ReadTask(AttemptKey aKey)
+  -> net::Task<absl::StatusOr<ReadTaskResult>>
+{
+  const auto place = ParseTaskName(aKey.mTask);
+  if (!place) {
+    co_return ReadTaskResult();
+  }
+  auto row = co_await mTable.Read(BlockKey(place->mJob, place->mBlock));
+  if (!row.ok()) {
+    co_return row.status();
+  }
+  ReadTaskResult out;
+  out.mRow = *std::move(row);
+  if (!out.mRow) {
+    co_return out;
+  }
+  const auto block = DecodeBlock(out.mRow->mValue);
+  if (!block.ok()) {
+    co_return block.status();
+  }
+  if (place->mSlot < block->mTasks.size()) {
+    out.mTask = block->mTasks[place->mSlot];
+  }
+  co_return out;
+}
+
+auto WorkerTender::SettleReserved(HeldWorkerPtr aWorker) -> net::Task<void>
+{
+  const auto before = base::MonotonicClock::now() - mOptions.mSettleAfter;
+  std::vector<AttemptKey> doubtful;
+  for (const auto& [key, it] : aWorker->mStarting) {
+    if (it.mPhase == StartPhase::Reserved && it.mSince < before) {
+      doubtful.push_back(key);
+    }
+  }
+  for (const auto& key : doubtful) {
+    co_await SettleOne(aWorker, key);
+  }
+}
+
+auto WorkerTender::SettleOne(HeldWorkerPtr aWorker, AttemptKey aKey)
+  -> net::Task<void>
+{
+  const auto found = co_await ReadTask(aKey);
+  const auto it = aWorker->mStarting.find(aKey);
+  if (!found.ok() || it == aWorker->mStarting.end()) {
+    co_return;
+  }
+  if (IsRunningAttempt(found->mTask, aKey) &&
+      found->mTask->mToken == aWorker->mHold->mToken) {
+    Confirm(aWorker, aKey);
+    co_return;
+  }
+  const auto expected = it->second.mExpectedVersion;
+  if (found->mRow && found->mRow->mVersion == expected) {
+    // The write may still be on its way: raising the version keeps it out.
+    std::vector<platform::TableWrite> writes;
+    writes.push_back({ found->mRow->mKey, found->mRow->mValue, expected });
+    const auto status = co_await mTable.Commit(std::move(writes));
+    if (!status.ok()) {
+      co_return;
+    }
+  }
+  Withdraw(aWorker, aKey);
+}
+
+auto WorkerTender::SettleStrangers(HeldWorkerPtr aWorker) -> net::Task<void>
+{
+  if (!aWorker->mReport) {
+    co_return;
+  }
+  const auto now = base::MonotonicClock::now();
+  std::map<AttemptKey, base::MonotonicTime> seen;
+  std::vector<platform::AttemptReport> due;
+  for (const auto& it : aWorker->mReport->mReport.mAttempts) {
+    const auto key = AttemptKey{ it.mTask, it.mAttempt };
+    if (mIsFollowed && mIsFollowed(key)) {
+      continue;
+    }
+    const auto known = aWorker->mStrangers.find(key);
+    const auto since = known == aWorker->mStrangers.end() ? now : known->second;
+    const auto isDue = since + mOptions.mSettleAfter < now;
+    seen[key] = isDue ? now : since;
+    if (isDue) {
+      due.push_back(it);
+    }
+  }
+  aWorker->mStrangers = std::move(seen);
+  for (const auto& it : due) {
+    const auto key = AttemptKey{ it.mTask, it.mAttempt };
+    const auto task = co_await ReadTask(key);
+    if (!task.ok()) {
+      co_return;
+    }
+    if (IsRunningAttempt(task->mTask, key)) {
+      continue;
+    }
+    if (it.mState == AttemptState::Running) {
+      base::Log(kObsoleteAttempt,
+                base::Cat(it.mTask, " attempt ", it.mAttempt));
+      Stop(aWorker, key, false);
+    } else {
+      Forget(aWorker, key);
+    }
+  }
+}
+
+} // namespace eelgrasspost::batch
--- /dev/null
+++ b/src/batch/internal/workertender.cpp
@@ -0,0 +1,319 @@
+#include "workertender.h"
+
+#include <boost/asio/this_coro.hpp>
+
+#include "eelgrasspost/net/iopool.h"
+#include "eelgrasspost/platform/platformerrors.h"
+
+namespace eelgrasspost::batch {
+
+namespace {
+
+using platform::AttemptState;
+
+auto Minus(platform::Resources aLeft, const platform::Resources& aRight)
+  -> platform::Resources
+{
+  aLeft.mCpuMillis -= aRight.mCpuMillis;
+  aLeft.mMemoryMb -= aRight.mMemoryMb;
+  aLeft.mAccelerators -= aRight.mAccelerators;
+  return aLeft;
+}
+
+auto ToRef(const AttemptKey& aKey) -> platform::AttemptRef
+{
+  return { aKey.mTask, aKey.mAttempt };
+}
+
+} // namespace
+
+auto TimedReport::Find(const AttemptKey& aKey) const
+  -> const platform::AttemptReport*
+{
+  const auto it = mPlaces.find(aKey);
+  return it == mPlaces.end() ? nullptr : &mReport.mAttempts[it->second];
+}
+
+auto MakeTimedReport(platform::WorkerReport aReport,
+                     base::MonotonicTime aAskedAt) -> TimedReport
+{
+  TimedReport out;
+  out.mReport = std::move(aReport);
+  out.mAskedAt = aAskedAt;
+  for (std::size_t i = 0; i < out.mReport.mAttempts.size(); ++i) {
+    const auto& it = out.mReport.mAttempts[i];
+    out.mPlaces[{ it.mTask, it.mAttempt }] = i;
+  }
+  return out;
+}
+
+auto FreeRoom(const HeldWorker& aWorker,
+              const platform::Resources& aKeptForServices)
+  -> platform::Resources
+{
+  if (!aWorker.mReport || aWorker.mReport->mReport.mLeaving) {
+    return {};
+  }
+  auto out = Minus(aWorker.mHold->mWorker.mResources, aKeptForServices);
+  for (const auto& it : aWorker.mReport->mReport.mAttempts) {
+    if (it.mState == AttemptState::Running) {
+      out = Minus(out, it.mResources);
+    }
+  }
+  for (const auto& [key, it] : aWorker.mStarting) {
+    if (aWorker.mReport->Find(key) == nullptr) {
+      out = Minus(out, it.mCommand.mResources);
+    }
+  }
+  return out;
+}
+
+WorkerTender::WorkerTender(BatchParts aParts,
+                           BatchOptions aOptions,
+                           BatchTable& aTable)
+  : mParts(aParts)
+  , mOptions(aOptions)
+  , mTable(aTable)
+{
+}
+
+auto WorkerTender::SetIsFollowed(IsFollowed aIsFollowed) -> void
+{
+  mIsFollowed = std::move(aIsFollowed);
+}
+
+auto WorkerTender::Refresh() -> void
+{
+  const auto view = mParts.mOwnership.View();
+  std::map<std::string, HeldWorkerPtr> next;
+  for (const auto& it : view->mHeld) {
+    const auto known = Find(it->mWorker.mId);
+    if (known && known->mHold == it) {
+      next[it->mWorker.mId] = known;
+      continue;
+    }
+    auto worker = std::make_shared<HeldWorker>();
+    worker->mHold = it;
+    next[it->mWorker.mId] = std::move(worker);
+  }
+  mWorkers = std::move(next);
+}
+
+auto WorkerTender::Find(const std::string& aWorker) const -> HeldWorkerPtr
+{
+  const auto it = mWorkers.find(aWorker);
+  return it == mWorkers.end() ? nullptr : it->second;
+}
+
+auto WorkerTender::Reserve(const HeldWorkerPtr& aWorker,
+                           platform::StartCommand aCommand,
+                           std::uint64_t aExpectedVersion) -> void
+{
+  const auto key = AttemptKey{ aCommand.mTask, aCommand.mAttempt };
+  StartingAttempt start;
+  start.mCommand = std::move(aCommand);
+  start.mSince = base::MonotonicClock::now();
+  start.mExpectedVersion = aExpectedVersion;
+  aWorker->mStarting[key] = std::move(start);
+}
+
+auto WorkerTender::Confirm(const HeldWorkerPtr& aWorker, const AttemptKey& aKey)
+  -> void
+{
+  const auto it = aWorker->mStarting.find(aKey);
+  if (it != aWorker->mStarting.end() &&
+      it->second.mPhase == StartPhase::Reserved) {
+    it->second.mPhase = StartPhase::Written;
+  }
+}
+
+auto WorkerTender::Withdraw(const HeldWorkerPtr& aWorker,
+                            const AttemptKey& aKey) -> void
+{
+  const auto it = aWorker->mStarting.find(aKey);
+  if (it != aWorker->mStarting.end() &&
+      it->second.mPhase == StartPhase::Reserved) {
+    aWorker->mStarting.erase(it);
+  }
+}
+
+auto WorkerTender::Stop(const HeldWorkerPtr& aWorker,
+                        const AttemptKey& aKey,
+                        bool aCheckpoint) -> void
+{
+  aWorker->mToStop[aKey] = aCheckpoint;
+}
+
+auto WorkerTender::Forget(const HeldWorkerPtr& aWorker, const AttemptKey& aKey)
+  -> void
+{
+  if (!aWorker->mNotToForget.contains(aKey)) {
+    aWorker->mToForget.insert(aKey);
+  }
+}
+
+auto WorkerTender::SendNow(const HeldWorkerPtr& aWorker) -> void
+{
+  net::SpawnTask(mExecutor, SendStarts(aWorker));
+}
+
+auto WorkerTender::CallDeadline() const -> base::MonotonicTime
+{
+  return base::MonotonicClock::now() + mOptions.mCallTimeout;
+}
+
+auto WorkerTender::Run() -> net::Task<void>
+{
+  mExecutor = co_await net::asio::this_coro::executor;
+  while (true) {
+    Refresh();
+    for (const auto& [name, it] : mWorkers) {
+      if (!it->mIsBusy) {
+        it->mIsBusy = true;
+        net::SpawnTask(mExecutor, Tend(it));
+      }
+    }
+    co_await net::Sleep(mOptions.mTendInterval);
+  }
+}
+
+auto WorkerTender::Tend(HeldWorkerPtr aWorker) -> net::Task<void>
+{
+  const auto isReported = co_await TakeReport(aWorker);
+  if (isReported) {
+    co_await Renew(aWorker);
+    co_await SendStarts(aWorker);
+    co_await SendStops(aWorker);
+    co_await SendForgets(aWorker);
+  }
+  aWorker->mIsBusy = false;
+}
+
+auto WorkerTender::TakeReport(HeldWorkerPtr aWorker) -> net::Task<bool>
+{
+  const auto askedAt = base::MonotonicClock::now();
+  const auto& hold = *aWorker->mHold;
+  auto report = co_await mParts.mWorker.Claim(
+    hold.mWorker.mControl, hold.mToken, askedAt + mOptions.mCallTimeout);
+  if (!report.ok() || report->mIncarnation != hold.mIncarnation) {
+    co_return false;
+  }
+  aWorker->mReport = MakeTimedReport(*std::move(report), askedAt);
+  std::erase_if(aWorker->mStarting, [&](const auto& aStart) {
+    const auto isReported = aWorker->mReport->Find(aStart.first) != nullptr;
+    if (isReported && aStart.second.mMayArriveLate) {
+      aWorker->mNotToForget.insert(aStart.first);
+    }
+    return isReported;
+  });
+  co_return true;
+}
+
+auto WorkerTender::SendStarts(HeldWorkerPtr aWorker) -> net::Task<void>
+{
+  const auto& hold = *aWorker->mHold;
+  if (!ownership::MayUse(hold, base::MonotonicClock::now())) {
+    co_return;
+  }
+  std::vector<platform::StartCommand> commands;
+  std::vector<AttemptKey> keys;
+  for (auto& [key, it] : aWorker->mStarting) {
+    if (it.mPhase == StartPhase::Written && !it.mIsSending) {
+      it.mIsSending = true;
+      commands.push_back(it.mCommand);
+      keys.push_back(key);
+    }
+  }
+  if (commands.empty()) {
+    co_return;
+  }
+  const auto status = co_await mParts.mWorker.Start(
+    hold.mWorker.mControl, hold.mToken, std::move(commands), CallDeadline());
+  const auto mayArrive = base::IsKind(status, platform::kNoAnswer) ||
+                         base::IsKind(status, platform::kBadAnswer);
+  for (const auto& key : keys) {
+    if (mayArrive && aWorker->mReport &&
+        aWorker->mReport->Find(key) != nullptr) {
+      aWorker->mNotToForget.insert(key);
+    }
+    const auto it = aWorker->mStarting.find(key);
+    if (it == aWorker->mStarting.end()) {
+      continue;
+    }
+    it->second.mIsSending = false;
+    it->second.mMayArriveLate = it->second.mMayArriveLate || mayArrive;
+    if (status.ok()) {
+      it->second.mPhase = StartPhase::Sent;
+    }
+  }
+}
+
+auto WorkerTender::Renew(HeldWorkerPtr aWorker) -> net::Task<void>
+{
+  std::vector<platform::AttemptRef> attempts;
+  for (const auto& it : aWorker->mReport->mReport.mAttempts) {
+    if (it.mState == AttemptState::Running) {
+      attempts.push_back({ it.mTask, it.mAttempt });
+    }
+  }
+  if (attempts.empty()) {
+    co_return;
+  }
+  const auto& hold = *aWorker->mHold;
+  (void)co_await mParts.mWorker.Renew(hold.mWorker.mControl,
+                                      hold.mToken,
+                                      std::move(attempts),
+                                      mOptions.mLease,
+                                      CallDeadline());
+}
+
+auto WorkerTender::SendStops(HeldWorkerPtr aWorker) -> net::Task<void>
+{
+  std::erase_if(aWorker->mToStop, [&](const auto& aStop) {
+    const auto* found = aWorker->mReport->Find(aStop.first);
+    return !aWorker->mStarting.contains(aStop.first) &&
+           (found == nullptr || found->mState != AttemptState::Running);
+  });
+  co_await SendStopsOf(aWorker, false);
+  co_await SendStopsOf(aWorker, true);
+}
+
+auto WorkerTender::SendStopsOf(HeldWorkerPtr aWorker, bool aCheckpoint)
+  -> net::Task<void>
+{
+  std::vector<platform::AttemptRef> attempts;
+  for (const auto& [key, wanted] : aWorker->mToStop) {
+    if (wanted == aCheckpoint) {
+      attempts.push_back(ToRef(key));
+    }
+  }
+  if (attempts.empty()) {
+    co_return;
+  }
+  const auto& hold = *aWorker->mHold;
+  (void)co_await mParts.mWorker.Stop(hold.mWorker.mControl,
+                                     hold.mToken,
+                                     std::move(attempts),
+                                     aCheckpoint,
+                                     CallDeadline());
+}
+
+auto WorkerTender::SendForgets(HeldWorkerPtr aWorker) -> net::Task<void>
+{
+  std::vector<platform::AttemptRef> attempts;
+  std::erase_if(aWorker->mToForget, [&](const AttemptKey& aKey) {
+    const auto* found = aWorker->mReport->Find(aKey);
+    if (found != nullptr && found->mState != AttemptState::Running) {
+      attempts.push_back(ToRef(aKey));
+    }
+    return found == nullptr;
+  });
+  if (attempts.empty()) {
+    co_return;
+  }
+  const auto& hold = *aWorker->mHold;
+  (void)co_await mParts.mWorker.Forget(
+    hold.mWorker.mControl, hold.mToken, std::move(attempts), CallDeadline());
+}
+
+} // namespace eelgrasspost::batch
--- a/tests/standin/workeragent.cpp
+++ b/tests/standin/workeragent.cpp
@@ -73,6 +73,9 @@
   aState.mFailsAll = base::BoolField(aBody, "fails_all", aState.mFailsAll);
   aState.mExtraRequestMs =
     base::NumberField(aBody, "extra_request_ms", aState.mExtraRequestMs);
+  if (base::BoolField(aBody, "restart")) {
+    Restart(aState);
+  }
   return Reply(200, {});
 }
 
--- a/tests/standin/workerstate.cpp
+++ b/tests/standin/workerstate.cpp
@@ -24,6 +24,13 @@
   return 0;
 }
 
+auto MonotonicMs(base::MonotonicTime aTime) -> std::int64_t
+{
+  return std::chrono::duration_cast<base::Milliseconds>(
+           aTime.time_since_epoch())
+    .count();
+}
+
 auto SaveCheckpoint(WorkerAttempt& aAttempt) -> void
 {
   aAttempt.mReport.mCheckpoint =
@@ -56,6 +63,13 @@
   attempt.mFails = aState.mFailsAll || NumberInCommand(command, "fail") != 0;
   attempt.mLeaseUntil = now + lease;
   attempt.mLastTick = now;
+  auto& attempts = aState.mObserved.mAttempts;
+  attempt.mObservedAt = attempts.size();
+  attempts.push_back({ attempt.mReport.mTask,
+                       attempt.mReport.mAttempt,
+                       MonotonicMs(now),
+                       -1,
+                       attempt.mReport.mCheckpoint });
   aState.mAttempts.emplace(name, std::move(attempt));
   json::object start;
   start["task"] = base::TextField(aCommand, "task");
@@ -86,6 +100,27 @@
   }
 }
 
+auto NoteEnd(WorkerState& aState,
+             const WorkerAttempt& aAttempt,
+             base::MonotonicTime aNow) -> void
+{
+  auto& until = aState.mObserved.mAttempts[aAttempt.mObservedAt].mUntilMs;
+  if (until < 0) {
+    until = MonotonicMs(aNow);
+  }
+}
+
+auto ToJson(const ObservedAttempt& aAttempt) -> json::object
+{
+  json::object out;
+  out["task"] = aAttempt.mTask;
+  out["attempt"] = aAttempt.mAttempt;
+  out["from_ms"] = aAttempt.mFromMs;
+  out["until_ms"] = aAttempt.mUntilMs;
+  out["resumed_from"] = aAttempt.mResumedFrom;
+  return out;
+}
+
 auto AdvanceOne(WorkerAttempt& aAttempt, base::MonotonicTime aNow) -> void
 {
   auto& report = aAttempt.mReport;
@@ -156,6 +191,7 @@
       continue;
     }
     if (aTarget == "/agent/forget") {
+      NoteEnd(aState, found->second, base::MonotonicClock::now());
       aState.mAttempts.erase(found);
     } else {
       CarryOutOn(found->second, aTarget, aBody);
@@ -163,17 +199,33 @@
   }
 }
 
+auto Restart(WorkerState& aState) -> void
+{
+  const auto now = base::MonotonicClock::now();
+  for (const auto& [name, it] : aState.mAttempts) {
+    NoteEnd(aState, it, now);
+  }
+  aState.mAttempts.clear();
+  aState.mHighestToken = {};
+  aState.mIncarnation = base::Cat(aState.mIncarnation, "+");
+}
+
 auto Advance(WorkerState& aState, base::MonotonicTime aNow) -> void
 {
   std::int64_t cpuMillis = 0;
+  std::int64_t memoryMb = 0;
   for (auto& [name, it] : aState.mAttempts) {
     AdvanceOne(it, aNow);
     if (it.mReport.mState == AttemptState::Running) {
       cpuMillis += it.mReport.mResources.mCpuMillis;
+      memoryMb += it.mReport.mResources.mMemoryMb;
+    } else {
+      NoteEnd(aState, it, aNow);
     }
   }
-  auto& most = aState.mObserved.mMostCpuMillis;
-  most = std::max(most, cpuMillis);
+  auto& observed = aState.mObserved;
+  observed.mMostCpuMillis = std::max(observed.mMostCpuMillis, cpuMillis);
+  observed.mMostMemoryMb = std::max(observed.mMostMemoryMb, memoryMb);
 }
 
 auto ToReport(const WorkerState& aState) -> json::object
@@ -207,6 +259,12 @@
   out["most_requests"] = observed.mMostRequests;
   out["requests_run"] = observed.mRequestsRun;
   out["most_cpu_millis"] = observed.mMostCpuMillis;
+  out["most_memory_mb"] = observed.mMostMemoryMb;
+  json::array attempts;
+  for (const auto& it : observed.mAttempts) {
+    attempts.push_back(ToJson(it));
+  }
+  out["attempts"] = std::move(attempts);
   out["runs_by_request"] = std::move(runs);
   out["starts"] = observed.mStarts;
   return out;
--- a/tests/standin/workerstate.h
+++ b/tests/standin/workerstate.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "eelgrasspost/base/clock.h"
 #include "eelgrasspost/platform/platformtypes.h"
@@ -22,6 +23,19 @@
   std::int64_t mResumedMs = 0;
   std::int64_t mCpuPercent = 100;
   base::MonotonicTime mLastTick;
+  /** Place in the observed attempts. */
+  std::size_t mObservedAt = 0;
+};
+
+/** When an attempt ran, by the worker process's monotonic clock. */
+struct ObservedAttempt
+{
+  std::string mTask;
+  std::uint64_t mAttempt = 0;
+  std::int64_t mFromMs = 0;
+  /** Negative while it runs. */
+  std::int64_t mUntilMs = -1;
+  std::string mResumedFrom;
 };
 
 /** What a test asks of a worker afterwards. */
@@ -30,6 +44,8 @@
   std::int64_t mMostRequests = 0;
   std::int64_t mRequestsRun = 0;
   std::int64_t mMostCpuMillis = 0;
+  std::int64_t mMostMemoryMb = 0;
+  std::vector<ObservedAttempt> mAttempts;
   /** How often each request ran, by request id. */
   std::map<std::string, int> mRunsByRequest;
   /** Task attempts that were started, in order. */
@@ -58,6 +74,8 @@
 auto CarryOut(WorkerState& aState,
               const std::string& aTarget,
               const json::object& aBody) -> void;
+/** Forgets tokens and work, as a restarted worker does. */
+auto Restart(WorkerState& aState) -> void;
 /** Lets running attempts make progress, end and lapse. */
 auto Advance(WorkerState& aState, base::MonotonicTime aNow) -> void;
 
