--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -12,6 +12,7 @@
 #include "eelgrasspost/base/text.h"
 #include "entry.h"
 #include "jobscommand.h"
+#include "loadcommand.h"
 
 namespace eelgrasspost::app {
 
@@ -27,6 +28,9 @@
   "  job list [AFTER] --entry IP:PORT list jobs, after an id\n"
   "  job cancel ID... --entry IP:PORT cancel jobs\n"
   "  (job commands take --json)\n"
+  "  load --entry IP:PORT,... --service NAME --steps RATE:SECONDS,...\n"
+  "       --deadline-ms N [--path /PATH]\n"
+  "                                   send requests, show what became of them\n"
   "  status --entry IP:PORT           show what an entry sees\n";
 
 struct Arguments
@@ -36,6 +40,7 @@
   std::string mEntry;
   std::string mOperator;
   bool mJson = false;
+  LoadArguments mLoad;
 };
 
 auto ParseArguments(int aCount, char** aArguments) -> absl::StatusOr<Arguments>
@@ -45,6 +50,10 @@
     "entry", "IP:PORT of an entry", cxxopts::value<std::string>())(
     "operator", "who asks", cxxopts::value<std::string>())(
     "json", "print the entry's answer as it is")(
+    "service", "name of a service", cxxopts::value<std::string>())(
+    "path", "path below the service", cxxopts::value<std::string>())(
+    "steps", "RATE:SECONDS,...", cxxopts::value<std::string>())(
+    "deadline-ms", "of each request", cxxopts::value<std::string>())(
     "words", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({ "words" });
   try {
@@ -61,6 +70,11 @@
     out.mEntry = text("entry");
     out.mOperator = text("operator");
     out.mJson = parsed.count("json") > 0;
+    out.mLoad.mEntries = out.mEntry;
+    out.mLoad.mService = text("service");
+    out.mLoad.mPath = parsed.count("path") > 0 ? text("path") : "/";
+    out.mLoad.mSteps = text("steps");
+    out.mLoad.mDeadlineMs = base::ParseNumber(text("deadline-ms")).value_or(0);
     return out;
   } catch (const std::exception& e) {
     return absl::InvalidArgumentError(e.what());
@@ -174,6 +188,9 @@
   if (command == "check-settings") {
     return CheckSettings(*arguments);
   }
+  if (command == "load") {
+    return RunLoadCommand(arguments->mLoad);
+  }
   if (command == "status") {
     return Ask(*arguments, { "GET", "/status", {}, "" });
   }
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -75,15 +75,24 @@
     });
   mMembership->AddContacts(mSettings.mSeeds);
   mNotes = releasenote::MakeReleaseNotes(*mTable, {});
-  mOwnership = ownership::MakeOwnership(*mVmList, *mWorker, *mMembership, {});
+  mOwnership = ownership::MakeOwnership({ *mVmList,
+                                          *mWorker,
+                                          *mTable,
+                                          *mMembership,
+                                          mMessageClient,
+                                          mMetrics,
+                                          mPool.Executor(0) },
+                                        {});
+  ownership::HandleHandOvers(mMessageServer, *mOwnership);
   mRouter = routing::MakeRouter({ mHttpClient,
                                   mMessageClient,
                                   *mTable,
                                   *mMembership,
                                   *mOwnership,
                                   *mNotes,
-                                  mMetrics });
-  routing::HandleForwards(mMessageServer, *mRouter);
+                                  mMetrics,
+                                  { mSettings.mChoicePolicy } });
+  routing::HandleForwards(mMessageServer, *mRouter, mMetrics);
   mJobs = batch::MakeJobs({ *mTable,
                             *mWorker,
                             *mOwnership,
@@ -110,6 +119,7 @@
   mPool.Spawn(control0, mMembership->Run());
   mPool.Spawn(control0, mNotes->Run());
   mPool.Spawn(control0, mOwnership->Run());
+  mPool.Spawn(control0, mRouter->Run());
   mPool.Spawn(control0, mJobs->Run());
   mPool.Spawn(control0, WaitForSignal());
   std::cout << "listening http=" << net::ToString(*http)
@@ -133,8 +143,10 @@
 {
   constexpr auto kBalancerNotice = base::Milliseconds(1500);
   constexpr auto kCheckInterval = base::Milliseconds(20);
+  constexpr auto kHandOverLimit = base::Milliseconds(3000);
   mStopping = true;
   mMembership->Leave();
+  co_await mOwnership->HandOver(base::MonotonicClock::now() + kHandOverLimit);
   co_await net::Sleep(kBalancerNotice);
   mHttpServer.StopAccepting();
   while (mHttpServer.InFlight() > 0) {
--- a/src/batch/include/eelgrasspost/batch/placemessages.h
+++ b/src/batch/include/eelgrasspost/batch/placemessages.h
@@ -19,6 +19,8 @@
   std::string mCheckpoint;
   std::string mCommand;
   std::vector<std::string> mFailedOn;
+  std::int64_t mUsedMs = 0;
+  std::int64_t mDeclaredMs = 0;
   /** Version of the row that the start will be conditional on. */
   std::uint64_t mExpectedVersion = 0;
 
@@ -31,6 +33,8 @@
             mCheckpoint,
             mCommand,
             mFailedOn,
+            mUsedMs,
+            mDeclaredMs,
             mExpectedVersion);
   }
 };
--- a/src/batch/internal/dispatcher.h
+++ b/src/batch/internal/dispatcher.h
@@ -151,6 +151,8 @@
   std::vector<PlannedCancel> mCancelsUnderWay;
   std::shared_ptr<const membership::MemberView> mMembersAsked;
   std::size_t mOwnersAsked = 0;
+  /** Spreads the choices of workers. */
+  std::uint64_t mSeed = 0;
   base::MonotonicTime mNextPoll;
   base::MonotonicTime mNextReports;
 };
--- a/src/batch/internal/dispatchplacing.cpp
+++ b/src/batch/internal/dispatchplacing.cpp
@@ -61,7 +61,8 @@
 auto Dispatcher::ParkIfNoneHolds(CachedBlock& aBlock, std::size_t aSlot) -> bool
 {
   const auto& spec = aBlock.mBlock.mSpec;
-  const auto why = WhyNoneHolds(spec, *mParts.mOwnership.View());
+  const auto why = WhyNoneHolds(
+    spec, *mParts.mOwnership.View(), mParts.mNotes.InForce().get());
   if (why.empty() || !ApplyPark(aBlock.mBlock.mTasks[aSlot], why)) {
     return false;
   }
@@ -76,12 +77,16 @@
 {
   const auto& spec = aBlock.mBlock.mSpec;
   auto& task = aBlock.mBlock.mTasks[aSlot];
-  const auto worker = TakeRoom(aRooms, spec.mResources, task.mFailedOn);
+  const auto worker = TakeRoom(
+    aRooms,
+    { spec.mResources, task.mUsedMs, spec.mDeclaredRunMs, task.mFailedOn },
+    mSeed++);
   if (!worker) {
     return false;
   }
   const auto& hold = *worker->mHold;
-  if (!ApplyStart(task, hold.mWorker.mId, hold.mToken, hold.mIncarnation)) {
+  const auto token = hold.Token();
+  if (!ApplyStart(task, hold.mWorker.mId, token, hold.mIncarnation)) {
     return false;
   }
   const auto key = AttemptKey{ NameOf(aBlock, aSlot), task.mAttempt };
@@ -92,6 +97,7 @@
                     mOptions.mLease.count(),
                     task.mCheckpoint,
                     spec.mCommand },
+                  token,
                   aBlock.mVersion);
   aBlock.mIsDirty = true;
   mPlannedStarts.push_back({ worker, key });
--- a/src/batch/internal/jobs.cpp
+++ b/src/batch/internal/jobs.cpp
@@ -49,7 +49,8 @@
 auto Jobs::Submit(JobSpec aSpec, base::MonotonicTime /*aDeadline*/)
   -> net::Task<absl::Status>
 {
-  const auto why = WhyNoneHolds(aSpec, *mParts.mOwnership.View());
+  const auto why = WhyNoneHolds(
+    aSpec, *mParts.mOwnership.View(), mParts.mNotes.InForce().get());
   if (!why.empty()) {
     co_return base::MakeError(kNoWorkerHolds, why);
   }
@@ -210,11 +211,15 @@
   auto rooms = MakeRoomIndex(mTender, notes.get(), base::MonotonicClock::now());
   PlaceReply out;
   for (const auto& it : aRequest.mItems) {
-    const auto worker = TakeRoom(rooms, it.mResources, it.mFailedOn);
+    const auto worker =
+      TakeRoom(rooms,
+               { it.mResources, it.mUsedMs, it.mDeclaredMs, it.mFailedOn },
+               mSeed++);
     if (!worker) {
       continue;
     }
     const auto& hold = *worker->mHold;
+    const auto token = hold.Token();
     mTender.Reserve(worker,
                     { it.mTask,
                       it.mAttempt,
@@ -222,9 +227,10 @@
                       mOptions.mLease.count(),
                       it.mCheckpoint,
                       it.mCommand },
+                    token,
                     it.mExpectedVersion);
     out.mPlaced.push_back(
-      { it.mTask, hold.mWorker.mId, hold.mToken, hold.mIncarnation });
+      { it.mTask, hold.mWorker.mId, token, hold.mIncarnation });
   }
   return out;
 }
--- a/src/batch/internal/jobs.h
+++ b/src/batch/internal/jobs.h
@@ -31,6 +31,8 @@
   BatchTable mTable;
   WorkerTender mTender;
   Dispatcher mDispatcher;
+  /** Spreads the choices of workers. */
+  std::uint64_t mSeed = 0;
 };
 
 } // namespace eelgrasspost::batch
--- a/src/batch/internal/placing.cpp
+++ b/src/batch/internal/placing.cpp
@@ -6,29 +6,27 @@
 
 namespace eelgrasspost::batch {
 
-namespace {
-
-auto HasFailedOn(const std::vector<std::string>& aFailedOn,
-                 const std::string& aWorker) -> bool
-{
-  return std::ranges::find(aFailedOn, aWorker) != aFailedOn.end();
-}
-
-} // namespace
-
-auto Fits(const platform::Resources& aNeed, const platform::Resources& aFree)
-  -> bool
-{
-  return aNeed.mCpuMillis <= aFree.mCpuMillis &&
-         aNeed.mMemoryMb <= aFree.mMemoryMb &&
-         aNeed.mAccelerators <= aFree.mAccelerators;
-}
-
-auto KeptForServices(const std::string& /*aWorker*/,
-                     const releasenote::ReleaseState* /*aNotes*/)
+auto KeptForServices(const platform::VmRecord& aWorker,
+                     const releasenote::ReleaseState* aNotes)
   -> platform::Resources
 {
-  return {};
+  platform::Resources out;
+  if (aNotes == nullptr) {
+    return out;
+  }
+  const auto isHere = [&](const releasenote::EndpointSpec& aEndpoint) {
+    return aEndpoint.mWorker == aWorker.mId;
+  };
+  // The slots are shared by all services, so the greediest one counts.
+  for (const auto& it : aNotes->mServices) {
+    if (std::ranges::any_of(it.mEndpoints, isHere)) {
+      out.mCpuMillis =
+        std::max(out.mCpuMillis, aWorker.mSlots * it.mSlotCpuMillis);
+      out.mMemoryMb =
+        std::max(out.mMemoryMb, aWorker.mSlots * it.mSlotMemoryMb);
+    }
+  }
+  return out;
 }
 
 auto MakeRoomIndex(const WorkerTender& aTender,
@@ -36,53 +34,55 @@
                    base::MonotonicTime aNow) -> RoomIndex
 {
   RoomIndex out;
+  const auto policy = placement::ClassPolicy();
   for (const auto& [name, it] : aTender.Workers()) {
-    if (ownership::MayUse(*it->mHold, aNow) && it->mReport) {
-      out.mRooms.push_back(
-        { it, FreeRoom(*it, KeptForServices(name, aNotes)) });
+    if (!ownership::MayUse(*it->mHold, aNow) || !it->mReport) {
+      continue;
     }
+    const auto& worker = it->mHold->mWorker;
+    placement::WorkerRoom room;
+    room.mWorker = name;
+    room.mRack = worker.mRack;
+    room.mFailureDomain = worker.mFailureDomain;
+    room.mFree = FreeRoom(*it, KeptForServices(worker, aNotes));
+    room.mReserved = placement::ShortReserve(worker.mResources, policy);
+    out.mIndex.Set(room);
+    out.mWorkers[name] = it;
   }
   return out;
 }
 
-auto TakeRoom(RoomIndex& aIndex,
-              const platform::Resources& aNeed,
-              const std::vector<std::string>& aFailedOn) -> HeldWorkerPtr
+auto TakeRoom(RoomIndex& aIndex, const RoomDemand& aDemand, std::uint64_t aSeed)
+  -> HeldWorkerPtr
 {
-  WorkerRoom* best = nullptr;
-  const auto isBetter = [&](const WorkerRoom& aRoom) {
-    if (best == nullptr) {
-      return true;
-    }
-    const auto failed =
-      HasFailedOn(aFailedOn, aRoom.mWorker->mHold->mWorker.mId);
-    const auto bestFailed =
-      HasFailedOn(aFailedOn, best->mWorker->mHold->mWorker.mId);
-    return failed != bestFailed
-             ? bestFailed
-             : aRoom.mFree.mCpuMillis > best->mFree.mCpuMillis;
-  };
-  for (auto& it : aIndex.mRooms) {
-    if (Fits(aNeed, it.mFree) && isBetter(it)) {
-      best = &it;
-    }
+  placement::PlacementDemand demand;
+  demand.mResources = aDemand.mResources;
+  demand.mClass = placement::ClassOf(base::Milliseconds(aDemand.mUsedMs),
+                                     base::Milliseconds(aDemand.mDeclaredMs),
+                                     placement::ClassPolicy());
+  demand.mAvoid = aDemand.mFailedOn;
+  auto chosen = aIndex.mIndex.Choose(demand, aSeed);
+  if (!chosen) {
+    // A worker on which the task failed is better than none.
+    demand.mAvoid.clear();
+    chosen = aIndex.mIndex.Choose(demand, aSeed);
   }
-  if (best == nullptr) {
+  if (!chosen) {
     return nullptr;
   }
-  best->mFree.mCpuMillis -= aNeed.mCpuMillis;
-  best->mFree.mMemoryMb -= aNeed.mMemoryMb;
-  best->mFree.mAccelerators -= aNeed.mAccelerators;
-  return best->mWorker;
+  aIndex.mIndex.Take(*chosen, aDemand.mResources);
+  return aIndex.mWorkers[*chosen];
 }
 
-auto WhyNoneHolds(const JobSpec& aJob, const ownership::OwnershipView& aView)
-  -> std::string
+auto WhyNoneHolds(const JobSpec& aJob,
+                  const ownership::OwnershipView& aView,
+                  const releasenote::ReleaseState* aNotes) -> std::string
 {
   platform::Resources largest;
   for (const auto& it : aView.mAssignments) {
-    const auto& has = it.mWorker.mResources;
-    if (Fits(aJob.mResources, has)) {
+    const auto has =
+      Minus(it.mWorker.mResources, KeptForServices(it.mWorker, aNotes));
+    if (placement::Fits(aJob.mResources, has)) {
       return {};
     }
     largest.mCpuMillis = std::max(largest.mCpuMillis, has.mCpuMillis);
@@ -94,8 +94,8 @@
   }
   const auto& need = aJob.mResources;
   return fmt::format("no worker holds a task of {} cpu_millis, {} memory_mb "
-                     "and {} accelerators together; the most of each on any "
-                     "worker is {}, {} and {}",
+                     "and {} accelerators together; the most of each that "
+                     "services leave on any worker is {}, {} and {}",
                      need.mCpuMillis,
                      need.mMemoryMb,
                      need.mAccelerators,
--- a/src/batch/internal/remoteplacing.cpp
+++ b/src/batch/internal/remoteplacing.cpp
@@ -69,6 +69,8 @@
                                task.mCheckpoint,
                                block.mBlock.mSpec.mCommand,
                                task.mFailedOn,
+                               task.mUsedMs,
+                               block.mBlock.mSpec.mDeclaredRunMs,
                                block.mVersion });
   }
   const auto deadline =
--- a/src/batch/internal/settling.cpp
+++ b/src/batch/internal/settling.cpp
@@ -82,7 +82,7 @@
     co_return;
   }
   if (IsRunningAttempt(found->mTask, aKey) &&
-      found->mTask->mToken == aWorker->mHold->mToken) {
+      found->mTask->mToken == it->second.mToken) {
     Confirm(aWorker, aKey);
     co_return;
   }
--- a/src/batch/internal/workertender.cpp
+++ b/src/batch/internal/workertender.cpp
@@ -11,6 +11,13 @@
 
 using platform::AttemptState;
 
+auto ToRef(const AttemptKey& aKey) -> platform::AttemptRef
+{
+  return { aKey.mTask, aKey.mAttempt };
+}
+
+} // namespace
+
 auto Minus(platform::Resources aLeft, const platform::Resources& aRight)
   -> platform::Resources
 {
@@ -20,13 +27,6 @@
   return aLeft;
 }
 
-auto ToRef(const AttemptKey& aKey) -> platform::AttemptRef
-{
-  return { aKey.mTask, aKey.mAttempt };
-}
-
-} // namespace
-
 auto TimedReport::Find(const AttemptKey& aKey) const
   -> const platform::AttemptReport*
 {
@@ -107,11 +107,13 @@
 
 auto WorkerTender::Reserve(const HeldWorkerPtr& aWorker,
                            platform::StartCommand aCommand,
+                           platform::FencingToken aToken,
                            std::uint64_t aExpectedVersion) -> void
 {
   const auto key = AttemptKey{ aCommand.mTask, aCommand.mAttempt };
   StartingAttempt start;
   start.mCommand = std::move(aCommand);
+  start.mToken = std::move(aToken);
   start.mSince = base::MonotonicClock::now();
   start.mExpectedVersion = aExpectedVersion;
   aWorker->mStarting[key] = std::move(start);
@@ -194,19 +196,32 @@
   const auto askedAt = base::MonotonicClock::now();
   const auto& hold = *aWorker->mHold;
   auto report = co_await mParts.mWorker.Claim(
-    hold.mWorker.mControl, hold.mToken, askedAt + mOptions.mCallTimeout);
+    hold.mWorker.mControl, hold.Token(), askedAt + mOptions.mCallTimeout);
   if (!report.ok() || report->mIncarnation != hold.mIncarnation) {
     co_return false;
   }
   aWorker->mReport = MakeTimedReport(*std::move(report), askedAt);
-  std::erase_if(aWorker->mStarting, [&](const auto& aStart) {
-    const auto isReported = aWorker->mReport->Find(aStart.first) != nullptr;
-    if (isReported && aStart.second.mMayArriveLate) {
-      aWorker->mNotToForget.insert(aStart.first);
+  TakeStarted(*aWorker);
+  co_return true;
+}
+
+auto WorkerTender::TakeStarted(HeldWorker& aWorker) -> void
+{
+  const auto& report = *aWorker.mReport;
+  const auto& highest = report.mReport.mHighestToken;
+  std::erase_if(aWorker.mStarting, [&](const auto& aStart) {
+    const auto& start = aStart.second;
+    const auto isReported = report.Find(aStart.first) != nullptr;
+    if (isReported && start.mMayArriveLate) {
+      aWorker.mNotToForget[aStart.first] = start.mToken;
     }
-    return isReported;
+    // Under a raised token the worker refuses the start from now on.
+    const auto isFenced =
+      start.mPhase != StartPhase::Reserved && highest > start.mToken;
+    return isReported || isFenced;
   });
-  co_return true;
+  std::erase_if(aWorker.mNotToForget,
+                [&](const auto& aKept) { return highest > aKept.second; });
 }
 
 auto WorkerTender::SendStarts(HeldWorkerPtr aWorker) -> net::Task<void>
@@ -215,10 +230,12 @@
   if (!ownership::MayUse(hold, base::MonotonicClock::now())) {
     co_return;
   }
+  const auto token = hold.Token();
   std::vector<platform::StartCommand> commands;
   std::vector<AttemptKey> keys;
   for (auto& [key, it] : aWorker->mStarting) {
-    if (it.mPhase == StartPhase::Written && !it.mIsSending) {
+    if (it.mPhase == StartPhase::Written && it.mToken == token &&
+        !it.mIsSending) {
       it.mIsSending = true;
       commands.push_back(it.mCommand);
       keys.push_back(key);
@@ -228,13 +245,13 @@
     co_return;
   }
   const auto status = co_await mParts.mWorker.Start(
-    hold.mWorker.mControl, hold.mToken, std::move(commands), CallDeadline());
+    hold.mWorker.mControl, token, std::move(commands), CallDeadline());
   const auto mayArrive = base::IsKind(status, platform::kNoAnswer) ||
                          base::IsKind(status, platform::kBadAnswer);
   for (const auto& key : keys) {
     if (mayArrive && aWorker->mReport &&
         aWorker->mReport->Find(key) != nullptr) {
-      aWorker->mNotToForget.insert(key);
+      aWorker->mNotToForget[key] = token;
     }
     const auto it = aWorker->mStarting.find(key);
     if (it == aWorker->mStarting.end()) {
@@ -261,7 +278,7 @@
   }
   const auto& hold = *aWorker->mHold;
   (void)co_await mParts.mWorker.Renew(hold.mWorker.mControl,
-                                      hold.mToken,
+                                      hold.Token(),
                                       std::move(attempts),
                                       mOptions.mLease,
                                       CallDeadline());
@@ -292,7 +309,7 @@
   }
   const auto& hold = *aWorker->mHold;
   (void)co_await mParts.mWorker.Stop(hold.mWorker.mControl,
-                                     hold.mToken,
+                                     hold.Token(),
                                      std::move(attempts),
                                      aCheckpoint,
                                      CallDeadline());
@@ -313,7 +330,7 @@
   }
   const auto& hold = *aWorker->mHold;
   (void)co_await mParts.mWorker.Forget(
-    hold.mWorker.mControl, hold.mToken, std::move(attempts), CallDeadline());
+    hold.mWorker.mControl, hold.Token(), std::move(attempts), CallDeadline());
 }
 
 } // namespace eelgrasspost::batch
--- a/src/batch/internal/workertender.h
+++ b/src/batch/internal/workertender.h
@@ -35,6 +35,8 @@
 struct StartingAttempt
 {
   platform::StartCommand mCommand;
+  /** Token that its row names; the start is sent under no other. */
+  platform::FencingToken mToken;
   StartPhase mPhase = StartPhase::Reserved;
   base::MonotonicTime mSince;
   /** Version of the block's row that its write is conditional on. */
@@ -69,9 +71,9 @@
   /** Attempts to stop, and whether after a checkpoint. */
   std::map<AttemptKey, bool> mToStop;
   std::set<AttemptKey> mToForget;
-  /** Attempts that stay at the worker until its token is raised, since a
-   * start that comes late would run them again. */
-  std::set<AttemptKey> mNotToForget;
+  /** Attempts that stay at the worker until its token is raised above the
+   * one given here, since a start that comes late would run them again. */
+  std::map<AttemptKey, platform::FencingToken> mNotToForget;
   /** When attempts that no block of this entry vouched for were first seen. */
   std::map<AttemptKey, base::MonotonicTime> mStrangers;
   bool mIsBusy = false;
@@ -94,6 +96,9 @@
   platform::Resources mFree;
 };
 
+auto Minus(platform::Resources aLeft, const platform::Resources& aRight)
+  -> platform::Resources;
+
 /** What a worker holds less all that may run there; unknown is occupied. */
 auto FreeRoom(const HeldWorker& aWorker,
               const platform::Resources& aKeptForServices)
@@ -125,6 +130,7 @@
   /** Keeps room for an attempt whose row is about to be written. */
   auto Reserve(const HeldWorkerPtr& aWorker,
                platform::StartCommand aCommand,
+               platform::FencingToken aToken,
                std::uint64_t aExpectedVersion) -> void;
   /** The row is written: starts the attempt. */
   auto Confirm(const HeldWorkerPtr& aWorker, const AttemptKey& aKey) -> void;
@@ -145,6 +151,7 @@
 private:
   auto Tend(HeldWorkerPtr aWorker) -> net::Task<void>;
   auto TakeReport(HeldWorkerPtr aWorker) -> net::Task<bool>;
+  auto TakeStarted(HeldWorker& aWorker) -> void;
   auto SendStarts(HeldWorkerPtr aWorker) -> net::Task<void>;
   auto Renew(HeldWorkerPtr aWorker) -> net::Task<void>;
   auto SendStops(HeldWorkerPtr aWorker) -> net::Task<void>;
