--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -128,7 +128,15 @@
                                   mMetrics,
                                   { mSettings.mChoicePolicy } });
   routing::HandleForwards(mMessageServer, *mRouter, mMetrics);
-  mJobs = batch::MakeJobs({ *mTable, *mWorker, *mOwnership }, {});
+  mJobs = batch::MakeJobs({ *mTable,
+                            *mWorker,
+                            *mOwnership,
+                            *mMembership,
+                            *mNotes,
+                            mMetrics,
+                            mMessageClient },
+                          {});
+  batch::HandlePlaceTasks(mMessageServer, *mJobs, mPool.Executor(0));
 }
 
 auto Entry::Start() -> absl::Status
