--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -110,7 +110,8 @@
                                   *mMembership,
                                   *mOwnership,
                                   *mNotes,
-                                  mMetrics });
+                                  mMetrics,
+                                  { mSettings.mChoicePolicy } });
   routing::HandleForwards(mMessageServer, *mRouter, mMetrics);
   mJobs = batch::MakeJobs({ *mTable, *mWorker, *mOwnership }, {});
 }
@@ -130,6 +131,7 @@
   mPool.Spawn(control0, mMembership->Run());
   mPool.Spawn(control0, mNotes->Run());
   mPool.Spawn(control0, mOwnership->Run());
+  mPool.Spawn(control0, mRouter->Run());
   mPool.Spawn(control0, mJobs->Run());
   mPool.Spawn(control0, mKeys->Run());
   mPool.Spawn(control0, WaitForSignal());
--- a/src/app/internal/entrysettings.h
+++ b/src/app/internal/entrysettings.h
@@ -7,6 +7,7 @@
 #include "eelgrasspost/base/clock.h"
 #include "eelgrasspost/base/settings.h"
 #include "eelgrasspost/net/address.h"
+#include "eelgrasspost/routing/routingtypes.h"
 
 namespace eelgrasspost::app {
 
@@ -27,6 +28,7 @@
   std::vector<net::Address> mSeeds;
   std::size_t mThreads = 2;
   base::Milliseconds mKeyRetention{ 0 };
+  routing::ChoicePolicy mChoicePolicy = routing::ChoicePolicy::TwoChoices;
 };
 
 /** Every setting of the INI file; docs/settings.md is checked against it. */
