--- a/src/ownership/include/eelgrasspost/ownership/assignment.h
+++ b/src/ownership/include/eelgrasspost/ownership/assignment.h
@@ -16,9 +16,9 @@
 
 /**
  * Gives each worker to one live entry of its failure domain by highest random
- * weight, no entry more than LargestShare(). A worker whose entry is full goes
- * to its next one; the worker with the least weight gives way. The same
- * workers and members give the same assignment, in any order.
+ * weight; each entry gets the average, rounded down or up. A worker whose entry
+ * is full goes to its next one; the worker with the least weight gives way. The
+ * same workers and members give the same assignment, in any order.
  */
 auto AssignWorkers(const std::vector<platform::VmRecord>& aWorkers,
                    const membership::MemberView& aMembers)
--- a/src/ownership/internal/assignment.cpp
+++ b/src/ownership/internal/assignment.cpp
@@ -77,24 +77,44 @@
   return least;
 }
 
-auto AssignDomain(std::vector<WorkerAssignment*>& aWorkers, Owners& aOwners)
-  -> void
+/** Places workers, no owner more than a cap; returns those left over. */
+auto PlaceAll(const std::vector<WorkerAssignment*>& aWorkers,
+              Owners& aOwners,
+              std::size_t aCap) -> std::vector<WorkerAssignment*>
 {
   const auto none = aWorkers.size();
-  const auto cap = LargestShare(none, aOwners.size());
   std::vector<std::uint64_t> limits(none, ~std::uint64_t{ 0 });
-  for (std::size_t i = 0; i < none; ++i) {
+  for (std::size_t i = 0; i < none && aCap > 0; ++i) {
     auto waiting = i;
     while (waiting != none) {
       const auto hash = HashOf(aWorkers[waiting]->mWorker.mId);
-      waiting = Place(aOwners, waiting, cap, none, limits, hash);
+      waiting = Place(aOwners, waiting, aCap, none, limits, hash);
     }
   }
-  for (const auto& owner : aOwners) {
+  for (auto& owner : aOwners) {
     for (const auto& [weight, index] : owner.mTaken) {
       aWorkers[index]->mEntry = owner.mId;
     }
+    owner.mTaken.clear();
   }
+  std::vector<WorkerAssignment*> out;
+  std::ranges::copy_if(
+    aWorkers, std::back_inserter(out), [](const WorkerAssignment* aAssignment) {
+      return aAssignment->mEntry.empty();
+    });
+  return out;
+}
+
+/** Every owner gets the average rounded down, some of them one more. */
+auto AssignDomain(const std::vector<WorkerAssignment*>& aWorkers,
+                  Owners& aOwners) -> void
+{
+  if (aOwners.empty()) {
+    return;
+  }
+  const auto left =
+    PlaceAll(aWorkers, aOwners, aWorkers.size() / aOwners.size());
+  PlaceAll(left, aOwners, 1);
 }
 
 } // namespace
--- a/src/ownership/internal/handover.cpp
+++ b/src/ownership/internal/handover.cpp
@@ -143,6 +143,7 @@
   -> net::Task<HandOverReply>
 {
   HandOverReply out;
+  RefreshAssignments();
   co_await RunEach(aRequest.mWorkers.size(),
                    mOptions.mCallsAtOnce,
                    [&](std::size_t aIndex) -> net::Task<void> {
@@ -163,15 +164,20 @@
     co_return false;
   }
   const auto tender = found->second;
-  if (tender->mHold) {
-    co_return true;
-  }
   // Otherwise it would go back as soon as the views agree.
   const auto isWanted = aRequest.mIsStopping || IsOurs(*tender);
   if (tender->mIsBusy || !isWanted) {
     co_return false;
   }
   tender->mIsBusy = true;
+  if (tender->mHold) {
+    // The offering entry has claimed it since: this hold is likely fenced.
+    co_await Renew(Context(), *tender);
+  }
+  if (tender->mHold) {
+    tender->mIsBusy = false;
+    co_return true;
+  }
   const auto isTaken =
     co_await TryClaim(Context(), *tender, ClaimCause::HandedOver);
   tender->mIsBusy = false;
--- a/src/ownership/internal/holdrules.cpp
+++ b/src/ownership/internal/holdrules.cpp
@@ -11,6 +11,8 @@
 constexpr char kIncarnationMark = '/';
 constexpr auto kFirstHoldDown = base::Milliseconds(500);
 constexpr auto kLongestHoldDown = base::Milliseconds(30000);
+constexpr auto kHolderPatience = base::Milliseconds(10000);
+constexpr int kMostPatienceDoublings = 5;
 /** A leaving holder hands over itself; this is for lost messages. */
 constexpr auto kLeavingHolderWait = base::Milliseconds(1000);
 
@@ -66,7 +68,10 @@
     case HolderState::Self:
       return true;
     case HolderState::Present:
-      return false;
+      return aSituation.mFences &&
+             aSituation.mHolderPresentFor >=
+               kHolderPatience *
+                 (1 << std::min(aSituation.mLosses, kMostPatienceDoublings));
     case HolderState::Leaving:
       return aSituation.mHolderGoneFor >= kLeavingHolderWait && waitsOutLease();
     case HolderState::Gone:
--- a/src/ownership/internal/holdrules.h
+++ b/src/ownership/internal/holdrules.h
@@ -46,12 +46,18 @@
   base::Milliseconds mUptime{ 0 };
   /** Time since the holder was first seen leaving or gone. */
   base::Milliseconds mHolderGoneFor{ 0 };
+  /** Time for which a present holder has been seen to keep it, and losses of
+   * the worker by this entry. */
+  base::Milliseconds mHolderPresentFor{ 0 };
+  int mLosses = 0;
   /** Whether the worker refuses lower tokens. */
   bool mFences = true;
 };
 
 /** Whether the entry that should own a worker may claim it now. A holder that
- * is present keeps it until it hands it over. */
+ * is present keeps it until it hands it over; one that never does, because it
+ * gave the worker up or its view differs, is overruled after long waits that
+ * double. */
 auto MayClaim(const ClaimSituation& aSituation,
               const OwnershipOptions& aOptions) -> bool;
 
--- a/src/ownership/internal/tender.cpp
+++ b/src/ownership/internal/tender.cpp
@@ -45,8 +45,14 @@
     out.mHolder = HolderState::Gone;
   }
   const auto& holder = aReport.mHighestToken.mHolder;
+  out.mLosses = aTender.mHoldDown.mLosses;
   if (out.mHolder == HolderState::Present) {
     aTender.mGoneSince = {};
+    if (aTender.mPresentHolder != holder) {
+      aTender.mPresentHolder = holder;
+      aTender.mPresentSince = now;
+    }
+    out.mHolderPresentFor = Since(aTender.mPresentSince, now);
   } else if (aTender.mGoneSince == base::MonotonicTime() ||
              aTender.mGoneHolder != holder) {
     aTender.mGoneSince = now;
@@ -87,6 +93,7 @@
   aTender.mHold = std::move(hold);
   aTender.mHeldSince = now;
   aTender.mGoneSince = {};
+  aTender.mPresentHolder.clear();
   aTender.mMachine.Process(HoldEvent::ClaimTaken);
   aContext.mMetrics.mClaims.Add();
   base::Log(
--- a/src/ownership/internal/tender.h
+++ b/src/ownership/internal/tender.h
@@ -23,6 +23,9 @@
   /** Holder that was last seen not to be present, and since when. */
   std::string mGoneHolder;
   base::MonotonicTime mGoneSince;
+  /** Holder that was last seen present, and since when. */
+  std::string mPresentHolder;
+  base::MonotonicTime mPresentSince;
   /** Highest token number that any incarnation of the worker has shown. */
   std::uint64_t mHighestSeen = 0;
   /** Whether a call is under way. */
--- a/src/ownership/tests/assignment_tests.cpp
+++ b/src/ownership/tests/assignment_tests.cpp
@@ -69,7 +69,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(assignment, AssignmentFixture)
 
-BOOST_AUTO_TEST_CASE(assignment_any_size_gives_no_entry_above_rounded_average)
+BOOST_AUTO_TEST_CASE(assignment_any_size_gives_each_entry_the_rounded_average)
 {
   for (const auto& size : kSizes) {
     for (int seed = 0; seed < kSeeds; ++seed) {
@@ -82,7 +82,9 @@
       }
       for (const auto& [entry, share] : shares) {
         BOOST_TEST(share <= LargestShare(workers.size(), view.mMembers.size()));
+        BOOST_TEST(share >= workers.size() / view.mMembers.size());
       }
+      BOOST_TEST(shares.size() == view.mMembers.size());
     }
   }
 }
--- a/src/ownership/tests/holdrules_tests.cpp
+++ b/src/ownership/tests/holdrules_tests.cpp
@@ -70,23 +70,30 @@
     HolderState mHolder;
     int mUptimeMs;
     int mGoneMs;
+    int mPresentMs;
+    int mLosses;
     bool mFences;
     bool mMay;
   };
   constexpr Case kCases[] = {
-    { HolderState::Nobody, 0, 0, true, true },
-    { HolderState::Present, 60000, 0, true, false },
-    { HolderState::Leaving, 60000, 100, true, false },
-    { HolderState::Leaving, 60000, 1000, true, true },
-    { HolderState::Gone, 100, 0, true, false },
-    { HolderState::Gone, 60000, 0, true, true },
-    { HolderState::Gone, 60000, 6000, false, false },
-    { HolderState::Gone, 60000, 6200, false, true },
+    { HolderState::Nobody, 0, 0, 0, 0, true, true },
+    { HolderState::Present, 60000, 0, 9999, 0, true, false },
+    { HolderState::Present, 60000, 0, 10000, 0, true, true },
+    { HolderState::Present, 60000, 0, 39999, 2, true, false },
+    { HolderState::Present, 60000, 0, 60000, 0, false, false },
+    { HolderState::Leaving, 60000, 100, 0, 0, true, false },
+    { HolderState::Leaving, 60000, 1000, 0, 0, true, true },
+    { HolderState::Gone, 100, 0, 0, 0, true, false },
+    { HolderState::Gone, 60000, 0, 0, 0, true, true },
+    { HolderState::Gone, 60000, 6000, 0, 0, false, false },
+    { HolderState::Gone, 60000, 6200, 0, 0, false, true },
   };
   for (const auto& it : kCases) {
     const auto situation = ClaimSituation{ it.mHolder,
                                            Milliseconds(it.mUptimeMs),
                                            Milliseconds(it.mGoneMs),
+                                           Milliseconds(it.mPresentMs),
+                                           it.mLosses,
                                            it.mFences };
     BOOST_TEST(MayClaim(situation, mOptions) == it.mMay);
   }
