--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -10,6 +10,7 @@
 #include "eelgrasspost/base/logging.h"
 #include "eelgrasspost/base/text.h"
 #include "entry.h"
+#include "notecommands.h"
 
 namespace eelgrasspost::app {
 
@@ -19,7 +20,15 @@
   "usage: eelgrasspost COMMAND [OPTIONS]\n"
   "  serve --settings FILE            run an entry\n"
   "  check-settings --settings FILE   check a settings file\n"
-  "  note submit FILE --entry IP:PORT submit a release note\n"
+  "  note plan FILE --entry IP:PORT [--against REVISION]\n"
+  "                                   show what a note would change\n"
+  "  note submit FILE --entry IP:PORT --operator NAME\n"
+  "                                   submit a release note\n"
+  "  note history --entry IP:PORT     list accepted notes\n"
+  "  note show REVISION --entry IP:PORT\n"
+  "                                   show an accepted note\n"
+  "  audit --entry IP:PORT [--since 2h] [--actor NAME] [--object NAME]\n"
+  "                                   list changes, oldest first\n"
   "  job submit FILE --entry IP:PORT  submit a job\n"
   "  job show ID --entry IP:PORT      show a job\n"
   "  status --entry IP:PORT           show what an entry sees\n";
@@ -30,6 +39,11 @@
   std::string mSettings;
   std::string mEntry;
   std::string mOperator;
+  std::string mAgainst;
+  std::string mSince;
+  std::string mActor;
+  std::string mObject;
+  bool mJson = false;
 };
 
 auto ParseArguments(int aCount, char** aArguments) -> absl::StatusOr<Arguments>
@@ -38,6 +52,11 @@
   options.add_options()("settings", "INI file", cxxopts::value<std::string>())(
     "entry", "IP:PORT of an entry", cxxopts::value<std::string>())(
     "operator", "who asks", cxxopts::value<std::string>())(
+    "against", "revision to plan against", cxxopts::value<std::string>())(
+    "since", "oldest change to list", cxxopts::value<std::string>())(
+    "actor", "who changed", cxxopts::value<std::string>())(
+    "object", "what was changed", cxxopts::value<std::string>())(
+    "json", "print the entry's JSON")(
     "words", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({ "words" });
   try {
@@ -53,6 +72,11 @@
     out.mSettings = text("settings");
     out.mEntry = text("entry");
     out.mOperator = text("operator");
+    out.mAgainst = text("against");
+    out.mSince = text("since");
+    out.mActor = text("actor");
+    out.mObject = text("object");
+    out.mJson = parsed.count("json") > 0;
     return out;
   } catch (const std::exception& e) {
     return absl::InvalidArgumentError(e.what());
@@ -60,7 +84,9 @@
 }
 
 /** Sends one request to an entry and prints its answer. */
-auto Ask(const Arguments& aArguments, net::HttpRequest aRequest) -> ExitCode
+auto Ask(const Arguments& aArguments,
+         net::HttpRequest aRequest,
+         std::optional<AnswerView> aView = std::nullopt) -> ExitCode
 {
   const auto address = net::ParseAddress(aArguments.mEntry);
   if (!address.ok()) {
@@ -86,13 +112,20 @@
   }
   constexpr unsigned kFirstError = 400;
   const auto failed = exchange.mResponse.mStatus >= kFirstError;
-  (failed ? std::cerr : std::cout) << exchange.mResponse.mBody;
+  const auto& body = exchange.mResponse.mBody;
+  if (failed) {
+    std::cerr << body;
+  } else {
+    const auto isRendered = aView && !aArguments.mJson;
+    std::cout << (isRendered ? RenderAnswer(*aView, body) : body);
+  }
   return failed ? ExitCode::Failed : ExitCode::Done;
 }
 
 auto Post(const Arguments& aArguments,
           std::string aTarget,
-          const std::string& aFile) -> ExitCode
+          const std::string& aFile,
+          std::optional<AnswerView> aView = std::nullopt) -> ExitCode
 {
   auto in = std::ifstream(aFile);
   if (!in) {
@@ -101,7 +134,68 @@
   }
   std::stringstream text;
   text << in.rdbuf();
-  return Ask(aArguments, { "POST", std::move(aTarget), {}, text.str() });
+  return Ask(aArguments, { "POST", std::move(aTarget), {}, text.str() }, aView);
+}
+
+auto PlanNote(const Arguments& aArguments) -> ExitCode
+{
+  auto target = std::string("/release-notes/plan");
+  if (!aArguments.mAgainst.empty()) {
+    if (!base::ParseNumber<std::uint64_t>(aArguments.mAgainst)) {
+      std::cerr << "--against: write the number of a revision\n";
+      return ExitCode::Usage;
+    }
+    base::Append(target, "?against=", aArguments.mAgainst);
+  }
+  return Post(
+    aArguments, std::move(target), aArguments.mWords[2], AnswerView::Plan);
+}
+
+auto ShowAudit(const Arguments& aArguments) -> ExitCode
+{
+  auto target = std::string("/audit?limit=1000");
+  if (!aArguments.mSince.empty()) {
+    const auto since = ParseSince(aArguments.mSince, base::WallClockMs());
+    if (!since.ok()) {
+      std::cerr << "--since: " << base::MessageOf(since.status()) << "\n";
+      return ExitCode::Usage;
+    }
+    base::Append(target, "&since=", *since);
+  }
+  if (!aArguments.mActor.empty()) {
+    base::Append(target, "&actor=", aArguments.mActor);
+  }
+  if (!aArguments.mObject.empty()) {
+    base::Append(target, "&object=", aArguments.mObject);
+  }
+  return Ask(
+    aArguments, { "GET", std::move(target), {}, "" }, AnswerView::Audit);
+}
+
+/** Nothing when the words name no command of notes or audit. */
+auto RunNoteCommand(const Arguments& aArguments, const std::string& aCommand)
+  -> std::optional<ExitCode>
+{
+  const auto& words = aArguments.mWords;
+  if (aCommand == "note plan" && words.size() == 3) {
+    return PlanNote(aArguments);
+  }
+  if (aCommand == "note submit" && words.size() == 3) {
+    return Post(aArguments, "/release-notes", words[2], AnswerView::Submitted);
+  }
+  if (aCommand == "note history" && words.size() == 2) {
+    return Ask(
+      aArguments, { "GET", "/release-notes", {}, "" }, AnswerView::History);
+  }
+  if (aCommand == "note show" && words.size() == 3) {
+    return Ask(aArguments,
+               { "GET", "/release-notes/" + words[2], {}, "" },
+               AnswerView::Revision);
+  }
+  if (aCommand == "audit") {
+    return ShowAudit(aArguments);
+  }
+  return std::nullopt;
 }
 
 auto CheckSettings(const Arguments& aArguments) -> ExitCode
@@ -155,8 +249,8 @@
   if (command == "status") {
     return Ask(*arguments, { "GET", "/status", {}, "" });
   }
-  if (command == "note submit" && words.size() == 3) {
-    return Post(*arguments, "/release-notes", words[2]);
+  if (const auto code = RunNoteCommand(*arguments, command)) {
+    return *code;
   }
   if (command == "job submit" && words.size() == 3) {
     return Post(*arguments, "/jobs", words[2]);
--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -90,6 +90,7 @@
   mNotes = releasenote::MakeReleaseNotes(
     { *mTable, *mObjectStore, *mMembership, mMessageClient, mMetrics }, {});
   releasenote::HandlePulls(mMessageServer, mPool.Executor(0), *mNotes);
+  mAudit = audit::MakeAuditTrail(*mTable, {});
   mOwnership = ownership::MakeOwnership({ *mVmList,
                                           *mWorker,
                                           *mTable,
@@ -176,8 +177,8 @@
     co_return co_await routing::AnswerCaller(
       *mRouter, *mNotes, std::move(aRequest));
   }
-  auto parts = OperatorParts{ mMetrics, *mMembership, *mOwnership,
-                              *mNotes,  *mJobs,       mStopping };
+  auto parts = OperatorParts{ mMetrics, *mMembership, *mOwnership, *mNotes,
+                              *mJobs,   *mAudit,      mStopping };
   // Operators' modules belong to thread 0.
   co_return co_await asio::co_spawn(mPool.Executor(0),
                                     AnswerOperator(parts, std::move(aRequest)),
--- a/src/app/internal/entry.h
+++ b/src/app/internal/entry.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "eelgrasspost/audit/auditmodule.h"
 #include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/batch/ijobs.h"
 #include "eelgrasspost/membership/imembership.h"
@@ -58,6 +59,7 @@
   std::unique_ptr<ownership::IOwnership> mOwnership;
   std::unique_ptr<routing::IRouter> mRouter;
   std::unique_ptr<batch::IJobs> mJobs;
+  std::unique_ptr<audit::IAuditTrail> mAudit;
   std::atomic<bool> mStopping{ false };
 };
 
--- a/src/app/internal/operatordoor.cpp
+++ b/src/app/internal/operatordoor.cpp
@@ -7,6 +7,8 @@
 #include "eelgrasspost/base/jsonfields.h"
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/batch/jobcodec.h"
+#include "httpreply.h"
+#include "notedoor.h"
 
 namespace eelgrasspost::app {
 
@@ -15,76 +17,26 @@
 namespace json = base::json;
 
 constexpr auto kCallTimeout = std::chrono::seconds(5);
-constexpr std::string_view kActorField = "Operator";
 
 auto Deadline() -> base::MonotonicTime
 {
   return base::MonotonicClock::now() + kCallTimeout;
 }
 
-auto Json(unsigned aStatus, const json::object& aBody) -> net::HttpResponse
-{
-  return { aStatus,
-           { { "Content-Type", "application/json" } },
-           base::ToText(aBody) + "\n" };
-}
-
-auto HttpStatusOf(absl::StatusCode aCode) -> unsigned
-{
-  switch (aCode) {
-    case absl::StatusCode::kInvalidArgument:
-      return 400;
-    case absl::StatusCode::kNotFound:
-      return 404;
-    case absl::StatusCode::kAborted:
-    case absl::StatusCode::kAlreadyExists:
-      return 409;
-    case absl::StatusCode::kResourceExhausted:
-    case absl::StatusCode::kUnavailable:
-      return 503;
-    case absl::StatusCode::kDeadlineExceeded:
-      return 504;
-    default:
-      return 500;
-  }
-}
-
-auto Error(const absl::Status& aStatus) -> net::HttpResponse
-{
-  json::object body;
-  body["error"] = base::KindName(aStatus);
-  body["message"] = std::string(base::MessageOf(aStatus));
-  return Json(HttpStatusOf(aStatus.code()), body);
-}
-
-auto SubmitNote(OperatorParts aParts, net::HttpRequest aRequest)
-  -> net::Task<net::HttpResponse>
-{
-  auto actor = std::string(net::FindField(aRequest.mFields, kActorField));
-  const auto revision = co_await aParts.mNotes.Submit(
-    std::move(aRequest.mBody), std::move(actor), Deadline());
-  if (!revision.ok()) {
-    co_return Error(revision.status());
-  }
-  json::object body;
-  body["revision"] = *revision;
-  co_return Json(200, body);
-}
-
 auto SubmitJob(OperatorParts aParts, net::HttpRequest aRequest)
   -> net::Task<net::HttpResponse>
 {
   const auto job = batch::ParseJob(aRequest.mBody);
   if (!job.ok()) {
-    co_return Error(job.status());
+    co_return ErrorReply(job.status());
   }
   const auto status = co_await aParts.mJobs.Submit(*job, Deadline());
   if (!status.ok()) {
-    co_return Error(status);
+    co_return ErrorReply(status);
   }
   json::object body;
   body["job"] = job->mId;
-  co_return Json(200, body);
+  co_return JsonReply(200, body);
 }
 
 auto ShowJob(OperatorParts aParts, std::string aJob)
@@ -92,7 +44,7 @@
 {
   const auto status = co_await aParts.mJobs.Status(std::move(aJob), Deadline());
   if (!status.ok()) {
-    co_return Error(status.status());
+    co_return ErrorReply(status.status());
   }
   co_return net::HttpResponse{ 200,
                                { { "Content-Type", "application/json" } },
@@ -130,7 +82,7 @@
   body["revision_confirmed_ms_ago"] = standing.mConfirmedAgo.count();
   body["entries"] = std::move(members);
   body["owned_workers"] = std::move(held);
-  return Json(200, body);
+  return JsonReply(200, body);
 }
 
 auto ShowReady(const OperatorParts& aParts) -> net::HttpResponse
@@ -165,8 +117,9 @@
   if (isGet && target == "/status") {
     co_return ShowStatus(aParts);
   }
-  if (isPost && target == "/release-notes") {
-    co_return co_await SubmitNote(aParts, std::move(aRequest));
+  if (IsNotePath(target)) {
+    co_return co_await AnswerNotes({ aParts.mNotes, aParts.mAudit },
+                                   std::move(aRequest));
   }
   if (isPost && target == "/jobs") {
     co_return co_await SubmitJob(aParts, std::move(aRequest));
--- a/src/app/internal/operatordoor.h
+++ b/src/app/internal/operatordoor.h
@@ -12,6 +12,7 @@
   ownership::IOwnership& mOwnership;
   releasenote::IReleaseNotes& mNotes;
   batch::IJobs& mJobs;
+  audit::IAuditTrail& mAudit;
   bool mStopping = false;
 };
 
