--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -33,6 +33,10 @@
       $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>
     PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
   target_link_libraries(${target} PUBLIC ${ARG_DEPS})
+  # Programs that embed the modules compile Asio the same way.
+  target_compile_definitions(${target} INTERFACE
+    $<INSTALL_INTERFACE:BOOST_ASIO_NO_DEPRECATED>
+    $<INSTALL_INTERFACE:BOOST_ERROR_CODE_HEADER_ONLY>)
   install(TARGETS ${target} EXPORT eelgrasspostTargets
           ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
   install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
