--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -10,6 +10,7 @@
 #include "eelgrasspost/base/logging.h"
 #include "eelgrasspost/base/text.h"
 #include "entry.h"
+#include "loadcommand.h"
 #include "notecommands.h"
 
 namespace eelgrasspost::app {
@@ -31,6 +32,9 @@
   "                                   list changes, oldest first\n"
   "  job submit FILE --entry IP:PORT  submit a job\n"
   "  job show ID --entry IP:PORT      show a job\n"
+  "  load --entry IP:PORT,... --service NAME --steps RATE:SECONDS,...\n"
+  "       --deadline-ms N [--path /PATH]\n"
+  "                                   send requests, show what became of them\n"
   "  status --entry IP:PORT           show what an entry sees\n";
 
 struct Arguments
@@ -44,6 +48,7 @@
   std::string mActor;
   std::string mObject;
   bool mJson = false;
+  LoadArguments mLoad;
 };
 
 auto ParseArguments(int aCount, char** aArguments) -> absl::StatusOr<Arguments>
@@ -57,6 +62,10 @@
     "actor", "who changed", cxxopts::value<std::string>())(
     "object", "what was changed", cxxopts::value<std::string>())(
     "json", "print the entry's JSON")(
+    "service", "name of a service", cxxopts::value<std::string>())(
+    "path", "path below the service", cxxopts::value<std::string>())(
+    "steps", "RATE:SECONDS,...", cxxopts::value<std::string>())(
+    "deadline-ms", "of each request", cxxopts::value<std::string>())(
     "words", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({ "words" });
   try {
@@ -77,6 +86,11 @@
     out.mActor = text("actor");
     out.mObject = text("object");
     out.mJson = parsed.count("json") > 0;
+    out.mLoad.mEntries = out.mEntry;
+    out.mLoad.mService = text("service");
+    out.mLoad.mPath = parsed.count("path") > 0 ? text("path") : "/";
+    out.mLoad.mSteps = text("steps");
+    out.mLoad.mDeadlineMs = base::ParseNumber(text("deadline-ms")).value_or(0);
     return out;
   } catch (const std::exception& e) {
     return absl::InvalidArgumentError(e.what());
@@ -246,6 +260,9 @@
   if (command == "check-settings") {
     return CheckSettings(*arguments);
   }
+  if (command == "load") {
+    return RunLoadCommand(arguments->mLoad);
+  }
   if (command == "status") {
     return Ask(*arguments, { "GET", "/status", {}, "" });
   }
--- a/src/app/internal/entry.h
+++ b/src/app/internal/entry.h
@@ -5,6 +5,7 @@
 #include "eelgrasspost/audit/auditmodule.h"
 #include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/batch/ijobs.h"
+#include "eelgrasspost/idempotency/iidempotency.h"
 #include "eelgrasspost/membership/imembership.h"
 #include "eelgrasspost/net/datagram.h"
 #include "eelgrasspost/net/http.h"
@@ -39,6 +40,10 @@
   auto StopGracefully() -> net::Task<void>;
   /** Keeps this entry to its share of the table. */
   auto ShareTable() -> net::Task<void>;
+  /** Steps of a graceful stop, in their order. */
+  auto DrainCallers() -> net::Task<void>;
+  auto DrainForwards() -> net::Task<void>;
+  auto FinishRecording() -> net::Task<void>;
   auto WaitForSignal() -> net::Task<void>;
 
   EntrySettings mSettings;
@@ -57,6 +62,7 @@
   std::unique_ptr<membership::IMembership> mMembership;
   std::unique_ptr<releasenote::IReleaseNotes> mNotes;
   std::unique_ptr<ownership::IOwnership> mOwnership;
+  std::unique_ptr<idempotency::IIdempotency> mKeys;
   std::unique_ptr<routing::IRouter> mRouter;
   std::unique_ptr<batch::IJobs> mJobs;
   std::unique_ptr<audit::IAuditTrail> mAudit;
--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -2,6 +2,9 @@
 
 #include <array>
 
+#include "eelgrasspost/base/enumnames.h"
+#include "eelgrasspost/base/text.h"
+
 namespace eelgrasspost::app {
 
 namespace {
@@ -88,6 +91,13 @@
                 0,
                 0,
                 "address of the VM list" },
+  SettingField{ "requests",
+                "key_retention_s",
+                SettingKind::Integer,
+                "86400",
+                60,
+                2592000,
+                "seconds for which an idempotency key is remembered" },
   SettingField{ "peers",
                 "seeds",
                 SettingKind::AddressList,
@@ -96,6 +106,14 @@
                 0,
                 "control addresses of other entries, for a start without the "
                 "platform" },
+  SettingField{ "routing",
+                "policy",
+                SettingKind::Text,
+                "p2c",
+                0,
+                0,
+                "choice of worker: p2c; random and least are baselines for "
+                "measurements" },
   SettingField{ "store",
                 "reads_per_second",
                 SettingKind::Integer,
@@ -144,9 +162,18 @@
   out.mControl = AddressOf(*values, "listen", "control");
   out.mAdvertise = AddressOf(*values, "listen", "advertise");
   out.mBindIp = values->Text("listen", "bind_ip");
+  out.mKeyRetention =
+    std::chrono::seconds(values->Integer("requests", "key_retention_s"));
   out.mTable = AddressOf(*values, "platform", "table");
   out.mObjectStore = AddressOf(*values, "platform", "object_store");
   out.mVmList = AddressOf(*values, "platform", "vm_list");
+  const auto policy = values->Text("routing", "policy");
+  const auto choice = base::ValueOf(routing::kChoicePolicyNames, policy);
+  if (!choice) {
+    return absl::InvalidArgumentError(base::Cat(
+      aPath, ": routing.policy = ", policy, "; write p2c, random or least"));
+  }
+  out.mChoicePolicy = *choice;
   out.mStoreReads = values->Integer("store", "reads_per_second");
   out.mStoreWrites = values->Integer("store", "writes_per_second");
   for (const auto& it : values->List("peers", "seeds")) {
--- a/src/releasenote/include/eelgrasspost/releasenote/spectable.h
+++ b/src/releasenote/include/eelgrasspost/releasenote/spectable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <iterator>
 #include <memory>
 #include <string_view>
@@ -76,6 +77,14 @@
     std::size_t mIndex = 0;
   };
 
+  SpecTable() = default;
+  SpecTable(std::initializer_list<Spec> aSpecs)
+  {
+    for (const auto& it : aSpecs) {
+      Put(it);
+    }
+  }
+
   auto begin() const -> Iterator { return { this, 0 }; }
   auto end() const -> Iterator { return { this, mBuckets.size() }; }
   auto size() const -> std::size_t { return mSize; }
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -68,7 +68,9 @@
 
 auto Cluster::StartWorkers() -> void
 {
-  const auto count = mOptions.mDomains * mOptions.mWorkersPerDomain;
+  const auto count = mOptions.mWorkers > 0
+                       ? mOptions.mWorkers
+                       : mOptions.mDomains * mOptions.mWorkersPerDomain;
   mWorkerProcess = std::make_unique<ChildProcess>(
     EELGRASSPOST_STANDIN,
     std::vector<std::string>{ "worker", "--count", base::Cat(count) },
@@ -78,7 +80,9 @@
     worker.mId = base::Cat("worker-", i + 1);
     worker.mDomain = DomainName(i % mOptions.mDomains);
     worker.mDirect = AddressIn(mWorkerProcess->ReadLine(), worker.mId);
-    worker.mProxied = AddLink(worker.mId, worker.mDirect);
+    worker.mProxied = mOptions.mDirectWorkers
+                        ? worker.mDirect
+                        : AddLink(worker.mId, worker.mDirect);
     json::object vm;
     vm["id"] = worker.mId;
     vm["kind"] = "worker";
@@ -95,7 +99,9 @@
 
 auto Cluster::PrepareEntries() -> void
 {
-  const auto count = mOptions.mDomains * mOptions.mEntriesPerDomain;
+  const auto count = mOptions.mEntries > 0
+                       ? mOptions.mEntries
+                       : mOptions.mDomains * mOptions.mEntriesPerDomain;
   for (int i = 0; i < count; ++i) {
     EntryNode entry;
     entry.mId = base::Cat("entry-", i + 1);
@@ -281,6 +287,25 @@
   return mHttp.Exchange(mEntries[aEntry].mHttp, request);
 }
 
+auto Cluster::WorkerFault(std::size_t aWorker, const json::object& aFault)
+  -> void
+{
+  mHttp.Post(mWorkers[aWorker].mDirect, "/faults", aFault);
+}
+
+auto Cluster::Counter(std::size_t aEntry, const std::string& aName)
+  -> std::int64_t
+{
+  const auto page = mHttp.Get(mEntries[aEntry].mHttp, "/metrics");
+  std::int64_t sum = 0;
+  for (const auto& it : base::Split(page.mResponse.mBody, '\n')) {
+    if (it.starts_with(base::Cat("eelgrasspost_", aName, "{"))) {
+      sum += base::ParseNumber(it.substr(it.rfind(' ') + 1)).value_or(0);
+    }
+  }
+  return sum;
+}
+
 auto Cluster::Observed(std::size_t aWorker) -> json::object
 {
   return mHttp.Post(mWorkers[aWorker].mDirect, "/observed", {});
