Follow the linter in the tables of specs and of submissions

Cause: clang-tidy refused two lambda parameters and the name that Boost.MSM gives a transition table. Change: names only.

--- a/src/releasenote/include/eelgrasspost/releasenote/spectable.h
+++ b/src/releasenote/include/eelgrasspost/releasenote/spectable.h
@@ -112,7 +112,7 @@
     auto& bucket = mBuckets[BucketOf(aSpec.mName)];
     auto next =
       bucket ? std::make_shared<Bucket>(*bucket) : std::make_shared<Bucket>();
-    auto isSame = [&](const Spec& it) { return it.mName == aSpec.mName; };
+    auto isSame = [&](const Spec& aOld) { return aOld.mName == aSpec.mName; };
     mSize -= std::erase_if(*next, isSame);
     next->push_back(std::move(aSpec));
     ++mSize;
@@ -126,7 +126,7 @@
     }
     auto& bucket = mBuckets[BucketOf(aName)];
     auto next = std::make_shared<Bucket>(*bucket);
-    std::erase_if(*next, [&](const Spec& it) { return it.mName == aName; });
+    std::erase_if(*next, [&](const Spec& aOld) { return aOld.mName == aName; });
     --mSize;
     bucket = std::move(next);
   }
--- a/src/releasenote/internal/submission.cpp
+++ b/src/releasenote/internal/submission.cpp
@@ -77,6 +77,8 @@
   using initial_state = ReadHead;
 
   // clang-format off
+  // Boost.MSM asks for this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   struct transition_table : boost::mpl::vector<
     Row<ReadHead,   OnHeadIsBase,    Commit,       none,     none>,
     Row<ReadHead,   OnHeadIsNewer,   ReadWinner,   none,     none>,
