--- a/src/app/internal/jobsdoor.cpp
+++ b/src/app/internal/jobsdoor.cpp
@@ -5,6 +5,7 @@
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/batch/batcherrors.h"
 #include "eelgrasspost/batch/jobcodec.h"
+#include "httpreply.h"
 
 namespace eelgrasspost::app {
 
@@ -25,15 +26,15 @@
 {
   const auto job = batch::ParseJob(aText);
   if (!job.ok()) {
-    co_return ErrorAnswer(job.status());
+    co_return ErrorReply(job.status());
   }
   const auto status = co_await aParts.mJobs.Submit(*job, CallDeadline());
   if (!status.ok()) {
-    co_return ErrorAnswer(status);
+    co_return ErrorReply(status);
   }
   json::object body;
   body["job"] = job->mId;
-  co_return JsonAnswer(200, base::ToText(body));
+  co_return JsonTextReply(200, base::ToText(body));
 }
 
 auto ShowJob(OperatorParts aParts, std::string aJob)
@@ -42,9 +43,9 @@
   const auto status =
     co_await aParts.mJobs.Status(std::move(aJob), CallDeadline());
   if (!status.ok()) {
-    co_return ErrorAnswer(status.status());
+    co_return ErrorReply(status.status());
   }
-  co_return JsonAnswer(200, batch::EncodeStatus(*status));
+  co_return JsonTextReply(200, batch::EncodeStatus(*status));
 }
 
 auto ListJobs(OperatorParts aParts, std::string aAfter)
@@ -53,9 +54,9 @@
   const auto jobs =
     co_await aParts.mJobs.List(std::move(aAfter), CallDeadline());
   if (!jobs.ok()) {
-    co_return ErrorAnswer(jobs.status());
+    co_return ErrorReply(jobs.status());
   }
-  co_return JsonAnswer(200, batch::EncodeJobList(*jobs));
+  co_return JsonTextReply(200, batch::EncodeJobList(*jobs));
 }
 
 auto CancelJobs(OperatorParts aParts, std::vector<std::string> aJobs)
@@ -65,11 +66,11 @@
   const auto status =
     co_await aParts.mJobs.Cancel(std::move(aJobs), CallDeadline());
   if (!status.ok()) {
-    co_return ErrorAnswer(status);
+    co_return ErrorReply(status);
   }
   json::object body;
   body["cancelling"] = count;
-  co_return JsonAnswer(200, base::ToText(body));
+  co_return JsonTextReply(200, base::ToText(body));
 }
 
 /** Reads {"jobs": ["ID", ...]}. */
@@ -104,7 +105,7 @@
 {
   auto ids = ParseIds(aText);
   if (!ids.ok()) {
-    co_return ErrorAnswer(ids.status());
+    co_return ErrorReply(ids.status());
   }
   co_return co_await CancelJobs(aParts, *std::move(ids));
 }
--- a/src/app/internal/operatordoor.cpp
+++ b/src/app/internal/operatordoor.cpp
@@ -6,7 +6,9 @@
 #include "eelgrasspost/base/errors.h"
 #include "eelgrasspost/base/jsonfields.h"
 #include "eelgrasspost/base/text.h"
+#include "httpreply.h"
 #include "jobsdoor.h"
+#include "notedoor.h"
 
 namespace eelgrasspost::app {
 
@@ -14,50 +16,6 @@
 
 namespace json = base::json;
 
-constexpr auto kCallTimeout = std::chrono::seconds(5);
-constexpr std::string_view kActorField = "Operator";
-
-auto Json(unsigned aStatus, const json::object& aBody) -> net::HttpResponse
-{
-  return { aStatus,
-           { { "Content-Type", "application/json" } },
-           base::ToText(aBody) + "\n" };
-}
-
-auto HttpStatusOf(absl::StatusCode aCode) -> unsigned
-{
-  switch (aCode) {
-    case absl::StatusCode::kInvalidArgument:
-      return 400;
-    case absl::StatusCode::kNotFound:
-      return 404;
-    case absl::StatusCode::kAborted:
-    case absl::StatusCode::kAlreadyExists:
-      return 409;
-    case absl::StatusCode::kResourceExhausted:
-    case absl::StatusCode::kUnavailable:
-      return 503;
-    case absl::StatusCode::kDeadlineExceeded:
-      return 504;
-    default:
-      return 500;
-  }
-}
-
-auto SubmitNote(OperatorParts aParts, net::HttpRequest aRequest)
-  -> net::Task<net::HttpResponse>
-{
-  auto actor = std::string(net::FindField(aRequest.mFields, kActorField));
-  const auto revision = co_await aParts.mNotes.Submit(
-    std::move(aRequest.mBody), std::move(actor), CallDeadline());
-  if (!revision.ok()) {
-    co_return ErrorAnswer(revision.status());
-  }
-  json::object body;
-  body["revision"] = *revision;
-  co_return Json(200, body);
-}
-
 auto ShowStatus(const OperatorParts& aParts) -> net::HttpResponse
 {
   json::array members;
@@ -89,7 +47,7 @@
   body["revision_confirmed_ms_ago"] = standing.mConfirmedAgo.count();
   body["entries"] = std::move(members);
   body["owned_workers"] = std::move(held);
-  return Json(200, body);
+  return JsonReply(200, body);
 }
 
 auto ShowReady(const OperatorParts& aParts) -> net::HttpResponse
@@ -105,26 +63,6 @@
 
 } // namespace
 
-auto CallDeadline() -> base::MonotonicTime
-{
-  return base::MonotonicClock::now() + kCallTimeout;
-}
-
-auto JsonAnswer(unsigned aStatus, std::string aText) -> net::HttpResponse
-{
-  return { aStatus,
-           { { "Content-Type", "application/json" } },
-           std::move(aText) + "\n" };
-}
-
-auto ErrorAnswer(const absl::Status& aStatus) -> net::HttpResponse
-{
-  json::object body;
-  body["error"] = base::KindName(aStatus);
-  body["message"] = std::string(base::MessageOf(aStatus));
-  return Json(HttpStatusOf(aStatus.code()), body);
-}
-
 auto AnswerOperator(OperatorParts aParts, net::HttpRequest aRequest)
   -> net::Task<net::HttpResponse>
 {
@@ -143,8 +81,9 @@
   if (isGet && target == "/status") {
     co_return ShowStatus(aParts);
   }
-  if (isPost && target == "/release-notes") {
-    co_return co_await SubmitNote(aParts, std::move(aRequest));
+  if (IsNotePath(target)) {
+    co_return co_await AnswerNotes({ aParts.mNotes, aParts.mAudit },
+                                   std::move(aRequest));
   }
   if (auto answer = co_await AnswerJobs(aParts, aRequest)) {
     co_return *std::move(answer);
--- a/src/releasenote/include/eelgrasspost/releasenote/spectable.h
+++ b/src/releasenote/include/eelgrasspost/releasenote/spectable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <iterator>
 #include <memory>
 #include <string_view>
@@ -76,6 +77,14 @@
     std::size_t mIndex = 0;
   };
 
+  SpecTable() = default;
+  SpecTable(std::initializer_list<Spec> aSpecs)
+  {
+    for (const auto& it : aSpecs) {
+      Put(it);
+    }
+  }
+
   auto begin() const -> Iterator { return { this, 0 }; }
   auto end() const -> Iterator { return { this, mBuckets.size() }; }
   auto size() const -> std::size_t { return mSize; }
@@ -103,7 +112,7 @@
     auto& bucket = mBuckets[BucketOf(aSpec.mName)];
     auto next =
       bucket ? std::make_shared<Bucket>(*bucket) : std::make_shared<Bucket>();
-    auto isSame = [&](const Spec& it) { return it.mName == aSpec.mName; };
+    auto isSame = [&](const Spec& aOld) { return aOld.mName == aSpec.mName; };
     mSize -= std::erase_if(*next, isSame);
     next->push_back(std::move(aSpec));
     ++mSize;
@@ -117,7 +126,7 @@
     }
     auto& bucket = mBuckets[BucketOf(aName)];
     auto next = std::make_shared<Bucket>(*bucket);
-    std::erase_if(*next, [&](const Spec& it) { return it.mName == aName; });
+    std::erase_if(*next, [&](const Spec& aOld) { return aOld.mName == aName; });
     --mSize;
     bucket = std::move(next);
   }
