Note when attempts end with a restarted worker

Cause: two parts had each added a restart to the worker stand-in; the first forgot the attempts before the second noted their ends, so the pairs with a restarted worker seemed to run attempts at once.

Ruled out: a fault of the scheduler; each of these attempts has no end at all in the stand-in, and later pairs named the same tasks again.

Change: one restart, which notes the ends, then forgets attempts, requests and tokens.

Seen to fail: JudgeAttempt without the fencing check fails attempt_reported_is_judged_as_the_table_says (2 errors); a cancellation taken in state succeeded fails task_under_random_events_keeps_its_promises (25 errors).

--- a/tests/standin/workeragent.cpp
+++ b/tests/standin/workeragent.cpp
@@ -70,12 +70,6 @@
   aState.mLeaving = base::BoolField(aBody, "leaving", aState.mLeaving);
   aState.mIgnoresTokens =
     base::BoolField(aBody, "ignores_tokens", aState.mIgnoresTokens);
-  if (base::BoolField(aBody, "restart")) {
-    aState.mIncarnation += "+";
-    aState.mHighestToken = {};
-    aState.mRequests.clear();
-    aState.mAttempts.clear();
-  }
   aState.mFailsAll = base::BoolField(aBody, "fails_all", aState.mFailsAll);
   aState.mExtraRequestMs =
     base::NumberField(aBody, "extra_request_ms", aState.mExtraRequestMs);
--- a/tests/standin/workerstate.cpp
+++ b/tests/standin/workerstate.cpp
@@ -212,6 +212,7 @@
     NoteEnd(aState, it, now);
   }
   aState.mAttempts.clear();
+  aState.mRequests.clear();
   aState.mHighestToken = {};
   aState.mIncarnation = base::Cat(aState.mIncarnation, "+");
 }
