--- a/src/batch/batchmodule.cpp
+++ b/src/batch/batchmodule.cpp
@@ -29,9 +29,10 @@
   net::HandleTyped<PlaceRequest, PlaceReply>(
     aServer,
     net::MessageKind::PlaceTasks,
-    [&aJobs, aThread0](PlaceRequest aRequest) -> net::Task<PlaceReply> {
+    [&aJobs, thread0 = std::move(aThread0)](
+      PlaceRequest aRequest) -> net::Task<PlaceReply> {
       return net::asio::co_spawn(
-        aThread0, Place(aJobs, std::move(aRequest)), net::asio::use_awaitable);
+        thread0, Place(aJobs, std::move(aRequest)), net::asio::use_awaitable);
     });
 }
 
