--- a/src/app/internal/entrysettings.cpp
+++ b/src/app/internal/entrysettings.cpp
@@ -114,6 +114,21 @@
                 0,
                 "choice of worker: p2c; random and least are baselines for "
                 "measurements" },
+  SettingField{ "store",
+                "reads_per_second",
+                SettingKind::Integer,
+                "2000",
+                10,
+                1000000,
+                "reads of the table that all entries together may make" },
+  SettingField{ "store",
+                "writes_per_second",
+                SettingKind::Integer,
+                "400",
+                10,
+                1000000,
+                "transactions of the table that all entries together may "
+                "make" },
 };
 
 auto AddressOf(const base::SettingValues& aValues,
@@ -159,6 +174,8 @@
       aPath, ": routing.policy = ", policy, "; write p2c, random or least"));
   }
   out.mChoicePolicy = *choice;
+  out.mStoreReads = values->Integer("store", "reads_per_second");
+  out.mStoreWrites = values->Integer("store", "writes_per_second");
   for (const auto& it : values->List("peers", "seeds")) {
     out.mSeeds.push_back(net::ParseAddress(it).value_or(net::Address{}));
   }
--- a/src/membership/internal/membership.h
+++ b/src/membership/internal/membership.h
@@ -16,12 +16,15 @@
   auto View() const -> std::shared_ptr<const MemberView> override;
   auto AddContacts(const std::vector<net::Address>& aContacts) -> void override;
   auto SetLoad(MemberLoad aLoad) -> void override;
+  auto SetRevision(std::uint64_t aRevision) -> void override;
   auto Leave() -> void override;
   auto AddLeavingWorker(LeavingWorker aWorker) -> void override;
   auto Receive(std::string_view aBytes) -> void override;
   auto Run() -> net::Task<void> override;
 
 private:
+  /** Members of the own failure domain in turn, and one beyond them. */
+  auto ChooseTargets() -> std::vector<net::Address>;
   auto SendHeartbeats() -> void;
   auto Publish() -> void;
 
@@ -30,6 +33,9 @@
   Member mOwn;
   MemberList mList;
   std::vector<net::Address> mContacts;
+  std::size_t mNextNear = 0;
+  std::size_t mNextFar = 0;
+  std::size_t mNextUnheard = 0;
   snapshot::Snapshot<MemberView> mView;
 };
 
--- a/src/routing/internal/attempt.cpp
+++ b/src/routing/internal/attempt.cpp
@@ -42,17 +42,20 @@
     if (!refused.empty()) {
       return { NotRun(kNoSlot, base::Cat("the endpoint refused: ", refused)),
                false,
+               refused == platform::kRefusedLeaving,
                base::Microseconds(0) };
     }
     const auto isFailure = aExchange.mResponse.mStatus >= kFirstServerError;
     return { { Outcome::Answered, std::move(aExchange.mResponse), {} },
              isFailure,
+             false,
              base::Microseconds(0) };
   }
   if (aExchange.mProgress == net::SendProgress::NothingSent) {
     aLedger.Release();
     return { NotRun(kNoSlot, base::MessageOf(aExchange.mStatus)),
              true,
+             false,
              base::Microseconds(0) };
   }
   aLedger.KeepForUnknown(std::move(aAttemptId));
@@ -60,6 +63,7 @@
     base::MakeError(kEndpointFailed, base::MessageOf(aExchange.mStatus));
   return { { Outcome::Unknown, {}, std::move(error) },
            true,
+           false,
            base::Microseconds(0) };
 }
 
