--- a/tests/integration/requests_door_tests.cpp
+++ b/tests/integration/requests_door_tests.cpp
@@ -159,7 +159,9 @@
   std::vector<std::thread> callers;
   const auto leaving = mCluster.mEntries[0].mHttp;
   const auto staying = mCluster.mEntries[1].mHttp;
-  for (int i = 0; i < 4; ++i) {
+  constexpr int kCallers = 4;
+  callers.reserve(kCallers + 1);
+  for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
       auto http = SyncHttp();
       auto entry = i % 2 == 0 ? leaving : staying;
--- a/tests/integration/requests_faults_tests.cpp
+++ b/tests/integration/requests_faults_tests.cpp
@@ -223,6 +223,7 @@
   auto RunUnder(const FaultCase& aCase) -> void
   {
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back([this, i] { CallUntilStopped(i); });
     }
