--- a/tests/integration/requests_door_tests.cpp
+++ b/tests/integration/requests_door_tests.cpp
@@ -21,16 +21,28 @@
 namespace json = base::json;
 namespace asio = net::asio;
 
+constexpr int kLongDeadlineMs = 20000;
+
 struct DoorFixture
 {
   DoorFixture()
   {
     BOOST_TEST_REQUIRE(mCluster.WaitForOwners());
     auto note = mCluster.NoteAdding("quotes", true);
+    note["services"]
+      .as_object()["add"]
+      .as_array()[0]
+      .as_object()["deadline_ms"] = kLongDeadlineMs;
     const auto bills = mCluster.NoteAdding("bills", false);
     note["services"].as_object()["add"].as_array().push_back(
       bills.at("services").as_object().at("add").as_array().at(0));
     mCluster.PutInForce(note);
+    // Each entry plans its routes anew shortly after a note is in force.
+    const auto isServed = [this] {
+      return mCluster.Call(0, "quotes/x").mResponse.mStatus == 200U &&
+             mCluster.Call(1, "quotes/x").mResponse.mStatus == 200U;
+    };
+    BOOST_TEST_REQUIRE(WaitUntil(isServed, base::Milliseconds(10000)));
   }
 
   /** Sends bytes and reads until the entry closes the connection. */
@@ -143,10 +155,13 @@
   std::atomic<bool> stopped{ false };
   std::atomic<int> cutOff{ 0 };
   std::atomic<int> answered{ 0 };
+  std::atomic<unsigned> longStatus{ 0 };
   std::vector<std::thread> callers;
   const auto leaving = mCluster.mEntries[0].mHttp;
   const auto staying = mCluster.mEntries[1].mHttp;
-  for (int i = 0; i < 4; ++i) {
+  constexpr int kCallers = 4;
+  callers.reserve(kCallers + 1);
+  for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
       auto http = SyncHttp();
       auto entry = i % 2 == 0 ? leaving : staying;
@@ -168,6 +183,16 @@
       }
     });
   }
+  // Lasts longer than the notice to the balancer and the grace together.
+  callers.emplace_back([&] {
+    auto http = SyncHttp();
+    net::HttpRequest request;
+    request.mTarget = "/services/quotes/x?work_ms=6000";
+    constexpr auto kTimeout = base::Milliseconds(kLongDeadlineMs);
+    const auto exchange = http.Exchange(leaving, request, kTimeout);
+    cutOff += exchange.mStatus.ok() ? 0 : 1;
+    longStatus = exchange.mResponse.mStatus;
+  });
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
   mCluster.mEntries[0].mProcess->Terminate();
   BOOST_TEST(mCluster.mEntries[0].mProcess->Wait() == 0);
@@ -176,7 +201,43 @@
     it.join();
   }
   BOOST_TEST(cutOff == 0);
+  BOOST_TEST(longStatus == 200U);
   BOOST_TEST(answered > 0);
 }
 
+BOOST_AUTO_TEST_CASE(service_withdrawn_finishes_its_request_and_takes_no_new)
+{
+  std::atomic<unsigned> longStatus{ 0 };
+  auto caller = std::thread([&] {
+    auto http = SyncHttp();
+    net::HttpRequest request;
+    request.mTarget = "/services/quotes/x?work_ms=3000";
+    request.mFields = { { "Request-Id", "long" } };
+    longStatus =
+      http.Exchange(mCluster.mEntries[0].mHttp, request).mResponse.mStatus;
+  });
+  const auto isRunning = [&] {
+    for (std::size_t i = 0; i < mCluster.mWorkers.size(); ++i) {
+      const auto observed = mCluster.Observed(i);
+      const auto* runs = base::ObjectField(observed, "runs_by_request");
+      if (runs->contains("long")) {
+        return true;
+      }
+    }
+    return false;
+  };
+  BOOST_TEST(WaitUntil(isRunning, base::Milliseconds(10000)));
+  json::object services;
+  services["withdraw"] = json::array{ "quotes" };
+  json::object note;
+  note["base"] = base::NumberField(mCluster.Status(0), "revision");
+  note["services"] = std::move(services);
+  mCluster.PutInForce(note);
+  for (std::size_t i = 0; i < mCluster.mEntries.size(); ++i) {
+    BOOST_TEST(mCluster.Call(i, "quotes/x").mResponse.mStatus == 404U);
+  }
+  caller.join();
+  BOOST_TEST(longStatus == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
