--- a/src/routing/internal/limiter.cpp
+++ b/src/routing/internal/limiter.cpp
@@ -8,7 +8,7 @@
 
 constexpr double kWeightOfSample = 1.0 / 16;
 /** One outlier must not move the average past a bound. */
-constexpr double kHighestSample = 4.0;
+constexpr double kHighestSample = 8.0;
 constexpr double kShrinkAbove = 1.5;
 constexpr double kGrowBelow = 1.2;
 constexpr double kShrinkFactor = 0.8;
@@ -31,7 +31,9 @@
     return;
   }
   if (aState.mSlowdown > kShrinkAbove) {
-    aState.mLimit = std::max(1.0, aState.mLimit * kShrinkFactor);
+    const auto share = std::max(1.0, slots / aState.mSlowdown);
+    const auto lower = std::max(share, aState.mLimit * kShrinkFactor);
+    aState.mLimit = std::min(aState.mLimit, lower);
     aState.mChangedAt = aNow;
   } else if (aState.mSlowdown < kGrowBelow && aState.mLimit < slots) {
     aState.mLimit = std::min(slots, aState.mLimit + 1.0);
--- a/src/routing/internal/limiter.h
+++ b/src/routing/internal/limiter.h
@@ -18,8 +18,8 @@
 /**
  * Takes one answered request in. A worker that is much slower than the
  * service's other workers, as beside a noisy neighbour, loses slots
- * multiplicatively and gains them back one at a time; between the two bounds
- * nothing changes.
+ * multiplicatively, down to the share that its speed is of the mean, and gains
+ * them back one at a time; between the two bounds nothing changes.
  */
 auto Observe(LimiterState& aState,
              double aSlowdown,
--- a/tools/bench/requests/main.cpp
+++ b/tools/bench/requests/main.cpp
@@ -38,6 +38,8 @@
   std::int64_t mSteadyPercent = 40;
   std::int64_t mSteadySeconds = 4;
   std::int64_t mCrestSeconds = 4;
+  /** Workers whose requests take twice as long, as beside a neighbour. */
+  std::size_t mSlowWorkers = 0;
 };
 
 auto MakeCluster(const std::string& aPolicy)
@@ -110,6 +112,7 @@
   -> std::vector<load::LoadTarget>
 {
   std::vector<load::LoadTarget> out;
+  out.reserve(aCluster.mEntries.size());
   for (const auto& it : aCluster.mEntries) {
     out.push_back({ it.mHttp, {} });
   }
@@ -169,6 +172,11 @@
   constexpr double kMsPerSecond = 1000;
   constexpr double kPercent = 100;
   const auto cluster = MakeCluster(aPolicy);
+  for (std::size_t i = 0; i < aOptions.mSlowWorkers; ++i) {
+    json::object fault;
+    fault["extra_request_ms"] = aOptions.mWorkMs;
+    cluster->WorkerFault(i, fault);
+  }
   const auto capacity =
     kWorkers * kSlots * kMsPerSecond / static_cast<double>(aOptions.mWorkMs);
   const auto steady =
@@ -254,7 +262,8 @@
     "deadline-ms", "", cxxopts::value(out.mDeadlineMs))(
     "steady-percent", "", cxxopts::value(out.mSteadyPercent))(
     "steady-seconds", "", cxxopts::value(out.mSteadySeconds))(
-    "crest-seconds", "", cxxopts::value(out.mCrestSeconds));
+    "crest-seconds", "", cxxopts::value(out.mCrestSeconds))(
+    "slow-workers", "", cxxopts::value(out.mSlowWorkers));
   options.parse(aCount, aArguments);
   return out;
 }
