--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -82,6 +82,8 @@
     state.mMetrics.mAddedTime.Record(static_cast<double>(added.count()));
     WakeWaitersOf(
       *mPlan.Read(), worker.mHold->mWorker.mId, mParts.mOptions.mPolicy);
+    // A withdrawn service has waiters that the newest plan does not know.
+    WakeWaiters(plan, mParts.mOptions.mPolicy);
     const auto view = RetryView{ result.mOutcome.mOutcome,
                                  plan->mIdempotent,
                                  static_cast<int>(tried.size()),
@@ -180,11 +182,39 @@
     }
   }
   auto here = co_await QueueHere(aPlan, aRequest);
+  const auto hasNoWorker =
+    UsableSlots(*aPlan, base::MonotonicClock::now()) <= 0;
+  if (here.mOutcome == Outcome::NotRun && hasNoWorker) {
+    here = co_await ForwardElsewhere(aRequest);
+  }
   const auto wasUnknown = tried.mOutcome == Outcome::Unknown;
   co_return wasUnknown&& here.mOutcome == Outcome::NotRun ? std::move(tried)
                                                           : std::move(here);
 }
 
+auto Router::ForwardElsewhere(const ServiceRequest& aRequest)
+  -> net::Task<ServiceOutcome>
+{
+  constexpr int kTries = 3;
+  auto out = UnknownService(aRequest);
+  for (int i = 0; i < kTries && out.mOutcome == Outcome::NotRun; ++i) {
+    const auto plan = mPlan.Read()->FindService(aRequest.mService);
+    if (!plan) {
+      break;
+    }
+    const auto now = base::MonotonicClock::now();
+    const auto* peer = ChoosePeerToQueue(plan->mNear, RandomNumber(), now);
+    if (peer == nullptr) {
+      peer = ChoosePeerToQueue(plan->mFar, RandomNumber(), now);
+    }
+    out = co_await ForwardTo(*plan, peer, aRequest);
+    if (peer == nullptr) {
+      co_await net::Sleep(kPlanLag);
+    }
+  }
+  co_return out;
+}
+
 auto Router::PlaceByBaseline(const ServicePlanPtr& aPlan,
                              const ServiceRequest& aRequest)
   -> net::Task<ServiceOutcome>
@@ -321,6 +351,7 @@
     ShareLoad();
     for (const auto& [name, it] : mPlan.Read()->mServices) {
       WakeWaiters(it, mParts.mOptions.mPolicy);
+      SendWaitersOn(*it);
     }
     co_await net::Sleep(kRefreshInterval);
   }
--- a/src/routing/internal/router.h
+++ b/src/routing/internal/router.h
@@ -35,6 +35,10 @@
   /** Waits for a slot here and runs the request. */
   auto QueueHere(const ServicePlanPtr& aPlan, const ServiceRequest& aRequest)
     -> net::Task<ServiceOutcome>;
+  /** Forwards a request that found no worker here, once peers have taken the
+   * workers over. */
+  auto ForwardElsewhere(const ServiceRequest& aRequest)
+    -> net::Task<ServiceOutcome>;
   /** Runs a request in a reserved slot, and again elsewhere if it may. */
   auto RunHere(Grant aGrant, const ServiceRequest& aRequest)
     -> net::Task<ServiceOutcome>;
--- a/src/routing/internal/routingstate.h
+++ b/src/routing/internal/routingstate.h
@@ -88,6 +88,8 @@
   const PlannedWorker* mGranted = nullptr;
   /** Keeps the granted worker's plan. */
   ServicePlanPtr mPlan;
+  /** What it is told when no slot is granted. */
+  Refusal mRefusal = Refusal::Expired;
 };
 
 using WaiterPtr = std::shared_ptr<Waiter>;
--- a/src/routing/internal/slotgate.cpp
+++ b/src/routing/internal/slotgate.cpp
@@ -166,7 +166,7 @@
     NoteLength(state);
   }
   if (waiter->mGranted == nullptr) {
-    co_return Grant{ aPlan, nullptr, Refusal::Expired };
+    co_return Grant{ aPlan, nullptr, waiter->mRefusal };
   }
   co_return Grant{ waiter->mPlan, waiter->mGranted, Refusal::None };
 }
@@ -193,6 +193,22 @@
   NoteLength(state);
 }
 
+auto SendWaitersOn(const ServicePlan& aPlan) -> void
+{
+  auto& state = *aPlan.mState;
+  const auto now = base::MonotonicClock::now();
+  if (state.mWaiting.load() == 0 || UsableSlots(aPlan, now) > 0) {
+    return;
+  }
+  auto lock = std::lock_guard(state.mMutex);
+  while (const auto waiter = state.mQueue.Pop()) {
+    --state.mWaiting;
+    (*waiter)->mRefusal = Refusal::NoWorker;
+    Wake(*waiter);
+  }
+  NoteLength(state);
+}
+
 auto WakeWaitersOf(const RoutingPlan& aPlan,
                    std::string_view aWorker,
                    ChoicePolicy aPolicy) -> void
--- a/src/routing/internal/slotgate.h
+++ b/src/routing/internal/slotgate.h
@@ -47,6 +47,10 @@
 /** Gives free slots to those that wait, earliest deadline first. */
 auto WakeWaiters(const ServicePlanPtr& aPlan, ChoicePolicy aPolicy) -> void;
 
+/** Ends the wait of all waiters of a service that has no usable slot here any
+ * more, as when its workers have been handed on. */
+auto SendWaitersOn(const ServicePlan& aPlan) -> void;
+
 /** Wakes the waiters of all services of a worker on which a slot got free. */
 auto WakeWaitersOf(const RoutingPlan& aPlan,
                    std::string_view aWorker,
--- a/src/routing/tests/plan_tests.cpp
+++ b/src/routing/tests/plan_tests.cpp
@@ -1,5 +1,9 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+
 #include "eelgrasspost/base/text.h"
 #include "internal/routingplan.h"
 #include "internal/slotgate.h"
@@ -54,7 +58,7 @@
     for (int i = 1; i <= 4; ++i) {
       service.mEndpoints.push_back({ base::Cat("w", i), {} });
     }
-    notes->mServices = { service };
+    notes->mServices.Put(service);
     mInputs = { notes, ownership, members };
     mSelf = members->mMembers[0].mIdentity;
   }
@@ -64,6 +68,23 @@
     return BuildPlan(mInputs, mSelf, mStates, mMetrics)->FindService("quotes");
   }
 
+  /** Waits for a slot with a deadline in so many seconds; tells the outcome
+   * when it is known. */
+  auto Wait(const ServicePlanPtr& aPlan,
+            int aSeconds,
+            std::function<void(Grant)> aTell) -> void
+  {
+    const auto deadline =
+      base::MonotonicClock::now() + std::chrono::seconds(aSeconds);
+    net::asio::co_spawn(
+      mContext,
+      WaitForSlot(aPlan, ChoicePolicy::TwoChoices, deadline),
+      [aTell](const std::exception_ptr&, Grant aGrant) { aTell(aGrant); });
+    mContext.poll();
+    mContext.restart();
+  }
+
+  net::asio::io_context mContext;
   PlanInputs mInputs;
   ownership::WorkerHoldPtr mHold;
   membership::MemberIdentity mSelf;
@@ -122,4 +143,44 @@
   BOOST_TEST(take() == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(waiter_slot_freed_gets_it_and_one_too_many_is_refused)
+{
+  const auto service = Build();
+  BOOST_TEST(mHold->mLedger.TryReserve());
+  BOOST_TEST(mHold->mLedger.TryReserve());
+  std::vector<int> granted;
+  service->mState->mServiceTime.Observe(base::Microseconds(1));
+  // Half as many waiters as slots may wait.
+  const auto tell = [&](int aSeconds) {
+    return [&, aSeconds](const Grant& aGrant) {
+      granted.push_back(aGrant.mWorker == nullptr ? -aSeconds : aSeconds);
+    };
+  };
+  Wait(service, 60, tell(60));
+  Wait(service, 30, tell(30));
+  BOOST_TEST((granted == std::vector{ -30 }));
+  mHold->mLedger.Release();
+  WakeWaiters(service, ChoicePolicy::TwoChoices);
+  mContext.run();
+  BOOST_TEST((granted == std::vector{ -30, 60 }));
+  BOOST_TEST(mHold->mLedger.Used() == 2);
+  BOOST_TEST(service->mState->mWaiting.load() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(waiter_workers_handed_on_is_sent_on_at_once)
+{
+  const auto service = Build();
+  BOOST_TEST(mHold->mLedger.TryReserve());
+  BOOST_TEST(mHold->mLedger.TryReserve());
+  auto refusal = Refusal::None;
+  Wait(service, 3600, [&](const Grant& aGrant) { refusal = aGrant.mRefusal; });
+  SendWaitersOn(*service);
+  BOOST_TEST(service->mState->mWaiting.load() == 1);
+  mHold->mLeaseUntil = base::MonotonicTime();
+  SendWaitersOn(*service);
+  mContext.run();
+  BOOST_TEST((refusal == Refusal::NoWorker));
+  BOOST_TEST(service->mState->mWaiting.load() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
