--- a/src/routing/tests/plan_tests.cpp
+++ b/src/routing/tests/plan_tests.cpp
@@ -72,14 +72,14 @@
    * when it is known. */
   auto Wait(const ServicePlanPtr& aPlan,
             int aSeconds,
-            std::function<void(Grant)> aTell) -> void
+            const std::function<void(const Grant&)>& aTell) -> void
   {
     const auto deadline =
       base::MonotonicClock::now() + std::chrono::seconds(aSeconds);
-    net::asio::co_spawn(
-      mContext,
-      WaitForSlot(aPlan, ChoicePolicy::TwoChoices, deadline),
-      [aTell](const std::exception_ptr&, Grant aGrant) { aTell(aGrant); });
+    net::asio::co_spawn(mContext,
+                        WaitForSlot(aPlan, ChoicePolicy::TwoChoices, deadline),
+                        [aTell](const std::exception_ptr&,
+                                const Grant& aGrant) { aTell(aGrant); });
     mContext.poll();
     mContext.restart();
   }
