--- a/src/app/internal/entry.cpp
+++ b/src/app/internal/entry.cpp
@@ -133,14 +133,20 @@
 {
   constexpr auto kBalancerNotice = base::Milliseconds(1500);
   constexpr auto kCheckInterval = base::Milliseconds(20);
+  constexpr auto kQuietTime = base::Milliseconds(400);
   constexpr auto kHandOverLimit = base::Milliseconds(3000);
   mStopping = true;
   mMembership->Leave();
   co_await mOwnership->HandOver(base::MonotonicClock::now() + kHandOverLimit);
   co_await net::Sleep(kBalancerNotice);
   mHttpServer.StopAccepting();
-  while (mHttpServer.InFlight() > 0) {
+  // A busy caller's connection closes after its next answer; a stop at the
+  // first quiet moment would cut off the request that is arriving.
+  auto quiet = base::Milliseconds(0);
+  while (quiet < kQuietTime) {
     co_await net::Sleep(kCheckInterval);
+    quiet = mHttpServer.InFlight() > 0 ? base::Milliseconds(0)
+                                       : quiet + kCheckInterval;
   }
   mPool.Stop();
 }
--- a/src/membership/include/eelgrasspost/membership/membershipmodule.h
+++ b/src/membership/include/eelgrasspost/membership/membershipmodule.h
@@ -9,7 +9,7 @@
 
 struct MembershipOptions
 {
-  base::Milliseconds mHeartbeatInterval{ 200 };
+  base::Milliseconds mHeartbeatInterval{ 300 };
   /** Silence after which a member of the own failure domain is suspected, and
    * held dead; each doubling of the domain's entries adds two intervals. */
   base::Milliseconds mSuspectAfter{ 1000 };
@@ -22,7 +22,7 @@
   /** Members that get a heartbeat at each interval. */
   std::size_t mFanout = 3;
   /** Longest datagram, in bytes. */
-  std::size_t mDatagramLimit = 1400;
+  std::size_t mDatagramLimit = 900;
 };
 
 using SendDatagram = std::function<void(const net::Address&, std::string_view)>;
--- a/src/membership/internal/memberlist.cpp
+++ b/src/membership/internal/memberlist.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <functional>
 #include <tuple>
 
 #include <xxhash.h>
@@ -260,10 +261,11 @@
   const auto room =
     used < aOptions.mDatagramLimit ? aOptions.mDatagramLimit - used : 0;
   const auto most = room / kDigestBytes;
-  AddDigests(
-    aList, most, [&](const Member& it) { return IsInDomain(aList, it); }, out);
-  AddDigests(
-    aList, most, [&](const Member& it) { return !IsInDomain(aList, it); }, out);
+  const auto isNear = [&](const Member& aMember) {
+    return IsInDomain(aList, aMember);
+  };
+  AddDigests(aList, most, isNear, out);
+  AddDigests(aList, most, std::not_fn(isNear), out);
   aList.mNextDigest += most;
   return out;
 }
--- a/src/ownership/internal/handover.cpp
+++ b/src/ownership/internal/handover.cpp
@@ -112,6 +112,14 @@
 auto Ownership::HandOver(base::MonotonicTime aDeadline) -> net::Task<void>
 {
   mIsStopping = true;
+  mAudit.NotePlannedStop();
+  co_await OfferAll(aDeadline);
+  // The others own the workers by now; this waits for the table at most.
+  co_await mAudit.FlushAll(aDeadline);
+}
+
+auto Ownership::OfferAll(base::MonotonicTime aDeadline) -> net::Task<void>
+{
   while (base::MonotonicClock::now() < aDeadline) {
     co_await HandOverStep(aDeadline);
     if (HeldTenders().empty()) {
--- a/src/ownership/internal/ownership.cpp
+++ b/src/ownership/internal/ownership.cpp
@@ -50,6 +50,7 @@
   : mParts(std::move(aParts))
   , mOptions(aOptions)
   , mMetrics(mParts.mMetrics)
+  , mAudit(mParts.mTable, mParts.mMembership.Self().mId)
   , mRandom(SeedOf(aOptions))
   , mStartedAt(base::MonotonicClock::now())
   , mView(std::make_shared<const OwnershipView>())
@@ -168,6 +169,7 @@
 {
   const auto executor = co_await net::asio::this_coro::executor;
   net::SpawnTask(executor, PollVmList());
+  net::SpawnTask(executor, mAudit.Run());
   while (true) {
     RefreshAssignments();
     SpreadLeaving();
@@ -273,6 +275,7 @@
   }
   view->mAssignments = mAssignments;
   mMetrics.mHeld.Set(static_cast<std::int64_t>(view->mHeld.size()));
+  mAudit.NoteChanges(*mView.Read(), *view);
   mView.Publish(std::move(view));
 }
 
--- a/src/ownership/internal/ownership.h
+++ b/src/ownership/internal/ownership.h
@@ -7,6 +7,7 @@
 #include "eelgrasspost/ownership/assignment.h"
 #include "eelgrasspost/ownership/ownershipmodule.h"
 #include "eelgrasspost/snapshot/snapshot.h"
+#include "ownershipaudit.h"
 #include "tender.h"
 
 namespace eelgrasspost::ownership {
@@ -43,6 +44,8 @@
   /** Hands on the held workers that another entry should own. */
   auto StartHandOvers() -> net::Task<void>;
   auto HandTo(std::string aEntry, TenderList aTenders) -> net::Task<void>;
+  /** Offers all held workers until they are taken. */
+  auto OfferAll(base::MonotonicTime aDeadline) -> net::Task<void>;
   /** Offers all held workers once, as if this entry were gone. */
   auto HandOverStep(base::MonotonicTime aDeadline) -> net::Task<void>;
   auto TakeOverHere(HandOverRequest aRequest) -> net::Task<HandOverReply>;
@@ -55,6 +58,7 @@
   OwnershipParts mParts;
   OwnershipOptions mOptions;
   TenderMetrics mMetrics;
+  OwnershipAudit mAudit;
   std::mt19937_64 mRandom;
   base::MonotonicTime mStartedAt;
   std::vector<platform::VmRecord> mWorkers;
--- a/src/ownership/internal/slotledger.cpp
+++ b/src/ownership/internal/slotledger.cpp
@@ -57,6 +57,7 @@
 {
   auto lock = std::lock_guard(mUnknownMutex);
   std::vector<std::string> out;
+  out.reserve(mUnknown.size());
   for (const auto& it : mUnknown) {
     out.push_back(it.mId);
   }
--- a/tests/integration/ownership_tests.cpp
+++ b/tests/integration/ownership_tests.cpp
@@ -148,6 +148,24 @@
     return mCluster.WaitForOwners(kWait) && WaitUntil(isSingle, kWait);
   }
 
+  /** Audit records of a sort in the table. */
+  auto CountAudited(const std::string& aSort) -> std::size_t
+  {
+    json::object scan;
+    scan["prefix"] = "audit/";
+    scan["limit"] = 1000;
+    const auto answer =
+      mCluster.Http().Post(mCluster.Platform(), "/table/scan", scan);
+    const auto text = base::ToText(answer);
+    std::size_t out = 0;
+    const auto name = base::Cat("/", aSort, "/");
+    for (auto at = text.find(name); at != std::string::npos;
+         at = text.find(name, at + 1)) {
+      ++out;
+    }
+    return out;
+  }
+
   Cluster mCluster{ Options() };
 };
 
@@ -256,6 +274,11 @@
     BOOST_TEST(WaitForSingleOwners());
   }
   BOOST_TEST(load.mCutOff == 0);
+  const auto isAudited = [&] {
+    return CountAudited("planned_stop") == mCluster.mEntries.size() &&
+           CountAudited("ownership") > 0;
+  };
+  BOOST_TEST(WaitUntil(isAudited, kWait));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
