--- /dev/null
+++ b/src/batch/internal/placing.cpp
@@ -0,0 +1,107 @@
+#include "placing.h"
+
+#include <algorithm>
+
+#include "eelgrasspost/base/text.h"
+
+namespace eelgrasspost::batch {
+
+auto KeptForServices(const platform::VmRecord& aWorker,
+                     const releasenote::ReleaseState* aNotes)
+  -> platform::Resources
+{
+  platform::Resources out;
+  if (aNotes == nullptr) {
+    return out;
+  }
+  const auto isHere = [&](const releasenote::EndpointSpec& aEndpoint) {
+    return aEndpoint.mWorker == aWorker.mId;
+  };
+  // The slots are shared by all services, so the greediest one counts.
+  for (const auto& it : aNotes->mServices) {
+    if (std::ranges::any_of(it.mEndpoints, isHere)) {
+      out.mCpuMillis =
+        std::max(out.mCpuMillis, aWorker.mSlots * it.mSlotCpuMillis);
+      out.mMemoryMb =
+        std::max(out.mMemoryMb, aWorker.mSlots * it.mSlotMemoryMb);
+    }
+  }
+  return out;
+}
+
+auto MakeRoomIndex(const WorkerTender& aTender,
+                   const releasenote::ReleaseState* aNotes,
+                   base::MonotonicTime aNow) -> RoomIndex
+{
+  RoomIndex out;
+  const auto policy = placement::ClassPolicy();
+  for (const auto& [name, it] : aTender.Workers()) {
+    if (!ownership::MayUse(*it->mHold, aNow) || !it->mReport) {
+      continue;
+    }
+    const auto& worker = it->mHold->mWorker;
+    placement::WorkerRoom room;
+    room.mWorker = name;
+    room.mRack = worker.mRack;
+    room.mFailureDomain = worker.mFailureDomain;
+    room.mFree = FreeRoom(*it, KeptForServices(worker, aNotes));
+    room.mReserved = placement::ShortReserve(worker.mResources, policy);
+    out.mIndex.Set(room);
+    out.mWorkers[name] = it;
+  }
+  return out;
+}
+
+auto TakeRoom(RoomIndex& aIndex, const RoomDemand& aDemand, std::uint64_t aSeed)
+  -> HeldWorkerPtr
+{
+  placement::PlacementDemand demand;
+  demand.mResources = aDemand.mResources;
+  demand.mClass = placement::ClassOf(base::Milliseconds(aDemand.mUsedMs),
+                                     base::Milliseconds(aDemand.mDeclaredMs),
+                                     placement::ClassPolicy());
+  demand.mAvoid = aDemand.mFailedOn;
+  auto chosen = aIndex.mIndex.Choose(demand, aSeed);
+  if (!chosen) {
+    // A worker on which the task failed is better than none.
+    demand.mAvoid.clear();
+    chosen = aIndex.mIndex.Choose(demand, aSeed);
+  }
+  if (!chosen) {
+    return nullptr;
+  }
+  aIndex.mIndex.Take(*chosen, aDemand.mResources);
+  return aIndex.mWorkers[*chosen];
+}
+
+auto WhyNoneHolds(const JobSpec& aJob,
+                  const ownership::OwnershipView& aView,
+                  const releasenote::ReleaseState* aNotes) -> std::string
+{
+  platform::Resources largest;
+  for (const auto& it : aView.mAssignments) {
+    const auto has =
+      Minus(it.mWorker.mResources, KeptForServices(it.mWorker, aNotes));
+    if (placement::Fits(aJob.mResources, has)) {
+      return {};
+    }
+    largest.mCpuMillis = std::max(largest.mCpuMillis, has.mCpuMillis);
+    largest.mMemoryMb = std::max(largest.mMemoryMb, has.mMemoryMb);
+    largest.mAccelerators = std::max(largest.mAccelerators, has.mAccelerators);
+  }
+  if (aView.mAssignments.empty()) {
+    return {};
+  }
+  const auto& need = aJob.mResources;
+  return fmt::format("no worker holds a task of {} cpu_millis, {} memory_mb "
+                     "and {} accelerators together; the most of each that "
+                     "services leave on any worker is {}, {} and {}",
+                     need.mCpuMillis,
+                     need.mMemoryMb,
+                     need.mAccelerators,
+                     largest.mCpuMillis,
+                     largest.mMemoryMb,
+                     largest.mAccelerators);
+}
+
+} // namespace eelgrasspost::batch
--- a/tests/standin/workeragent.cpp
+++ b/tests/standin/workeragent.cpp
@@ -57,6 +57,9 @@
     co_await net::Sleep(base::Milliseconds(ms));
   }
   aState.mRequests.erase(attempt);
+  if (aState.mFailsAll) {
+    co_return ReplyError(500, "the endpoint fails all");
+  }
   json::object out;
   out["worker"] = aState.mId;
   out["request"] = request;
@@ -79,6 +82,9 @@
   aState.mFailsAll = base::BoolField(aBody, "fails_all", aState.mFailsAll);
   aState.mExtraRequestMs =
     base::NumberField(aBody, "extra_request_ms", aState.mExtraRequestMs);
+  if (base::BoolField(aBody, "restart")) {
+    Restart(aState);
+  }
   return Reply(200, {});
 }
 
