Hold the pages of settings and log events to the code, fuzz the decoders

Cause: nothing kept the pages of settings and log events in step with the code, and no hostile bytes were tried on the decoders.

--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -11,6 +11,7 @@
 #include "eelgrasspost/base/text.h"
 #include "entry.h"
 #include "loadcommand.h"
+#include "pages.h"
 
 namespace eelgrasspost::app {
 
@@ -20,6 +21,8 @@
   "usage: eelgrasspost COMMAND [OPTIONS]\n"
   "  serve --settings FILE            run an entry\n"
   "  check-settings --settings FILE   check a settings file\n"
+  "  settings                         list all settings\n"
+  "  log-events                       list all numbered log events\n"
   "  note submit FILE --entry IP:PORT submit a release note\n"
   "  job submit FILE --entry IP:PORT  submit a job\n"
   "  job show ID --entry IP:PORT      show a job\n"
@@ -169,6 +172,14 @@
   if (command == "load") {
     return RunLoadCommand(arguments->mLoad);
   }
+  if (command == "settings") {
+    std::cout << RenderSettings(EntrySettingFields());
+    return ExitCode::Done;
+  }
+  if (command == "log-events") {
+    std::cout << RenderLogEvents(AllLogEvents());
+    return ExitCode::Done;
+  }
   if (command == "status") {
     return Ask(*arguments, { "GET", "/status", {}, "" });
   }
--- /dev/null
+++ b/tests/fuzz/decode_tests.cpp
@@ -0,0 +1,149 @@
+// Every decoder takes mutated bytes without crashing, hanging or allocating
+// more than the bytes can hold. The corpus and the seed are fixed; the checks
+// of memory are the sanitizers'.
+
+#define BOOST_TEST_MODULE fuzz
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <random>
+
+#include "eelgrasspost/base/settings.h"
+#include "eelgrasspost/batch/jobcodec.h"
+#include "eelgrasspost/net/codec.h"
+#include "eelgrasspost/releasenote/notecodec.h"
+#include "internal/forward.h"
+#include "internal/memberlist.h"
+
+namespace {
+
+using namespace eelgrasspost;
+using Random = std::mt19937;
+
+constexpr unsigned kSeed = 20;
+constexpr int kRounds = 3000;
+constexpr int kMostEdits = 6;
+
+/** One decoder and a valid input to start from. */
+struct FuzzCase
+{
+  std::string mName;
+  std::string mValid;
+  std::function<bool(const std::string&)> mDecode;
+};
+
+template<typename Message>
+auto MessageCase(const std::string& aName, const Message& aMessage) -> FuzzCase
+{
+  return { aName, net::Encode(aMessage), [](const std::string& aBytes) {
+            return net::Decode<Message>(aBytes).ok();
+          } };
+}
+
+auto MakeForward() -> routing::ForwardRequest
+{
+  routing::ServiceRequest request;
+  request.mService = "quotes";
+  request.mRequestId = "r1";
+  request.mMethod = "POST";
+  request.mTarget = "/site?plaza=3";
+  request.mFields = { { "Accept", "text/plain" }, { "X", "y" } };
+  request.mBody = std::string(200, 'b');
+  return routing::ToForward(request, "entry-1-7-1");
+}
+
+auto MakeReply() -> routing::ForwardReply
+{
+  routing::ServiceOutcome outcome;
+  outcome.mOutcome = routing::Outcome::Answered;
+  outcome.mResponse = { 200, { { "A", "b" } }, "answer" };
+  return routing::ToReply(std::move(outcome), "entry-1-7-1");
+}
+
+auto MakeHeartbeat() -> membership::Heartbeat
+{
+  membership::Heartbeat out;
+  out.mSender.mIdentity.mId = "entry-1";
+  out.mOthers.resize(3);
+  out.mLeavingWorkers = { { "worker-1", "17" } };
+  return out;
+}
+
+auto MakeCases() -> std::vector<FuzzCase>
+{
+  std::vector<FuzzCase> out;
+  out.push_back(MessageCase("forward request", MakeForward()));
+  out.push_back(MessageCase("forward reply", MakeReply()));
+  out.push_back(MessageCase("heartbeat", MakeHeartbeat()));
+  out.push_back({ "release note",
+                  R"({"base": 1, "services": {"add": [{"name": "quotes",
+                   "idempotent": true, "endpoints": [{"worker": "w1",
+                   "address": "127.0.0.1:80"}]}], "withdraw": ["x"]},
+                   "teams": {"add": [{"name": "lab", "cpu_millis": 5}]}})",
+                  [](const std::string& aText) {
+                    return releasenote::ParseNote(aText).ok();
+                  } });
+  out.push_back(
+    { "job",
+      R"({"id": "j", "team": "lab", "tasks": 3, "cpu_millis": 1,
+                   "memory_mb": 1, "command": "run_ms=1"})",
+      [](const std::string& aText) { return batch::ParseJob(aText).ok(); } });
+  out.push_back({ "settings",
+                  "[a]\nb = c\nd = 127.0.0.1:1\n; comment\n[e]\nf = 1\n",
+                  [](const std::string& aText) {
+                    return base::ReadSettings(aText, "x.ini", {}).ok();
+                  } });
+  return out;
+}
+
+auto Mutate(std::string aBytes, Random& aRandom) -> std::string
+{
+  const auto edits = aRandom() % kMostEdits + 1;
+  for (unsigned i = 0; i < edits && !aBytes.empty(); ++i) {
+    const auto at = aRandom() % aBytes.size();
+    switch (aRandom() % 4) {
+      case 0:
+        aBytes[at] = static_cast<char>(aRandom());
+        break;
+      case 1:
+        aBytes.resize(at);
+        break;
+      case 2:
+        aBytes.insert(at, aRandom() % 16, static_cast<char>(aRandom()));
+        break;
+      default:
+        aBytes.replace(at, 8, 8, static_cast<char>(0xFF));
+        break;
+    }
+  }
+  return aBytes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fuzz)
+
+BOOST_AUTO_TEST_CASE(decoder_valid_bytes_are_taken_but_for_settings)
+{
+  for (const auto& it : MakeCases()) {
+    const auto isExpected = it.mName != "settings";
+    BOOST_TEST_INFO(it.mName);
+    BOOST_TEST(it.mDecode(it.mValid) == isExpected);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(decoder_mutated_bytes_never_crash)
+{
+  for (const auto& it : MakeCases()) {
+    Random random(kSeed);
+    int taken = 0;
+    for (int i = 0; i < kRounds; ++i) {
+      taken += it.mDecode(Mutate(it.mValid, random)) ? 1 : 0;
+    }
+    BOOST_TEST_MESSAGE(it.mName << ": " << taken << " of " << kRounds
+                                << " mutations were taken");
+    BOOST_TEST(taken < kRounds);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
