--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -14,6 +14,7 @@
 #include "jobscommand.h"
 #include "loadcommand.h"
 #include "notecommands.h"
+#include "pages.h"
 
 namespace eelgrasspost::app {
 
@@ -23,6 +24,8 @@
   "usage: eelgrasspost COMMAND [OPTIONS]\n"
   "  serve --settings FILE            run an entry\n"
   "  check-settings --settings FILE   check a settings file\n"
+  "  settings                         list all settings\n"
+  "  log-events                       list all numbered log events\n"
   "  note plan FILE --entry IP:PORT [--against REVISION]\n"
   "                                   show what a note would change\n"
   "  note submit FILE --entry IP:PORT --operator NAME\n"
@@ -281,6 +284,14 @@
   if (command == "load") {
     return RunLoadCommand(arguments->mLoad);
   }
+  if (command == "settings") {
+    std::cout << RenderSettings(EntrySettingFields());
+    return ExitCode::Done;
+  }
+  if (command == "log-events") {
+    std::cout << RenderLogEvents(AllLogEvents());
+    return ExitCode::Done;
+  }
   if (command == "status") {
     return Ask(*arguments, { "GET", "/status", {}, "" });
   }
@@ -291,11 +302,13 @@
     return Post(*arguments, "/jobs", words[2], AnswerView::Jobs);
   }
   if (command == "job show" && words.size() == 3) {
-    return Ask(*arguments, { "GET", "/jobs/" + words[2], {}, "" }, AnswerView::Jobs);
+    return Ask(
+      *arguments, { "GET", "/jobs/" + words[2], {}, "" }, AnswerView::Jobs);
   }
   if (command == "job list") {
     const auto after = words.size() > 2 ? "?after=" + words[2] : std::string();
-    return Ask(*arguments, { "GET", "/jobs" + after, {}, "" }, AnswerView::Jobs);
+    return Ask(
+      *arguments, { "GET", "/jobs" + after, {}, "" }, AnswerView::Jobs);
   }
   if (command == "job cancel" && words.size() > 2) {
     return CancelJobs(*arguments);
--- /dev/null
+++ b/src/app/internal/logcatalog.cpp
@@ -0,0 +1,46 @@
+#include <array>
+
+#include "eelgrasspost/batch/batchlogevents.h"
+#include "eelgrasspost/idempotency/idempotencylogevents.h"
+#include "eelgrasspost/ownership/ownershiplogevents.h"
+#include "eelgrasspost/releasenote/releasenotelogevents.h"
+#include "pages.h"
+
+namespace eelgrasspost::app {
+
+namespace {
+
+constexpr auto kEvents = std::array{
+  releasenote::kNoteAccepted,
+  releasenote::kRevisionInForce,
+  releasenote::kStateRefused,
+  releasenote::kTableAway,
+  releasenote::kTableBack,
+  releasenote::kCheckpointFailed,
+  ownership::kWorkerClaimed,
+  ownership::kWorkerLost,
+  ownership::kWorkerRestarted,
+  ownership::kWorkerHandedOver,
+  ownership::kClaimSettled,
+  ownership::kHandOverIncomplete,
+  ownership::kWorkerCannotFence,
+  batch::kObsoleteAttempt,
+  batch::kWriteConflict,
+  batch::kTableAway,
+  batch::kTaskParked,
+  batch::kWorkerGone,
+  batch::kBadRow,
+  batch::kEvicted,
+  idempotency::kRecordFailed,
+  idempotency::kBadRecord,
+  idempotency::kSweepFailed,
+};
+
+} // namespace
+
+auto AllLogEvents() -> std::span<const base::LogEvent>
+{
+  return kEvents;
+}
+
+} // namespace eelgrasspost::app
--- a/src/app/internal/operatordoor.cpp
+++ b/src/app/internal/operatordoor.cpp
@@ -68,7 +68,6 @@
 {
   const auto& target = aRequest.mTarget;
   const auto isGet = aRequest.mMethod == "GET";
-  const auto isPost = aRequest.mMethod == "POST";
   if (isGet && target == "/health") {
     co_return net::HttpResponse{ 200, {}, "alive\n" };
   }
