--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -12,7 +12,8 @@
 add_compile_options(-Wno-missing-field-initializers)
 if(EELGRASSPOST_SANITIZE)
   add_compile_options(-fsanitize=${EELGRASSPOST_SANITIZE}
-                      -fno-omit-frame-pointer -fno-sanitize-recover=all)
+                      -fno-omit-frame-pointer -fno-sanitize-recover=all
+                      -Wno-mismatched-new-delete)
   add_link_options(-fsanitize=${EELGRASSPOST_SANITIZE})
 endif()
 
--- a/src/platform/internal/storebudget.cpp
+++ b/src/platform/internal/storebudget.cpp
@@ -139,11 +139,11 @@
   for (std::size_t i = 0; i < aWrites.size() && !isUnclear; ++i) {
     const auto& write = aWrites[i];
     const auto version = aRows[i] ? aRows[i]->mVersion : kAbsent;
-    if (!write.mExpectedVersion || !write.mValue) {
-      isUnclear = true;
-    } else if (version == *write.mExpectedVersion) {
+    const auto isConditional = write.mExpectedVersion && write.mValue;
+    const auto expected = write.mExpectedVersion.value_or(kAbsent);
+    if (isConditional && version == expected) {
       hasOld = true;
-    } else if (version == *write.mExpectedVersion + 1) {
+    } else if (isConditional && version == expected + 1) {
       if (aRows[i]->mValue != *write.mValue) {
         return CommitVerdict::Lost;
       }
