Open listening sockets in one place

Cause: the HTTP server and the message server each bound and listened with the same twenty lines and the same error. Ruled out: a common base class of the servers, as only the opening is alike. Change: OpenAcceptor in src/framework/net/internal/listen.*; each server still starts its own accepting. Conclusion: no change of behaviour is meant.

--- a/src/framework/net/internal/httpserver.cpp
+++ b/src/framework/net/internal/httpserver.cpp
@@ -9,6 +9,7 @@
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/net/http.h"
 #include "eelgrasspost/net/iopool.h"
+#include "listen.h"
 
 namespace eelgrasspost::net {
 
@@ -248,25 +249,11 @@
 
 auto HttpServer::Listen(const Address& aAddress) -> absl::StatusOr<Address>
 {
-  try {
-    const auto ip = asio::ip::make_address(aAddress.mIp);
-    const auto endpoint = Tcp::endpoint(ip, aAddress.mPort);
-    auto& acceptor = mImpl->mAcceptor;
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(Tcp::acceptor::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen();
-    const auto bound = acceptor.local_endpoint();
+  auto bound = OpenAcceptor(mImpl->mAcceptor, aAddress);
+  if (bound.ok()) {
     SpawnTask(mImpl->mPool.Executor(0), mImpl->Accept());
-    return Address{ bound.address().to_string(), bound.port() };
-  } catch (const boost::system::system_error& e) {
-    return absl::UnavailableError(
-      base::Cat("cannot listen on ",
-                ToString(aAddress),
-                ": ",
-                e.what(),
-                "; choose another port or end its holder"));
   }
+  return bound;
 }
 
 auto HttpServer::StopAccepting() -> void
