--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -10,6 +10,7 @@
 #include "eelgrasspost/base/jsonfields.h"
 #include "eelgrasspost/base/logging.h"
 #include "eelgrasspost/base/text.h"
+#include "dispatchcommand.h"
 #include "entry.h"
 #include "jobscommand.h"
 #include "loadcommand.h"
@@ -23,6 +24,7 @@
 constexpr std::string_view kUsage =
   "usage: eelgrasspost COMMAND [OPTIONS]\n"
   "  serve --settings FILE            run an entry\n"
+  "  dispatch --settings FILE         run an entry on the users' platform\n"
   "  check-settings --settings FILE   check a settings file\n"
   "  settings                         list all settings\n"
   "  log-events                       list all numbered log events\n"
@@ -278,6 +280,9 @@
   if (command == "serve") {
     return Serve(*arguments);
   }
+  if (command == "dispatch") {
+    return RunDispatch(arguments->mSettings);
+  }
   if (command == "check-settings") {
     return CheckSettings(*arguments);
   }
--- /dev/null
+++ b/src/app/internal/dispatchsettings.cpp
@@ -0,0 +1,133 @@
+#include "dispatchsettings.h"
+
+#include <array>
+
+namespace eelgrasspost::app {
+
+namespace {
+
+using base::SettingField;
+using base::SettingKind;
+
+constexpr auto Required(std::string_view aSection,
+                        std::string_view aKey,
+                        SettingKind aKind,
+                        std::string_view aHelp) -> SettingField
+{
+  return { aSection, aKey, aKind, base::kRequired, 0, 0, aHelp };
+}
+
+constexpr auto Number(std::string_view aSection,
+                      std::string_view aKey,
+                      std::string_view aDefault,
+                      std::int64_t aHighest,
+                      std::string_view aHelp) -> SettingField
+{
+  return {
+    aSection, aKey, SettingKind::Integer, aDefault, 0, aHighest, aHelp
+  };
+}
+
+constexpr std::int64_t kDayMs = 86'400'000;
+constexpr std::int64_t kMostPerS = 1'000'000;
+
+constexpr auto kFields = std::array{
+  Required("entry", "name", SettingKind::Text, "name of this entry"),
+  Required("entry",
+           "failure_domain",
+           SettingKind::Text,
+           "failure domain of this entry"),
+  Required("listen", "http", SettingKind::Address, "address for callers"),
+  Required("listen",
+           "readiness",
+           SettingKind::Address,
+           "address that the balancer probes"),
+  Required("listen",
+           "peers",
+           SettingKind::Address,
+           "TCP and UDP address for other entries"),
+  Required("listen",
+           "metrics",
+           SettingKind::Address,
+           "address that serves the metrics"),
+  Required("platform",
+           "store",
+           SettingKind::Address,
+           "address of the platform's store"),
+  Number("platform",
+         "store_writes_per_s",
+         "600",
+         kMostPerS,
+         "transactions a second that the store takes from all entries"),
+  Number("platform",
+         "store_part_writes_per_s",
+         "150",
+         kMostPerS,
+         "transactions a second that one part of the store takes"),
+  Number("bounds",
+         "lease_ms",
+         "6000",
+         kDayMs,
+         "longest lease that a worker grants"),
+  Number("bounds",
+         "early_ms",
+         "250",
+         kDayMs,
+         "how much too early a timed task may start"),
+  Number("bounds",
+         "grace_s",
+         "6",
+         kDayMs,
+         "seconds between the stop signal and the kill"),
+  Number("bounds",
+         "drain_ms",
+         "2000",
+         kDayMs,
+         "after so long a draining worker gets no more starts"),
+  Number("bounds",
+         "status_s",
+         "120",
+         kDayMs,
+         "seconds for which the state of an ended job is shown"),
+};
+
+} // namespace
+
+auto DispatchSettingFields() -> std::span<const SettingField>
+{
+  return kFields;
+}
+
+auto LoadDispatchSettings(const std::string& aPath)
+  -> absl::StatusOr<dispatch::DispatchSettings>
+{
+  constexpr std::int64_t kMsPerSecond = 1000;
+  const auto values = base::LoadSettings(aPath, kFields);
+  if (!values.ok()) {
+    return values.status();
+  }
+  const auto address = [&](std::string_view aSection, std::string_view aKey) {
+    return net::ParseAddress(values->Text(aSection, aKey))
+      .value_or(net::Address{});
+  };
+  dispatch::DispatchSettings out;
+  out.mName = values->Text("entry", "name");
+  out.mDomain = values->Text("entry", "failure_domain");
+  out.mHttp = address("listen", "http");
+  out.mReadiness = address("listen", "readiness");
+  out.mPeers = address("listen", "peers");
+  out.mMetrics = address("listen", "metrics");
+  out.mStore = address("platform", "store");
+  out.mStoreWritesPerS = static_cast<double>(
+    values->Integer("platform", "store_writes_per_s"));
+  out.mStorePartWritesPerS = static_cast<double>(
+    values->Integer("platform", "store_part_writes_per_s"));
+  out.mLeaseMs = values->Integer("bounds", "lease_ms");
+  out.mEarlyMs = values->Integer("bounds", "early_ms");
+  out.mGraceMs = values->Integer("bounds", "grace_s") * kMsPerSecond;
+  out.mDrainMs = values->Integer("bounds", "drain_ms");
+  out.mStatusMs = values->Integer("bounds", "status_s") * kMsPerSecond;
+  return out;
+}
+
+} // namespace eelgrasspost::app
--- /dev/null
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -0,0 +1,259 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "eelgrasspost/cell/celltypes.h"
+
+namespace eelgrasspost::cell {
+
+struct Job;
+struct Worker;
+
+enum class TaskPhase : std::uint8_t
+{
+  /** Steps before it are not done, or its time has not come. */
+  Waiting,
+  Ready,
+  /** A worker has, or may have, a run of it. */
+  Placed,
+  Done,
+};
+
+struct Task
+{
+  Job* mJob = nullptr;
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::uint32_t mIndex = 0;
+  TaskPhase mPhase = TaskPhase::Waiting;
+  /** A previous holder of the cell may have started it on a worker that has
+   * not been heard since; it must not be started before that is settled. */
+  bool mMayRunUnseen = false;
+  std::uint32_t mFailures = 0;
+  std::uint64_t mAttempt = 0;
+  std::string mCheckpoint;
+  /** The worker of its run; null when it is not placed. */
+  Worker* mWorker = nullptr;
+  /** The worker on which its last run failed or stood still. */
+  std::string mAvoid;
+  MonotonicTime mReadyAt{};
+  /** Not before this time; set after a refusal. */
+  MonotonicTime mNotBefore{};
+};
+
+struct StepProgress
+{
+  std::vector<Task> mTasks;
+  std::uint32_t mDone = 0;
+  bool mIsOpen = false;
+};
+
+struct Occurrence
+{
+  std::uint32_t mNumber = 0;
+  std::vector<StepProgress> mSteps;
+  std::uint32_t mStepsDone = 0;
+};
+
+struct Job
+{
+  StoredJob mStored;
+  std::map<std::uint32_t, std::unique_ptr<Occurrence>> mOccurrences;
+  /** Occurrences that have been opened and those that are done. */
+  std::uint32_t mNextOccurrence = 0;
+  std::set<std::uint32_t> mOccurrencesDone;
+  /** What is decided; shown to callers once it is stored. */
+  JobState mState = JobState::Queued;
+  bool mIsDirty = false;
+  /** Tasks started at least once. */
+  bool mHasStarted = false;
+  MonotonicTime mAddedAt{};
+};
+
+enum class RunPhase : std::uint8_t
+{
+  /** The start was sent and not answered yet. */
+  Starting,
+  /** The start got no answer and may be carried out at any time. */
+  Doubtful,
+  Running,
+  Stopping,
+};
+
+/** One run of a task on a worker. It keeps its room until its end is listed or
+ * is otherwise certain. */
+struct Run
+{
+  /** Null when the job is no longer known here. */
+  Task* mTask = nullptr;
+  std::uint64_t mAttempt = 0;
+  RunPhase mPhase = RunPhase::Starting;
+  Resources mNeed;
+  bool mIsFilling = false;
+  bool mIsLongRunning = false;
+  bool mCheckpoints = false;
+  std::int64_t mTargetTailMs = 0;
+  std::string mImage;
+  MonotonicTime mStartedAt{};
+  MonotonicTime mConfirmedAt{};
+  double mPercent = 0;
+  MonotonicTime mPercentMovedAt{};
+  double mLoad = 0;
+  std::string mCheckpoint;
+  MonotonicTime mStopSentAt{};
+  bool mStopInFlight = false;
+  bool mStopAnswered = false;
+  MonotonicTime mStopAnsweredAt{};
+  /** Processor share that the worker was told last, and that is wanted. */
+  int mPace = 100;
+  int mWantedPace = 100;
+  bool mPaceInFlight = false;
+};
+
+struct Worker
+{
+  WorkerRecord mRecord;
+  /** Start of the life that answered last; 0 before the first answer. */
+  std::int64_t mBornMs = 0;
+  /** It has answered under this holder's token: its runs are known. */
+  bool mIsKnown = false;
+  /** It is in the platform's list. */
+  bool mIsListed = true;
+  /** Runs by the names of their tasks. */
+  std::unordered_map<std::string, Run> mRuns;
+  /** What the runs take; filling tasks take memory only. */
+  Resources mUsed;
+  /** Processor millis that filling tasks would use if they could. */
+  std::int64_t mFillingCpuMillis = 0;
+  std::uint64_t mSeenEnds = 0;
+  /** Ends up to here are stored and may be acknowledged. */
+  std::uint64_t mStoredEnds = 0;
+  std::int64_t mLastClockMs = 0;
+  MonotonicTime mLastContact{};
+  /** By then every lease that was sent to it has lapsed, should it not
+   * answer again. */
+  MonotonicTime mDeadBy{};
+  /** No starts before this time, after an order without an answer. */
+  MonotonicTime mSuspectUntil{};
+  /** Failed ends in a row, and the time until which it gets no work. */
+  std::uint32_t mFailuresInRow = 0;
+  std::string mLastFailedJob;
+  MonotonicTime mProbationUntil{};
+  MonotonicTime mDrainingSince{};
+  /** A fresh report is needed to settle a stopped run. */
+  bool mWantsLook = false;
+  /** Since when a serving task on it has been over its target. */
+  MonotonicTime mOverSince{};
+  int mFillPace = 100;
+  MonotonicTime mFillPaceChangedAt{};
+};
+
+/** Figures by which a cell decides. */
+struct CellPolicy
+{
+  /** Longest lease that workers grant, in ms (bound maxHoldMs). */
+  std::int64_t mLeaseMs = 6000;
+  /** A task whose percentage stands still so long is restarted elsewhere. */
+  Milliseconds mStallLimit{ 1500 };
+  Milliseconds mFillingStallLimit{ 4000 };
+  /** A worker without an answer for so long gets no new starts. */
+  Milliseconds mSilenceLimit{ 2500 };
+  /** Pause after a start was refused. */
+  Milliseconds mRefusalPause{ 100 };
+  Milliseconds mStopRetry{ 600 };
+  /** Failed ends in a row, of more than one job, that begin a probation. */
+  std::uint32_t mProbationFailures = 3;
+  Milliseconds mProbation{ 3000 };
+  /** Decisions may be this early for scheduled occurrences. */
+  std::int64_t mEarlyMs = 0;
+};
+
+/** A group of workers of one failure domain and the jobs on them. */
+struct CellState
+{
+  std::string mName;
+  CellPolicy mPolicy;
+  /** High part of the attempt numbers of this holder. */
+  std::uint64_t mAttemptBase = 0;
+  std::uint64_t mNextAttempt = 1;
+  std::unordered_map<std::string, std::unique_ptr<Job>> mJobs;
+  std::map<std::string, std::unique_ptr<Worker>> mWorkers;
+  /** Workers that the previous holder used and that have not been settled. */
+  std::set<std::string> mUnsettled;
+  std::set<std::string> mDirty;
+  /** Tasks that may be started once there is room. */
+  std::vector<Task*> mReady;
+  /** Ends that were counted: for metrics. */
+  std::uint64_t mStarts = 0;
+  std::uint64_t mEndsDone = 0;
+  std::uint64_t mEndsFailed = 0;
+  std::uint64_t mEndsLost = 0;
+  std::uint64_t mStalls = 0;
+};
+
+/** Writes "ID.OCCURRENCE.STEP.INDEX". */
+auto TaskName(const Task& aTask) -> std::string;
+
+/** Takes a stored job in. aInherited: a previous holder may have runs of it. */
+auto AddJob(CellState& aCell,
+            StoredJob aJob,
+            const JobProgress& aProgress,
+            bool aInherited,
+            MonotonicTime aNow,
+            std::int64_t aWallMs) -> Job&;
+/** Forgets a job; what runs of it is stopped. */
+auto RemoveJob(CellState& aCell, const std::string& aId) -> void;
+auto FindJob(CellState& aCell, const std::string& aId) -> Job*;
+
+/** Opens occurrences whose time has come. */
+auto OpenDue(CellState& aCell, MonotonicTime aNow, std::int64_t aWallMs)
+  -> void;
+
+/** The platform's list shows a worker, new or changed. */
+auto SeeWorker(CellState& aCell,
+               const WorkerRecord& aRecord,
+               MonotonicTime aNow) -> Worker&;
+/** The list no longer shows a worker. */
+auto UnlistWorker(CellState& aCell, const std::string& aId) -> void;
+/** The life that ran here is over: none of its runs exists any longer. */
+auto LoseWorkerLife(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
+  -> void;
+
+/** Takes a report in. aSentAt: when the look was sent. */
+auto ApplyReport(CellState& aCell,
+                 Worker& aWorker,
+                 const WorkerReport& aReport,
+                 MonotonicTime aSentAt,
+                 MonotonicTime aNow) -> void;
+/** Takes the outcome of an order in. */
+auto ApplyOutcome(CellState& aCell,
+                  const Order& aOrder,
+                  OrderOutcome aOutcome,
+                  MonotonicTime aNow) -> void;
+
+/** Orders that are due now; each counts as sent. */
+auto Decide(CellState& aCell, MonotonicTime aNow) -> std::vector<Order>;
+
+/** Settles workers that have been silent beyond every lease. */
+auto ExpireWorkers(CellState& aCell, MonotonicTime aNow) -> void;
+
+/** Asks to stop runs that stand still or whose worker is leaving. */
+auto CheckRuns(CellState& aCell, MonotonicTime aNow) -> void;
+
+/** What of a job has to be stored. */
+auto ProgressOf(const Job& aJob) -> JobProgress;
+
+/** Jobs of a queue of which no task has started. */
+auto CountPending(const CellState& aCell, std::string_view aQueue)
+  -> std::size_t;
+
+/** Processor millis and memory that are free on usable workers. */
+auto FreeRoom(const CellState& aCell, MonotonicTime aNow) -> Resources;
+
+} // namespace eelgrasspost::cell
--- /dev/null
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -0,0 +1,300 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "eelgrasspost/base/clock.h"
+#include "eelgrasspost/base/enumnames.h"
+#include "eelgrasspost/net/address.h"
+#include "eelgrasspost/platform/platformtypes.h"
+
+namespace eelgrasspost::cell {
+
+using base::Milliseconds;
+using base::MonotonicTime;
+using platform::Resources;
+
+/** What the tasks of one step need and how they may be placed. */
+struct StepSpec
+{
+  std::uint32_t mCount = 0;
+  Resources mNeed;
+  /** The submitter's rough estimate of a task's run time. */
+  std::int64_t mEstimatedMs = 0;
+  /** Earlier steps that must be done first. */
+  std::vector<std::uint32_t> mAfter;
+  bool mCheckpoints = false;
+  /** All tasks run together and end together. */
+  bool mIsGang = false;
+  /** The gang runs slower when it spans racks. */
+  bool mPrefersOneRack = false;
+  std::string mRequiredLabel;
+  /** The rack on which the data lies; empty when there is none. */
+  std::string mDataRack;
+  /** Most tasks of the step on one worker; 0 is no limit. */
+  std::uint32_t mMaxPerWorker = 0;
+  bool mAllowsDuplicates = false;
+  /** Runs until the job is cancelled and is restarted however it ends. */
+  bool mIsLongRunning = false;
+  /** Tasks of one image behave alike. */
+  std::string mImage;
+  /** Bound of the tail latency of a serving task; 0 when it serves nobody. */
+  std::int64_t mTargetTailMs = 0;
+  /** Takes processor time that others leave unused; reserves memory only. */
+  bool mIsFilling = false;
+  /** Tasks that the scheduler itself may have away at one time. */
+  std::uint32_t mMayMiss = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mCount, mNeed, mEstimatedMs, mAfter, mCheckpoints, mIsGang);
+    archive(mPrefersOneRack, mRequiredLabel, mDataRack, mMaxPerWorker);
+    archive(mAllowsDuplicates, mIsLongRunning, mImage, mTargetTailMs);
+    archive(mIsFilling, mMayMiss);
+  }
+};
+
+/** A job as it was submitted. */
+struct JobSpec
+{
+  std::string mId;
+  std::string mPayload;
+  std::vector<StepSpec> mSteps;
+  /** Occurrences of a scheduled job; 0 for a job that runs once, at once. */
+  std::uint32_t mRepeatCount = 0;
+  /** Wall-clock time of the first occurrence, in ms since the Unix epoch. */
+  std::int64_t mFirstStartMs = 0;
+  std::int64_t mIntervalMs = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mId, mPayload, mSteps, mRepeatCount, mFirstStartMs, mIntervalMs);
+  }
+};
+
+/** How the placement adviser of a queue answers. */
+struct AdviceTerms
+{
+  std::int64_t mDecideMs = 0;
+  std::int64_t mPerWorkerMs = 0;
+  std::int64_t mValidMs = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mDecideMs, mPerWorkerMs, mValidMs);
+  }
+};
+
+/** A queue of the configuration: where its jobs run and what is aimed at. */
+struct Queue
+{
+  std::string mName;
+  std::string mHost;
+  std::string mPathPrefix;
+  std::string mService;
+  /** 0 is the most urgent. */
+  std::int64_t mPriority = 0;
+  std::int64_t mMaxAttempts = 1;
+  /** The objective is this many times the longest chain of work ... */
+  double mStretch = 1.0;
+  /** ... and this many milliseconds more. */
+  std::int64_t mExtraMs = 0;
+  std::int64_t mTimeoutMs = 0;
+  std::optional<AdviceTerms> mAdvice;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mName, mHost, mPathPrefix, mService, mPriority, mMaxAttempts);
+    archive(mStretch, mExtraMs, mTimeoutMs, mAdvice);
+  }
+};
+
+enum class JobState : std::uint8_t
+{
+  Queued,
+  Running,
+  Done,
+  Failed,
+  Cancelled,
+};
+
+inline constexpr auto kJobStateNames = std::array{
+  base::EnumName<JobState>{ JobState::Queued, "queued" },
+  base::EnumName<JobState>{ JobState::Running, "running" },
+  base::EnumName<JobState>{ JobState::Done, "done" },
+  base::EnumName<JobState>{ JobState::Failed, "failed" },
+  base::EnumName<JobState>{ JobState::Cancelled, "cancelled" },
+};
+
+inline auto IsFinal(JobState aState) -> bool
+{
+  return aState == JobState::Done || aState == JobState::Failed ||
+         aState == JobState::Cancelled;
+}
+
+/** An accepted job as it is stored. */
+struct StoredJob
+{
+  JobSpec mSpec;
+  Queue mQueue;
+  /** Wall-clock time of the acceptance, in ms since the Unix epoch. */
+  std::int64_t mAcceptedMs = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mSpec, mQueue, mAcceptedMs);
+  }
+};
+
+/** What is kept of one task that has not its initial state. */
+struct TaskProgress
+{
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::uint32_t mIndex = 0;
+  bool mIsDone = false;
+  std::uint32_t mFailures = 0;
+  std::string mCheckpoint;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mOccurrence, mStep, mIndex, mIsDone, mFailures, mCheckpoint);
+  }
+};
+
+/** What is stored of a job's progress; written before ends are acknowledged. */
+struct JobProgress
+{
+  std::vector<TaskProgress> mTasks;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mTasks);
+  }
+};
+
+enum class WorkerState : std::uint8_t
+{
+  Ready,
+  Draining,
+};
+
+/** A worker as the platform's list shows it. */
+struct WorkerRecord
+{
+  std::string mId;
+  /** Start of this life in Unix ms; 0 when the list does not tell. */
+  std::int64_t mBornMs = 0;
+  std::string mService;
+  net::Address mAddress;
+  std::string mDomain;
+  WorkerState mState = WorkerState::Ready;
+  Resources mCapacity;
+  std::vector<std::string> mLabels;
+  /** Least time that is left before a draining worker leaves. */
+  std::int64_t mRemainingMs = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mId, mBornMs, mService, mAddress, mDomain, mState, mCapacity);
+    archive(mLabels, mRemainingMs);
+  }
+};
+
+enum class EndKind : std::uint8_t
+{
+  Done,
+  Failed,
+  Stopped,
+  Lapsed,
+  /** Another member of the gang ended. */
+  GangBroken,
+  /** The other members of the gang did not come in time. */
+  GangAlone,
+};
+
+/** A task that a worker lists as running. */
+struct RunningRow
+{
+  std::string mTask;
+  std::uint64_t mAttempt = 0;
+  std::string mCheckpoint;
+  double mPercent = 0;
+  /** Tail latency in ms of a serving task, processor millis of another. */
+  double mLoad = 0;
+};
+
+/** An end that a worker lists until it is acknowledged. */
+struct EndRow
+{
+  std::uint64_t mNumber = 0;
+  std::string mTask;
+  std::uint64_t mAttempt = 0;
+  EndKind mKind = EndKind::Failed;
+  std::string mCheckpoint;
+};
+
+/** What a worker answers to a renewal of its lease. */
+struct WorkerReport
+{
+  std::int64_t mBornMs = 0;
+  std::int64_t mClockMs = 0;
+  std::vector<RunningRow> mRunning;
+  std::vector<EndRow> mEnds;
+};
+
+enum class OrderKind : std::uint8_t
+{
+  Start,
+  Stop,
+  Pace,
+};
+
+/** An order to one worker. */
+struct Order
+{
+  OrderKind mKind = OrderKind::Start;
+  std::string mWorker;
+  std::string mTask;
+  std::uint64_t mAttempt = 0;
+  std::string mPayload;
+  std::string mCheckpoint;
+  std::string mTicket;
+  /** Share of the processor that a paced task may use. */
+  int mPercent = 100;
+};
+
+enum class OrderOutcome : std::uint8_t
+{
+  /** The worker has done it. */
+  Done,
+  /** The worker has refused it and done nothing. */
+  Refused,
+  /** The worker lacks the room. */
+  NoRoom,
+  /** A higher fencing token was seen: another entry holds the cell. */
+  Superseded,
+  /** The address belongs to another life of a worker. */
+  OtherLife,
+  /** The ticket is missing or has expired. */
+  BadTicket,
+  /** It may be carried out now, later or never. */
+  Unknown,
+};
+
+} // namespace eelgrasspost::cell
--- /dev/null
+++ b/src/cell/internal/cellsteps.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "eelgrasspost/cell/cellstate.h"
+
+namespace eelgrasspost::cell {
+
+/** The step that a task belongs to. */
+auto SpecOf(const Task& aTask) -> const StepSpec&;
+
+/** Finds a task by the name that workers know it by. */
+auto FindTask(CellState& aCell, std::string_view aName) -> Task*;
+
+/** Notes that a job's progress has to be stored. */
+auto MarkDirty(CellState& aCell, Job& aJob) -> void;
+
+/** Puts a task into the queue of those that wait for room. */
+auto MakeReady(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void;
+
+/** Counts a task as done; opens what waited for it. */
+auto CountDone(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void;
+
+/** Asks for a run to be stopped. */
+auto AskStop(Run& aRun) -> void;
+
+/** Removes a run and frees its room. */
+auto EraseRun(Worker& aWorker, const std::string& aName) -> void;
+
+/** Puts a run on a worker and takes its room. */
+auto InsertRun(Worker& aWorker, const std::string& aName, Run aRun) -> Run&;
+
+/** A run that was made from a task's step. */
+auto MakeRun(Task& aTask, std::uint64_t aAttempt, MonotonicTime aNow) -> Run;
+
+/** Places tasks on workers with room; the starts are appended. */
+auto PlaceReady(CellState& aCell,
+                MonotonicTime aNow,
+                std::vector<Order>& aOrders) -> void;
+
+/** Adjusts the processor shares of filling tasks beside serving ones. */
+auto BalanceFilling(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
+  -> void;
+
+/** Whether a worker may be given new work. */
+auto IsUsable(const CellState& aCell, const Worker& aWorker, MonotonicTime aNow)
+  -> bool;
+
+} // namespace eelgrasspost::cell
--- /dev/null
+++ b/src/cell/internal/jobs.cpp
@@ -0,0 +1,301 @@
+#include <algorithm>
+
+#include "cellsteps.h"
+#include "eelgrasspost/base/text.h"
+
+namespace eelgrasspost::cell {
+
+namespace {
+
+auto MakeOccurrence(Job& aJob, std::uint32_t aNumber)
+  -> std::unique_ptr<Occurrence>
+{
+  auto out = std::make_unique<Occurrence>();
+  out->mNumber = aNumber;
+  const auto& steps = aJob.mStored.mSpec.mSteps;
+  out->mSteps.resize(steps.size());
+  for (std::uint32_t i = 0; i < steps.size(); ++i) {
+    auto& tasks = out->mSteps[i].mTasks;
+    tasks.resize(steps[i].mCount);
+    for (std::uint32_t k = 0; k < tasks.size(); ++k) {
+      tasks[k].mJob = &aJob;
+      tasks[k].mOccurrence = aNumber;
+      tasks[k].mStep = i;
+      tasks[k].mIndex = k;
+    }
+  }
+  return out;
+}
+
+auto AreDone(const Occurrence& aOccurrence,
+             const std::vector<StepSpec>& aSteps,
+             const std::vector<std::uint32_t>& aNumbers) -> bool
+{
+  return std::all_of(aNumbers.begin(), aNumbers.end(), [&](std::uint32_t i) {
+    return i < aSteps.size() &&
+           aOccurrence.mSteps[i].mDone == aSteps[i].mCount;
+  });
+}
+
+auto OccurrenceCount(const JobSpec& aSpec) -> std::uint32_t
+{
+  return std::max<std::uint32_t>(1, aSpec.mRepeatCount);
+}
+
+auto IsDue(const CellState& aCell,
+           const JobSpec& aSpec,
+           std::uint32_t aNumber,
+           std::int64_t aWallMs) -> bool
+{
+  if (aSpec.mRepeatCount == 0) {
+    return true;
+  }
+  const auto due = aSpec.mFirstStartMs + aNumber * aSpec.mIntervalMs;
+  return aWallMs + aCell.mPolicy.mEarlyMs >= due;
+}
+
+auto FindOccurrence(Job& aJob, std::uint32_t aNumber) -> Occurrence*
+{
+  const auto it = aJob.mOccurrences.find(aNumber);
+  return it == aJob.mOccurrences.end() ? nullptr : it->second.get();
+}
+
+auto ApplyProgress(Job& aJob, const JobProgress& aProgress) -> void
+{
+  for (const auto& it : aProgress.mTasks) {
+    auto* occurrence = FindOccurrence(aJob, it.mOccurrence);
+    if (!occurrence) {
+      auto made = MakeOccurrence(aJob, it.mOccurrence);
+      occurrence = made.get();
+      aJob.mOccurrences.emplace(it.mOccurrence, std::move(made));
+      aJob.mNextOccurrence =
+        std::max(aJob.mNextOccurrence, it.mOccurrence + 1);
+    }
+    if (it.mStep >= occurrence->mSteps.size() ||
+        it.mIndex >= occurrence->mSteps[it.mStep].mTasks.size()) {
+      continue;
+    }
+    auto& step = occurrence->mSteps[it.mStep];
+    auto& task = step.mTasks[it.mIndex];
+    task.mFailures = it.mFailures;
+    task.mCheckpoint = it.mCheckpoint;
+    aJob.mHasStarted = true;
+    if (it.mIsDone) {
+      task.mPhase = TaskPhase::Done;
+      ++step.mDone;
+    }
+  }
+}
+
+} // namespace
+
+auto TaskName(const Task& aTask) -> std::string
+{
+  return base::Cat(aTask.mJob->mStored.mSpec.mId,
+                   ".",
+                   aTask.mOccurrence,
+                   ".",
+                   aTask.mStep,
+                   ".",
+                   aTask.mIndex);
+}
+
+auto SpecOf(const Task& aTask) -> const StepSpec&
+{
+  return aTask.mJob->mStored.mSpec.mSteps[aTask.mStep];
+}
+
+auto FindTask(CellState& aCell, std::string_view aName) -> Task*
+{
+  const auto parts = base::Split(aName, '.');
+  if (parts.size() != 4) {
+    return nullptr;
+  }
+  auto* job = FindJob(aCell, parts[0]);
+  const auto occurrence = base::ParseNumber<std::uint32_t>(parts[1]);
+  const auto step = base::ParseNumber<std::uint32_t>(parts[2]);
+  const auto index = base::ParseNumber<std::uint32_t>(parts[3]);
+  if (!job || !occurrence || !step || !index) {
+    return nullptr;
+  }
+  auto* found = FindOccurrence(*job, *occurrence);
+  if (!found || *step >= found->mSteps.size() ||
+      *index >= found->mSteps[*step].mTasks.size()) {
+    return nullptr;
+  }
+  return &found->mSteps[*step].mTasks[*index];
+}
+
+auto MarkDirty(CellState& aCell, Job& aJob) -> void
+{
+  aJob.mIsDirty = true;
+  aCell.mDirty.insert(aJob.mStored.mSpec.mId);
+}
+
+auto MakeReady(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void
+{
+  aTask.mPhase = TaskPhase::Ready;
+  aTask.mWorker = nullptr;
+  aTask.mReadyAt = aNow;
+  aCell.mReady.push_back(&aTask);
+}
+
+auto OpenSteps(CellState& aCell,
+               Job& aJob,
+               Occurrence& aOccurrence,
+               MonotonicTime aNow) -> void
+{
+  const auto& steps = aJob.mStored.mSpec.mSteps;
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    auto& step = aOccurrence.mSteps[i];
+    if (step.mIsOpen || !AreDone(aOccurrence, steps, steps[i].mAfter)) {
+      continue;
+    }
+    step.mIsOpen = true;
+    for (auto& it : step.mTasks) {
+      if (it.mPhase == TaskPhase::Waiting) {
+        MakeReady(aCell, it, aNow);
+      }
+    }
+  }
+}
+
+auto CheckOccurrence(CellState& aCell, Job& aJob, Occurrence& aOccurrence)
+  -> void
+{
+  const auto& steps = aJob.mStored.mSpec.mSteps;
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    if (aOccurrence.mSteps[i].mDone < steps[i].mCount) {
+      return;
+    }
+  }
+  aJob.mOccurrencesDone.insert(aOccurrence.mNumber);
+  if (aJob.mOccurrencesDone.size() == OccurrenceCount(aJob.mStored.mSpec)) {
+    aJob.mState = JobState::Done;
+    MarkDirty(aCell, aJob);
+  }
+}
+
+auto CountDone(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void
+{
+  if (aTask.mPhase == TaskPhase::Done) {
+    return;
+  }
+  auto& job = *aTask.mJob;
+  auto& occurrence = *job.mOccurrences.at(aTask.mOccurrence);
+  aTask.mPhase = TaskPhase::Done;
+  aTask.mWorker = nullptr;
+  aTask.mMayRunUnseen = false;
+  aTask.mCheckpoint.clear();
+  ++occurrence.mSteps[aTask.mStep].mDone;
+  MarkDirty(aCell, job);
+  OpenSteps(aCell, job, occurrence, aNow);
+  CheckOccurrence(aCell, job, occurrence);
+}
+
+auto AddJob(CellState& aCell,
+            StoredJob aJob,
+            const JobProgress& aProgress,
+            bool aInherited,
+            MonotonicTime aNow,
+            std::int64_t aWallMs) -> Job&
+{
+  auto id = aJob.mSpec.mId;
+  auto& slot = aCell.mJobs[id];
+  slot = std::make_unique<Job>();
+  auto& job = *slot;
+  job.mStored = std::move(aJob);
+  job.mAddedAt = aNow;
+  ApplyProgress(job, aProgress);
+  const auto& spec = job.mStored.mSpec;
+  const auto count = OccurrenceCount(spec);
+  for (std::uint32_t i = 0; i < count && IsDue(aCell, spec, i, aWallMs); ++i) {
+    if (!FindOccurrence(job, i)) {
+      job.mOccurrences.emplace(i, MakeOccurrence(job, i));
+    }
+    job.mNextOccurrence = std::max(job.mNextOccurrence, i + 1);
+  }
+  for (auto& [number, occurrence] : job.mOccurrences) {
+    for (auto& step : occurrence->mSteps) {
+      for (auto& it : step.mTasks) {
+        it.mMayRunUnseen = aInherited && it.mPhase != TaskPhase::Done;
+      }
+    }
+    OpenSteps(aCell, job, *occurrence, aNow);
+    CheckOccurrence(aCell, job, *occurrence);
+  }
+  return job;
+}
+
+auto OpenDue(CellState& aCell, MonotonicTime aNow, std::int64_t aWallMs) -> void
+{
+  for (auto& [id, it] : aCell.mJobs) {
+    const auto& spec = it->mStored.mSpec;
+    while (it->mNextOccurrence < OccurrenceCount(spec) &&
+           IsDue(aCell, spec, it->mNextOccurrence, aWallMs)) {
+      const auto number = it->mNextOccurrence++;
+      auto made = MakeOccurrence(*it, number);
+      auto& occurrence = *made;
+      it->mOccurrences.emplace(number, std::move(made));
+      OpenSteps(aCell, *it, occurrence, aNow);
+    }
+  }
+}
+
+auto FindJob(CellState& aCell, const std::string& aId) -> Job*
+{
+  const auto it = aCell.mJobs.find(aId);
+  return it == aCell.mJobs.end() ? nullptr : it->second.get();
+}
+
+auto RemoveJob(CellState& aCell, const std::string& aId) -> void
+{
+  auto* job = FindJob(aCell, aId);
+  if (!job) {
+    return;
+  }
+  std::erase_if(aCell.mReady, [&](Task* aTask) { return aTask->mJob == job; });
+  for (auto& [id, worker] : aCell.mWorkers) {
+    for (auto& [name, run] : worker->mRuns) {
+      if (run.mTask && run.mTask->mJob == job) {
+        run.mTask = nullptr;
+        AskStop(run);
+      }
+    }
+  }
+  aCell.mDirty.erase(aId);
+  aCell.mJobs.erase(aId);
+}
+
+auto ProgressOf(const Job& aJob) -> JobProgress
+{
+  JobProgress out;
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (const auto& step : occurrence->mSteps) {
+      for (const auto& it : step.mTasks) {
+        const auto isDone = it.mPhase == TaskPhase::Done;
+        if (isDone || it.mFailures > 0 || !it.mCheckpoint.empty()) {
+          out.mTasks.push_back({ it.mOccurrence,
+                                 it.mStep,
+                                 it.mIndex,
+                                 isDone,
+                                 it.mFailures,
+                                 it.mCheckpoint });
+        }
+      }
+    }
+  }
+  return out;
+}
+
+auto CountPending(const CellState& aCell, std::string_view aQueue)
+  -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::count_if(aCell.mJobs.begin(), aCell.mJobs.end(), [&](const auto& it) {
+      return it.second->mStored.mQueue.mName == aQueue &&
+             !it.second->mHasStarted && !IsFinal(it.second->mState);
+    }));
+}
+
+} // namespace eelgrasspost::cell
--- /dev/null
+++ b/src/cell/internal/orders.cpp
@@ -0,0 +1,239 @@
+#include <algorithm>
+
+#include "cellsteps.h"
+
+namespace eelgrasspost::cell {
+
+namespace {
+
+auto FindRun(CellState& aCell, const Order& aOrder, Worker*& aWorker) -> Run*
+{
+  const auto it = aCell.mWorkers.find(aOrder.mWorker);
+  if (it == aCell.mWorkers.end()) {
+    return nullptr;
+  }
+  aWorker = it->second.get();
+  const auto run = aWorker->mRuns.find(aOrder.mTask);
+  const auto isRun = run != aWorker->mRuns.end() &&
+                     run->second.mAttempt == aOrder.mAttempt;
+  return isRun ? &run->second : nullptr;
+}
+
+/** The start was refused: the task may be started elsewhere at once. */
+auto WithdrawStart(CellState& aCell,
+                   Worker& aWorker,
+                   const Order& aOrder,
+                   Run& aRun,
+                   MonotonicTime aNow) -> void
+{
+  auto* task = aRun.mTask;
+  EraseRun(aWorker, aOrder.mTask);
+  if (task && task->mPhase == TaskPhase::Placed) {
+    task->mNotBefore = aNow + aCell.mPolicy.mRefusalPause;
+    MakeReady(aCell, *task, aNow);
+  }
+}
+
+/** How long a worker that left an order unanswered gets no starts, unless it
+ * reports meanwhile. */
+constexpr auto kSuspicion = Milliseconds(700);
+/** Pause before a worker that lacked room is tried again. */
+constexpr auto kNoRoomPause = Milliseconds(300);
+
+auto ApplyStart(CellState& aCell,
+                Worker& aWorker,
+                const Order& aOrder,
+                Run& aRun,
+                OrderOutcome aOutcome,
+                MonotonicTime aNow) -> void
+{
+  switch (aOutcome) {
+    case OrderOutcome::Done:
+      if (aRun.mPhase == RunPhase::Starting ||
+          aRun.mPhase == RunPhase::Doubtful) {
+        aRun.mPhase = RunPhase::Running;
+      }
+      aRun.mConfirmedAt = aNow;
+      return;
+    case OrderOutcome::Unknown:
+      aWorker.mSuspectUntil = aNow + kSuspicion;
+      if (aRun.mPhase == RunPhase::Starting) {
+        // A stop that is answered is certain: the start is then refused, even
+        // if it arrives later.
+        AskStop(aRun);
+      }
+      return;
+    case OrderOutcome::NoRoom:
+      aWorker.mSuspectUntil = aNow + kNoRoomPause;
+      aWorker.mWantsLook = true;
+      WithdrawStart(aCell, aWorker, aOrder, aRun, aNow);
+      return;
+    case OrderOutcome::OtherLife:
+      LoseWorkerLife(aCell, aWorker, aNow);
+      aWorker.mIsKnown = false;
+      return;
+    case OrderOutcome::Refused:
+      aWorker.mSuspectUntil = aNow + kNoRoomPause;
+      [[fallthrough]];
+    case OrderOutcome::Superseded:
+    case OrderOutcome::BadTicket:
+      WithdrawStart(aCell, aWorker, aOrder, aRun, aNow);
+      return;
+  }
+}
+
+auto ApplyStop(CellState& aCell,
+               Worker& aWorker,
+               Run& aRun,
+               OrderOutcome aOutcome,
+               MonotonicTime aNow) -> void
+{
+  aRun.mStopInFlight = false;
+  if (aOutcome == OrderOutcome::Done) {
+    aRun.mStopAnswered = true;
+    aRun.mStopAnsweredAt = aNow;
+    aWorker.mWantsLook = true;
+  } else if (aOutcome == OrderOutcome::OtherLife) {
+    LoseWorkerLife(aCell, aWorker, aNow);
+    aWorker.mIsKnown = false;
+  }
+}
+
+auto CollectStop(const std::string& aName,
+                 const Worker& aWorker,
+                 Run& aRun,
+                 const CellPolicy& aPolicy,
+                 MonotonicTime aNow,
+                 std::vector<Order>& aOrders) -> void
+{
+  const auto isDue =
+    aRun.mPhase == RunPhase::Stopping && !aRun.mStopAnswered &&
+    !aRun.mStopInFlight && aNow >= aRun.mStopSentAt + aPolicy.mStopRetry;
+  if (!isDue) {
+    return;
+  }
+  aRun.mStopInFlight = true;
+  aRun.mStopSentAt = aNow;
+  Order order;
+  order.mKind = OrderKind::Stop;
+  order.mWorker = aWorker.mRecord.mId;
+  order.mTask = aName;
+  order.mAttempt = aRun.mAttempt;
+  aOrders.push_back(std::move(order));
+}
+
+auto CollectPace(const std::string& aName,
+                 const Worker& aWorker,
+                 Run& aRun,
+                 std::vector<Order>& aOrders) -> void
+{
+  if (aRun.mPhase != RunPhase::Running || aRun.mPaceInFlight ||
+      aRun.mPace == aRun.mWantedPace) {
+    return;
+  }
+  aRun.mPaceInFlight = true;
+  Order order;
+  order.mKind = OrderKind::Pace;
+  order.mWorker = aWorker.mRecord.mId;
+  order.mTask = aName;
+  order.mAttempt = aRun.mAttempt;
+  order.mPercent = aRun.mWantedPace;
+  aOrders.push_back(std::move(order));
+}
+
+/** A run that stands still is restarted elsewhere. */
+auto IsStalled(const CellState& aCell, const Run& aRun, MonotonicTime aNow)
+  -> bool
+{
+  if (aRun.mPhase != RunPhase::Running || aRun.mPace < 100 ||
+      (aRun.mIsLongRunning && aRun.mPercent >= 100)) {
+    return false;
+  }
+  const auto limit = aRun.mIsFilling || aRun.mIsLongRunning
+                       ? aCell.mPolicy.mFillingStallLimit
+                       : aCell.mPolicy.mStallLimit;
+  return aNow - aRun.mPercentMovedAt > limit;
+}
+
+auto CheckRun(CellState& aCell, Worker& aWorker, Run& aRun, MonotonicTime aNow)
+  -> void
+{
+  if (aRun.mPhase == RunPhase::Stopping || !aRun.mTask) {
+    return;
+  }
+  const auto hasContact =
+    aNow - aWorker.mLastContact < aCell.mPolicy.mSilenceLimit;
+  if (hasContact && IsStalled(aCell, aRun, aNow)) {
+    ++aCell.mStalls;
+    aRun.mTask->mAvoid = aWorker.mRecord.mId;
+    aWorker.mProbationUntil = aNow + aCell.mPolicy.mProbation;
+    AskStop(aRun);
+    return;
+  }
+  const auto isLeaving = aWorker.mRecord.mState == WorkerState::Draining;
+  if (isLeaving && aRun.mIsLongRunning && aRun.mPhase == RunPhase::Running) {
+    AskStop(aRun);
+  }
+}
+
+} // namespace
+
+auto ApplyOutcome(CellState& aCell,
+                  const Order& aOrder,
+                  OrderOutcome aOutcome,
+                  MonotonicTime aNow) -> void
+{
+  Worker* worker = nullptr;
+  auto* run = FindRun(aCell, aOrder, worker);
+  if (!worker) {
+    return;
+  }
+  if (aOutcome == OrderOutcome::Done) {
+    worker->mLastContact = std::max(worker->mLastContact, aNow);
+  }
+  if (!run) {
+    return;
+  }
+  switch (aOrder.mKind) {
+    case OrderKind::Start:
+      ApplyStart(aCell, *worker, aOrder, *run, aOutcome, aNow);
+      return;
+    case OrderKind::Stop:
+      ApplyStop(aCell, *worker, *run, aOutcome, aNow);
+      return;
+    case OrderKind::Pace:
+      run->mPaceInFlight = false;
+      if (aOutcome == OrderOutcome::Done) {
+        run->mPace = aOrder.mPercent;
+        run->mPercentMovedAt = aNow;
+      }
+      return;
+  }
+}
+
+auto CheckRuns(CellState& aCell, MonotonicTime aNow) -> void
+{
+  for (auto& [id, worker] : aCell.mWorkers) {
+    for (auto& [name, run] : worker->mRuns) {
+      CheckRun(aCell, *worker, run, aNow);
+    }
+  }
+}
+
+auto Decide(CellState& aCell, MonotonicTime aNow) -> std::vector<Order>
+{
+  std::vector<Order> out;
+  for (auto& [id, worker] : aCell.mWorkers) {
+    if (!worker->mIsKnown) {
+      continue;
+    }
+    for (auto& [name, run] : worker->mRuns) {
+      CollectStop(name, *worker, run, aCell.mPolicy, aNow, out);
+      CollectPace(name, *worker, run, out);
+    }
+  }
+  PlaceReady(aCell, aNow, out);
+  return out;
+}
+
+} // namespace eelgrasspost::cell
--- /dev/null
+++ b/src/cell/internal/reports.cpp
@@ -0,0 +1,408 @@
+#include <algorithm>
+
+#include "cellsteps.h"
+
+namespace eelgrasspost::cell {
+
+auto AskStop(Run& aRun) -> void
+{
+  if (aRun.mPhase != RunPhase::Stopping) {
+    aRun.mPhase = RunPhase::Stopping;
+    aRun.mStopAnswered = false;
+    aRun.mStopInFlight = false;
+    aRun.mStopSentAt = {};
+  }
+}
+
+auto EraseRun(Worker& aWorker, const std::string& aName) -> void
+{
+  const auto it = aWorker.mRuns.find(aName);
+  if (it == aWorker.mRuns.end()) {
+    return;
+  }
+  const auto& run = it->second;
+  aWorker.mUsed.mMemoryMb -= run.mNeed.mMemoryMb;
+  aWorker.mUsed.mAccelerators -= run.mNeed.mAccelerators;
+  (run.mIsFilling ? aWorker.mFillingCpuMillis : aWorker.mUsed.mCpuMillis) -=
+    run.mNeed.mCpuMillis;
+  aWorker.mRuns.erase(it);
+}
+
+auto InsertRun(Worker& aWorker, const std::string& aName, Run aRun) -> Run&
+{
+  aWorker.mUsed.mMemoryMb += aRun.mNeed.mMemoryMb;
+  aWorker.mUsed.mAccelerators += aRun.mNeed.mAccelerators;
+  (aRun.mIsFilling ? aWorker.mFillingCpuMillis : aWorker.mUsed.mCpuMillis) +=
+    aRun.mNeed.mCpuMillis;
+  return aWorker.mRuns.insert_or_assign(aName, std::move(aRun)).first->second;
+}
+
+auto MakeRun(Task& aTask, std::uint64_t aAttempt, MonotonicTime aNow) -> Run
+{
+  const auto& spec = SpecOf(aTask);
+  Run out;
+  out.mTask = &aTask;
+  out.mAttempt = aAttempt;
+  out.mNeed = spec.mNeed;
+  out.mIsFilling = spec.mIsFilling;
+  out.mIsLongRunning = spec.mIsLongRunning;
+  out.mCheckpoints = spec.mCheckpoints;
+  out.mTargetTailMs = spec.mTargetTailMs;
+  out.mImage = spec.mImage;
+  out.mStartedAt = aNow;
+  out.mPercentMovedAt = aNow;
+  return out;
+}
+
+namespace {
+
+/** The run is over without having done its task. */
+auto ReleaseTask(CellState& aCell,
+                 Task& aTask,
+                 const Worker& aWorker,
+                 std::uint64_t aAttempt,
+                 MonotonicTime aNow) -> void
+{
+  const auto isOfThisRun =
+    aTask.mPhase == TaskPhase::Placed && aTask.mWorker == &aWorker &&
+    aTask.mAttempt == aAttempt;
+  if (isOfThisRun) {
+    MakeReady(aCell, aTask, aNow);
+  }
+}
+
+auto StepOf(Task& aTask) -> StepProgress&
+{
+  return aTask.mJob->mOccurrences.at(aTask.mOccurrence)->mSteps[aTask.mStep];
+}
+
+/** One member of a gang has ended; the others are stopped. */
+auto StopGang(Task& aTask) -> void
+{
+  for (auto& it : StepOf(aTask).mTasks) {
+    if (it.mPhase != TaskPhase::Placed || !it.mWorker) {
+      continue;
+    }
+    const auto run = it.mWorker->mRuns.find(TaskName(it));
+    if (run != it.mWorker->mRuns.end()) {
+      AskStop(run->second);
+    }
+  }
+}
+
+auto CountFailure(CellState& aCell, Worker& aWorker, Task& aTask) -> void
+{
+  auto& job = *aTask.mJob;
+  const auto& spec = SpecOf(aTask);
+  ++aCell.mEndsFailed;
+  const auto& id = job.mStored.mSpec.mId;
+  aWorker.mFailuresInRow += aWorker.mLastFailedJob != id ? 1 : 0;
+  aWorker.mLastFailedJob = id;
+  aTask.mAvoid = aWorker.mRecord.mId;
+  if (spec.mIsLongRunning) {
+    return;
+  }
+  if (spec.mIsGang) {
+    for (auto& it : StepOf(aTask).mTasks) {
+      it.mFailures += &it == &aTask ? 0 : 1;
+    }
+  }
+  ++aTask.mFailures;
+  MarkDirty(aCell, job);
+  if (aTask.mFailures >= job.mStored.mQueue.mMaxAttempts) {
+    job.mState = JobState::Failed;
+  }
+}
+
+auto ApplyDone(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void
+{
+  ++aCell.mEndsDone;
+  const auto& spec = SpecOf(aTask);
+  if (!spec.mIsGang) {
+    if (aTask.mPhase == TaskPhase::Placed && aTask.mWorker) {
+      const auto run = aTask.mWorker->mRuns.find(TaskName(aTask));
+      if (run != aTask.mWorker->mRuns.end()) {
+        AskStop(run->second);
+      }
+    }
+    CountDone(aCell, aTask, aNow);
+    return;
+  }
+  for (auto& it : StepOf(aTask).mTasks) {
+    CountDone(aCell, it, aNow);
+  }
+}
+
+auto ApplyEnd(CellState& aCell,
+              Worker& aWorker,
+              const EndRow& aEnd,
+              MonotonicTime aNow) -> void
+{
+  const auto it = aWorker.mRuns.find(aEnd.mTask);
+  const auto isRun =
+    it != aWorker.mRuns.end() && it->second.mAttempt == aEnd.mAttempt;
+  if (isRun) {
+    EraseRun(aWorker, aEnd.mTask);
+  }
+  auto* task = FindTask(aCell, aEnd.mTask);
+  if (!task || IsFinal(task->mJob->mState)) {
+    return;
+  }
+  task->mJob->mHasStarted = true;
+  const auto isCurrent =
+    task->mPhase == TaskPhase::Placed && task->mWorker == &aWorker &&
+    task->mAttempt == aEnd.mAttempt;
+  if (task->mPhase == TaskPhase::Done) {
+    return;
+  }
+  if (isCurrent || !isRun) {
+    task->mMayRunUnseen = false;
+  }
+  if (!aEnd.mCheckpoint.empty()) {
+    task->mCheckpoint = aEnd.mCheckpoint;
+  }
+  const auto& spec = SpecOf(*task);
+  if (aEnd.mKind == EndKind::Done && !spec.mIsLongRunning) {
+    aWorker.mFailuresInRow = 0;
+    ApplyDone(aCell, *task, aNow);
+    return;
+  }
+  if (aEnd.mKind == EndKind::Failed) {
+    CountFailure(aCell, aWorker, *task);
+  }
+  if (!task->mCheckpoint.empty()) {
+    MarkDirty(aCell, *task->mJob);
+  }
+  if (isCurrent) {
+    MakeReady(aCell, *task, aNow);
+  }
+  if (spec.mIsGang) {
+    StopGang(*task);
+  }
+}
+
+auto Refresh(Run& aRun, const RunningRow& aRow, MonotonicTime aNow) -> void
+{
+  if (aRun.mPhase == RunPhase::Starting || aRun.mPhase == RunPhase::Doubtful) {
+    aRun.mPhase = RunPhase::Running;
+    aRun.mConfirmedAt = aNow;
+  }
+  if (aRow.mPercent != aRun.mPercent) {
+    aRun.mPercent = aRow.mPercent;
+    aRun.mPercentMovedAt = aNow;
+  }
+  aRun.mLoad = aRow.mLoad;
+  if (!aRow.mCheckpoint.empty()) {
+    aRun.mCheckpoint = aRow.mCheckpoint;
+    if (aRun.mTask) {
+      aRun.mTask->mCheckpoint = aRow.mCheckpoint;
+    }
+  }
+}
+
+/** A run that this holder has not started: one of a previous holder. */
+auto AdoptRun(CellState& aCell,
+              Worker& aWorker,
+              const RunningRow& aRow,
+              MonotonicTime aNow) -> void
+{
+  auto* task = FindTask(aCell, aRow.mTask);
+  if (!task || task->mPhase == TaskPhase::Done ||
+      (task->mPhase == TaskPhase::Placed && task->mWorker != &aWorker)) {
+    Run run;
+    run.mAttempt = aRow.mAttempt;
+    run.mStartedAt = aNow;
+    if (task) {
+      run.mNeed = SpecOf(*task).mNeed;
+      run.mIsFilling = SpecOf(*task).mIsFilling;
+    } else {
+      // Its needs are not known: nothing is started beside it.
+      run.mNeed = aWorker.mRecord.mCapacity;
+    }
+    AskStop(InsertRun(aWorker, aRow.mTask, std::move(run)));
+    return;
+  }
+  std::erase(aCell.mReady, task);
+  task->mPhase = TaskPhase::Placed;
+  task->mWorker = &aWorker;
+  task->mAttempt = aRow.mAttempt;
+  task->mMayRunUnseen = false;
+  task->mJob->mHasStarted = true;
+  auto run = MakeRun(*task, aRow.mAttempt, aNow);
+  run.mPhase = RunPhase::Running;
+  run.mConfirmedAt = aNow;
+  Refresh(InsertRun(aWorker, aRow.mTask, std::move(run)), aRow, aNow);
+}
+
+/** Whether a run that a report does not list cannot exist any longer. */
+auto HasVanished(const Run& aRun, MonotonicTime aSentAt) -> bool
+{
+  if (aRun.mPhase == RunPhase::Running) {
+    return aSentAt >= aRun.mConfirmedAt;
+  }
+  return aRun.mPhase == RunPhase::Stopping && aRun.mStopAnswered &&
+         aSentAt >= aRun.mStopAnsweredAt;
+}
+
+auto DropVanished(CellState& aCell,
+                  Worker& aWorker,
+                  const std::set<std::string_view>& aListed,
+                  MonotonicTime aSentAt,
+                  MonotonicTime aNow) -> void
+{
+  std::vector<std::string> gone;
+  for (const auto& [name, run] : aWorker.mRuns) {
+    if (!aListed.contains(name) && HasVanished(run, aSentAt)) {
+      gone.push_back(name);
+    }
+  }
+  for (const auto& it : gone) {
+    const auto run = aWorker.mRuns.at(it);
+    EraseRun(aWorker, it);
+    if (run.mTask) {
+      ReleaseTask(aCell, *run.mTask, aWorker, run.mAttempt, aNow);
+    }
+  }
+}
+
+auto SettleWorker(CellState& aCell, const std::string& aId) -> void
+{
+  if (aCell.mUnsettled.erase(aId) == 0 || !aCell.mUnsettled.empty()) {
+    return;
+  }
+  for (auto& [id, job] : aCell.mJobs) {
+    for (auto& [number, occurrence] : job->mOccurrences) {
+      for (auto& step : occurrence->mSteps) {
+        for (auto& it : step.mTasks) {
+          it.mMayRunUnseen = false;
+        }
+      }
+    }
+  }
+}
+
+} // namespace
+
+auto LoseWorkerLife(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
+  -> void
+{
+  auto runs = std::move(aWorker.mRuns);
+  aWorker.mRuns.clear();
+  aWorker.mUsed = {};
+  aWorker.mFillingCpuMillis = 0;
+  for (auto& [name, run] : runs) {
+    ++aCell.mEndsLost;
+    if (run.mTask) {
+      auto& task = *run.mTask;
+      ReleaseTask(aCell, task, aWorker, run.mAttempt, aNow);
+      if (SpecOf(task).mIsGang && task.mPhase != TaskPhase::Done) {
+        StopGang(task);
+      }
+    }
+  }
+  aWorker.mSeenEnds = 0;
+  aWorker.mStoredEnds = 0;
+  aWorker.mLastClockMs = 0;
+  SettleWorker(aCell, aWorker.mRecord.mId);
+}
+
+auto SeeWorker(CellState& aCell,
+               const WorkerRecord& aRecord,
+               MonotonicTime aNow) -> Worker&
+{
+  auto& slot = aCell.mWorkers[aRecord.mId];
+  if (!slot) {
+    slot = std::make_unique<Worker>();
+    slot->mLastContact = aNow;
+    slot->mDeadBy = aNow + Milliseconds(aCell.mPolicy.mLeaseMs);
+  }
+  const auto wasReady = slot->mRecord.mState == WorkerState::Ready;
+  slot->mRecord = aRecord;
+  slot->mIsListed = true;
+  if (aRecord.mState == WorkerState::Draining && wasReady) {
+    slot->mDrainingSince = aNow;
+  }
+  if (aRecord.mBornMs != 0 && slot->mBornMs != 0 &&
+      aRecord.mBornMs > slot->mBornMs) {
+    LoseWorkerLife(aCell, *slot, aNow);
+    slot->mBornMs = aRecord.mBornMs;
+    slot->mIsKnown = false;
+  }
+  return *slot;
+}
+
+auto UnlistWorker(CellState& aCell, const std::string& aId) -> void
+{
+  const auto it = aCell.mWorkers.find(aId);
+  if (it != aCell.mWorkers.end()) {
+    it->second->mIsListed = false;
+  }
+}
+
+auto ApplyReport(CellState& aCell,
+                 Worker& aWorker,
+                 const WorkerReport& aReport,
+                 MonotonicTime aSentAt,
+                 MonotonicTime aNow) -> void
+{
+  if (aReport.mBornMs != 0 && aWorker.mBornMs != 0 &&
+      aReport.mBornMs != aWorker.mBornMs) {
+    LoseWorkerLife(aCell, aWorker, aNow);
+  }
+  aWorker.mBornMs = aReport.mBornMs;
+  if (aReport.mClockMs < aWorker.mLastClockMs) {
+    // Overtaken by a later report on another connection.
+    return;
+  }
+  aWorker.mLastClockMs = aReport.mClockMs;
+  aWorker.mLastContact = aNow;
+  aWorker.mWantsLook = false;
+  aWorker.mIsKnown = true;
+  for (const auto& it : aReport.mEnds) {
+    if (it.mNumber > aWorker.mSeenEnds) {
+      aWorker.mSeenEnds = it.mNumber;
+      ApplyEnd(aCell, aWorker, it, aNow);
+    }
+  }
+  std::set<std::string_view> listed;
+  for (const auto& it : aReport.mRunning) {
+    listed.insert(it.mTask);
+    const auto run = aWorker.mRuns.find(it.mTask);
+    if (run == aWorker.mRuns.end()) {
+      AdoptRun(aCell, aWorker, it, aNow);
+    } else if (run->second.mAttempt == it.mAttempt) {
+      Refresh(run->second, it, aNow);
+    }
+  }
+  DropVanished(aCell, aWorker, listed, aSentAt, aNow);
+  SettleWorker(aCell, aWorker.mRecord.mId);
+  if (aWorker.mFailuresInRow >= aCell.mPolicy.mProbationFailures) {
+    aWorker.mProbationUntil = aNow + aCell.mPolicy.mProbation;
+    aWorker.mFailuresInRow = aCell.mPolicy.mProbationFailures - 1;
+  }
+  BalanceFilling(aCell, aWorker, aNow);
+}
+
+auto ExpireWorkers(CellState& aCell, MonotonicTime aNow) -> void
+{
+  std::vector<std::string> forgotten;
+  for (auto& [id, it] : aCell.mWorkers) {
+    const auto isPending =
+      !it->mRuns.empty() || aCell.mUnsettled.contains(id);
+    if (aNow < it->mDeadBy) {
+      continue;
+    }
+    if (isPending) {
+      LoseWorkerLife(aCell, *it, aNow);
+      it->mIsKnown = false;
+    }
+    if (!it->mIsListed) {
+      forgotten.push_back(id);
+    }
+  }
+  for (const auto& it : forgotten) {
+    aCell.mWorkers.erase(it);
+  }
+}
+
+} // namespace eelgrasspost::cell
--- /dev/null
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -0,0 +1,223 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "eelgrasspost/cell/celltypes.h"
+#include "eelgrasspost/dispatch/iplatform.h"
+
+namespace eelgrasspost::dispatch {
+
+/** What the settings file gives to an entry on the platform. */
+struct DispatchSettings
+{
+  std::string mName;
+  std::string mDomain;
+  net::Address mHttp;
+  net::Address mReadiness;
+  net::Address mPeers;
+  net::Address mMetrics;
+  net::Address mStore;
+  double mStoreWritesPerS = 600;
+  double mStorePartWritesPerS = 150;
+  /** Bounds of the platform, in milliseconds. */
+  std::int64_t mLeaseMs = 6000;
+  std::int64_t mEarlyMs = 250;
+  std::int64_t mGraceMs = 6000;
+  std::int64_t mDrainMs = 2000;
+  std::int64_t mStatusMs = 120000;
+};
+
+/** What an entry says of a cell that it holds. */
+struct HeldCell
+{
+  std::string mName;
+  std::uint64_t mToken = 0;
+  bool mIsActive = false;
+  std::int64_t mFreeCpuMillis = 0;
+  std::int64_t mFreeMemoryMb = 0;
+  std::int64_t mCapacityCpuMillis = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mName, mToken, mIsActive);
+    archive(mFreeCpuMillis, mFreeMemoryMb, mCapacityCpuMillis);
+  }
+};
+
+/** Jobs of one queue that wait for their first start. */
+struct PendingCount
+{
+  std::uint64_t mQueueHash = 0;
+  std::uint32_t mCount = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mQueueHash, mCount);
+  }
+};
+
+/** Datagram by which entries know of each other. */
+struct Heartbeat
+{
+  std::string mName;
+  std::uint64_t mIncarnation = 0;
+  std::string mDomain;
+  net::Address mPeers;
+  bool mIsLeaving = false;
+  bool mReachesStore = false;
+  std::vector<HeldCell> mCells;
+  std::vector<PendingCount> mPending;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mName, mIncarnation, mDomain, mPeers, mIsLeaving, mReachesStore);
+    archive(mCells, mPending);
+  }
+};
+
+/** Row of an entry in the control table. */
+struct EntryRow
+{
+  std::string mName;
+  std::uint64_t mIncarnation = 0;
+  std::string mDomain;
+  net::Address mPeers;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mName, mIncarnation, mDomain, mPeers);
+  }
+};
+
+/** Row of a cell in the control table: who holds it. */
+struct CellRow
+{
+  std::string mName;
+  std::string mDomain;
+  /** Empty: the last holder has handed it back. */
+  std::string mHolder;
+  std::uint64_t mHolderIncarnation = 0;
+  /** Grows with each holder; the high part of attempt numbers. */
+  std::uint64_t mTerm = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mName, mDomain, mHolder, mHolderIncarnation, mTerm);
+  }
+};
+
+/** Row of a failure domain in the control table: how many cells it has. */
+struct LayoutRow
+{
+  std::string mDomain;
+  std::uint32_t mCells = 1;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mDomain, mCells);
+  }
+};
+
+/** Row that makes a job's id unique and keeps its last state. */
+struct IdRow
+{
+  std::string mCell;
+  cell::JobState mState = cell::JobState::Queued;
+  std::int64_t mChangedMs = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mCell, mState, mChangedMs);
+  }
+};
+
+enum class JobCommandKind : std::uint8_t
+{
+  Submit,
+  ShowState,
+  Cancel,
+};
+
+/** A caller's request, passed to the entry that holds the cell. */
+struct JobCommand
+{
+  JobCommandKind mKind = JobCommandKind::Submit;
+  std::string mCell;
+  std::string mJobId;
+  cell::StoredJob mJob;
+  std::int64_t mPatienceMs = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mKind, mCell, mJobId, mJob, mPatienceMs);
+  }
+};
+
+enum class JobOutcome : std::uint8_t
+{
+  Done,
+  /** The job is in another cell, or in none. */
+  NotHere,
+  /** The cell is not held here (any longer). */
+  NotHeld,
+  /** Nothing was done, and nothing will be. */
+  Refused,
+  Uncertain,
+};
+
+struct JobReply
+{
+  JobOutcome mOutcome = JobOutcome::Uncertain;
+  cell::JobState mState = cell::JobState::Queued;
+  /** The cell in which the job is, when it is another one. */
+  std::string mCell;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mOutcome, mState, mCell);
+  }
+};
+
+enum class RelayKind : std::uint8_t
+{
+  Commit,
+  ReadRange,
+  ReadFeed,
+};
+
+/** A call to the store that a peer makes for an entry which is refused. */
+struct StoreRelay
+{
+  RelayKind mKind = RelayKind::Commit;
+  StoreTransaction mTransaction;
+  RangeQuery mRange;
+  FeedQuery mFeed;
+  std::int64_t mTimeoutMs = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mKind, mTransaction, mRange, mFeed, mTimeoutMs);
+  }
+};
+
+/** Names of the tables of this product in the platform's store. */
+inline constexpr std::string_view kControlTable = "control";
+inline constexpr std::string_view kFenceTable = "fences";
+inline constexpr std::string_view kIdTable = "ids";
+inline constexpr std::string_view kJobTable = "jobs";
+inline constexpr std::string_view kProgressTable = "progress";
+inline constexpr std::string_view kMemberTable = "members";
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/cellholder.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "eelgrasspost/base/metrics.h"
+#include "eelgrasspost/cell/cellstate.h"
+#include "eelgrasspost/dispatch/dispatchtypes.h"
+
+namespace eelgrasspost::dispatch {
+
+/** What a holder needs of its entry; all outlive it. */
+struct HolderContext
+{
+  const DispatchSettings& mSettings;
+  ISharedStore& mStore;
+  IWorkerOrders& mWorkers;
+  base::Metrics& mMetrics;
+  net::asio::any_io_executor mExecutor;
+  std::uint64_t mIncarnation = 0;
+  /** Parts over which jobs are spread. */
+  std::uint32_t mParts = 4;
+};
+
+enum class HolderPhase : std::uint8_t
+{
+  /** Reading what is stored and asking the workers. */
+  TakingOver,
+  Active,
+  /** Orders and writes have ended. */
+  Ended,
+};
+
+/** A job's rows in the store, as this holder wrote them last. */
+struct JobRows
+{
+  std::uint64_t mJobVersion = 0;
+  /** 0: there is no progress row. */
+  std::uint64_t mProgressVersion = 0;
+};
+
+/**
+ * Holds one cell: takes it over, decides on its jobs, orders its workers and
+ * stores what must last. Everything runs on one thread.
+ */
+class CellHolder : public std::enable_shared_from_this<CellHolder>
+{
+public:
+  CellHolder(HolderContext aContext, CellRow aRow, std::uint64_t aRowVersion);
+
+  /** Takes the cell over and tends it until it ends. aWorkers: the workers of
+   * the cell that the list shows. aIsPreviousGone: the previous holder's
+   * process is known to have ended. */
+  auto Run(std::vector<cell::WorkerRecord> aWorkers, bool aIsPreviousGone)
+    -> net::Task<void>;
+  /** Stores what is left and stops to order; the cell row is not touched. */
+  auto Finish() -> net::Task<void>;
+  /** Another entry holds the cell. */
+  auto End() -> void;
+
+  auto SeeWorker(const cell::WorkerRecord& aRecord) -> void;
+  auto UnlistWorker(const std::string& aId) -> void;
+  /** No other holder was seen before this time. */
+  auto Confirm(MonotonicTime aAt) -> void;
+
+  auto Execute(JobCommand aCommand) -> net::Task<JobReply>;
+
+  auto Describe() const -> HeldCell;
+  auto Name() const -> const std::string& { return mRow.mName; }
+  auto Row() const -> const CellRow& { return mRow; }
+  auto RowVersion() const -> std::uint64_t { return mRowVersion; }
+  auto Phase() const -> HolderPhase { return mPhase; }
+  auto State() const -> const cell::CellState& { return mState; }
+
+private:
+  struct FenceResult
+  {
+    bool mIsDone = false;
+    bool mIsSuperseded = false;
+  };
+
+  auto RaiseFence(std::uint32_t aPart) -> net::Task<FenceResult>;
+  auto LoadPart(std::uint32_t aPart) -> net::Task<bool>;
+  auto LoadMembers() -> net::Task<bool>;
+  auto ReadPrefix(std::string aTable, std::string aPart)
+    -> net::Task<std::optional<std::vector<StoreRow>>>;
+  auto TakeOver() -> net::Task<bool>;
+
+  auto MayOrder() const -> bool;
+  auto StartTending(const std::string& aWorker) -> void;
+  auto TendWorker(std::string aWorker) -> net::Task<void>;
+  auto Look(const std::string& aWorker, std::int64_t aWaitMs)
+    -> net::Task<bool>;
+  auto LookAgain(std::string aWorker) -> net::Task<void>;
+  auto SendOrder(cell::Order aOrder) -> net::Task<void>;
+  auto LeaseEnd(const std::string& aWorker, MonotonicTime aNow) const
+    -> std::int64_t;
+  auto NoteClock(const std::string& aWorker,
+                 std::int64_t aClockMs,
+                 MonotonicTime aNow) -> void;
+  auto Kick() -> void;
+  auto DecideNow() -> void;
+  auto Tick() -> net::Task<void>;
+
+  auto FlushLoop() -> net::Task<void>;
+  auto Flush() -> net::Task<bool>;
+  auto FlushPart(std::uint32_t aPart, std::vector<std::string> aJobs)
+    -> net::Task<bool>;
+  auto WriteMembers() -> net::Task<void>;
+  auto LearnVersions(const StoreReply& aReply) -> void;
+  auto FinishJob(const std::string& aId, cell::JobState aState) -> void;
+
+  auto Submit(JobCommand aCommand) -> net::Task<JobReply>;
+  auto Cancel(std::string aId, MonotonicTime aDeadline) -> net::Task<JobReply>;
+  auto ShowState(const std::string& aId) -> JobReply;
+  auto CommitJob(const cell::StoredJob& aJob, MonotonicTime aDeadline)
+    -> net::Task<JobReply>;
+  auto SettleJob(cell::StoredJob aJob) -> net::Task<void>;
+
+  auto PartOf(std::string_view aId) const -> std::uint32_t;
+  auto FenceOf(std::uint32_t aPart) const -> RowExpectation;
+  auto JobKey(std::string_view aId) const -> std::string;
+
+  /** The clock of a worker, as its last answer showed it. */
+  struct WorkerClock
+  {
+    std::int64_t mClockMs = 0;
+    MonotonicTime mAt{};
+    /** Latest end of a lease that was sent. */
+    std::int64_t mLeaseEndMs = 0;
+  };
+
+  HolderContext mContext;
+  CellRow mRow;
+  std::uint64_t mRowVersion = 0;
+  HolderPhase mPhase = HolderPhase::TakingOver;
+  bool mIsFinishing = false;
+  bool mIsPreviousGone = false;
+  cell::CellState mState;
+  std::map<std::uint32_t, std::uint64_t> mFences;
+  std::unordered_map<std::string, WorkerClock> mClocks;
+  std::set<std::string> mTended;
+  std::set<std::string> mMembers;
+  std::unordered_map<std::string, JobRows> mRows;
+  /** Final states of jobs, as long as callers may ask. */
+  std::unordered_map<std::string, cell::JobState> mFinished;
+  std::deque<std::pair<MonotonicTime, std::string>> mFinishedOrder;
+  std::set<std::string> mSettling;
+  bool mIsKicked = false;
+  bool mIsFlushUrgent = false;
+  std::size_t mFlushing = 0;
+  MonotonicTime mConfirmedAt{};
+  std::unique_ptr<net::asio::steady_timer> mFlushTimer;
+};
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/claiming.cpp
@@ -0,0 +1,122 @@
+#include "claiming.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include <xxhash.h>
+
+#include "eelgrasspost/base/text.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+auto FindLive(const ClaimView& aView, const std::string& aName)
+  -> const ClaimCandidate*
+{
+  const auto it =
+    std::find_if(aView.mLive.begin(), aView.mLive.end(), [&](const auto& a) {
+      return a.mName == aName;
+    });
+  return it == aView.mLive.end() ? nullptr : &*it;
+}
+
+auto IsHeld(const ClaimView& aView, const CellRow& aCell) -> bool
+{
+  if (aCell.mHolder.empty()) {
+    return false;
+  }
+  if (const auto* live = FindLive(aView, aCell.mHolder)) {
+    return live->mIncarnation == aCell.mHolderIncarnation;
+  }
+  return aView.mSinceStart < kClaimPause;
+}
+
+auto Choose(const ClaimView& aView, const CellRow& aCell, bool aInDomain)
+  -> const ClaimCandidate*
+{
+  const ClaimCandidate* best = nullptr;
+  const auto rank = [&](const ClaimCandidate& aCandidate) {
+    return std::tuple(aCandidate.mHeld,
+                      HashOf(aCell.mName + aCandidate.mName),
+                      aCandidate.mName);
+  };
+  for (const auto& it : aView.mLive) {
+    const auto fits =
+      !it.mIsLeaving && (!aInDomain || it.mDomain == aCell.mDomain);
+    if (fits && (!best || rank(it) < rank(*best))) {
+      best = &it;
+    }
+  }
+  return best;
+}
+
+auto DomainSilence(const ClaimView& aView, const std::string& aDomain)
+  -> Milliseconds
+{
+  const auto it = aView.mDomainSilence.find(aDomain);
+  return it == aView.mDomainSilence.end() ? aView.mSinceStart : it->second;
+}
+
+} // namespace
+
+auto HashOf(std::string_view aText) -> std::uint64_t
+{
+  return XXH3_64bits(aText.data(), aText.size());
+}
+
+auto CellsToClaim(const ClaimView& aView) -> std::vector<std::string>
+{
+  std::vector<std::string> out;
+  auto view = aView;
+  for (const auto& it : aView.mCells) {
+    if (IsHeld(view, it)) {
+      continue;
+    }
+    const auto* chosen = Choose(view, it, true);
+    if (!chosen && DomainSilence(view, it.mDomain) > kForeignClaimPause) {
+      chosen = Choose(view, it, false);
+    }
+    if (!chosen) {
+      continue;
+    }
+    if (chosen->mName == view.mMyName) {
+      out.push_back(it.mName);
+    }
+    // Cells that are claimed in one round are spread over the entries.
+    for (auto& candidate : view.mLive) {
+      candidate.mHeld += candidate.mName == chosen->mName ? 1 : 0;
+    }
+  }
+  return out;
+}
+
+auto CellsToReturn(const ClaimView& aView) -> std::vector<std::string>
+{
+  std::vector<std::string> out;
+  const auto* me = FindLive(aView, aView.mMyName);
+  for (const auto& it : aView.mCells) {
+    const auto isMine = it.mHolder == aView.mMyName &&
+                        it.mHolderIncarnation == aView.mMyIncarnation;
+    if (isMine && me && me->mDomain != it.mDomain &&
+        Choose(aView, it, true)) {
+      out.push_back(it.mName);
+    }
+  }
+  return out;
+}
+
+auto CellOfWorker(std::string_view aWorker, const LayoutRow& aLayout)
+  -> std::string
+{
+  const auto n = HashOf(aWorker) % std::max<std::uint32_t>(1, aLayout.mCells);
+  return base::Cat(aLayout.mDomain, "/", n);
+}
+
+auto CellsFor(std::size_t aWorkers) -> std::uint32_t
+{
+  return static_cast<std::uint32_t>(std::max<std::size_t>(
+    1, (aWorkers + kWorkersPerCell - 1) / kWorkersPerCell));
+}
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -0,0 +1,626 @@
+#include "dispatchentry.h"
+
+#include <algorithm>
+#include <csignal>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/net/codec.h"
+#include "holdertimes.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** How long the store may keep a feed's call waiting for a change. */
+constexpr auto kFeedWait = Milliseconds(2000);
+constexpr auto kManageInterval = Milliseconds(150);
+/** A domain's workers are counted once their list has not grown for so long. */
+constexpr auto kLayoutPause = Milliseconds(500);
+/** After a stop signal the balancer may send connections for two more probes
+ * of a second each. */
+constexpr auto kLeaveTime = Milliseconds(2600);
+constexpr auto kLeaveCheck = Milliseconds(50);
+
+auto PartsOf(const DispatchSettings& aSettings) -> std::uint32_t
+{
+  const auto parts =
+    aSettings.mStoreWritesPerS / std::max(1.0, aSettings.mStorePartWritesPerS);
+  return std::max(1U, static_cast<std::uint32_t>(parts));
+}
+
+auto DoorOptions() -> net::HttpServerOptions
+{
+  net::HttpServerOptions out;
+  out.mBodyLimit = 262144;
+  return out;
+}
+
+} // namespace
+
+DispatchEntry::DispatchEntry(net::IoPool& aPool,
+                             DispatchSettings aSettings,
+                             PlatformPorts aPorts)
+  : mPool(aPool)
+  , mSettings(std::move(aSettings))
+  , mPorts(aPorts)
+  , mIncarnation(static_cast<std::uint64_t>(base::WallClockMs()))
+  , mParts(PartsOf(mSettings))
+  , mStartedAt(base::MonotonicClock::now())
+  , mMessages(aPool.Size(), mSettings.mPeers.mIp)
+  , mMessageServer(aPool)
+  , mPeers(aPool, mSettings.mName)
+  , mStore(mPorts.mStore, mMessages, mPeers, mMetrics)
+  , mConfigurationWatch(mStore,
+                        mPorts.mFormats.ConfigurationTable(),
+                        kFeedWait)
+  , mControlWatch(mStore, std::string(kControlTable), kFeedWait)
+  , mWorkerWatch(mStore, mPorts.mFormats.WorkerTable(), kFeedWait)
+  , mDoor({ mPorts.mFormats,
+            mStore,
+            mMetrics,
+            mParts,
+            mSettings.mDomain,
+            [this] { return mConfiguration; },
+            [this] { return ReachableCells(); },
+            [this](JobCommand aCommand) {
+              return Execute(std::move(aCommand));
+            },
+            [this](const std::string& aQueue) {
+              return CountPending(aQueue);
+            } })
+  , mDoorServer(aPool,
+                DoorOptions(),
+                [this](net::HttpRequest aRequest) {
+                  return mDoor.Answer(std::move(aRequest));
+                })
+  , mReadinessServer(
+      aPool,
+      {},
+      [this](net::HttpRequest) -> net::Task<net::HttpResponse> {
+        constexpr unsigned kOk = 200;
+        constexpr unsigned kUnavailable = 503;
+        co_return net::HttpResponse{
+          IsReady() ? kOk : kUnavailable, {}, {}
+        };
+      })
+  , mMetricsServer(aPool,
+                   {},
+                   [this](net::HttpRequest) -> net::Task<net::HttpResponse> {
+                     co_return net::HttpResponse{ 200, {}, mMetrics.Render() };
+                   })
+  , mSignals(aPool.Executor(0), SIGTERM, SIGINT, SIGHUP)
+  , mWorkersChangedAt(mStartedAt)
+{
+}
+
+auto DispatchEntry::Start() -> absl::Status
+{
+  net::HandleTyped<JobCommand, JobReply>(
+    mMessageServer,
+    net::MessageKind::JobCommand,
+    [this](JobCommand aCommand) -> net::Task<JobReply> {
+      auto holder = FindHolder(aCommand.mCell);
+      if (!holder) {
+        co_return JobReply{ JobOutcome::NotHeld };
+      }
+      co_return co_await holder->Execute(std::move(aCommand));
+    });
+  net::HandleTyped<StoreRelay, StoreReply>(
+    mMessageServer,
+    net::MessageKind::StoreRelay,
+    [this](StoreRelay aRelay) { return mStore.Serve(std::move(aRelay)); });
+  for (const auto& status :
+       { mMessageServer.Listen(mSettings.mPeers).status(),
+         mPeers.Bind(mSettings.mPeers),
+         mDoorServer.Listen(mSettings.mHttp).status(),
+         mReadinessServer.Listen(mSettings.mReadiness).status(),
+         mMetricsServer.Listen(mSettings.mMetrics).status() }) {
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  const auto executor = mPool.Executor(0);
+  net::SpawnTask(executor, HandleSignals());
+  net::SpawnTask(executor, WatchConfiguration());
+  net::SpawnTask(executor, WatchControl());
+  net::SpawnTask(executor, WatchWorkers());
+  net::SpawnTask(executor, WriteEntryRow());
+  net::SpawnTask(executor, mPeers.Run([this] { return MakeHeartbeat(); }));
+  net::SpawnTask(executor, ManageCells());
+  return absl::OkStatus();
+}
+
+auto DispatchEntry::Run() -> void
+{
+  mPool.Run();
+}
+
+auto DispatchEntry::WatchConfiguration() -> net::Task<void>
+{
+  const auto onRow = [this](const StoreRow& aRow) {
+    if (aRow.mKey != mPorts.mFormats.ConfigurationKey()) {
+      return;
+    }
+    auto decoded = mPorts.mFormats.DecodeConfiguration(aRow.mValue);
+    const auto isNewer =
+      decoded.ok() &&
+      (!mConfiguration || decoded->mVersion > mConfiguration->mVersion);
+    if (isNewer) {
+      mConfiguration =
+        std::make_shared<const Configuration>(*std::move(decoded));
+    }
+  };
+  co_await mConfigurationWatch.Run(
+    onRow, [](const std::string&) {}, [] {});
+}
+
+auto DispatchEntry::SeeControlRow(const StoreRow& aRow) -> void
+{
+  if (aRow.mKey.starts_with("entry/")) {
+    if (auto row = net::Decode<EntryRow>(aRow.mValue); row.ok()) {
+      mPeers.Learn(*row);
+    }
+  } else if (aRow.mKey.starts_with("layout/")) {
+    if (auto row = net::Decode<LayoutRow>(aRow.mValue); row.ok()) {
+      mLayouts[row->mDomain] = *row;
+    }
+  } else if (aRow.mKey.starts_with("cell/")) {
+    if (auto row = net::Decode<CellRow>(aRow.mValue); row.ok()) {
+      SeeCell(*row, aRow.mVersion);
+    }
+  }
+}
+
+auto DispatchEntry::SeeCell(const CellRow& aRow, std::uint64_t aVersion) -> void
+{
+  auto& known = mCells[aRow.mName];
+  if (aVersion <= known.mVersion) {
+    return;
+  }
+  const auto isPreviousGone = IsGone(known.mRow);
+  known = { aRow, aVersion };
+  const auto isMine =
+    aRow.mHolder == mSettings.mName && aRow.mHolderIncarnation == mIncarnation;
+  const auto holder = FindHolder(aRow.mName);
+  if (holder && holder->RowVersion() < aVersion) {
+    holder->End();
+    mHolders.erase(aRow.mName);
+  }
+  if (isMine && !FindHolder(aRow.mName)) {
+    Hold(aRow, aVersion, isPreviousGone);
+  }
+}
+
+auto DispatchEntry::WatchControl() -> net::Task<void>
+{
+  const auto onAnswer = [this] {
+    for (const auto& [name, it] : mHolders) {
+      it->Confirm(mControlWatch.ConfirmedAt());
+    }
+  };
+  co_await mControlWatch.Run(
+    [this](const StoreRow& aRow) { SeeControlRow(aRow); },
+    [this](const std::string& aKey) {
+      constexpr std::string_view kPrefix = "entry/";
+      if (aKey.starts_with(kPrefix)) {
+        mPeers.Forget(aKey.substr(kPrefix.size()));
+      }
+    },
+    onAnswer);
+}
+
+auto DispatchEntry::CellOf(const cell::WorkerRecord& aRecord) const
+  -> std::optional<std::string>
+{
+  const auto it = mLayouts.find(aRecord.mDomain);
+  if (it == mLayouts.end()) {
+    return std::nullopt;
+  }
+  return CellOfWorker(aRecord.mId, it->second);
+}
+
+auto DispatchEntry::SeeWorkerRow(const StoreRow& aRow) -> void
+{
+  auto record = mPorts.mFormats.DecodeWorker(aRow.mKey, aRow.mValue);
+  if (!record.ok()) {
+    return;
+  }
+  auto& known = mWorkers[aRow.mKey];
+  const auto isNew = known.mId.empty();
+  if (isNew) {
+    mWorkersChangedAt = base::MonotonicClock::now();
+  }
+  const auto isChanged = isNew || known.mState != record->mState ||
+                         known.mBornMs != record->mBornMs ||
+                         known.mAddress != record->mAddress ||
+                         known.mService != record->mService;
+  known = *std::move(record);
+  if (!isChanged) {
+    return;
+  }
+  if (const auto name = CellOf(known)) {
+    if (const auto holder = FindHolder(*name)) {
+      holder->SeeWorker(known);
+    }
+  }
+}
+
+auto DispatchEntry::WatchWorkers() -> net::Task<void>
+{
+  co_await mWorkerWatch.Run(
+    [this](const StoreRow& aRow) { SeeWorkerRow(aRow); },
+    [this](const std::string& aKey) {
+      mWorkers.erase(aKey);
+      for (const auto& [name, it] : mHolders) {
+        it->UnlistWorker(aKey);
+      }
+    },
+    [] {});
+}
+
+auto DispatchEntry::WriteEntryRow() -> net::Task<void>
+{
+  const auto row = EntryRow{
+    mSettings.mName, mIncarnation, mSettings.mDomain, mSettings.mPeers
+  };
+  while (true) {
+    StoreTransaction transaction;
+    transaction.mWrites.push_back(
+      { { std::string(kControlTable), "entry/" + mSettings.mName },
+        net::Encode(row) });
+    const auto reply = co_await mStore.Commit(
+      std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
+    if (reply.mOutcome == StoreOutcome::Done) {
+      co_return;
+    }
+    co_await net::Sleep(kRetryPause);
+  }
+}
+
+auto DispatchEntry::IsGone(const CellRow& aRow) const -> bool
+{
+  if (aRow.mHolder.empty()) {
+    return true;
+  }
+  if (aRow.mHolder == mSettings.mName) {
+    return aRow.mHolderIncarnation != mIncarnation;
+  }
+  const auto* peer = mPeers.Find(aRow.mHolder);
+  return peer && peer->mRow.mIncarnation > aRow.mHolderIncarnation;
+}
+
+auto DispatchEntry::MakeView(MonotonicTime aNow) const -> ClaimView
+{
+  ClaimView out;
+  out.mMyName = mSettings.mName;
+  out.mMyIncarnation = mIncarnation;
+  out.mSinceStart =
+    std::chrono::duration_cast<Milliseconds>(aNow - mStartedAt);
+  out.mLive.push_back({ mSettings.mName,
+                        mIncarnation,
+                        mSettings.mDomain,
+                        mIsLeaving,
+                        mHolders.size() });
+  for (const auto& [name, it] : mPeers.All()) {
+    if (it.mSeenAt != MonotonicTime{}) {
+      const auto silence =
+        std::chrono::duration_cast<Milliseconds>(aNow - it.mSeenAt);
+      const auto [slot, isNew] =
+        out.mDomainSilence.emplace(it.mRow.mDomain, silence);
+      slot->second = std::min(slot->second, silence);
+    }
+    if (mPeers.IsAlive(it, aNow)) {
+      out.mLive.push_back({ name,
+                            it.mRow.mIncarnation,
+                            it.mRow.mDomain,
+                            it.mLast.mIsLeaving,
+                            it.mLast.mCells.size() });
+    }
+  }
+  for (const auto& [name, it] : mCells) {
+    out.mCells.push_back(it.mRow);
+  }
+  return out;
+}
+
+auto DispatchEntry::ManageCells() -> net::Task<void>
+{
+  while (true) {
+    co_await net::Sleep(kManageInterval);
+    const auto now = base::MonotonicClock::now();
+    if (!mControlWatch.IsLoaded() || !mWorkerWatch.IsLoaded()) {
+      continue;
+    }
+    std::erase_if(mHolders, [](const auto& aItem) {
+      return aItem.second->Phase() == HolderPhase::Ended;
+    });
+    ManageLayouts(now);
+    const auto view = MakeView(now);
+    for (const auto& it : CellsToClaim(view)) {
+      if (!mIsLeaving && mBusyCells.insert(it).second) {
+        net::SpawnTask(mPool.Executor(0), Claim(it));
+      }
+    }
+    for (const auto& it : CellsToReturn(view)) {
+      if (mBusyCells.insert(it).second) {
+        net::SpawnTask(mPool.Executor(0), Return(it));
+      }
+    }
+  }
+}
+
+auto DispatchEntry::ManageLayouts(MonotonicTime aNow) -> void
+{
+  if (aNow - mWorkersChangedAt < kLayoutPause) {
+    return;
+  }
+  std::map<std::string, std::size_t> counts;
+  for (const auto& [id, it] : mWorkers) {
+    ++counts[it.mDomain];
+  }
+  for (const auto& [domain, n] : counts) {
+    if (!mLayouts.contains(domain) && mBusyLayouts.insert(domain).second) {
+      net::SpawnTask(mPool.Executor(0), CreateLayout(domain, CellsFor(n)));
+    }
+  }
+}
+
+auto DispatchEntry::CreateLayout(std::string aDomain, std::uint32_t aCells)
+  -> net::Task<void>
+{
+  StoreTransaction transaction;
+  const auto add = [&](std::string aKey, std::string aValue) {
+    const auto key = RowKey{ std::string(kControlTable), std::move(aKey) };
+    transaction.mExpected.push_back({ key, 0 });
+    transaction.mWrites.push_back({ key, std::move(aValue) });
+  };
+  add("layout/" + aDomain, net::Encode(LayoutRow{ aDomain, aCells }));
+  for (std::uint32_t i = 0; i < aCells; ++i) {
+    CellRow row;
+    row.mName = base::Cat(aDomain, "/", i);
+    row.mDomain = aDomain;
+    add("cell/" + row.mName, net::Encode(row));
+  }
+  co_await mStore.Commit(std::move(transaction),
+                         base::MonotonicClock::now() + kStoreTimeout);
+  // Whoever was first, the feed shows the layout.
+  co_await net::Sleep(kRetryPause);
+  mBusyLayouts.erase(aDomain);
+}
+
+auto DispatchEntry::Claim(std::string aCell) -> net::Task<void>
+{
+  const auto known = mCells.at(aCell);
+  auto row = known.mRow;
+  row.mHolder = mSettings.mName;
+  row.mHolderIncarnation = mIncarnation;
+  ++row.mTerm;
+  StoreTransaction transaction;
+  const auto key = RowKey{ std::string(kControlTable), "cell/" + aCell };
+  transaction.mExpected.push_back({ key, known.mVersion });
+  transaction.mWrites.push_back({ key, net::Encode(row) });
+  const auto reply = co_await mStore.Commit(
+    std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
+  if (reply.mOutcome == StoreOutcome::Done) {
+    SeeCell(row, reply.mVersion);
+  } else if (reply.mOutcome != StoreOutcome::Conflict) {
+    co_await net::Sleep(kRetryPause);
+  }
+  mBusyCells.erase(aCell);
+}
+
+auto DispatchEntry::Hold(const CellRow& aRow,
+                         std::uint64_t aVersion,
+                         bool aIsPreviousGone) -> void
+{
+  const auto context = HolderContext{ mSettings, mStore,
+                                      mPorts.mWorkers, mMetrics,
+                                      mPool.Executor(0), mIncarnation,
+                                      mParts };
+  auto holder = std::make_shared<CellHolder>(context, aRow, aVersion);
+  mHolders[aRow.mName] = holder;
+  std::vector<cell::WorkerRecord> workers;
+  for (const auto& [id, it] : mWorkers) {
+    if (CellOf(it) == aRow.mName) {
+      workers.push_back(it);
+    }
+  }
+  net::SpawnTask(mPool.Executor(0),
+                 holder->Run(std::move(workers), aIsPreviousGone));
+}
+
+auto DispatchEntry::Return(std::string aCell) -> net::Task<void>
+{
+  if (const auto holder = FindHolder(aCell)) {
+    co_await holder->Finish();
+    auto row = holder->Row();
+    row.mHolder.clear();
+    StoreTransaction transaction;
+    const auto key = RowKey{ std::string(kControlTable), "cell/" + aCell };
+    transaction.mExpected.push_back({ key, holder->RowVersion() });
+    transaction.mWrites.push_back({ key, net::Encode(row) });
+    co_await mStore.Commit(std::move(transaction),
+                           base::MonotonicClock::now() + kStoreTimeout);
+    mHolders.erase(aCell);
+  }
+  mBusyCells.erase(aCell);
+}
+
+auto DispatchEntry::FindHolder(const std::string& aCell) const
+  -> std::shared_ptr<CellHolder>
+{
+  const auto it = mHolders.find(aCell);
+  const auto isLive =
+    it != mHolders.end() && it->second->Phase() != HolderPhase::Ended;
+  return isLive ? it->second : nullptr;
+}
+
+auto DispatchEntry::HolderAddress(const std::string& aCell) const
+  -> std::optional<net::Address>
+{
+  const auto now = base::MonotonicClock::now();
+  const auto it = mCells.find(aCell);
+  if (it == mCells.end()) {
+    return std::nullopt;
+  }
+  const auto* peer = mPeers.Find(it->second.mRow.mHolder);
+  if (!peer || !mPeers.IsAlive(*peer, now)) {
+    return std::nullopt;
+  }
+  return peer->mRow.mPeers;
+}
+
+auto DispatchEntry::Execute(JobCommand aCommand) -> net::Task<JobReply>
+{
+  if (const auto holder = FindHolder(aCommand.mCell)) {
+    co_return co_await holder->Execute(std::move(aCommand));
+  }
+  const auto address = HolderAddress(aCommand.mCell);
+  if (!address) {
+    co_return JobReply{ JobOutcome::NotHeld };
+  }
+  const auto deadline =
+    base::MonotonicClock::now() + Milliseconds(aCommand.mPatienceMs);
+  const auto reply =
+    co_await net::CallTyped<JobReply>(mMessages,
+                                      *address,
+                                      net::MessageKind::JobCommand,
+                                      std::move(aCommand),
+                                      deadline);
+  if (reply.mStatus.ok()) {
+    co_return reply.mReply;
+  }
+  co_return JobReply{ reply.mProgress == net::SendProgress::NothingSent
+                        ? JobOutcome::NotHeld
+                        : JobOutcome::Uncertain };
+}
+
+auto DispatchEntry::ReachableCells() const -> std::vector<HeldCell>
+{
+  std::vector<HeldCell> out;
+  for (const auto& [name, it] : mHolders) {
+    if (it->Phase() != HolderPhase::Ended) {
+      out.push_back(it->Describe());
+    }
+  }
+  const auto now = base::MonotonicClock::now();
+  for (const auto& [name, it] : mPeers.All()) {
+    if (mPeers.IsAlive(it, now)) {
+      for (const auto& cell : it.mLast.mCells) {
+        if (!FindHolder(cell.mName)) {
+          out.push_back(cell);
+        }
+      }
+    }
+  }
+  return out;
+}
+
+auto DispatchEntry::CountPending(const std::string& aQueue) const
+  -> std::uint64_t
+{
+  std::uint64_t out = 0;
+  for (const auto& [name, it] : mHolders) {
+    out += cell::CountPending(it->State(), aQueue);
+  }
+  const auto hash = HashOf(aQueue);
+  const auto now = base::MonotonicClock::now();
+  for (const auto& [name, it] : mPeers.All()) {
+    if (!mPeers.IsAlive(it, now)) {
+      continue;
+    }
+    for (const auto& pending : it.mLast.mPending) {
+      out += pending.mQueueHash == hash ? pending.mCount : 0;
+    }
+  }
+  return out;
+}
+
+auto DispatchEntry::MakeHeartbeat() const -> Heartbeat
+{
+  Heartbeat out;
+  out.mName = mSettings.mName;
+  out.mIncarnation = mIncarnation;
+  out.mDomain = mSettings.mDomain;
+  out.mPeers = mSettings.mPeers;
+  out.mIsLeaving = mIsLeaving;
+  out.mReachesStore = mStore.ReachesDirectly();
+  std::map<std::uint64_t, std::uint32_t> pending;
+  for (const auto& [name, it] : mHolders) {
+    if (it->Phase() == HolderPhase::Ended) {
+      continue;
+    }
+    out.mCells.push_back(it->Describe());
+    for (const auto& [id, job] : it->State().mJobs) {
+      if (!job->mHasStarted && !cell::IsFinal(job->mState)) {
+        ++pending[HashOf(job->mStored.mQueue.mName)];
+      }
+    }
+  }
+  for (const auto& [hash, n] : pending) {
+    out.mPending.push_back({ hash, n });
+  }
+  return out;
+}
+
+auto DispatchEntry::IsReady() const -> bool
+{
+  if (mIsLeaving || !mConfiguration) {
+    return false;
+  }
+  const auto cells = ReachableCells();
+  return std::any_of(cells.begin(), cells.end(), [](const HeldCell& aCell) {
+    return aCell.mIsActive;
+  });
+}
+
+auto DispatchEntry::HandleSignals() -> net::Task<void>
+{
+  while (true) {
+    const auto number =
+      co_await mSignals.async_wait(boost::asio::use_awaitable);
+    if (number != SIGHUP && !mIsLeaving) {
+      net::SpawnTask(mPool.Executor(0), Leave());
+    }
+  }
+}
+
+/** Hands the cells on, answers what still comes, then ends the process. */
+auto DispatchEntry::Leave() -> net::Task<void>
+{
+  mIsLeaving = true;
+  const auto startedAt = base::MonotonicClock::now();
+  std::vector<std::string> held;
+  for (const auto& [name, it] : mHolders) {
+    held.push_back(name);
+  }
+  for (const auto& it : held) {
+    if (mBusyCells.insert(it).second) {
+      net::SpawnTask(mPool.Executor(0), Return(it));
+    }
+  }
+  co_await net::Sleep(kLeaveTime);
+  mDoorServer.StopAccepting();
+  const auto last = startedAt + Milliseconds(mSettings.mGraceMs) * 4 / 5;
+  while (base::MonotonicClock::now() < last) {
+    mDoorServer.CloseQuiet();
+    if (mDoorServer.Connections() == 0) {
+      break;
+    }
+    co_await net::Sleep(kLeaveCheck);
+  }
+  mPool.Stop();
+}
+
+auto MakeDispatchEntry(net::IoPool& aPool,
+                       DispatchSettings aSettings,
+                       PlatformPorts aPorts) -> std::unique_ptr<IDispatchEntry>
+{
+  return std::make_unique<DispatchEntry>(aPool, std::move(aSettings), aPorts);
+}
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/dispatchentry.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <set>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "cellholder.h"
+#include "claiming.h"
+#include "eelgrasspost/dispatch/dispatchmodule.h"
+#include "eelgrasspost/net/iopool.h"
+#include "frontdoor.h"
+#include "peers.h"
+#include "storeaccess.h"
+#include "tablewatch.h"
+
+namespace eelgrasspost::dispatch {
+
+/** The wiring of one entry; everything runs on one thread. */
+class DispatchEntry final : public IDispatchEntry
+{
+public:
+  DispatchEntry(net::IoPool& aPool,
+                DispatchSettings aSettings,
+                PlatformPorts aPorts);
+
+  auto Start() -> absl::Status override;
+  auto Run() -> void override;
+
+private:
+  struct KnownCell
+  {
+    CellRow mRow;
+    std::uint64_t mVersion = 0;
+  };
+
+  auto WatchConfiguration() -> net::Task<void>;
+  auto WatchControl() -> net::Task<void>;
+  auto WatchWorkers() -> net::Task<void>;
+  auto SeeControlRow(const StoreRow& aRow) -> void;
+  auto SeeCell(const CellRow& aRow, std::uint64_t aVersion) -> void;
+  auto SeeWorkerRow(const StoreRow& aRow) -> void;
+  auto WriteEntryRow() -> net::Task<void>;
+
+  auto ManageCells() -> net::Task<void>;
+  auto ManageLayouts(MonotonicTime aNow) -> void;
+  auto CreateLayout(std::string aDomain, std::uint32_t aCells)
+    -> net::Task<void>;
+  auto MakeView(MonotonicTime aNow) const -> ClaimView;
+  auto Claim(std::string aCell) -> net::Task<void>;
+  auto Return(std::string aCell) -> net::Task<void>;
+  auto Hold(const CellRow& aRow,
+            std::uint64_t aVersion,
+            bool aIsPreviousGone) -> void;
+  auto IsGone(const CellRow& aRow) const -> bool;
+  auto CellOf(const cell::WorkerRecord& aRecord) const
+    -> std::optional<std::string>;
+  auto FindHolder(const std::string& aCell) const
+    -> std::shared_ptr<CellHolder>;
+
+  auto Execute(JobCommand aCommand) -> net::Task<JobReply>;
+  auto HolderAddress(const std::string& aCell) const
+    -> std::optional<net::Address>;
+  auto ReachableCells() const -> std::vector<HeldCell>;
+  auto CountPending(const std::string& aQueue) const -> std::uint64_t;
+  auto MakeHeartbeat() const -> Heartbeat;
+  auto IsReady() const -> bool;
+  auto HandleSignals() -> net::Task<void>;
+  auto Leave() -> net::Task<void>;
+
+  net::IoPool& mPool;
+  DispatchSettings mSettings;
+  PlatformPorts mPorts;
+  std::uint64_t mIncarnation;
+  std::uint32_t mParts;
+  MonotonicTime mStartedAt;
+  base::Metrics mMetrics;
+  net::MessageClient mMessages;
+  net::MessageServer mMessageServer;
+  Peers mPeers;
+  StoreAccess mStore;
+  TableWatch mConfigurationWatch;
+  TableWatch mControlWatch;
+  TableWatch mWorkerWatch;
+  FrontDoor mDoor;
+  net::HttpServer mDoorServer;
+  net::HttpServer mReadinessServer;
+  net::HttpServer mMetricsServer;
+  boost::asio::signal_set mSignals;
+  std::shared_ptr<const Configuration> mConfiguration;
+  std::map<std::string, KnownCell> mCells;
+  std::map<std::string, LayoutRow> mLayouts;
+  std::map<std::string, cell::WorkerRecord> mWorkers;
+  MonotonicTime mWorkersChangedAt;
+  std::map<std::string, std::shared_ptr<CellHolder>> mHolders;
+  std::set<std::string> mBusyCells;
+  std::set<std::string> mBusyLayouts;
+  bool mIsLeaving = false;
+};
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/frontdoor.cpp
@@ -0,0 +1,311 @@
+#include "frontdoor.h"
+
+#include <algorithm>
+
+#include "claiming.h"
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/net/codec.h"
+#include "eelgrasspost/net/iopool.h"
+#include "holdertimes.h"
+#include "storeaccess.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** Callers of a refused request come back after this time, when a takeover or
+ * a short outage is usually over. */
+constexpr auto kComeBack = Milliseconds(1000);
+/** Pause before a command is tried again at the cell's next holder. */
+constexpr auto kHolderPause = Milliseconds(60);
+/** Locations of jobs that are remembered; about 100 bytes each. */
+constexpr std::size_t kMostLocations = 20000;
+
+auto NotRun(std::string aError) -> CallerAnswer
+{
+  CallerAnswer out;
+  out.mOutcome = CallerOutcome::NotRun;
+  out.mRetryAfter = kComeBack;
+  out.mError = std::move(aError);
+  return out;
+}
+
+auto Uncertain() -> CallerAnswer
+{
+  CallerAnswer out;
+  out.mOutcome = CallerOutcome::Uncertain;
+  out.mError = "the outcome is not known yet; ask again with the same id";
+  return out;
+}
+
+auto StateAnswer(cell::JobState aState) -> CallerAnswer
+{
+  CallerAnswer out;
+  out.mOutcome = CallerOutcome::State;
+  out.mState = aState;
+  return out;
+}
+
+auto LeftMs(MonotonicTime aDeadline) -> std::int64_t
+{
+  return std::max<std::int64_t>(0, base::RemainingMs(aDeadline));
+}
+
+/** Processor millis that a job keeps reserved at its widest step. */
+auto WidestCpu(const cell::JobSpec& aJob) -> std::int64_t
+{
+  std::int64_t out = 0;
+  for (const auto& it : aJob.mSteps) {
+    if (!it.mIsFilling) {
+      out = std::max(out, it.mNeed.mCpuMillis * it.mCount);
+    }
+  }
+  return out;
+}
+
+auto IsOfDomain(const std::string& aCell, const std::string& aDomain) -> bool
+{
+  return aCell.size() > aDomain.size() && aCell.starts_with(aDomain) &&
+         aCell[aDomain.size()] == '/';
+}
+
+} // namespace
+
+FrontDoor::FrontDoor(DoorContext aContext)
+  : mContext(std::move(aContext))
+  , mAccepted(mContext.mMetrics.FindCounter(
+      "submissions_total{outcome=\"accepted\"}"))
+  , mRefused(
+      mContext.mMetrics.FindCounter("submissions_total{outcome=\"refused\"}"))
+  , mUncertain(mContext.mMetrics.FindCounter(
+      "submissions_total{outcome=\"uncertain\"}"))
+{
+}
+
+auto FrontDoor::Remember(const std::string& aId, const std::string& aCell)
+  -> void
+{
+  if (mCellOfJob.size() > kMostLocations) {
+    mCellOfJob.clear();
+  }
+  mCellOfJob[aId] = aCell;
+}
+
+/** Cells of the own domain first while they have room, then the emptiest. */
+auto FrontDoor::RankCells(const cell::JobSpec& aJob) const
+  -> std::vector<std::string>
+{
+  const auto need = WidestCpu(aJob);
+  auto cells = mContext.mCells();
+  const auto rank = [&](const HeldCell& aCell) {
+    const auto share =
+      static_cast<double>(aCell.mFreeCpuMillis - need) /
+      static_cast<double>(std::max<std::int64_t>(1, aCell.mCapacityCpuMillis));
+    const auto isNear = IsOfDomain(aCell.mName, mContext.mDomain);
+    constexpr double kNearBonus = 0.1;
+    return -(share + (isNear && share > 0 ? kNearBonus : 0.0));
+  };
+  std::sort(cells.begin(), cells.end(), [&](const auto& a, const auto& b) {
+    const auto left = std::pair(!a.mIsActive, rank(a));
+    const auto right = std::pair(!b.mIsActive, rank(b));
+    return left < right;
+  });
+  std::vector<std::string> out;
+  out.reserve(cells.size());
+  for (const auto& it : cells) {
+    out.push_back(it.mName);
+  }
+  return out;
+}
+
+auto FrontDoor::Submit(const CallerRequest& aRequest,
+                       const std::string& aBody,
+                       MonotonicTime aDeadline) -> net::Task<CallerAnswer>
+{
+  auto spec = mContext.mFormats.DecodeJob(aRequest.mJobId, aBody);
+  if (!spec.ok()) {
+    CallerAnswer out;
+    out.mOutcome = CallerOutcome::BadRequest;
+    out.mError = std::string(base::MessageOf(spec.status()));
+    co_return out;
+  }
+  JobCommand command;
+  command.mKind = JobCommandKind::Submit;
+  command.mJobId = aRequest.mJobId;
+  command.mJob.mQueue = *aRequest.mQueue;
+  command.mJob.mSpec = *std::move(spec);
+  command.mJob.mAcceptedMs = base::WallClockMs();
+  auto isInDoubt = false;
+  while (true) {
+    for (const auto& it : RankCells(command.mJob.mSpec)) {
+      command.mCell = it;
+      command.mPatienceMs = LeftMs(aDeadline);
+      const auto reply = co_await mContext.mExecute(command);
+      if (reply.mOutcome == JobOutcome::Done) {
+        Remember(aRequest.mJobId, reply.mCell);
+        mAccepted.Add();
+        CallerAnswer out;
+        out.mOutcome = CallerOutcome::Accepted;
+        co_return out;
+      }
+      if (reply.mOutcome == JobOutcome::Uncertain) {
+        isInDoubt = true;
+      }
+      if (reply.mOutcome == JobOutcome::Refused || isInDoubt) {
+        break;
+      }
+    }
+    if (isInDoubt) {
+      mUncertain.Add();
+      co_return Uncertain();
+    }
+    mRefused.Add();
+    co_return NotRun("no cell can take the job now; come back later");
+  }
+}
+
+auto FrontDoor::ReadIdRow(std::string aId, MonotonicTime aDeadline)
+  -> net::Task<Location>
+{
+  RangeQuery query;
+  query.mTable = std::string(kIdTable);
+  query.mPart = PartName(
+    static_cast<std::uint32_t>(HashOf(aId) % mContext.mParts));
+  query.mFrom = aId;
+  query.mLimit = 1;
+  const auto limit = base::MonotonicClock::now() + kStoreTimeout;
+  const auto reply =
+    co_await mContext.mStore.ReadRange(query, std::min(limit, aDeadline));
+  Location out;
+  if (reply.mOutcome != StoreOutcome::Done) {
+    co_return out;
+  }
+  out.mIsCertain = true;
+  if (reply.mRows.empty() || reply.mRows[0].mKey != aId) {
+    co_return out;
+  }
+  const auto row = net::Decode<IdRow>(reply.mRows[0].mValue);
+  out.mExists = true;
+  if (row.ok()) {
+    out.mCell = row->mCell;
+    out.mState = row->mState;
+  }
+  co_return out;
+}
+
+auto FrontDoor::Locate(std::string aId, MonotonicTime aDeadline)
+  -> net::Task<Location>
+{
+  if (const auto it = mCellOfJob.find(aId); it != mCellOfJob.end()) {
+    co_return Location{ true, true, it->second };
+  }
+  auto out = co_await ReadIdRow(aId, aDeadline);
+  if (out.mExists && !cell::IsFinal(out.mState)) {
+    Remember(aId, out.mCell);
+  }
+  co_return out;
+}
+
+auto FrontDoor::ShowState(std::string aId, MonotonicTime aDeadline)
+  -> net::Task<CallerAnswer>
+{
+  auto location = co_await Locate(aId, aDeadline);
+  if (location.mExists && !cell::IsFinal(location.mState)) {
+    JobCommand command;
+    command.mKind = JobCommandKind::ShowState;
+    command.mCell = location.mCell;
+    command.mJobId = aId;
+    command.mPatienceMs = LeftMs(aDeadline) / 2;
+    const auto reply = co_await mContext.mExecute(std::move(command));
+    if (reply.mOutcome == JobOutcome::Done) {
+      co_return StateAnswer(reply.mState);
+    }
+    // The holder does not know it, or does not answer: the store decides.
+    location = co_await ReadIdRow(aId, aDeadline);
+    if (!location.mIsCertain) {
+      co_return StateAnswer(cell::JobState::Running);
+    }
+  }
+  if (!location.mIsCertain) {
+    co_return NotRun("the store does not answer; ask again");
+  }
+  if (!location.mExists) {
+    mCellOfJob.erase(aId);
+    CallerAnswer out;
+    out.mOutcome = CallerOutcome::UnknownJob;
+    co_return out;
+  }
+  co_return StateAnswer(cell::IsFinal(location.mState)
+                          ? location.mState
+                          : cell::JobState::Running);
+}
+
+auto FrontDoor::Cancel(std::string aId, MonotonicTime aDeadline)
+  -> net::Task<CallerAnswer>
+{
+  auto location = co_await Locate(aId, aDeadline);
+  CallerAnswer out;
+  while (location.mExists && !cell::IsFinal(location.mState)) {
+    JobCommand command;
+    command.mKind = JobCommandKind::Cancel;
+    command.mCell = location.mCell;
+    command.mJobId = aId;
+    command.mPatienceMs = LeftMs(aDeadline);
+    const auto reply = co_await mContext.mExecute(std::move(command));
+    if (reply.mOutcome == JobOutcome::Done) {
+      out.mOutcome = CallerOutcome::Cancelled;
+      co_return out;
+    }
+    if (base::MonotonicClock::now() + kHolderPause > aDeadline) {
+      co_return Uncertain();
+    }
+    co_await net::Sleep(kHolderPause);
+    location = co_await ReadIdRow(aId, aDeadline);
+  }
+  if (!location.mIsCertain) {
+    co_return NotRun("the store does not answer; cancel again");
+  }
+  out.mOutcome = location.mExists ? CallerOutcome::Cancelled
+                                  : CallerOutcome::UnknownJob;
+  co_return out;
+}
+
+auto FrontDoor::Decide(const net::HttpRequest& aRequest)
+  -> net::Task<CallerAnswer>
+{
+  const auto configuration = mContext.mConfiguration();
+  if (!configuration) {
+    co_return NotRun("no configuration has been read yet");
+  }
+  const auto request =
+    mContext.mFormats.DecodeRequest(aRequest, *configuration);
+  CallerAnswer out;
+  if (!request) {
+    out.mOutcome = CallerOutcome::UnknownQueue;
+    out.mError = "no queue has this host and path";
+    co_return out;
+  }
+  const auto deadline = base::MonotonicClock::now() + request->mPatience;
+  switch (request->mKind) {
+    case CallerRequestKind::Submit:
+      co_return co_await Submit(*request, aRequest.mBody, deadline);
+    case CallerRequestKind::ShowState:
+      co_return co_await ShowState(request->mJobId, deadline);
+    case CallerRequestKind::Cancel:
+      co_return co_await Cancel(request->mJobId, deadline);
+    case CallerRequestKind::CountPending:
+      out.mOutcome = CallerOutcome::Pending;
+      out.mPending = mContext.mPending(request->mQueue->mName);
+      co_return out;
+  }
+  co_return out;
+}
+
+auto FrontDoor::Answer(net::HttpRequest aRequest)
+  -> net::Task<net::HttpResponse>
+{
+  const auto answer = co_await Decide(aRequest);
+  co_return mContext.mFormats.EncodeAnswer(answer);
+}
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -0,0 +1,204 @@
+#include <algorithm>
+
+#include "cellholder.h"
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/net/codec.h"
+#include "eelgrasspost/net/iopool.h"
+#include "holdertimes.h"
+#include "storeaccess.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** How often a waiting command looks whether what it waits for has come. */
+constexpr auto kWaitStep = Milliseconds(8);
+/** Left of a caller's patience for the way back. */
+constexpr auto kReturnMargin = Milliseconds(60);
+
+} // namespace
+
+auto CellHolder::Execute(JobCommand aCommand) -> net::Task<JobReply>
+{
+  const auto self = shared_from_this();
+  const auto deadline = base::MonotonicClock::now() +
+                        Milliseconds(aCommand.mPatienceMs) - kReturnMargin;
+  while (mPhase == HolderPhase::TakingOver &&
+         base::MonotonicClock::now() < deadline) {
+    co_await net::Sleep(kWaitStep);
+  }
+  if (mPhase != HolderPhase::Active) {
+    co_return JobReply{ JobOutcome::NotHeld };
+  }
+  switch (aCommand.mKind) {
+    case JobCommandKind::Submit:
+      co_return co_await Submit(std::move(aCommand));
+    case JobCommandKind::ShowState:
+      co_return ShowState(aCommand.mJobId);
+    case JobCommandKind::Cancel:
+      co_return co_await Cancel(aCommand.mJobId, deadline);
+  }
+  co_return JobReply{ JobOutcome::NotHere };
+}
+
+auto CellHolder::ShowState(const std::string& aId) -> JobReply
+{
+  if (const auto it = mFinished.find(aId); it != mFinished.end()) {
+    return { JobOutcome::Done, it->second, mRow.mName };
+  }
+  const auto* job = cell::FindJob(mState, aId);
+  if (!job) {
+    return { JobOutcome::NotHere };
+  }
+  // A final state is shown once it is stored.
+  const auto state =
+    cell::IsFinal(job->mState) ? cell::JobState::Running : job->mState;
+  return { JobOutcome::Done, state, mRow.mName };
+}
+
+auto CellHolder::Submit(JobCommand aCommand) -> net::Task<JobReply>
+{
+  const auto& id = aCommand.mJobId;
+  const auto deadline = base::MonotonicClock::now() +
+                        Milliseconds(aCommand.mPatienceMs) - kReturnMargin;
+  while (mSettling.contains(id) && base::MonotonicClock::now() < deadline) {
+    co_await net::Sleep(kWaitStep);
+  }
+  if (mSettling.contains(id)) {
+    co_return JobReply{ JobOutcome::Uncertain };
+  }
+  if (mFinished.contains(id) || cell::FindJob(mState, id)) {
+    co_return JobReply{ JobOutcome::Done, cell::JobState::Queued, mRow.mName };
+  }
+  if (mIsFinishing || !MayOrder()) {
+    co_return JobReply{ JobOutcome::NotHeld };
+  }
+  mSettling.insert(id);
+  auto reply = co_await CommitJob(aCommand.mJob, deadline);
+  if (reply.mOutcome == JobOutcome::Uncertain) {
+    net::SpawnTask(mContext.mExecutor, SettleJob(std::move(aCommand.mJob)));
+    co_return reply;
+  }
+  mSettling.erase(id);
+  co_return reply;
+}
+
+/** Writes a job's rows until it is known whether they are there. */
+auto CellHolder::CommitJob(const cell::StoredJob& aJob, MonotonicTime aDeadline)
+  -> net::Task<JobReply>
+{
+  const auto id = aJob.mSpec.mId;
+  const auto part = PartOf(id);
+  StoreTransaction transaction;
+  transaction.mPart = PartName(part);
+  const auto idKey = RowKey{ std::string(kIdTable), id };
+  transaction.mExpected = { FenceOf(part), { idKey, 0 } };
+  const auto row =
+    IdRow{ mRow.mName, cell::JobState::Queued, base::WallClockMs() };
+  transaction.mWrites = { { idKey, net::Encode(row) },
+                          { { std::string(kJobTable), JobKey(id) },
+                            net::Encode(aJob) } };
+  auto isInDoubt = false;
+  while (true) {
+    const auto now = base::MonotonicClock::now();
+    const auto reply = co_await mContext.mStore.Commit(
+      transaction, std::min(aDeadline, now + kStoreTimeout));
+    if (mPhase == HolderPhase::Ended) {
+      co_return JobReply{ isInDoubt ? JobOutcome::Uncertain
+                                    : JobOutcome::NotHeld };
+    }
+    if (reply.mOutcome == StoreOutcome::Done) {
+      mRows[id].mJobVersion = reply.mVersion;
+      cell::AddJob(mState,
+                   aJob,
+                   {},
+                   false,
+                   base::MonotonicClock::now(),
+                   base::WallClockMs());
+      Kick();
+      co_return JobReply{ JobOutcome::Done,
+                          cell::JobState::Queued,
+                          mRow.mName };
+    }
+    if (reply.mOutcome == StoreOutcome::Conflict) {
+      LearnVersions(reply);
+      for (const auto& it : reply.mRows) {
+        if (it.mTable != kIdTable || it.mIsRemoved || it.mVersion == 0) {
+          continue;
+        }
+        const auto found = net::Decode<IdRow>(it.mValue);
+        const auto isOurs = found.ok() && found->mCell == mRow.mName &&
+                            !cell::IsFinal(found->mState);
+        if (isOurs && mPhase == HolderPhase::Active &&
+            !cell::FindJob(mState, id) && !mFinished.contains(id)) {
+          // A write without an answer has been carried out.
+          mRows[id].mJobVersion = it.mVersion;
+          cell::AddJob(mState,
+                       aJob,
+                       {},
+                       false,
+                       base::MonotonicClock::now(),
+                       base::WallClockMs());
+          Kick();
+        }
+        co_return JobReply{ JobOutcome::Done,
+                            cell::JobState::Queued,
+                            found.ok() ? found->mCell : mRow.mName };
+      }
+      co_return JobReply{ isInDoubt ? JobOutcome::Uncertain
+                                    : JobOutcome::NotHeld };
+    }
+    isInDoubt = isInDoubt || reply.mOutcome == StoreOutcome::Unknown;
+    if (!isInDoubt) {
+      co_return JobReply{ JobOutcome::Refused };
+    }
+    if (base::MonotonicClock::now() + kRetryPause > aDeadline) {
+      co_return JobReply{ JobOutcome::Uncertain };
+    }
+    co_await net::Sleep(kRetryPause);
+  }
+}
+
+auto CellHolder::SettleJob(cell::StoredJob aJob) -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  const auto id = aJob.mSpec.mId;
+  auto isSettled = false;
+  while (!isSettled && mPhase == HolderPhase::Active) {
+    co_await net::Sleep(kRetryPause);
+    const auto reply =
+      co_await CommitJob(aJob, base::MonotonicClock::now() + kStoreTimeout);
+    isSettled = reply.mOutcome == JobOutcome::Done;
+  }
+  mSettling.erase(id);
+}
+
+auto CellHolder::Cancel(std::string aId, MonotonicTime aDeadline)
+  -> net::Task<JobReply>
+{
+  while (mSettling.contains(aId) && base::MonotonicClock::now() < aDeadline) {
+    co_await net::Sleep(kWaitStep);
+  }
+  if (auto* job = cell::FindJob(mState, aId); job && !mIsFinishing) {
+    if (!cell::IsFinal(job->mState)) {
+      job->mState = cell::JobState::Cancelled;
+    }
+    job->mIsDirty = true;
+    mState.mDirty.insert(aId);
+    Kick();
+  }
+  while (base::MonotonicClock::now() < aDeadline &&
+         mPhase == HolderPhase::Active) {
+    if (const auto it = mFinished.find(aId); it != mFinished.end()) {
+      co_return JobReply{ JobOutcome::Done, it->second, mRow.mName };
+    }
+    if (!cell::FindJob(mState, aId)) {
+      co_return JobReply{ JobOutcome::NotHere };
+    }
+    co_await net::Sleep(kWaitStep);
+  }
+  co_return JobReply{ mPhase == HolderPhase::Active ? JobOutcome::Uncertain
+                                                    : JobOutcome::NotHeld };
+}
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -0,0 +1,257 @@
+#include <algorithm>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "cellholder.h"
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/net/codec.h"
+#include "eelgrasspost/net/iopool.h"
+#include "holdertimes.h"
+#include "jointasks.h"
+#include "storeaccess.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** Jobs of one transaction: each takes up to three of its 100 entries. */
+constexpr std::size_t kJobsPerTransaction = 24;
+
+struct JobWrite
+{
+  std::string mId;
+  cell::JobState mState = cell::JobState::Running;
+  bool mIsFinal = false;
+};
+
+auto FindReplyRow(const StoreReply& aReply, const RowKey& aKey)
+  -> const StoreRow*
+{
+  const auto it = std::find_if(
+    aReply.mRows.begin(), aReply.mRows.end(), [&](const StoreRow& aRow) {
+      return aRow.mTable == aKey.mTable && aRow.mKey == aKey.mKey;
+    });
+  return it == aReply.mRows.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+auto CellHolder::FlushLoop() -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  while (mPhase == HolderPhase::Active) {
+    boost::system::error_code ec;
+    co_await mFlushTimer->async_wait(
+      net::asio::redirect_error(net::asio::use_awaitable, ec));
+    if (ec || mPhase != HolderPhase::Active) {
+      continue;
+    }
+    mFlushTimer->expires_at(MonotonicTime::max());
+    mIsFlushUrgent = false;
+    if (co_await Flush()) {
+      Kick();
+    } else {
+      mFlushTimer->expires_after(kRetryPause);
+    }
+  }
+}
+
+auto CellHolder::Flush() -> net::Task<bool>
+{
+  const auto self = shared_from_this();
+  ++mFlushing;
+  std::map<std::string, std::uint64_t> seen;
+  for (const auto& [id, it] : mState.mWorkers) {
+    seen[id] = it->mSeenEnds;
+  }
+  std::map<std::uint32_t, std::vector<std::string>> byPart;
+  for (const auto& it : mState.mDirty) {
+    byPart[PartOf(it)].push_back(it);
+  }
+  std::vector<net::Task<bool>> tasks;
+  for (auto& [part, jobs] : byPart) {
+    tasks.push_back(FlushPart(part, std::move(jobs)));
+  }
+  auto isOk = true;
+  if (!tasks.empty()) {
+    isOk = co_await JoinTasks(std::move(tasks));
+  }
+  --mFlushing;
+  if (!isOk) {
+    co_return false;
+  }
+  for (const auto& [id, number] : seen) {
+    const auto it = mState.mWorkers.find(id);
+    // A worker that began another life meanwhile counts from the start.
+    if (it != mState.mWorkers.end() && it->second->mSeenEnds >= number) {
+      it->second->mStoredEnds = std::max(it->second->mStoredEnds, number);
+    }
+  }
+  co_return true;
+}
+
+auto CellHolder::FlushPart(std::uint32_t aPart, std::vector<std::string> aJobs)
+  -> net::Task<bool>
+{
+  auto isOk = true;
+  for (std::size_t from = 0; from < aJobs.size();
+       from += kJobsPerTransaction) {
+    StoreTransaction transaction;
+    transaction.mPart = PartName(aPart);
+    transaction.mExpected.push_back(FenceOf(aPart));
+    std::vector<JobWrite> writes;
+    const auto end = std::min(aJobs.size(), from + kJobsPerTransaction);
+    for (auto i = from; i < end; ++i) {
+      const auto& id = aJobs[i];
+      auto* job = cell::FindJob(mState, id);
+      if (!job || !mRows.contains(id)) {
+        continue;
+      }
+      const auto& rows = mRows[id];
+      const auto key = JobKey(id);
+      const auto progressKey = RowKey{ std::string(kProgressTable), key };
+      const auto isFinal = cell::IsFinal(job->mState);
+      transaction.mExpected.push_back({ progressKey, rows.mProgressVersion });
+      if (isFinal) {
+        const auto jobKey = RowKey{ std::string(kJobTable), key };
+        transaction.mExpected.push_back({ jobKey, rows.mJobVersion });
+        transaction.mRemovals.push_back(jobKey);
+        if (rows.mProgressVersion > 0) {
+          transaction.mRemovals.push_back(progressKey);
+        }
+        const auto row = IdRow{ mRow.mName, job->mState, base::WallClockMs() };
+        transaction.mWrites.push_back(
+          { { std::string(kIdTable), id }, net::Encode(row) });
+      } else {
+        transaction.mWrites.push_back(
+          { progressKey, net::Encode(cell::ProgressOf(*job)) });
+      }
+      mState.mDirty.erase(id);
+      job->mIsDirty = false;
+      writes.push_back({ id, job->mState, isFinal });
+    }
+    if (writes.empty()) {
+      continue;
+    }
+    const auto reply = co_await mContext.mStore.Commit(
+      transaction, base::MonotonicClock::now() + kStoreTimeout);
+    if (mPhase == HolderPhase::Ended) {
+      co_return false;
+    }
+    for (const auto& it : writes) {
+      auto* job = cell::FindJob(mState, it.mId);
+      if (reply.mOutcome == StoreOutcome::Done) {
+        if (it.mIsFinal) {
+          FinishJob(it.mId, it.mState);
+        } else {
+          mRows[it.mId].mProgressVersion = reply.mVersion;
+        }
+        continue;
+      }
+      if (job) {
+        job->mIsDirty = true;
+        mState.mDirty.insert(it.mId);
+      }
+      if (reply.mOutcome != StoreOutcome::Conflict) {
+        continue;
+      }
+      const auto key = JobKey(it.mId);
+      const auto* jobRow =
+        FindReplyRow(reply, { std::string(kJobTable), key });
+      if (it.mIsFinal && (!jobRow || jobRow->mIsRemoved)) {
+        // An earlier write without an answer has been carried out.
+        FinishJob(it.mId, it.mState);
+        continue;
+      }
+      const auto* progressRow =
+        FindReplyRow(reply, { std::string(kProgressTable), key });
+      mRows[it.mId].mProgressVersion =
+        progressRow && !progressRow->mIsRemoved ? progressRow->mVersion : 0;
+    }
+    if (reply.mOutcome == StoreOutcome::Conflict) {
+      LearnVersions(reply);
+    }
+    isOk = isOk && reply.mOutcome == StoreOutcome::Done;
+  }
+  co_return isOk;
+}
+
+auto CellHolder::LearnVersions(const StoreReply& aReply) -> void
+{
+  const auto* fence =
+    FindReplyRow(aReply, { std::string(kFenceTable), mRow.mName });
+  if (!fence || fence->mValue.empty()) {
+    return;
+  }
+  const auto term = base::ParseNumber<std::uint64_t>(fence->mValue);
+  if (term && *term > mRow.mTerm) {
+    End();
+  }
+}
+
+auto CellHolder::FinishJob(const std::string& aId, cell::JobState aState)
+  -> void
+{
+  mFinished[aId] = aState;
+  mFinishedOrder.emplace_back(base::MonotonicClock::now(), aId);
+  mRows.erase(aId);
+  cell::RemoveJob(mState, aId);
+  Kick();
+}
+
+/** Before a worker gets its first order the next holder has to know of it. */
+auto CellHolder::WriteMembers() -> net::Task<void>
+{
+  const auto part = PartOf(mRow.mName);
+  StoreTransaction transaction;
+  transaction.mPart = PartName(part);
+  transaction.mExpected.push_back(FenceOf(part));
+  std::vector<std::string> added;
+  std::vector<std::string> removed;
+  constexpr std::size_t kMostRows = 90;
+  for (const auto& [id, it] : mState.mWorkers) {
+    if (!mMembers.contains(id) && added.size() < kMostRows) {
+      added.push_back(id);
+      transaction.mWrites.push_back(
+        { { std::string(kMemberTable), JobKey(id) },
+          net::Encode(it->mRecord) });
+    }
+  }
+  for (const auto& it : mMembers) {
+    if (!mState.mWorkers.contains(it) &&
+        added.size() + removed.size() < kMostRows) {
+      removed.push_back(it);
+      transaction.mRemovals.push_back(
+        { std::string(kMemberTable), JobKey(it) });
+    }
+  }
+  if (added.empty() && removed.empty()) {
+    co_return;
+  }
+  const auto reply = co_await mContext.mStore.Commit(
+    std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
+  if (reply.mOutcome == StoreOutcome::Conflict) {
+    LearnVersions(reply);
+  }
+  if (reply.mOutcome != StoreOutcome::Done) {
+    co_return;
+  }
+  mMembers.insert(added.begin(), added.end());
+  for (const auto& it : removed) {
+    mMembers.erase(it);
+  }
+}
+
+auto CellHolder::Finish() -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  mIsFinishing = true;
+  if (mPhase == HolderPhase::Active) {
+    co_await Flush();
+  }
+  End();
+}
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -0,0 +1,267 @@
+#include <algorithm>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "cellholder.h"
+#include "claiming.h"
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/net/codec.h"
+#include "eelgrasspost/net/iopool.h"
+#include "holdertimes.h"
+#include "jointasks.h"
+#include "storeaccess.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** Attempt numbers of one holder; the term is the part above. */
+constexpr std::uint64_t kAttemptsPerTerm = 1'000'000;
+
+} // namespace
+
+CellHolder::CellHolder(HolderContext aContext,
+                       CellRow aRow,
+                       std::uint64_t aRowVersion)
+  : mContext(std::move(aContext))
+  , mRow(std::move(aRow))
+  , mRowVersion(aRowVersion)
+  , mConfirmedAt(base::MonotonicClock::now())
+  , mFlushTimer(
+      std::make_unique<net::asio::steady_timer>(mContext.mExecutor,
+                                                MonotonicTime::max()))
+{
+  mState.mName = mRow.mName;
+  mState.mAttemptBase = mRow.mTerm * kAttemptsPerTerm;
+  mState.mPolicy.mLeaseMs = mContext.mSettings.mLeaseMs;
+  // Half of the bound leaves room for clocks that differ.
+  mState.mPolicy.mEarlyMs = mContext.mSettings.mEarlyMs / 2;
+}
+
+auto CellHolder::PartOf(std::string_view aId) const -> std::uint32_t
+{
+  return static_cast<std::uint32_t>(HashOf(aId) % mContext.mParts);
+}
+
+auto PartName(std::uint32_t aPart) -> std::string
+{
+  return base::Cat("p", aPart);
+}
+
+auto CellHolder::FenceOf(std::uint32_t aPart) const -> RowExpectation
+{
+  return { { std::string(kFenceTable), mRow.mName }, mFences.at(aPart) };
+}
+
+auto CellHolder::JobKey(std::string_view aId) const -> std::string
+{
+  return base::Cat(mRow.mName, "/", aId);
+}
+
+/** After this, writes of an earlier holder to the part fail. */
+auto CellHolder::RaiseFence(std::uint32_t aPart) -> net::Task<FenceResult>
+{
+  RangeQuery query;
+  query.mTable = std::string(kFenceTable);
+  query.mPart = PartName(aPart);
+  query.mFrom = mRow.mName;
+  query.mLimit = 1;
+  const auto deadline = base::MonotonicClock::now() + kStoreTimeout;
+  const auto found = co_await mContext.mStore.ReadRange(query, deadline);
+  if (found.mOutcome != StoreOutcome::Done) {
+    co_return FenceResult{};
+  }
+  std::uint64_t version = 0;
+  if (!found.mRows.empty() && found.mRows[0].mKey == mRow.mName) {
+    version = found.mRows[0].mVersion;
+    const auto term = base::ParseNumber<std::uint64_t>(found.mRows[0].mValue);
+    if (term.value_or(0) > mRow.mTerm) {
+      co_return FenceResult{ false, true };
+    }
+    if (term.value_or(0) == mRow.mTerm) {
+      mFences[aPart] = version;
+      co_return FenceResult{ true, false };
+    }
+  }
+  StoreTransaction transaction;
+  transaction.mPart = PartName(aPart);
+  const auto key = RowKey{ std::string(kFenceTable), mRow.mName };
+  transaction.mExpected.push_back({ key, version });
+  transaction.mWrites.push_back({ key, base::Cat(mRow.mTerm) });
+  const auto reply = co_await mContext.mStore.Commit(
+    std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
+  if (reply.mOutcome == StoreOutcome::Done) {
+    mFences[aPart] = reply.mVersion;
+    co_return FenceResult{ true, false };
+  }
+  co_return FenceResult{};
+}
+
+auto CellHolder::ReadPrefix(std::string aTable, std::string aPart)
+  -> net::Task<std::optional<std::vector<StoreRow>>>
+{
+  std::vector<StoreRow> out;
+  RangeQuery query;
+  query.mTable = std::move(aTable);
+  query.mPart = std::move(aPart);
+  query.mFrom = mRow.mName + "/";
+  // '0' is the character after '/'.
+  query.mBefore = mRow.mName + "0";
+  for (auto hasMore = true; hasMore;) {
+    auto reply = co_await mContext.mStore.ReadRange(
+      query, base::MonotonicClock::now() + kStoreTimeout);
+    if (reply.mOutcome != StoreOutcome::Done) {
+      co_return std::nullopt;
+    }
+    hasMore = reply.mHasMore && !reply.mRows.empty();
+    if (hasMore) {
+      query.mFrom = reply.mRows.back().mKey + '\x01';
+    }
+    std::move(reply.mRows.begin(), reply.mRows.end(), std::back_inserter(out));
+  }
+  co_return out;
+}
+
+auto CellHolder::LoadPart(std::uint32_t aPart) -> net::Task<bool>
+{
+  const auto fence = co_await RaiseFence(aPart);
+  if (fence.mIsSuperseded) {
+    End();
+  }
+  if (!fence.mIsDone) {
+    co_return false;
+  }
+  const auto part = PartName(aPart);
+  auto jobs = co_await ReadPrefix(std::string(kJobTable), part);
+  if (!jobs) {
+    co_return false;
+  }
+  if (jobs->empty()) {
+    co_return true;
+  }
+  auto progress = co_await ReadPrefix(std::string(kProgressTable), part);
+  if (!progress) {
+    co_return false;
+  }
+  std::map<std::string, const StoreRow*> byKey;
+  for (const auto& it : *progress) {
+    byKey[it.mKey] = &it;
+  }
+  const auto now = base::MonotonicClock::now();
+  for (const auto& it : *jobs) {
+    auto job = net::Decode<cell::StoredJob>(it.mValue);
+    if (!job.ok()) {
+      continue;
+    }
+    auto& rows = mRows[job->mSpec.mId];
+    rows.mJobVersion = it.mVersion;
+    cell::JobProgress done;
+    if (const auto found = byKey.find(it.mKey); found != byKey.end()) {
+      rows.mProgressVersion = found->second->mVersion;
+      if (auto decoded =
+            net::Decode<cell::JobProgress>(found->second->mValue);
+          decoded.ok()) {
+        done = *std::move(decoded);
+      }
+    }
+    cell::AddJob(
+      mState, *std::move(job), done, true, now, base::WallClockMs());
+  }
+  co_return true;
+}
+
+auto CellHolder::LoadMembers() -> net::Task<bool>
+{
+  auto rows = co_await ReadPrefix(std::string(kMemberTable),
+                                  PartName(PartOf(mRow.mName)));
+  if (!rows) {
+    co_return false;
+  }
+  const auto now = base::MonotonicClock::now();
+  const auto lease = Milliseconds(mContext.mSettings.mLeaseMs);
+  const auto deadBy = now + (mIsPreviousGone ? Milliseconds(0) : kConfirmTime) +
+                      WorkerTime(lease) + kLeaseMargin;
+  for (const auto& it : *rows) {
+    auto record = net::Decode<cell::WorkerRecord>(it.mValue);
+    if (!record.ok()) {
+      continue;
+    }
+    mMembers.insert(record->mId);
+    mState.mUnsettled.insert(record->mId);
+    const auto isNew = !mState.mWorkers.contains(record->mId);
+    auto& worker =
+      isNew ? cell::SeeWorker(mState, *record, now)
+            : *mState.mWorkers.at(record->mId);
+    worker.mIsListed = !isNew;
+    worker.mDeadBy = deadBy;
+    if (!isNew && worker.mRecord.mBornMs > record->mBornMs) {
+      // Another life: what ran in the one before is gone.
+      cell::LoseWorkerLife(mState, worker, now);
+    }
+    if (isNew) {
+      worker.mBornMs = record->mBornMs;
+    }
+  }
+  co_return true;
+}
+
+auto CellHolder::TakeOver() -> net::Task<bool>
+{
+  std::vector<net::Task<bool>> tasks;
+  for (std::uint32_t i = 0; i < mContext.mParts; ++i) {
+    if (!mFences.contains(i)) {
+      tasks.push_back(LoadPart(i));
+    }
+  }
+  const auto isLoaded = co_await JoinTasks(std::move(tasks));
+  co_return isLoaded && co_await LoadMembers();
+}
+
+auto CellHolder::Run(std::vector<cell::WorkerRecord> aWorkers,
+                     bool aIsPreviousGone) -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  mIsPreviousGone = aIsPreviousGone;
+  const auto now = base::MonotonicClock::now();
+  for (const auto& it : aWorkers) {
+    cell::SeeWorker(mState, it, now);
+  }
+  while (mPhase == HolderPhase::TakingOver && !co_await TakeOver()) {
+    // What was read is read again as a whole.
+    mState.mJobs.clear();
+    mState.mReady.clear();
+    mState.mDirty.clear();
+    mRows.clear();
+    mFences.clear();
+    co_await net::Sleep(kRetryPause);
+  }
+  if (mPhase == HolderPhase::Ended) {
+    co_return;
+  }
+  mPhase = HolderPhase::Active;
+  if (mState.mUnsettled.empty()) {
+    for (auto& [id, job] : mState.mJobs) {
+      for (auto& [number, occurrence] : job->mOccurrences) {
+        for (auto& step : occurrence->mSteps) {
+          for (auto& it : step.mTasks) {
+            it.mMayRunUnseen = false;
+          }
+        }
+      }
+    }
+  }
+  std::vector<std::string> ids;
+  for (const auto& [id, it] : mState.mWorkers) {
+    ids.push_back(id);
+  }
+  for (const auto& it : ids) {
+    StartTending(it);
+  }
+  net::SpawnTask(mContext.mExecutor, FlushLoop());
+  Kick();
+  co_await Tick();
+}
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/holdertending.cpp
@@ -0,0 +1,299 @@
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "cellholder.h"
+#include "eelgrasspost/net/iopool.h"
+#include "holdertimes.h"
+
+namespace eelgrasspost::dispatch {
+
+auto CellHolder::MayOrder() const -> bool
+{
+  const auto age = base::MonotonicClock::now() - mConfirmedAt;
+  return mPhase == HolderPhase::Active && age < kConfirmTime;
+}
+
+auto CellHolder::Confirm(MonotonicTime aAt) -> void
+{
+  mConfirmedAt = std::max(mConfirmedAt, aAt);
+}
+
+auto CellHolder::End() -> void
+{
+  mPhase = HolderPhase::Ended;
+  mFlushTimer->cancel();
+}
+
+auto CellHolder::SeeWorker(const cell::WorkerRecord& aRecord) -> void
+{
+  const auto now = base::MonotonicClock::now();
+  for (auto& [id, it] : mState.mWorkers) {
+    const auto isReplaced = id != aRecord.mId && !it->mIsListed &&
+                            it->mRecord.mAddress == aRecord.mAddress;
+    if (isReplaced) {
+      // An address is given to another worker only when its own has left.
+      it->mDeadBy = now;
+    }
+  }
+  cell::SeeWorker(mState, aRecord, now);
+  if (mPhase == HolderPhase::Active) {
+    StartTending(aRecord.mId);
+    Kick();
+  }
+}
+
+auto CellHolder::UnlistWorker(const std::string& aId) -> void
+{
+  cell::UnlistWorker(mState, aId);
+}
+
+auto CellHolder::StartTending(const std::string& aWorker) -> void
+{
+  if (mTended.insert(aWorker).second) {
+    net::SpawnTask(mContext.mExecutor, TendWorker(aWorker));
+  }
+}
+
+auto CellHolder::LeaseEnd(const std::string& aWorker, MonotonicTime aNow) const
+  -> std::int64_t
+{
+  const auto it = mClocks.find(aWorker);
+  if (it == mClocks.end() || it->second.mClockMs == 0) {
+    return 0;
+  }
+  const auto since =
+    std::chrono::duration_cast<Milliseconds>(aNow - it->second.mAt);
+  return it->second.mClockMs + since.count() + mContext.mSettings.mLeaseMs;
+}
+
+auto CellHolder::NoteClock(const std::string& aWorker,
+                           std::int64_t aClockMs,
+                           MonotonicTime aNow) -> void
+{
+  const auto found = mState.mWorkers.find(aWorker);
+  if (found == mState.mWorkers.end()) {
+    return;
+  }
+  auto& clock = mClocks[aWorker];
+  if (aClockMs > 0 && aClockMs >= clock.mClockMs) {
+    clock.mClockMs = aClockMs;
+    clock.mAt = aNow;
+  }
+  if (clock.mClockMs == 0 || !found->second->mIsKnown) {
+    return;
+  }
+  const auto left = Milliseconds(
+    std::max<std::int64_t>(0, clock.mLeaseEndMs - clock.mClockMs));
+  found->second->mDeadBy = clock.mAt + WorkerTime(left) + kLeaseMargin;
+}
+
+auto CellHolder::Look(const std::string& aWorker, std::int64_t aWaitMs)
+  -> net::Task<bool>
+{
+  const auto found = mState.mWorkers.find(aWorker);
+  if (found == mState.mWorkers.end()) {
+    co_return false;
+  }
+  const auto sentAt = base::MonotonicClock::now();
+  Renewal renewal;
+  renewal.mWaitMs = aWaitMs;
+  renewal.mStoredEnds = found->second->mStoredEnds;
+  if (MayOrder()) {
+    renewal.mLeaseEndMs = LeaseEnd(aWorker, sentAt);
+    auto& clock = mClocks[aWorker];
+    clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, renewal.mLeaseEndMs);
+    NoteClock(aWorker, 0, sentAt);
+  }
+  const auto bornMs = found->second->mBornMs;
+  WorkerCall call;
+  call.mAddress = found->second->mRecord.mAddress;
+  call.mWorker = aWorker;
+  call.mToken = mRowVersion;
+  call.mDeadline = sentAt + Milliseconds(aWaitMs) + kOrderTimeout;
+  const auto reply = co_await mContext.mWorkers.Renew(call, renewal);
+  const auto it = mState.mWorkers.find(aWorker);
+  if (mPhase == HolderPhase::Ended || it == mState.mWorkers.end()) {
+    co_return false;
+  }
+  auto& worker = *it->second;
+  const auto now = base::MonotonicClock::now();
+  switch (reply.mOutcome) {
+    case cell::OrderOutcome::Done:
+      break;
+    case cell::OrderOutcome::Superseded:
+      End();
+      co_return false;
+    case cell::OrderOutcome::OtherLife:
+      cell::LoseWorkerLife(mState, worker, now);
+      worker.mIsKnown = false;
+      mClocks.erase(aWorker);
+      Kick();
+      co_return false;
+    default:
+      co_return false;
+  }
+  if (bornMs != 0 && reply.mReport.mBornMs != bornMs) {
+    mClocks.erase(aWorker);
+  }
+  const auto seen = worker.mSeenEnds;
+  cell::ApplyReport(mState, worker, reply.mReport, sentAt, now);
+  NoteClock(aWorker, reply.mReport.mClockMs, now);
+  Kick();
+  constexpr auto kQuick = Milliseconds(20);
+  const auto isNews = worker.mSeenEnds != seen || now - sentAt > kQuick;
+  if (!isNews && aWaitMs > 0) {
+    // Ends that are not stored yet are listed again at once.
+    co_await net::Sleep(kQuick);
+  }
+  co_return true;
+}
+
+auto CellHolder::LookAgain(std::string aWorker) -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  co_await Look(aWorker, 0);
+}
+
+auto CellHolder::TendWorker(std::string aWorker) -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  while (mPhase == HolderPhase::Active) {
+    const auto it = mState.mWorkers.find(aWorker);
+    if (it == mState.mWorkers.end()) {
+      break;
+    }
+    if (!mMembers.contains(aWorker)) {
+      co_await WriteMembers();
+      if (!mMembers.contains(aWorker)) {
+        co_await net::Sleep(kRetryPause);
+        continue;
+      }
+    }
+    const auto& worker = *it->second;
+    const auto isFirst = !mClocks.contains(aWorker);
+    const auto isWatchful = worker.mFillingCpuMillis > 0;
+    const auto wait = isFirst      ? 0
+                      : isWatchful ? kWatchfulWaitMs
+                                   : kRenewalWaitMs;
+    if (!co_await Look(aWorker, wait)) {
+      co_await net::Sleep(kRetryPause);
+    }
+  }
+  mTended.erase(aWorker);
+  mClocks.erase(aWorker);
+}
+
+auto CellHolder::SendOrder(cell::Order aOrder) -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  const auto found = mState.mWorkers.find(aOrder.mWorker);
+  if (found == mState.mWorkers.end()) {
+    co_return;
+  }
+  const auto now = base::MonotonicClock::now();
+  WorkerCall call;
+  call.mAddress = found->second->mRecord.mAddress;
+  call.mWorker = aOrder.mWorker;
+  call.mToken = mRowVersion;
+  call.mDeadline = now + kOrderTimeout;
+  const auto leaseEnd = LeaseEnd(aOrder.mWorker, now);
+  if (aOrder.mKind == cell::OrderKind::Start) {
+    auto& clock = mClocks[aOrder.mWorker];
+    clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, leaseEnd);
+    NoteClock(aOrder.mWorker, 0, now);
+  }
+  const auto reply = co_await mContext.mWorkers.Send(call, aOrder, leaseEnd);
+  if (mPhase == HolderPhase::Ended) {
+    co_return;
+  }
+  if (reply.mOutcome == cell::OrderOutcome::Superseded) {
+    End();
+    co_return;
+  }
+  const auto answeredAt = base::MonotonicClock::now();
+  NoteClock(aOrder.mWorker, reply.mClockMs, answeredAt);
+  cell::ApplyOutcome(mState, aOrder, reply.mOutcome, answeredAt);
+  if (reply.mOutcome != cell::OrderOutcome::Done ||
+      aOrder.mKind == cell::OrderKind::Stop) {
+    Kick();
+  }
+}
+
+auto CellHolder::Kick() -> void
+{
+  if (mIsKicked || mPhase != HolderPhase::Active) {
+    return;
+  }
+  mIsKicked = true;
+  net::asio::post(mContext.mExecutor,
+                  [self = shared_from_this()] { self->DecideNow(); });
+}
+
+auto CellHolder::DecideNow() -> void
+{
+  mIsKicked = false;
+  if (!MayOrder() || mIsFinishing) {
+    return;
+  }
+  const auto now = base::MonotonicClock::now();
+  for (auto& it : cell::Decide(mState, now)) {
+    net::SpawnTask(mContext.mExecutor, SendOrder(std::move(it)));
+  }
+  auto needsFlush = !mState.mDirty.empty();
+  for (auto& [id, it] : mState.mWorkers) {
+    needsFlush = needsFlush || it->mSeenEnds > it->mStoredEnds;
+    if (it->mWantsLook && it->mIsKnown) {
+      it->mWantsLook = false;
+      net::SpawnTask(mContext.mExecutor, LookAgain(id));
+    }
+  }
+  for (const auto& it : mState.mDirty) {
+    const auto* job = cell::FindJob(mState, it);
+    mIsFlushUrgent = mIsFlushUrgent || (job && cell::IsFinal(job->mState));
+  }
+  if (needsFlush) {
+    const auto at = now + (mIsFlushUrgent ? kUrgentFlushDelay : kFlushDelay);
+    if (at < mFlushTimer->expiry()) {
+      mFlushTimer->expires_at(at);
+    }
+  }
+}
+
+auto CellHolder::Tick() -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  constexpr auto kKeepMargin = Milliseconds(30000);
+  while (mPhase == HolderPhase::Active) {
+    const auto now = base::MonotonicClock::now();
+    cell::OpenDue(mState, now, base::WallClockMs());
+    cell::CheckRuns(mState, now);
+    cell::ExpireWorkers(mState, now);
+    const auto keep =
+      Milliseconds(mContext.mSettings.mStatusMs) + kKeepMargin;
+    while (!mFinishedOrder.empty() &&
+           now - mFinishedOrder.front().first > keep) {
+      mFinished.erase(mFinishedOrder.front().second);
+      mFinishedOrder.pop_front();
+    }
+    Kick();
+    co_await net::Sleep(kTickInterval);
+  }
+}
+
+auto CellHolder::Describe() const -> HeldCell
+{
+  const auto now = base::MonotonicClock::now();
+  const auto room = cell::FreeRoom(mState, now);
+  HeldCell out;
+  out.mName = mRow.mName;
+  out.mToken = mRowVersion;
+  out.mIsActive = MayOrder() && !mIsFinishing;
+  out.mFreeCpuMillis = room.mCpuMillis;
+  out.mFreeMemoryMb = room.mMemoryMb;
+  for (const auto& [id, it] : mState.mWorkers) {
+    out.mCapacityCpuMillis += it->mRecord.mCapacity.mCpuMillis;
+  }
+  return out;
+}
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/jointasks.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <vector>
+
+#include "eelgrasspost/net/asio.h"
+
+namespace eelgrasspost::dispatch {
+
+/** Runs tasks side by side; true when all of them gave true. */
+auto JoinTasks(std::vector<net::Task<bool>> aTasks) -> net::Task<bool>;
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/peers.cpp
@@ -0,0 +1,89 @@
+#include "peers.h"
+
+#include "eelgrasspost/net/codec.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** Entries silent for so long get every eighth heartbeat only. */
+constexpr auto kLongSilence = Milliseconds(10000);
+constexpr std::uint64_t kSparseEvery = 8;
+
+} // namespace
+
+Peers::Peers(net::IoPool& aPool, std::string aName)
+  : mSocket(aPool)
+  , mName(std::move(aName))
+{
+}
+
+auto Peers::Bind(const net::Address& aAddress) -> absl::Status
+{
+  return mSocket
+    .Bind(aAddress, [this](std::string_view aBytes) { Receive(aBytes); })
+    .status();
+}
+
+auto Peers::Receive(std::string_view aBytes) -> void
+{
+  auto heartbeat = net::Decode<Heartbeat>(aBytes);
+  if (!heartbeat.ok() || heartbeat->mName == mName) {
+    return;
+  }
+  auto& peer = mPeers[heartbeat->mName];
+  if (heartbeat->mIncarnation < peer.mLast.mIncarnation) {
+    return;
+  }
+  peer.mRow = { heartbeat->mName,
+                heartbeat->mIncarnation,
+                heartbeat->mDomain,
+                heartbeat->mPeers };
+  peer.mLast = *std::move(heartbeat);
+  peer.mSeenAt = base::MonotonicClock::now();
+}
+
+auto Peers::Learn(const EntryRow& aRow) -> void
+{
+  if (aRow.mName == mName) {
+    return;
+  }
+  auto& peer = mPeers[aRow.mName];
+  if (aRow.mIncarnation >= peer.mRow.mIncarnation) {
+    peer.mRow = aRow;
+  }
+}
+
+auto Peers::Forget(const std::string& aName) -> void
+{
+  mPeers.erase(aName);
+}
+
+auto Peers::IsAlive(const Peer& aPeer, MonotonicTime aNow) const -> bool
+{
+  return aPeer.mSeenAt != MonotonicTime{} &&
+         aNow - aPeer.mSeenAt < kPeerTimeout;
+}
+
+auto Peers::Find(const std::string& aName) const -> const Peer*
+{
+  const auto it = mPeers.find(aName);
+  return it == mPeers.end() ? nullptr : &it->second;
+}
+
+auto Peers::Run(MakeHeartbeat aMake) -> net::Task<void>
+{
+  for (std::uint64_t n = 0;; ++n) {
+    const auto bytes = net::Encode(aMake());
+    const auto now = base::MonotonicClock::now();
+    for (const auto& [name, it] : mPeers) {
+      const auto isSilent = now - it.mSeenAt > kLongSilence;
+      if (!isSilent || n % kSparseEvery == 0) {
+        mSocket.Send(it.mRow.mPeers, bytes);
+      }
+    }
+    co_await net::Sleep(kHeartbeatInterval);
+  }
+}
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/peers.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "eelgrasspost/dispatch/dispatchtypes.h"
+#include "eelgrasspost/net/datagram.h"
+
+namespace eelgrasspost::dispatch {
+
+/** Another entry, as its heartbeats show it. */
+struct Peer
+{
+  EntryRow mRow;
+  Heartbeat mLast;
+  /** Time of the last heartbeat; the epoch before the first. */
+  MonotonicTime mSeenAt{};
+};
+
+/** An entry without a heartbeat for so long counts as dead: four intervals. */
+inline constexpr auto kPeerTimeout = Milliseconds(1200);
+inline constexpr auto kHeartbeatInterval = Milliseconds(300);
+
+/** The other entries: found in the control table, followed by heartbeats. */
+class Peers
+{
+public:
+  using MakeHeartbeat = std::function<Heartbeat()>;
+
+  Peers(net::IoPool& aPool, std::string aName);
+
+  auto Bind(const net::Address& aAddress) -> absl::Status;
+  /** Sends heartbeats until the process ends. */
+  auto Run(MakeHeartbeat aMake) -> net::Task<void>;
+  /** Takes a row of the control table in. */
+  auto Learn(const EntryRow& aRow) -> void;
+  auto Forget(const std::string& aName) -> void;
+  auto IsAlive(const Peer& aPeer, MonotonicTime aNow) const -> bool;
+  auto Find(const std::string& aName) const -> const Peer*;
+  auto All() const -> const std::map<std::string, Peer>& { return mPeers; }
+
+private:
+  auto Receive(std::string_view aBytes) -> void;
+
+  net::DatagramSocket mSocket;
+  std::string mName;
+  std::map<std::string, Peer> mPeers;
+};
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/storeaccess.cpp
@@ -0,0 +1,173 @@
+#include "storeaccess.h"
+
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/net/iopool.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** Failed calls in a row after which peers are asked first. */
+constexpr std::uint32_t kFailureLimit = 2;
+/** How often a store that turns this entry away is tried again. */
+constexpr auto kProbeInterval = Milliseconds(500);
+
+auto IsAnswer(StoreOutcome aOutcome) -> bool
+{
+  return aOutcome == StoreOutcome::Done ||
+         aOutcome == StoreOutcome::Conflict ||
+         aOutcome == StoreOutcome::HistoryGone;
+}
+
+} // namespace
+
+StoreAccess::StoreAccess(ISharedStore& aDirect,
+                         net::MessageClient& aMessages,
+                         const Peers& aPeers,
+                         base::Metrics& aMetrics)
+  : mDirect(aDirect)
+  , mMessages(aMessages)
+  , mPeers(aPeers)
+  , mCommits(aMetrics.FindCounter("store_calls_total{use=\"commit\"}"))
+  , mReads(aMetrics.FindCounter("store_calls_total{use=\"read\"}"))
+  , mFailures(aMetrics.FindCounter("store_failures_total"))
+  , mRelayed(aMetrics.FindCounter("store_relayed_total"))
+{
+}
+
+auto StoreAccess::ReachesDirectly() const -> bool
+{
+  return mFailuresInRow < kFailureLimit;
+}
+
+auto StoreAccess::FindRelay() const -> const Peer*
+{
+  const auto now = base::MonotonicClock::now();
+  for (const auto& [name, it] : mPeers.All()) {
+    if (mPeers.IsAlive(it, now) && it.mLast.mReachesStore) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+auto StoreAccess::IsReachable() const -> bool
+{
+  return ReachesDirectly() || FindRelay() != nullptr;
+}
+
+auto StoreAccess::CallDirectly(const StoreRelay& aRelay,
+                               MonotonicTime aDeadline) -> net::Task<StoreReply>
+{
+  mLastTry = base::MonotonicClock::now();
+  StoreReply reply;
+  switch (aRelay.mKind) {
+    case RelayKind::Commit:
+      mCommits.Add();
+      reply = co_await mDirect.Commit(aRelay.mTransaction, aDeadline);
+      break;
+    case RelayKind::ReadRange:
+      mReads.Add();
+      reply = co_await mDirect.ReadRange(aRelay.mRange, aDeadline);
+      break;
+    case RelayKind::ReadFeed:
+      mReads.Add();
+      reply = co_await mDirect.ReadFeed(aRelay.mFeed, aDeadline);
+      break;
+  }
+  if (IsAnswer(reply.mOutcome)) {
+    mFailuresInRow = 0;
+  } else {
+    mFailures.Add();
+    ++mFailuresInRow;
+  }
+  co_return reply;
+}
+
+auto StoreAccess::CallThroughPeer(const StoreRelay& aRelay,
+                                  MonotonicTime aDeadline)
+  -> net::Task<StoreReply>
+{
+  StoreReply out;
+  const auto* peer = FindRelay();
+  if (!peer) {
+    out.mOutcome = StoreOutcome::Refused;
+    out.mError = "neither the store nor a peer that it serves is reachable";
+    co_return out;
+  }
+  mRelayed.Add();
+  auto relay = aRelay;
+  relay.mTimeoutMs = base::RemainingMs(aDeadline);
+  auto reply = co_await net::CallTyped<StoreReply>(mMessages,
+                                                   peer->mRow.mPeers,
+                                                   net::MessageKind::StoreRelay,
+                                                   std::move(relay),
+                                                   aDeadline);
+  if (reply.mStatus.ok()) {
+    co_return std::move(reply.mReply);
+  }
+  out.mOutcome = reply.mProgress == net::SendProgress::NothingSent
+                   ? StoreOutcome::Refused
+                   : StoreOutcome::Unknown;
+  out.mError = std::string(base::MessageOf(reply.mStatus));
+  co_return out;
+}
+
+auto StoreAccess::Call(StoreRelay aRelay, MonotonicTime aDeadline)
+  -> net::Task<StoreReply>
+{
+  const auto now = base::MonotonicClock::now();
+  const auto isTried = ReachesDirectly() || now - mLastTry > kProbeInterval;
+  StoreReply reply;
+  reply.mOutcome = StoreOutcome::Refused;
+  if (isTried) {
+    reply = co_await CallDirectly(aRelay, aDeadline);
+  }
+  // A refused call has done nothing; another way may be tried.
+  if (reply.mOutcome != StoreOutcome::Refused) {
+    co_return reply;
+  }
+  if (!FindRelay()) {
+    if (reply.mError.empty()) {
+      reply.mError = "the store turns this entry away";
+    }
+    co_return reply;
+  }
+  co_return co_await CallThroughPeer(aRelay, aDeadline);
+}
+
+auto StoreAccess::Commit(StoreTransaction aTransaction, MonotonicTime aDeadline)
+  -> net::Task<StoreReply>
+{
+  StoreRelay relay;
+  relay.mKind = RelayKind::Commit;
+  relay.mTransaction = std::move(aTransaction);
+  co_return co_await Call(std::move(relay), aDeadline);
+}
+
+auto StoreAccess::ReadRange(RangeQuery aQuery, MonotonicTime aDeadline)
+  -> net::Task<StoreReply>
+{
+  StoreRelay relay;
+  relay.mKind = RelayKind::ReadRange;
+  relay.mRange = std::move(aQuery);
+  co_return co_await Call(std::move(relay), aDeadline);
+}
+
+auto StoreAccess::ReadFeed(FeedQuery aQuery, MonotonicTime aDeadline)
+  -> net::Task<StoreReply>
+{
+  StoreRelay relay;
+  relay.mKind = RelayKind::ReadFeed;
+  relay.mFeed = std::move(aQuery);
+  co_return co_await Call(std::move(relay), aDeadline);
+}
+
+auto StoreAccess::Serve(StoreRelay aRelay) -> net::Task<StoreReply>
+{
+  const auto deadline =
+    base::MonotonicClock::now() + Milliseconds(aRelay.mTimeoutMs);
+  co_return co_await CallDirectly(aRelay, deadline);
+}
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/storeaccess.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "eelgrasspost/base/metrics.h"
+#include "eelgrasspost/dispatch/dispatchtypes.h"
+#include "eelgrasspost/net/messages.h"
+#include "peers.h"
+
+namespace eelgrasspost::dispatch {
+
+/** Longest wait for an answer of the store; slow answers take up to half a
+ * second, and callers wait three. */
+inline constexpr auto kStoreTimeout = Milliseconds(1500);
+
+/**
+ * The store, directly or, while it turns this entry away, through a peer that
+ * it serves.
+ */
+class StoreAccess final : public ISharedStore
+{
+public:
+  StoreAccess(ISharedStore& aDirect,
+              net::MessageClient& aMessages,
+              const Peers& aPeers,
+              base::Metrics& aMetrics);
+
+  auto Commit(StoreTransaction aTransaction, MonotonicTime aDeadline)
+    -> net::Task<StoreReply> override;
+  auto ReadRange(RangeQuery aQuery, MonotonicTime aDeadline)
+    -> net::Task<StoreReply> override;
+  auto ReadFeed(FeedQuery aQuery, MonotonicTime aDeadline)
+    -> net::Task<StoreReply> override;
+
+  /** Makes a call for a peer; only directly. */
+  auto Serve(StoreRelay aRelay) -> net::Task<StoreReply>;
+
+  /** Whether the store answers this entry itself. */
+  auto ReachesDirectly() const -> bool;
+  /** Whether calls have a chance: directly or through a peer. */
+  auto IsReachable() const -> bool;
+
+private:
+  auto CallDirectly(const StoreRelay& aRelay, MonotonicTime aDeadline)
+    -> net::Task<StoreReply>;
+  auto Call(StoreRelay aRelay, MonotonicTime aDeadline)
+    -> net::Task<StoreReply>;
+  auto CallThroughPeer(const StoreRelay& aRelay, MonotonicTime aDeadline)
+    -> net::Task<StoreReply>;
+  auto FindRelay() const -> const Peer*;
+
+  ISharedStore& mDirect;
+  net::MessageClient& mMessages;
+  const Peers& mPeers;
+  base::Counter& mCommits;
+  base::Counter& mReads;
+  base::Counter& mFailures;
+  base::Counter& mRelayed;
+  std::uint32_t mFailuresInRow = 0;
+  MonotonicTime mLastTry{};
+};
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -0,0 +1,121 @@
+#include "tablewatch.h"
+
+#include <set>
+
+#include "eelgrasspost/net/iopool.h"
+#include "storeaccess.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** Pause before a failed call is repeated. */
+constexpr auto kRetryPause = Milliseconds(250);
+/** Rows of one answer. */
+constexpr std::uint32_t kPageRows = 500;
+
+} // namespace
+
+TableWatch::TableWatch(ISharedStore& aStore,
+                       std::string aTable,
+                       Milliseconds aWait)
+  : mStore(aStore)
+  , mTable(std::move(aTable))
+  , mWait(aWait)
+{
+}
+
+auto TableWatch::Apply(const StoreRow& aRow) -> void
+{
+  if (aRow.mIsRemoved) {
+    if (mVersions.erase(aRow.mKey) > 0) {
+      mOnGone(aRow.mKey);
+    }
+    return;
+  }
+  auto& version = mVersions[aRow.mKey];
+  if (aRow.mVersion > version) {
+    version = aRow.mVersion;
+    mOnRow(aRow);
+  }
+}
+
+auto TableWatch::ReadWhole() -> net::Task<bool>
+{
+  std::set<std::string> seen;
+  RangeQuery query;
+  query.mTable = mTable;
+  query.mLimit = kPageRows;
+  std::uint64_t version = 0;
+  for (auto hasMore = true; hasMore;) {
+    const auto sentAt = base::MonotonicClock::now();
+    const auto reply =
+      co_await mStore.ReadRange(query, sentAt + kStoreTimeout);
+    if (reply.mOutcome != StoreOutcome::Done) {
+      co_return false;
+    }
+    // Changes between two pages are seen again in the feed.
+    version = version == 0 ? reply.mVersion : version;
+    for (const auto& it : reply.mRows) {
+      seen.insert(it.mKey);
+      Apply(it);
+    }
+    hasMore = reply.mHasMore && !reply.mRows.empty();
+    if (hasMore) {
+      query.mFrom = reply.mRows.back().mKey + '\x01';
+    }
+    mConfirmedAt = sentAt;
+  }
+  std::vector<std::string> gone;
+  for (const auto& [key, it] : mVersions) {
+    if (!seen.contains(key)) {
+      gone.push_back(key);
+    }
+  }
+  for (const auto& it : gone) {
+    mVersions.erase(it);
+    mOnGone(it);
+  }
+  mAfter = version;
+  mIsLoaded = true;
+  co_return true;
+}
+
+auto TableWatch::Run(OnRow aOnRow, OnGone aOnGone, OnAnswer aOnAnswer)
+  -> net::Task<void>
+{
+  mOnRow = std::move(aOnRow);
+  mOnGone = std::move(aOnGone);
+  auto isCurrent = false;
+  while (true) {
+    if (!isCurrent) {
+      isCurrent = co_await ReadWhole();
+      if (!isCurrent) {
+        co_await net::Sleep(kRetryPause);
+        continue;
+      }
+      aOnAnswer();
+    }
+    FeedQuery query;
+    query.mTable = mTable;
+    query.mAfter = mAfter;
+    query.mWaitMs = mWait.count();
+    const auto sentAt = base::MonotonicClock::now();
+    const auto reply =
+      co_await mStore.ReadFeed(query, sentAt + mWait + kStoreTimeout);
+    if (reply.mOutcome == StoreOutcome::Done) {
+      mConfirmedAt = sentAt;
+      for (const auto& it : reply.mRows) {
+        Apply(it);
+      }
+      mAfter = std::max(mAfter, reply.mVersion);
+      aOnAnswer();
+    } else if (reply.mOutcome == StoreOutcome::HistoryGone) {
+      isCurrent = false;
+    } else {
+      co_await net::Sleep(kRetryPause);
+    }
+  }
+}
+
+} // namespace eelgrasspost::dispatch
--- a/src/framework/net/include/eelgrasspost/net/messages.h
+++ b/src/framework/net/include/eelgrasspost/net/messages.h
@@ -22,6 +22,8 @@
   ReleaseNotePull = 2,
   HandOver = 3,
   PlaceTasks = 4,
+  JobCommand = 5,
+  StoreRelay = 6,
 };
 
 /** Longest message between entries, in bytes. */
