Place filling tasks by the learned pressure of their image

Change: a cell learns the pressure of each image from its reports, packs serving tasks, and places heavy images on workers without them; filling tasks wait rather than slow each other down. A restarted holder no longer takes the end of an earlier attempt as a sign that no later one runs. Conclusion: serving tasks are still over their targets too long.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -1,6 +1,7 @@
 #include <array>
 
 #include "eelgrasspost/batch/batchlogevents.h"
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/idempotency/idempotencylogevents.h"
 #include "eelgrasspost/ownership/ownershiplogevents.h"
 #include "eelgrasspost/releasenote/releasenotelogevents.h"
@@ -31,6 +32,24 @@
   batch::kWorkerGone,
   batch::kBadRow,
   batch::kEvicted,
+  dispatch::kEntryStarted,
+  dispatch::kStopAsked,
+  dispatch::kReloadAsked,
+  dispatch::kConfigurationInForce,
+  dispatch::kCellClaimed,
+  dispatch::kCellActive,
+  dispatch::kCellLost,
+  dispatch::kStoreLost,
+  dispatch::kStoreBack,
+  dispatch::kJobAnswered,
+  dispatch::kTaskPlaced,
+  dispatch::kOrderFailed,
+  dispatch::kRunEnded,
+  dispatch::kRunStopped,
+  dispatch::kRunsLost,
+  dispatch::kWorkerOnProbation,
+  dispatch::kPaceChanged,
+  dispatch::kJobEnded,
   idempotency::kRecordFailed,
   idempotency::kBadRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -148,10 +148,12 @@
   MonotonicTime mDrainingSince{};
   /** A fresh report is needed to settle a stopped run. */
   bool mWantsLook = false;
-  /** Since when a serving task on it has been over its target. */
-  MonotonicTime mOverSince{};
+  /** Processor millis that serving tasks have reserved. */
+  std::int64_t mServingCpuMillis = 0;
   int mFillPace = 100;
   MonotonicTime mFillPaceChangedAt{};
+  /** Since when filling tasks have been slowed without a break. */
+  MonotonicTime mSlowedSince{};
 };
 
 /** Figures by which a cell decides. */
@@ -174,6 +176,15 @@
   std::int64_t mEarlyMs = 0;
 };
 
+/** How much the filling tasks of one image raise the tail latency of serving
+ * tasks beside them: in shares of their target, for a worker that the image
+ * uses whole. Learned from reports. */
+struct ImagePressure
+{
+  double mPressure = 0;
+  std::uint32_t mSamples = 0;
+};
+
 /** A group of workers of one failure domain and the jobs on them. */
 struct CellState
 {
@@ -187,9 +198,12 @@
   /** Workers that the previous holder used and that have not been settled. */
   std::set<std::string> mUnsettled;
   std::set<std::string> mDirty;
+  std::map<std::string, ImagePressure> mPressures;
   /** Tasks that may be started once there is room. */
   std::vector<Task*> mReady;
-  /** Ends that were counted: for metrics. */
+  /** Decisions since they were last taken for the log; bounded. */
+  std::vector<Note> mNotes;
+  /** Counts for the metrics. */
   std::uint64_t mStarts = 0;
   std::uint64_t mEndsDone = 0;
   std::uint64_t mEndsFailed = 0;
@@ -197,6 +211,9 @@
   std::uint64_t mStalls = 0;
 };
 
+/** Adds a decision to those for the log. */
+auto AddNote(CellState& aCell, Note aNote) -> void;
+
 /** Writes "ID.OCCURRENCE.STEP.INDEX". */
 auto TaskName(const Task& aTask) -> std::string;
 
@@ -253,7 +270,16 @@
 auto CountPending(const CellState& aCell, std::string_view aQueue)
   -> std::size_t;
 
-/** Processor millis and memory that are free on usable workers. */
-auto FreeRoom(const CellState& aCell, MonotonicTime aNow) -> Resources;
+/** Room of the usable workers of a cell. */
+struct CellRoom
+{
+  Resources mFree;
+  std::int64_t mCapacityCpuMillis = 0;
+  /** Processor millis that filling tasks want, placed or not. */
+  std::int64_t mFillingCpuMillis = 0;
+  /** Processor millis that are left for filling tasks. */
+  std::int64_t mLeftoverCpuMillis = 0;
+};
+auto RoomOf(const CellState& aCell, MonotonicTime aNow) -> CellRoom;
 
 } // namespace eelgrasspost::cell
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -279,6 +279,31 @@
   int mPercent = 100;
 };
 
+enum class NoteKind : std::uint8_t
+{
+  TaskPlaced,
+  OrderFailed,
+  RunEnded,
+  RunStopped,
+  RunsLost,
+  WorkerOnProbation,
+  PaceChanged,
+  JobEnded,
+};
+
+/** A decision of a cell, for the log. */
+struct Note
+{
+  NoteKind mKind = NoteKind::TaskPlaced;
+  /** Name of the task, or id of the job. */
+  std::string mSubject;
+  std::string mWorker;
+  std::uint64_t mAttempt = 0;
+  std::string_view mReason;
+  /** What decided: its meaning depends on the kind and the reason. */
+  double mValue = 0;
+};
+
 enum class OrderOutcome : std::uint8_t
 {
   /** The worker has done it. */
@@ -297,4 +322,23 @@
   Unknown,
 };
 
+inline constexpr auto kOrderOutcomeNames = std::array{
+  base::EnumName<OrderOutcome>{ OrderOutcome::Done, "done" },
+  base::EnumName<OrderOutcome>{ OrderOutcome::Refused, "refused" },
+  base::EnumName<OrderOutcome>{ OrderOutcome::NoRoom, "no_room" },
+  base::EnumName<OrderOutcome>{ OrderOutcome::Superseded, "superseded" },
+  base::EnumName<OrderOutcome>{ OrderOutcome::OtherLife, "other_life" },
+  base::EnumName<OrderOutcome>{ OrderOutcome::BadTicket, "bad_ticket" },
+  base::EnumName<OrderOutcome>{ OrderOutcome::Unknown, "no_answer" },
+};
+
+inline constexpr auto kEndKindNames = std::array{
+  base::EnumName<EndKind>{ EndKind::Done, "done" },
+  base::EnumName<EndKind>{ EndKind::Failed, "failed" },
+  base::EnumName<EndKind>{ EndKind::Stopped, "stopped" },
+  base::EnumName<EndKind>{ EndKind::Lapsed, "lapsed" },
+  base::EnumName<EndKind>{ EndKind::GangBroken, "gang_broken" },
+  base::EnumName<EndKind>{ EndKind::GangAlone, "gang_alone" },
+};
+
 } // namespace eelgrasspost::cell
--- a/src/cell/internal/cellsteps.h
+++ b/src/cell/internal/cellsteps.h
@@ -40,6 +40,12 @@
 auto BalanceFilling(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
   -> void;
 
+/** Whether a filling run could go on at full speed on another worker. */
+auto HasBetterPlace(CellState& aCell,
+                    const Worker& aWorker,
+                    const Run& aRun,
+                    MonotonicTime aNow) -> bool;
+
 /** Whether a worker may be given new work. */
 auto IsUsable(const CellState& aCell, const Worker& aWorker, MonotonicTime aNow)
   -> bool;
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -89,6 +89,15 @@
 
 } // namespace
 
+auto AddNote(CellState& aCell, Note aNote) -> void
+{
+  // The log is emptied at each decision; a flood is cut here.
+  constexpr std::size_t kMostNotes = 512;
+  if (aCell.mNotes.size() < kMostNotes) {
+    aCell.mNotes.push_back(std::move(aNote));
+  }
+}
+
 auto TaskName(const Task& aTask) -> std::string
 {
   return base::Cat(aTask.mJob->mStored.mSpec.mId,
@@ -172,6 +181,8 @@
   aJob.mOccurrencesDone.insert(aOccurrence.mNumber);
   if (aJob.mOccurrencesDone.size() == OccurrenceCount(aJob.mStored.mSpec)) {
     aJob.mState = JobState::Done;
+    AddNote(aCell,
+            { NoteKind::JobEnded, aJob.mStored.mSpec.mId, {}, 0, "done" });
     MarkDirty(aCell, aJob);
   }
 }
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -167,6 +167,13 @@
     ++aCell.mStalls;
     aRun.mTask->mAvoid = aWorker.mRecord.mId;
     aWorker.mProbationUntil = aNow + aCell.mPolicy.mProbation;
+    AddNote(aCell,
+            { NoteKind::RunStopped,
+              TaskName(*aRun.mTask),
+              aWorker.mRecord.mId,
+              aRun.mAttempt,
+              "stands_still",
+              aRun.mPercent });
     AskStop(aRun);
     return;
   }
@@ -190,6 +197,14 @@
   }
   if (aOutcome == OrderOutcome::Done) {
     worker->mLastContact = std::max(worker->mLastContact, aNow);
+  } else {
+    AddNote(aCell,
+            { NoteKind::OrderFailed,
+              aOrder.mTask,
+              aOrder.mWorker,
+              aOrder.mAttempt,
+              base::NameOf(kOrderOutcomeNames, aOutcome),
+              static_cast<double>(aOrder.mKind) });
   }
   if (!run) {
     return;
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -2,21 +2,27 @@
 #include <limits>
 
 #include "cellsteps.h"
+#include "interference.h"
 
 namespace eelgrasspost::cell {
 
 namespace {
 
-/** Share of its reserved processor time that a serving task uses, as long as
- * nothing better is known. */
-constexpr double kServingUse = 0.5;
 /** Weight of a worker on which the task failed or stood still before. */
 constexpr double kAvoidPenalty = 1e6;
 /** Weight of running away from the task's data. */
 constexpr double kRemotePenalty = 1e5;
-/** Weight of filling tasks on a worker whose serving tasks are near their
- * targets. */
-constexpr double kHarmPenalty = 1e5;
+/** A worker without serving tasks is kept for filling ones. */
+constexpr double kFreshWorkerPenalty = 1e4;
+/** Weight of the pressure of filling tasks on a serving task, against a
+ * processor milli of room. */
+constexpr double kPressureWeight = 2e4;
+/** Filling tasks wait rather than slow each other down beyond this. */
+constexpr double kMostSlowdown = 1.7;
+/** Weight of harm to serving tasks against a slowdown by one. */
+constexpr double kHarmWeight = 6.0;
+/** Harm beyond which a filling task waits for another worker. */
+constexpr double kMostHarm = 0.35;
 
 auto HasLabel(const Worker& aWorker, const std::string& aLabel) -> bool
 {
@@ -49,27 +55,57 @@
   return out;
 }
 
-/** Lower is better. */
-auto Cost(const Worker& aWorker, const Task& aTask, const StepSpec& aSpec)
-  -> double
+/** Lower is better; nothing when a filling task should rather wait. */
+auto FillingCost(const CellState& aCell,
+                 const Worker& aWorker,
+                 const StepSpec& aSpec) -> std::optional<double>
 {
-  const auto capacity =
-    static_cast<double>(aWorker.mRecord.mCapacity.mCpuMillis);
-  const auto used = static_cast<double>(aWorker.mUsed.mCpuMillis);
-  const auto filling = static_cast<double>(aWorker.mFillingCpuMillis);
-  auto out = 0.0;
-  if (aSpec.mIsFilling) {
-    out = used * kServingUse + filling - capacity;
-    out += aWorker.mFillPace < 100 ? kHarmPenalty : 0;
-  } else {
-    out = used - capacity;
-    out += aSpec.mTargetTailMs > 0 ? filling : 0;
+  const auto left = std::max(1.0, LeftoverCpu(aWorker));
+  const auto wanted =
+    static_cast<double>(aWorker.mFillingCpuMillis + aSpec.mNeed.mCpuMillis);
+  const auto slowdown = wanted / left;
+  auto harm = 0.0;
+  if (aWorker.mServingCpuMillis > 0) {
+    const auto pressure =
+      PressureOn(aCell, aWorker) + PressureOf(aCell, aWorker, aSpec);
+    harm = std::max(0.0, pressure - kSafePressure);
+    harm += aWorker.mFillPace < 100 ? kMostHarm : 0.0;
+  }
+  if (slowdown > kMostSlowdown || harm > kMostHarm) {
+    return std::nullopt;
+  }
+  return std::max(1.0, slowdown) + wanted / left * 0.1 + harm * kHarmWeight;
+}
+
+/** Lower is better: the worker with the least room that is left over. */
+auto ReservingCost(const CellState& aCell,
+                   const Worker& aWorker,
+                   const StepSpec& aSpec) -> double
+{
+  const auto free = static_cast<double>(
+    aWorker.mRecord.mCapacity.mCpuMillis - aWorker.mUsed.mCpuMillis);
+  auto out = free;
+  out += aWorker.mServingCpuMillis == 0 ? kFreshWorkerPenalty : 0;
+  out += aSpec.mTargetTailMs > 0 ? PressureOn(aCell, aWorker) * kPressureWeight
+                                 : 0;
+  return out;
+}
+
+auto Cost(const CellState& aCell,
+          const Worker& aWorker,
+          const Task& aTask,
+          const StepSpec& aSpec) -> std::optional<double>
+{
+  auto out = aSpec.mIsFilling ? FillingCost(aCell, aWorker, aSpec)
+                              : ReservingCost(aCell, aWorker, aSpec);
+  if (!out) {
+    return out;
   }
   if (aTask.mAvoid == aWorker.mRecord.mId) {
-    out += kAvoidPenalty;
+    *out += kAvoidPenalty;
   }
   if (!aSpec.mDataRack.empty() && !HasLabel(aWorker, aSpec.mDataRack)) {
-    out += kRemotePenalty;
+    *out += kRemotePenalty;
   }
   return out;
 }
@@ -93,9 +129,9 @@
     if (isFull) {
       continue;
     }
-    const auto cost = Cost(*worker, aTask, aSpec);
-    if (cost < bestCost) {
-      bestCost = cost;
+    const auto cost = Cost(aCell, *worker, aTask, aSpec);
+    if (cost && *cost < bestCost) {
+      bestCost = *cost;
       best = worker.get();
     }
   }
@@ -125,6 +161,15 @@
   order.mPayload = job.mStored.mSpec.mPayload;
   order.mCheckpoint = aTask.mCheckpoint;
   InsertRun(aWorker, order.mTask, MakeRun(aTask, aAttempt, aNow));
+  const auto waited =
+    std::chrono::duration_cast<Milliseconds>(aNow - aTask.mReadyAt);
+  AddNote(aCell,
+          { NoteKind::TaskPlaced,
+            order.mTask,
+            order.mWorker,
+            aAttempt,
+            job.mStored.mQueue.mName,
+            static_cast<double>(waited.count()) });
   return order;
 }
 
@@ -200,6 +245,16 @@
 
 } // namespace
 
+auto HasBetterPlace(CellState& aCell,
+                    const Worker& aWorker,
+                    const Run& aRun,
+                    MonotonicTime aNow) -> bool
+{
+  const auto* other =
+    FindWorker(aCell, *aRun.mTask, SpecOf(*aRun.mTask), aNow);
+  return other && other != &aWorker;
+}
+
 auto IsUsable(const CellState& aCell, const Worker& aWorker, MonotonicTime aNow)
   -> bool
 {
@@ -235,21 +290,27 @@
     ready, [](const Task* aTask) { return aTask->mPhase != TaskPhase::Ready; });
 }
 
-auto FreeRoom(const CellState& aCell, MonotonicTime aNow) -> Resources
+auto RoomOf(const CellState& aCell, MonotonicTime aNow) -> CellRoom
 {
-  Resources out;
+  CellRoom out;
+  auto& free = out.mFree;
   for (const auto& [id, it] : aCell.mWorkers) {
-    if (IsUsable(aCell, *it, aNow)) {
-      out.mCpuMillis += it->mRecord.mCapacity.mCpuMillis - it->mUsed.mCpuMillis;
-      out.mMemoryMb += it->mRecord.mCapacity.mMemoryMb - it->mUsed.mMemoryMb;
-      out.mAccelerators +=
-        it->mRecord.mCapacity.mAccelerators - it->mUsed.mAccelerators;
+    if (!IsUsable(aCell, *it, aNow)) {
+      continue;
     }
+    const auto& capacity = it->mRecord.mCapacity;
+    free.mCpuMillis += capacity.mCpuMillis - it->mUsed.mCpuMillis;
+    free.mMemoryMb += capacity.mMemoryMb - it->mUsed.mMemoryMb;
+    free.mAccelerators += capacity.mAccelerators - it->mUsed.mAccelerators;
+    out.mCapacityCpuMillis += capacity.mCpuMillis;
+    out.mFillingCpuMillis += it->mFillingCpuMillis;
+    out.mLeftoverCpuMillis += static_cast<std::int64_t>(LeftoverCpu(*it));
   }
   for (const auto* it : aCell.mReady) {
     const auto& spec = SpecOf(*it);
-    out.mCpuMillis -= spec.mIsFilling ? 0 : spec.mNeed.mCpuMillis;
-    out.mMemoryMb -= spec.mNeed.mMemoryMb;
+    (spec.mIsFilling ? out.mFillingCpuMillis : free.mCpuMillis) +=
+      spec.mIsFilling ? spec.mNeed.mCpuMillis : -spec.mNeed.mCpuMillis;
+    free.mMemoryMb -= spec.mNeed.mMemoryMb;
   }
   return out;
 }
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "cellsteps.h"
+#include "interference.h"
 
 namespace eelgrasspost::cell {
 
@@ -25,6 +26,8 @@
   aWorker.mUsed.mAccelerators -= run.mNeed.mAccelerators;
   (run.mIsFilling ? aWorker.mFillingCpuMillis : aWorker.mUsed.mCpuMillis) -=
     run.mNeed.mCpuMillis;
+  aWorker.mServingCpuMillis -=
+    run.mTargetTailMs > 0 ? run.mNeed.mCpuMillis : 0;
   aWorker.mRuns.erase(it);
 }
 
@@ -34,6 +37,8 @@
   aWorker.mUsed.mAccelerators += aRun.mNeed.mAccelerators;
   (aRun.mIsFilling ? aWorker.mFillingCpuMillis : aWorker.mUsed.mCpuMillis) +=
     aRun.mNeed.mCpuMillis;
+  aWorker.mServingCpuMillis +=
+    aRun.mTargetTailMs > 0 ? aRun.mNeed.mCpuMillis : 0;
   return aWorker.mRuns.insert_or_assign(aName, std::move(aRun)).first->second;
 }
 
@@ -111,6 +116,13 @@
   MarkDirty(aCell, job);
   if (aTask.mFailures >= job.mStored.mQueue.mMaxAttempts) {
     job.mState = JobState::Failed;
+    AddNote(aCell,
+            { NoteKind::JobEnded,
+              id,
+              aWorker.mRecord.mId,
+              aTask.mAttempt,
+              "attempts_used",
+              static_cast<double>(aTask.mFailures) });
   }
 }
 
@@ -144,6 +156,13 @@
   if (isRun) {
     EraseRun(aWorker, aEnd.mTask);
   }
+  AddNote(aCell,
+          { NoteKind::RunEnded,
+            aEnd.mTask,
+            aWorker.mRecord.mId,
+            aEnd.mAttempt,
+            base::NameOf(kEndKindNames, aEnd.mKind),
+            static_cast<double>(aEnd.mNumber) });
   auto* task = FindTask(aCell, aEnd.mTask);
   if (!task || IsFinal(task->mJob->mState)) {
     return;
@@ -155,9 +174,7 @@
   if (task->mPhase == TaskPhase::Done) {
     return;
   }
-  if (isCurrent || !isRun) {
-    task->mMayRunUnseen = false;
-  }
+  // An end of an earlier attempt says nothing of a later one elsewhere.
   if (!aEnd.mCheckpoint.empty()) {
     task->mCheckpoint = aEnd.mCheckpoint;
   }
@@ -287,9 +304,17 @@
   -> void
 {
   auto runs = std::move(aWorker.mRuns);
+  AddNote(aCell,
+          { NoteKind::RunsLost,
+            {},
+            aWorker.mRecord.mId,
+            0,
+            "life_over_or_lease_lapsed",
+            static_cast<double>(runs.size()) });
   aWorker.mRuns.clear();
   aWorker.mUsed = {};
   aWorker.mFillingCpuMillis = 0;
+  aWorker.mServingCpuMillis = 0;
   for (auto& [name, run] : runs) {
     ++aCell.mEndsLost;
     if (run.mTask) {
@@ -378,8 +403,16 @@
   SettleWorker(aCell, aWorker.mRecord.mId);
   if (aWorker.mFailuresInRow >= aCell.mPolicy.mProbationFailures) {
     aWorker.mProbationUntil = aNow + aCell.mPolicy.mProbation;
+    AddNote(aCell,
+            { NoteKind::WorkerOnProbation,
+              {},
+              aWorker.mRecord.mId,
+              0,
+              "failures_in_a_row",
+              static_cast<double>(aWorker.mFailuresInRow) });
     aWorker.mFailuresInRow = aCell.mPolicy.mProbationFailures - 1;
   }
+  LearnPressure(aCell, aWorker);
   BalanceFilling(aCell, aWorker, aNow);
 }
 
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -38,12 +38,16 @@
   std::int64_t mFreeCpuMillis = 0;
   std::int64_t mFreeMemoryMb = 0;
   std::int64_t mCapacityCpuMillis = 0;
+  /** What filling tasks want, and what is left for them. */
+  std::int64_t mFillingCpuMillis = 0;
+  std::int64_t mLeftoverCpuMillis = 0;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mName, mToken, mIsActive);
     archive(mFreeCpuMillis, mFreeMemoryMb, mCapacityCpuMillis);
+    archive(mFillingCpuMillis, mLeftoverCpuMillis);
   }
 };
 
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "eelgrasspost/base/eventlog.h"
 #include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/cell/cellstate.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
@@ -22,6 +23,7 @@
   ISharedStore& mStore;
   IWorkerOrders& mWorkers;
   base::Metrics& mMetrics;
+  base::EventLog& mLog;
   net::asio::any_io_executor mExecutor;
   std::uint64_t mIncarnation = 0;
   /** Parts over which jobs are spread. */
@@ -106,6 +108,7 @@
                  MonotonicTime aNow) -> void;
   auto Kick() -> void;
   auto DecideNow() -> void;
+  auto LogNotes() -> void;
   auto Tick() -> net::Task<void>;
 
   auto FlushLoop() -> net::Task<void>;
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "holdertimes.h"
 
@@ -23,6 +24,8 @@
 /** After a stop signal the balancer may send connections for two more probes
  * of a second each. */
 constexpr auto kLeaveTime = Milliseconds(2600);
+/** Lines wait so long before they are written together. */
+constexpr auto kLogInterval = Milliseconds(100);
 constexpr auto kLeaveCheck = Milliseconds(50);
 
 auto PartsOf(const DispatchSettings& aSettings) -> std::uint32_t
@@ -50,6 +53,7 @@
   , mIncarnation(static_cast<std::uint64_t>(base::WallClockMs()))
   , mParts(PartsOf(mSettings))
   , mStartedAt(base::MonotonicClock::now())
+  , mLog(mSettings.mName)
   , mMessages(aPool.Size(), mSettings.mPeers.mIp)
   , mMessageServer(aPool)
   , mPeers(aPool, mSettings.mName)
@@ -131,6 +135,15 @@
   net::SpawnTask(executor, WriteEntryRow());
   net::SpawnTask(executor, mPeers.Run([this] { return MakeHeartbeat(); }));
   net::SpawnTask(executor, ManageCells());
+  net::SpawnTask(executor, FlushLog());
+  mLog.Record(kEntryStarted,
+              { { "domain", mSettings.mDomain },
+                { "incarnation", static_cast<std::int64_t>(mIncarnation) },
+                { "http", net::ToString(mSettings.mHttp) },
+                { "peers", net::ToString(mSettings.mPeers) },
+                { "store", net::ToString(mSettings.mStore) },
+                { "parts", static_cast<std::int64_t>(mParts) },
+                { "lease_ms", mSettings.mLeaseMs } });
   return absl::OkStatus();
 }
 
@@ -139,6 +152,14 @@
   mPool.Run();
 }
 
+auto DispatchEntry::FlushLog() -> net::Task<void>
+{
+  while (true) {
+    mLog.Flush();
+    co_await net::Sleep(kLogInterval);
+  }
+}
+
 auto DispatchEntry::WatchConfiguration() -> net::Task<void>
 {
   const auto onRow = [this](const StoreRow& aRow) {
@@ -152,6 +173,11 @@
     if (isNewer) {
       mConfiguration =
         std::make_shared<const Configuration>(*std::move(decoded));
+      mLog.Record(
+        kConfigurationInForce,
+        { { "version", static_cast<std::int64_t>(mConfiguration->mVersion) },
+          { "queues",
+            static_cast<std::int64_t>(mConfiguration->mQueues.size()) } });
     }
   };
   co_await mConfigurationWatch.Run(
@@ -187,6 +213,10 @@
     aRow.mHolder == mSettings.mName && aRow.mHolderIncarnation == mIncarnation;
   const auto holder = FindHolder(aRow.mName);
   if (holder && holder->RowVersion() < aVersion) {
+    mLog.Record(kCellLost,
+                { { "cell", aRow.mName },
+                  { "holder", aRow.mHolder },
+                  { "term", static_cast<std::int64_t>(aRow.mTerm) } });
     holder->End();
     mHolders.erase(aRow.mName);
   }
@@ -418,9 +448,15 @@
                          bool aIsPreviousGone) -> void
 {
   const auto context = HolderContext{ mSettings, mStore,
-                                      mPorts.mWorkers, mMetrics,
+                                      mPorts.mWorkers, mMetrics, mLog,
                                       mPool.Executor(0), mIncarnation,
                                       mParts };
+  mLog.Record(kCellClaimed,
+              { { "cell", aRow.mName },
+                { "term", static_cast<std::int64_t>(aRow.mTerm) },
+                { "token", static_cast<std::int64_t>(aVersion) },
+                { "previous_gone", static_cast<std::int64_t>(
+                                     aIsPreviousGone ? 1 : 0) } });
   auto holder = std::make_shared<CellHolder>(context, aRow, aVersion);
   mHolders[aRow.mName] = holder;
   std::vector<cell::WorkerRecord> workers;
@@ -583,6 +619,8 @@
   while (true) {
     const auto number =
       co_await mSignals.async_wait(boost::asio::use_awaitable);
+    mLog.Record(number == SIGHUP ? kReloadAsked : kStopAsked,
+                { { "signal", static_cast<std::int64_t>(number) } });
     if (number != SIGHUP && !mIsLeaving) {
       net::SpawnTask(mPool.Executor(0), Leave());
     }
@@ -613,6 +651,7 @@
     }
     co_await net::Sleep(kLeaveCheck);
   }
+  mLog.Flush();
   mPool.Stop();
 }
 
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -66,6 +66,7 @@
   auto IsReady() const -> bool;
   auto HandleSignals() -> net::Task<void>;
   auto Leave() -> net::Task<void>;
+  auto FlushLog() -> net::Task<void>;
 
   net::IoPool& mPool;
   DispatchSettings mSettings;
@@ -74,6 +75,7 @@
   std::uint32_t mParts;
   MonotonicTime mStartedAt;
   base::Metrics mMetrics;
+  base::EventLog mLog;
   net::MessageClient mMessages;
   net::MessageServer mMessageServer;
   Peers mPeers;
--- a/src/dispatch/internal/frontdoor.cpp
+++ b/src/dispatch/internal/frontdoor.cpp
@@ -63,6 +63,12 @@
   return out;
 }
 
+auto ShareOf(std::int64_t aPart, std::int64_t aWhole) -> double
+{
+  return static_cast<double>(aPart) /
+         static_cast<double>(std::max<std::int64_t>(1, aWhole));
+}
+
 auto IsOfDomain(const std::string& aCell, const std::string& aDomain) -> bool
 {
   return aCell.size() > aDomain.size() && aCell.starts_with(aDomain) &&
@@ -98,11 +104,13 @@
   const auto need = WidestCpu(aJob);
   auto cells = mContext.mCells();
   const auto rank = [&](const HeldCell& aCell) {
-    const auto share =
-      static_cast<double>(aCell.mFreeCpuMillis - need) /
-      static_cast<double>(std::max<std::int64_t>(1, aCell.mCapacityCpuMillis));
     const auto isNear = IsOfDomain(aCell.mName, mContext.mDomain);
+    // A near cell saves a message between domains for each request.
     constexpr double kNearBonus = 0.1;
+    const auto share =
+      need > 0 ? ShareOf(aCell.mFreeCpuMillis - need, aCell.mCapacityCpuMillis)
+               : 1.0 - ShareOf(aCell.mFillingCpuMillis,
+                               aCell.mLeftoverCpuMillis);
     return -(share + (isNear && share > 0 ? kNearBonus : 0.0));
   };
   std::sort(cells.begin(), cells.end(), [&](const auto& a, const auto& b) {
--- a/src/dispatch/internal/holdertending.cpp
+++ b/src/dispatch/internal/holdertending.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "cellholder.h"
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
 
@@ -232,6 +233,7 @@
 auto CellHolder::DecideNow() -> void
 {
   mIsKicked = false;
+  LogNotes();
   if (!MayOrder() || mIsFinishing) {
     return;
   }
@@ -239,6 +241,7 @@
   for (auto& it : cell::Decide(mState, now)) {
     net::SpawnTask(mContext.mExecutor, SendOrder(std::move(it)));
   }
+  LogNotes();
   auto needsFlush = !mState.mDirty.empty();
   for (auto& [id, it] : mState.mWorkers) {
     needsFlush = needsFlush || it->mSeenEnds > it->mStoredEnds;
@@ -259,6 +262,23 @@
   }
 }
 
+auto CellHolder::LogNotes() -> void
+{
+  for (const auto& it : mState.mNotes) {
+    const auto* event = FindNoteEvent(it.mKind);
+    mContext.mLog.Record(
+      *event,
+      { { "cell", mRow.mName },
+        { "subject", it.mSubject },
+        { "worker", it.mWorker },
+        { "attempt", static_cast<std::int64_t>(it.mAttempt) },
+        { "token", static_cast<std::int64_t>(mRowVersion) },
+        { "reason", it.mReason },
+        { "value", it.mValue } });
+  }
+  mState.mNotes.clear();
+}
+
 auto CellHolder::Tick() -> net::Task<void>
 {
   const auto self = shared_from_this();
@@ -283,16 +303,16 @@
 auto CellHolder::Describe() const -> HeldCell
 {
   const auto now = base::MonotonicClock::now();
-  const auto room = cell::FreeRoom(mState, now);
+  const auto room = cell::RoomOf(mState, now);
   HeldCell out;
   out.mName = mRow.mName;
   out.mToken = mRowVersion;
   out.mIsActive = MayOrder() && !mIsFinishing;
-  out.mFreeCpuMillis = room.mCpuMillis;
-  out.mFreeMemoryMb = room.mMemoryMb;
-  for (const auto& [id, it] : mState.mWorkers) {
-    out.mCapacityCpuMillis += it->mRecord.mCapacity.mCpuMillis;
-  }
+  out.mFreeCpuMillis = room.mFree.mCpuMillis;
+  out.mFreeMemoryMb = room.mFree.mMemoryMb;
+  out.mCapacityCpuMillis = room.mCapacityCpuMillis;
+  out.mFillingCpuMillis = room.mFillingCpuMillis;
+  out.mLeftoverCpuMillis = room.mLeftoverCpuMillis;
   return out;
 }
 
--- /dev/null
+++ b/src/framework/base/internal/eventlog.cpp
@@ -0,0 +1,127 @@
+#include "eelgrasspost/base/eventlog.h"
+
+#include <cstring>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "eelgrasspost/base/clock.h"
+#include "eelgrasspost/base/text.h"
+
+namespace eelgrasspost::base {
+
+namespace {
+
+/** Lines of one kind in a second: enough for the decisions of a cell at its
+ * usual load, and a bound for the volume of a flood. */
+constexpr std::uint16_t kLinesPerSecond = 120;
+/** Bytes that may wait for standard output. */
+constexpr std::size_t kBufferLimit = 128 * 1024;
+
+auto AppendText(std::string& aOut, std::string_view aText) -> void
+{
+  constexpr unsigned char kFirstPrintable = 0x20;
+  aOut += '"';
+  for (const auto it : aText) {
+    if (it == '"' || it == '\\') {
+      aOut += '\\';
+      aOut += it;
+    } else if (static_cast<unsigned char>(it) < kFirstPrintable) {
+      fmt::format_to(std::back_inserter(aOut),
+                     "\\u{:04x}",
+                     static_cast<unsigned char>(it));
+    } else {
+      aOut += it;
+    }
+  }
+  aOut += '"';
+}
+
+auto AppendField(std::string& aOut, const EventField& aField) -> void
+{
+  aOut += ',';
+  AppendText(aOut, aField.mName);
+  aOut += ':';
+  if (const auto* text = std::get_if<std::string_view>(&aField.mValue)) {
+    AppendText(aOut, *text);
+  } else if (const auto* n = std::get_if<std::int64_t>(&aField.mValue)) {
+    Append(aOut, *n);
+  } else {
+    fmt::format_to(std::back_inserter(aOut),
+                   "{:.3g}",
+                   std::get<double>(aField.mValue));
+  }
+}
+
+auto SteadyMs() -> std::int64_t
+{
+  return std::chrono::duration_cast<Milliseconds>(
+           MonotonicClock::now().time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+EventLog::EventLog(std::string aProcess)
+  : mProcess(std::move(aProcess))
+{
+  const auto flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+auto EventLog::IsOverRate(int aNumber, std::int64_t aSteadyMs) -> bool
+{
+  constexpr std::int64_t kMsPerSecond = 1000;
+  const auto second = aSteadyMs / kMsPerSecond;
+  if (second != mSecond) {
+    mSecond = second;
+    std::memset(mCounts, 0, sizeof(mCounts));
+  }
+  auto& count = mCounts[static_cast<std::size_t>(aNumber) % kKinds];
+  return ++count > kLinesPerSecond;
+}
+
+auto EventLog::Record(const LogEvent& aEvent,
+                      std::initializer_list<EventField> aFields) -> void
+{
+  const auto steadyMs = SteadyMs();
+  if (IsOverRate(aEvent.mNumber, steadyMs) || mWaiting.size() > kBufferLimit) {
+    ++mDropped;
+    return;
+  }
+  Append(mWaiting,
+         "{\"event\":",
+         aEvent.mNumber,
+         ",\"utc_ms\":",
+         WallClockMs(),
+         ",\"steady_ms\":",
+         steadyMs,
+         ",\"entry\":");
+  AppendText(mWaiting, mProcess);
+  mWaiting += ",\"text\":";
+  AppendText(mWaiting, aEvent.mText);
+  for (const auto& it : aFields) {
+    AppendField(mWaiting, it);
+  }
+  if (mDropped > mDroppedReported) {
+    Append(mWaiting, ",\"lines_left_out\":", mDropped - mDroppedReported);
+    mDroppedReported = mDropped;
+  }
+  mWaiting += "}\n";
+}
+
+auto EventLog::Flush() -> void
+{
+  while (!mWaiting.empty()) {
+    const auto n = ::write(STDOUT_FILENO, mWaiting.data(), mWaiting.size());
+    if (n <= 0) {
+      // The reader is slow or gone; the buffer's bound decides what is lost.
+      return;
+    }
+    mWaiting.erase(0, static_cast<std::size_t>(n));
+  }
+}
+
+} // namespace eelgrasspost::base
