Learn the pressure of each pair of images by factors

Cause: a filling image disturbs some serving images tenfold and others not at all; one figure for an image blamed all of them, and a linear model forgot what it had learned. Change: belief about a pair rises by factors after harm, falls more slowly after proven work, and stays in a dead zone; entries share what they learned in heartbeats; serving tasks of one image go together.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "eelgrasspost/cell/celltypes.h"
+#include "eelgrasspost/cell/interference.h"
 
 namespace eelgrasspost::cell {
 
@@ -99,7 +100,8 @@
   bool mIsLongRunning = false;
   bool mCheckpoints = false;
   std::int64_t mTargetTailMs = 0;
-  std::string mImage;
+  /** Index in the cell's interference table. */
+  std::size_t mImageIndex = 0;
   MonotonicTime mStartedAt{};
   MonotonicTime mConfirmedAt{};
   double mPercent = 0;
@@ -152,6 +154,8 @@
   std::int64_t mServingCpuMillis = 0;
   int mFillPace = 100;
   MonotonicTime mFillPaceChangedAt{};
+  /** The serving image that was over its target last. */
+  std::size_t mPressedImage = 0;
   /** Since when filling tasks have been slowed without a break. */
   MonotonicTime mSlowedSince{};
 };
@@ -176,15 +180,6 @@
   std::int64_t mEarlyMs = 0;
 };
 
-/** How much the filling tasks of one image raise the tail latency of serving
- * tasks beside them: in shares of their target, for a worker that the image
- * uses whole. Learned from reports. */
-struct ImagePressure
-{
-  double mPressure = 0;
-  std::uint32_t mSamples = 0;
-};
-
 /** A group of workers of one failure domain and the jobs on them. */
 struct CellState
 {
@@ -198,7 +193,7 @@
   /** Workers that the previous holder used and that have not been settled. */
   std::set<std::string> mUnsettled;
   std::set<std::string> mDirty;
-  std::map<std::string, ImagePressure> mPressures;
+  Interference mInterference;
   /** Tasks that may be started once there is room. */
   std::vector<Task*> mReady;
   /** Decisions since they were last taken for the log; bounded. */
--- a/src/cell/internal/cellsteps.h
+++ b/src/cell/internal/cellsteps.h
@@ -29,7 +29,10 @@
 auto InsertRun(Worker& aWorker, const std::string& aName, Run aRun) -> Run&;
 
 /** A run that was made from a task's step. */
-auto MakeRun(Task& aTask, std::uint64_t aAttempt, MonotonicTime aNow) -> Run;
+auto MakeRun(CellState& aCell,
+             Task& aTask,
+             std::uint64_t aAttempt,
+             MonotonicTime aNow) -> Run;
 
 /** Places tasks on workers with room; the starts are appended. */
 auto PlaceReady(CellState& aCell,
--- a/src/cell/internal/filling.cpp
+++ b/src/cell/internal/filling.cpp
@@ -1,34 +1,71 @@
+#include "filling.h"
+
 #include <algorithm>
 
 #include "cellsteps.h"
 #include "eelgrasspost/base/text.h"
-#include "interference.h"
 
 namespace eelgrasspost::cell {
 
 namespace {
 
+/** Share of its reserved processor time that a serving task uses. */
+constexpr double kServingUse = 0.5;
 /** Tail latency, as a share of its target, above which filling tasks are
  * slowed, and below which they are sped up again. */
 constexpr double kSlowAbove = 0.95;
-constexpr double kFreeBelow = 0.65;
+constexpr double kFreeBelow = 0.7;
 /** Factor and step of a change of the processor share, in percent. */
-constexpr double kSlowFactor = 0.35;
-constexpr int kFreeStep = 35;
+constexpr double kSlowFactor = 0.2;
+constexpr int kFreeStep = 40;
 /** Shares below this are rounded to a standstill. */
 constexpr int kLowestPace = 10;
 /** Reports lag by half a second: one change is seen before the next. */
 constexpr auto kChangePause = Milliseconds(600);
-/** Heavy tasks that were slowed for so long move to another worker. */
-constexpr auto kMoveAfter = Milliseconds(1300);
+/** Tasks that were slowed for so long move to another worker. */
+constexpr auto kMoveAfter = Milliseconds(400);
+/** A filling image is slowed when it causes this share of the rise, or a rise
+ * of this size. */
+constexpr double kBlameShare = 0.3;
 
-/** Highest tail latency on a worker, as a share of its target. */
-auto WorstTail(const Worker& aWorker) -> double
+auto CapacityOf(const Worker& aWorker) -> double
 {
-  auto out = 0.0;
+  return static_cast<double>(
+    std::max<std::int64_t>(1, aWorker.mRecord.mCapacity.mCpuMillis));
+}
+
+auto AddUse(std::vector<ImageUse>& aUses, std::size_t aImage, double aUse)
+  -> void
+{
+  const auto it =
+    std::find_if(aUses.begin(), aUses.end(), [&](const ImageUse& aItem) {
+      return aItem.mImage == aImage;
+    });
+  if (it == aUses.end()) {
+    aUses.push_back({ aImage, aUse });
+  } else {
+    it->mUse += aUse;
+  }
+}
+
+auto IsServing(const Run& aRun) -> bool
+{
+  return aRun.mTargetTailMs > 0 && aRun.mPhase == RunPhase::Running &&
+         aRun.mPercent >= 100;
+}
+
+auto TailOf(const Run& aRun) -> double
+{
+  return aRun.mLoad / static_cast<double>(aRun.mTargetTailMs);
+}
+
+/** The serving run with the highest tail, as a share of its target. */
+auto WorstServing(const Worker& aWorker) -> const Run*
+{
+  const Run* out = nullptr;
   for (const auto& [name, run] : aWorker.mRuns) {
-    if (run.mTargetTailMs > 0 && run.mPhase == RunPhase::Running) {
-      out = std::max(out, run.mLoad / static_cast<double>(run.mTargetTailMs));
+    if (IsServing(run) && (!out || TailOf(run) > TailOf(*out))) {
+      out = &run;
     }
   }
   return out;
@@ -46,28 +83,92 @@
   return aPace;
 }
 
-/** Light tasks are slowed only when slowing the heavy ones did not help. */
-auto PaceOf(const CellState& aCell, const Run& aRun, int aWorkerPace) -> int
+/** Whether a filling image is to blame for the tail of a serving image. */
+auto IsBlamed(const CellState& aCell,
+              std::size_t aServing,
+              std::size_t aFilling,
+              const std::vector<ImageUse>& aUses) -> bool
 {
-  const auto isHeavy = PressureOfImage(aCell, aRun.mImage) > kHeavyPressure;
-  constexpr int kStandstill = 0;
-  constexpr int kLightPace = 40;
-  if (isHeavy || aWorkerPace >= 100) {
-    return aWorkerPace;
+  const auto& table = aCell.mInterference;
+  const auto all = PressureOn(table, aServing, aUses);
+  auto own = 0.0;
+  for (const auto& it : aUses) {
+    if (it.mImage == aFilling) {
+      own = table.mPairs[it.mImage][aServing].mPressure * it.mUse;
+    }
   }
-  return aWorkerPace == kStandstill ? kLightPace : 100;
+  return all < kBlameShare || own > kBlameShare || own > kBlameShare * all;
 }
 
 } // namespace
 
+auto LeftoverCpu(const Worker& aWorker) -> double
+{
+  const auto serving = static_cast<double>(aWorker.mServingCpuMillis);
+  const auto reserved = static_cast<double>(aWorker.mUsed.mCpuMillis);
+  return CapacityOf(aWorker) - (reserved - serving) - serving * kServingUse;
+}
+
+auto WantedUses(const Worker& aWorker) -> std::vector<ImageUse>
+{
+  std::vector<ImageUse> out;
+  for (const auto& [name, run] : aWorker.mRuns) {
+    if (run.mIsFilling) {
+      AddUse(out,
+             run.mImageIndex,
+             static_cast<double>(run.mNeed.mCpuMillis) / CapacityOf(aWorker));
+    }
+  }
+  return out;
+}
+
+auto WorstExpectedTail(const CellState& aCell,
+                       const Worker& aWorker,
+                       const std::vector<ImageUse>& aUses) -> double
+{
+  const auto& table = aCell.mInterference;
+  auto out = 0.0;
+  std::size_t last = table.mImages.size();
+  for (const auto& [name, run] : aWorker.mRuns) {
+    if (run.mTargetTailMs == 0 || run.mImageIndex == last) {
+      continue;
+    }
+    last = run.mImageIndex;
+    out = std::max(out, ExpectedTail(table, last, aUses));
+  }
+  return out;
+}
+
+auto LearnFromReport(CellState& aCell, const Worker& aWorker) -> void
+{
+  if (aWorker.mServingCpuMillis == 0) {
+    return;
+  }
+  std::vector<ImageUse> uses;
+  for (const auto& [name, run] : aWorker.mRuns) {
+    if (run.mIsFilling && run.mLoad > 0) {
+      AddUse(uses, run.mImageIndex, run.mLoad / CapacityOf(aWorker));
+    }
+  }
+  for (const auto& [name, run] : aWorker.mRuns) {
+    if (IsServing(run)) {
+      LearnTail(aCell.mInterference, run.mImageIndex, TailOf(run), uses);
+    }
+  }
+}
+
 auto BalanceFilling(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
   -> void
 {
-  if (aWorker.mFillingCpuMillis == 0) {
+  const auto* worst = WorstServing(aWorker);
+  if (aWorker.mFillingCpuMillis == 0 || !worst) {
     aWorker.mFillPace = 100;
+    aWorker.mSlowedSince = aNow;
+  }
+  if (aWorker.mFillingCpuMillis == 0) {
     return;
   }
-  const auto tail = WorstTail(aWorker);
+  const auto tail = worst ? TailOf(*worst) : 0.0;
   if (aNow - aWorker.mFillPaceChangedAt >= kChangePause) {
     const auto pace = NextPace(aWorker.mFillPace, tail);
     if (pace != aWorker.mFillPace) {
@@ -81,20 +182,24 @@
                 "share_of_target",
                 tail });
     }
+    if (worst && tail > kSlowAbove) {
+      aWorker.mPressedImage = worst->mImageIndex;
+    }
   }
   if (aWorker.mFillPace == 100) {
     aWorker.mSlowedSince = aNow;
   }
   const auto isSlowedLong = aNow - aWorker.mSlowedSince > kMoveAfter;
+  const auto uses = WantedUses(aWorker);
   for (auto& [name, run] : aWorker.mRuns) {
     if (!run.mIsFilling || run.mPhase != RunPhase::Running || !run.mTask) {
       continue;
     }
-    run.mWantedPace = PaceOf(aCell, run, aWorker.mFillPace);
-    const auto isBetterMoved =
-      isSlowedLong && run.mWantedPace < 100 && run.mTask &&
-      HasBetterPlace(aCell, aWorker, run, aNow);
-    if (isBetterMoved) {
+    const auto isSlowed =
+      aWorker.mFillPace < 100 &&
+      IsBlamed(aCell, aWorker.mPressedImage, run.mImageIndex, uses);
+    run.mWantedPace = isSlowed ? aWorker.mFillPace : 100;
+    if (isSlowed && isSlowedLong && HasBetterPlace(aCell, aWorker, run, aNow)) {
       run.mTask->mAvoid = aWorker.mRecord.mId;
       AddNote(aCell,
               { NoteKind::RunStopped,
--- a/src/cell/internal/interference.cpp
+++ b/src/cell/internal/interference.cpp
@@ -1,102 +1,119 @@
-#include "interference.h"
+#include "eelgrasspost/cell/interference.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace eelgrasspost::cell {
 
 namespace {
 
-/** Share of its reserved processor time that a serving task uses. */
-constexpr double kServingUse = 0.5;
-/** Tail latency without filling tasks, as a share of the target. */
-constexpr double kCalmTail = 0.5;
-/** An image of which nothing is known is taken for a heavy one. */
-constexpr double kAssumedPressure = 2.5;
-/** Step of one sample; samples of one report weigh together. */
-constexpr double kLearningRate = 0.25;
-constexpr double kMostPressure = 12.0;
+/** Tail latency without filling tasks, before any was seen. */
+constexpr double kAssumedCalmTail = 0.45;
+/** A pair of which nothing is known: one task of a tenth of a worker may be
+ * tried beside serving tasks, two may not. */
+constexpr double kAssumedPressure = 5.0;
+/** How fast belief rises after harm, and falls after work without harm. The
+ * first is faster: harm costs more than room that is left unused. */
+constexpr double kRiseRate = 0.5;
+constexpr double kFallRate = 0.15;
+constexpr double kCalmRate = 0.05;
+/** Tails above the first are harm; below the second they are none. Between
+ * them the swing of the serving load explains them. */
+constexpr double kHarmfulTail = 0.9;
+constexpr double kHarmlessTail = 0.7;
+/** Largest error of the logarithm that one sample may show. */
+constexpr double kMostMiss = 2.0;
+constexpr double kLeastPressure = 0.1;
+constexpr double kMostPressure = 40.0;
 /** Tails far above the target say no more than that it was missed. */
-constexpr double kMostTail = 3.0;
-/** Keeps steps small when filling tasks hardly ran. */
-constexpr double kSmallUse = 0.01;
+constexpr double kMostTail = 6.0;
+constexpr double kLeastTail = 0.05;
+constexpr std::uint32_t kMostSamples = 1000;
 
 } // namespace
 
-auto LeftoverCpu(const Worker& aWorker) -> double
+auto ImageIndex(Interference& aInterference, const std::string& aImage)
+  -> std::size_t
 {
-  const auto serving = static_cast<double>(aWorker.mServingCpuMillis);
-  const auto reserved = static_cast<double>(aWorker.mUsed.mCpuMillis);
-  return static_cast<double>(aWorker.mRecord.mCapacity.mCpuMillis) -
-         (reserved - serving) - serving * kServingUse;
-}
-
-auto PressureOfImage(const CellState& aCell, const std::string& aImage)
-  -> double
-{
-  const auto it = aCell.mPressures.find(aImage);
-  return it == aCell.mPressures.end() ? kAssumedPressure : it->second.mPressure;
+  auto& images = aInterference.mImages;
+  const auto it = std::find(images.begin(), images.end(), aImage);
+  if (it != images.end()) {
+    return static_cast<std::size_t>(it - images.begin());
+  }
+  images.push_back(aImage);
+  const auto unknown = PairPressure{ kAssumedPressure, 0 };
+  for (auto& row : aInterference.mPairs) {
+    row.push_back(unknown);
+  }
+  aInterference.mPairs.emplace_back(images.size(), unknown);
+  aInterference.mCalmTails.push_back(kAssumedCalmTail);
+  return images.size() - 1;
 }
 
-auto PressureOn(const CellState& aCell, const Worker& aWorker) -> double
+auto PressureOn(const Interference& aInterference,
+                std::size_t aServing,
+                const std::vector<ImageUse>& aUses) -> double
 {
   auto out = 0.0;
-  for (const auto& [name, run] : aWorker.mRuns) {
-    if (run.mIsFilling) {
-      out += PressureOfImage(aCell, run.mImage) *
-             static_cast<double>(run.mNeed.mCpuMillis);
-    }
+  for (const auto& it : aUses) {
+    out += aInterference.mPairs[it.mImage][aServing].mPressure * it.mUse;
   }
-  return out / static_cast<double>(
-                 std::max<std::int64_t>(1, aWorker.mRecord.mCapacity.mCpuMillis));
+  return out;
 }
 
-auto PressureOf(const CellState& aCell,
-                const Worker& aWorker,
-                const StepSpec& aSpec) -> double
+auto ExpectedTail(const Interference& aInterference,
+                  std::size_t aServing,
+                  const std::vector<ImageUse>& aUses) -> double
 {
-  return PressureOfImage(aCell, aSpec.mImage) *
-         static_cast<double>(aSpec.mNeed.mCpuMillis) /
-         static_cast<double>(
-           std::max<std::int64_t>(1, aWorker.mRecord.mCapacity.mCpuMillis));
+  return aInterference.mCalmTails[aServing] *
+         std::exp(PressureOn(aInterference, aServing, aUses));
 }
 
-auto LearnPressure(CellState& aCell, const Worker& aWorker) -> void
+auto AdoptPair(Interference& aInterference,
+               std::size_t aFilling,
+               std::size_t aServing,
+               PairPressure aPair) -> void
 {
-  const auto capacity = static_cast<double>(
-    std::max<std::int64_t>(1, aWorker.mRecord.mCapacity.mCpuMillis));
-  auto tail = 0.0;
-  auto samples = 0;
-  std::map<std::string, double> uses;
-  for (const auto& [name, run] : aWorker.mRuns) {
-    if (run.mPhase != RunPhase::Running) {
-      continue;
-    }
-    if (run.mIsFilling) {
-      uses[run.mImage] += run.mLoad / capacity;
-    } else if (run.mTargetTailMs > 0 && run.mPercent >= 100) {
-      tail += std::min(kMostTail,
-                       run.mLoad / static_cast<double>(run.mTargetTailMs));
-      ++samples;
-    }
+  auto& pair = aInterference.mPairs[aFilling][aServing];
+  if (aPair.mSamples > pair.mSamples) {
+    pair = aPair;
   }
-  if (samples == 0 || uses.empty()) {
+}
+
+auto LearnTail(Interference& aInterference,
+               std::size_t aServing,
+               double aTail,
+               const std::vector<ImageUse>& aUses) -> void
+{
+  auto& calm = aInterference.mCalmTails[aServing];
+  const auto tail = std::clamp(aTail, kLeastTail, kMostTail);
+  if (aUses.empty()) {
+    constexpr double kHighestCalm = 0.8;
+    calm += kCalmRate * (std::min(tail, kHighestCalm) - calm);
     return;
   }
-  auto expected = 0.0;
-  auto squares = kSmallUse;
-  for (const auto& [image, use] : uses) {
-    expected += PressureOfImage(aCell, image) * use;
-    squares += use * use;
+  // Belief changes by factors: what is known to be harmless stays so when a
+  // harmful image comes beside it.
+  const auto expected = ExpectedTail(aInterference, aServing, aUses);
+  const auto isRise = tail > kHarmfulTail && tail > expected;
+  const auto isFall = tail < kHarmlessTail && expected > kHarmlessTail;
+  if (!isRise && !isFall) {
+    return;
   }
-  const auto miss = tail / samples - kCalmTail - expected;
-  for (const auto& [image, use] : uses) {
-    auto& pressure = aCell.mPressures
-                       .try_emplace(image, ImagePressure{ kAssumedPressure, 0 })
-                       .first->second;
-    const auto step = kLearningRate * miss * use / squares;
-    pressure.mPressure =
-      std::clamp(pressure.mPressure + step, 0.0, kMostPressure);
-    ++pressure.mSamples;
+  const auto miss =
+    std::clamp(std::log((isRise ? tail : std::max(tail, kHarmlessTail)) /
+                        expected),
+               -kMostMiss,
+               kMostMiss);
+  const auto rate = isRise ? kRiseRate : kFallRate;
+  const auto whole = PressureOn(aInterference, aServing, aUses);
+  for (const auto& it : aUses) {
+    auto& pair = aInterference.mPairs[it.mImage][aServing];
+    const auto share = pair.mPressure * it.mUse / std::max(whole, kLeastTail);
+    pair.mPressure = std::clamp(pair.mPressure * std::exp(rate * miss * share),
+                                kLeastPressure,
+                                kMostPressure);
+    pair.mSamples = std::min(kMostSamples, pair.mSamples + 1);
   }
 }
 
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -32,8 +32,7 @@
              const std::vector<std::uint32_t>& aNumbers) -> bool
 {
   return std::all_of(aNumbers.begin(), aNumbers.end(), [&](std::uint32_t i) {
-    return i < aSteps.size() &&
-           aOccurrence.mSteps[i].mDone == aSteps[i].mCount;
+    return i < aSteps.size() && aOccurrence.mSteps[i].mDone == aSteps[i].mCount;
   });
 }
 
@@ -68,8 +67,7 @@
       auto made = MakeOccurrence(aJob, it.mOccurrence);
       occurrence = made.get();
       aJob.mOccurrences.emplace(it.mOccurrence, std::move(made));
-      aJob.mNextOccurrence =
-        std::max(aJob.mNextOccurrence, it.mOccurrence + 1);
+      aJob.mNextOccurrence = std::max(aJob.mNextOccurrence, it.mOccurrence + 1);
     }
     if (it.mStep >= occurrence->mSteps.size() ||
         it.mIndex >= occurrence->mSteps[it.mStep].mTasks.size()) {
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -14,8 +14,8 @@
   }
   aWorker = it->second.get();
   const auto run = aWorker->mRuns.find(aOrder.mTask);
-  const auto isRun = run != aWorker->mRuns.end() &&
-                     run->second.mAttempt == aOrder.mAttempt;
+  const auto isRun =
+    run != aWorker->mRuns.end() && run->second.mAttempt == aOrder.mAttempt;
   return isRun ? &run->second : nullptr;
 }
 
@@ -106,9 +106,9 @@
                  MonotonicTime aNow,
                  std::vector<Order>& aOrders) -> void
 {
-  const auto isDue =
-    aRun.mPhase == RunPhase::Stopping && !aRun.mStopAnswered &&
-    !aRun.mStopInFlight && aNow >= aRun.mStopSentAt + aPolicy.mStopRetry;
+  const auto isDue = aRun.mPhase == RunPhase::Stopping && !aRun.mStopAnswered &&
+                     !aRun.mStopInFlight &&
+                     aNow >= aRun.mStopSentAt + aPolicy.mStopRetry;
   if (!isDue) {
     return;
   }
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -2,7 +2,7 @@
 #include <limits>
 
 #include "cellsteps.h"
-#include "interference.h"
+#include "filling.h"
 
 namespace eelgrasspost::cell {
 
@@ -14,15 +14,16 @@
 constexpr double kRemotePenalty = 1e5;
 /** A worker without serving tasks is kept for filling ones. */
 constexpr double kFreshWorkerPenalty = 1e4;
-/** Weight of the pressure of filling tasks on a serving task, against a
- * processor milli of room. */
-constexpr double kPressureWeight = 2e4;
+/** Serving tasks of one image go together: fewer images on a worker leave
+ * more filling images that do no harm there. */
+constexpr double kOtherImagePenalty = 3e3;
 /** Filling tasks wait rather than slow each other down beyond this. */
 constexpr double kMostSlowdown = 1.7;
-/** Weight of harm to serving tasks against a slowdown by one. */
-constexpr double kHarmWeight = 6.0;
-/** Harm beyond which a filling task waits for another worker. */
-constexpr double kMostHarm = 0.35;
+/** Weight of the expected tail, as a share of its target, against a slowdown
+ * by one. */
+constexpr double kTailWeight = 2.0;
+/** Expected tail beyond which a filling task waits for another worker. */
+constexpr double kMostTail = 0.85;
 
 auto HasLabel(const Worker& aWorker, const std::string& aLabel) -> bool
 {
@@ -56,42 +57,52 @@
 }
 
 /** Lower is better; nothing when a filling task should rather wait. */
-auto FillingCost(const CellState& aCell,
-                 const Worker& aWorker,
-                 const StepSpec& aSpec) -> std::optional<double>
+auto FillingCost(CellState& aCell, const Worker& aWorker, const StepSpec& aSpec)
+  -> std::optional<double>
 {
   const auto left = std::max(1.0, LeftoverCpu(aWorker));
   const auto wanted =
     static_cast<double>(aWorker.mFillingCpuMillis + aSpec.mNeed.mCpuMillis);
   const auto slowdown = wanted / left;
-  auto harm = 0.0;
+  auto tail = 0.0;
   if (aWorker.mServingCpuMillis > 0) {
-    const auto pressure =
-      PressureOn(aCell, aWorker) + PressureOf(aCell, aWorker, aSpec);
-    harm = std::max(0.0, pressure - kSafePressure);
-    harm += aWorker.mFillPace < 100 ? kMostHarm : 0.0;
+    auto uses = WantedUses(aWorker);
+    uses.push_back({ ImageIndex(aCell.mInterference, aSpec.mImage),
+                     static_cast<double>(aSpec.mNeed.mCpuMillis) /
+                       static_cast<double>(std::max<std::int64_t>(
+                         1, aWorker.mRecord.mCapacity.mCpuMillis)) });
+    tail = WorstExpectedTail(aCell, aWorker, uses);
   }
-  if (slowdown > kMostSlowdown || harm > kMostHarm) {
+  if (slowdown > kMostSlowdown || tail > kMostTail ||
+      (aWorker.mServingCpuMillis > 0 && aWorker.mFillPace < 100)) {
     return std::nullopt;
   }
-  return std::max(1.0, slowdown) + wanted / left * 0.1 + harm * kHarmWeight;
+  constexpr double kSpread = 0.1;
+  return std::max(1.0, slowdown) + slowdown * kSpread + tail * kTailWeight;
 }
 
 /** Lower is better: the worker with the least room that is left over. */
-auto ReservingCost(const CellState& aCell,
+auto ReservingCost(CellState& aCell,
                    const Worker& aWorker,
                    const StepSpec& aSpec) -> double
 {
-  const auto free = static_cast<double>(
-    aWorker.mRecord.mCapacity.mCpuMillis - aWorker.mUsed.mCpuMillis);
-  auto out = free;
+  auto out = static_cast<double>(aWorker.mRecord.mCapacity.mCpuMillis -
+                                 aWorker.mUsed.mCpuMillis);
   out += aWorker.mServingCpuMillis == 0 ? kFreshWorkerPenalty : 0;
-  out += aSpec.mTargetTailMs > 0 ? PressureOn(aCell, aWorker) * kPressureWeight
-                                 : 0;
-  return out;
+  if (aSpec.mTargetTailMs == 0) {
+    return out;
+  }
+  const auto image = ImageIndex(aCell.mInterference, aSpec.mImage);
+  for (const auto& [name, run] : aWorker.mRuns) {
+    const auto isOther = run.mTargetTailMs > 0 && run.mImageIndex != image;
+    out += isOther ? kOtherImagePenalty : 0;
+  }
+  const auto pressure =
+    PressureOn(aCell.mInterference, image, WantedUses(aWorker));
+  return out + pressure * kFreshWorkerPenalty;
 }
 
-auto Cost(const CellState& aCell,
+auto Cost(CellState& aCell,
           const Worker& aWorker,
           const Task& aTask,
           const StepSpec& aSpec) -> std::optional<double>
@@ -160,7 +171,7 @@
   order.mAttempt = aAttempt;
   order.mPayload = job.mStored.mSpec.mPayload;
   order.mCheckpoint = aTask.mCheckpoint;
-  InsertRun(aWorker, order.mTask, MakeRun(aTask, aAttempt, aNow));
+  InsertRun(aWorker, order.mTask, MakeRun(aCell, aTask, aAttempt, aNow));
   const auto waited =
     std::chrono::duration_cast<Milliseconds>(aNow - aTask.mReadyAt);
   AddNote(aCell,
@@ -250,8 +261,7 @@
                     const Run& aRun,
                     MonotonicTime aNow) -> bool
 {
-  const auto* other =
-    FindWorker(aCell, *aRun.mTask, SpecOf(*aRun.mTask), aNow);
+  const auto* other = FindWorker(aCell, *aRun.mTask, SpecOf(*aRun.mTask), aNow);
   return other && other != &aWorker;
 }
 
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 
 #include "cellsteps.h"
-#include "interference.h"
+#include "filling.h"
 
 namespace eelgrasspost::cell {
 
@@ -26,8 +26,7 @@
   aWorker.mUsed.mAccelerators -= run.mNeed.mAccelerators;
   (run.mIsFilling ? aWorker.mFillingCpuMillis : aWorker.mUsed.mCpuMillis) -=
     run.mNeed.mCpuMillis;
-  aWorker.mServingCpuMillis -=
-    run.mTargetTailMs > 0 ? run.mNeed.mCpuMillis : 0;
+  aWorker.mServingCpuMillis -= run.mTargetTailMs > 0 ? run.mNeed.mCpuMillis : 0;
   aWorker.mRuns.erase(it);
 }
 
@@ -42,7 +41,10 @@
   return aWorker.mRuns.insert_or_assign(aName, std::move(aRun)).first->second;
 }
 
-auto MakeRun(Task& aTask, std::uint64_t aAttempt, MonotonicTime aNow) -> Run
+auto MakeRun(CellState& aCell,
+             Task& aTask,
+             std::uint64_t aAttempt,
+             MonotonicTime aNow) -> Run
 {
   const auto& spec = SpecOf(aTask);
   Run out;
@@ -53,7 +55,7 @@
   out.mIsLongRunning = spec.mIsLongRunning;
   out.mCheckpoints = spec.mCheckpoints;
   out.mTargetTailMs = spec.mTargetTailMs;
-  out.mImage = spec.mImage;
+  out.mImageIndex = ImageIndex(aCell.mInterference, spec.mImage);
   out.mStartedAt = aNow;
   out.mPercentMovedAt = aNow;
   return out;
@@ -68,9 +70,9 @@
                  std::uint64_t aAttempt,
                  MonotonicTime aNow) -> void
 {
-  const auto isOfThisRun =
-    aTask.mPhase == TaskPhase::Placed && aTask.mWorker == &aWorker &&
-    aTask.mAttempt == aAttempt;
+  const auto isOfThisRun = aTask.mPhase == TaskPhase::Placed &&
+                           aTask.mWorker == &aWorker &&
+                           aTask.mAttempt == aAttempt;
   if (isOfThisRun) {
     MakeReady(aCell, aTask, aNow);
   }
@@ -168,9 +170,9 @@
     return;
   }
   task->mJob->mHasStarted = true;
-  const auto isCurrent =
-    task->mPhase == TaskPhase::Placed && task->mWorker == &aWorker &&
-    task->mAttempt == aEnd.mAttempt;
+  const auto isCurrent = task->mPhase == TaskPhase::Placed &&
+                         task->mWorker == &aWorker &&
+                         task->mAttempt == aEnd.mAttempt;
   if (task->mPhase == TaskPhase::Done) {
     return;
   }
@@ -245,7 +247,7 @@
   task->mAttempt = aRow.mAttempt;
   task->mMayRunUnseen = false;
   task->mJob->mHasStarted = true;
-  auto run = MakeRun(*task, aRow.mAttempt, aNow);
+  auto run = MakeRun(aCell, *task, aRow.mAttempt, aNow);
   run.mPhase = RunPhase::Running;
   run.mConfirmedAt = aNow;
   Refresh(InsertRun(aWorker, aRow.mTask, std::move(run)), aRow, aNow);
@@ -412,7 +414,7 @@
               static_cast<double>(aWorker.mFailuresInRow) });
     aWorker.mFailuresInRow = aCell.mPolicy.mProbationFailures - 1;
   }
-  LearnPressure(aCell, aWorker);
+  LearnFromReport(aCell, aWorker);
   BalanceFilling(aCell, aWorker, aNow);
 }
 
@@ -420,8 +422,7 @@
 {
   std::vector<std::string> forgotten;
   for (auto& [id, it] : aCell.mWorkers) {
-    const auto isPending =
-      !it->mRuns.empty() || aCell.mUnsettled.contains(id);
+    const auto isPending = !it->mRuns.empty() || aCell.mUnsettled.contains(id);
     if (aNow < it->mDeadBy) {
       continue;
     }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -64,6 +64,21 @@
   }
 };
 
+/** What an entry has learned of one pair of images. */
+struct LearnedPair
+{
+  std::string mFilling;
+  std::string mServing;
+  float mPressure = 0;
+  std::uint32_t mSamples = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mFilling, mServing, mPressure, mSamples);
+  }
+};
+
 /** Datagram by which entries know of each other. */
 struct Heartbeat
 {
@@ -75,12 +90,14 @@
   bool mReachesStore = false;
   std::vector<HeldCell> mCells;
   std::vector<PendingCount> mPending;
+  /** Some of the pairs, in turn. */
+  std::vector<LearnedPair> mPairs;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mName, mIncarnation, mDomain, mPeers, mIsLeaving, mReachesStore);
-    archive(mCells, mPending);
+    archive(mCells, mPending, mPairs);
   }
 };
 
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -74,6 +74,9 @@
   auto Execute(JobCommand aCommand) -> net::Task<JobReply>;
 
   auto Describe() const -> HeldCell;
+  /** Adds some of the learned pairs of images, in turn. */
+  auto Teach(std::vector<LearnedPair>& aPairs) -> void;
+  auto Learn(const std::vector<LearnedPair>& aPairs) -> void;
   auto Name() const -> const std::string& { return mRow.mName; }
   auto Row() const -> const CellRow& { return mRow; }
   auto RowVersion() const -> std::uint64_t { return mRowVersion; }
@@ -155,6 +158,7 @@
   std::unordered_map<std::string, cell::JobState> mFinished;
   std::deque<std::pair<MonotonicTime, std::string>> mFinishedOrder;
   std::set<std::string> mSettling;
+  std::size_t mNextTaught = 0;
   bool mIsKicked = false;
   bool mIsFlushUrgent = false;
   std::size_t mFlushing = 0;
--- a/src/dispatch/internal/claiming.cpp
+++ b/src/dispatch/internal/claiming.cpp
@@ -14,10 +14,9 @@
 auto FindLive(const ClaimView& aView, const std::string& aName)
   -> const ClaimCandidate*
 {
-  const auto it =
-    std::find_if(aView.mLive.begin(), aView.mLive.end(), [&](const auto& a) {
-      return a.mName == aName;
-    });
+  const auto it = std::find_if(aView.mLive.begin(),
+                               aView.mLive.end(),
+                               [&](const auto& a) { return a.mName == aName; });
   return it == aView.mLive.end() ? nullptr : &*it;
 }
 
@@ -98,8 +97,7 @@
   for (const auto& it : aView.mCells) {
     const auto isMine = it.mHolder == aView.mMyName &&
                         it.mHolderIncarnation == aView.mMyIncarnation;
-    if (isMine && me && me->mDomain != it.mDomain &&
-        Choose(aView, it, true)) {
+    if (isMine && me && me->mDomain != it.mDomain && Choose(aView, it, true)) {
       out.push_back(it.mName);
     }
   }
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -58,24 +58,19 @@
   , mMessageServer(aPool)
   , mPeers(aPool, mSettings.mName)
   , mStore(mPorts.mStore, mMessages, mPeers, mMetrics)
-  , mConfigurationWatch(mStore,
-                        mPorts.mFormats.ConfigurationTable(),
-                        kFeedWait)
+  , mConfigurationWatch(mStore, mPorts.mFormats.ConfigurationTable(), kFeedWait)
   , mControlWatch(mStore, std::string(kControlTable), kFeedWait)
   , mWorkerWatch(mStore, mPorts.mFormats.WorkerTable(), kFeedWait)
-  , mDoor({ mPorts.mFormats,
-            mStore,
-            mMetrics,
-            mParts,
-            mSettings.mDomain,
-            [this] { return mConfiguration; },
-            [this] { return ReachableCells(); },
-            [this](JobCommand aCommand) {
-              return Execute(std::move(aCommand));
-            },
-            [this](const std::string& aQueue) {
-              return CountPending(aQueue);
-            } })
+  , mDoor(
+      { mPorts.mFormats,
+        mStore,
+        mMetrics,
+        mParts,
+        mSettings.mDomain,
+        [this] { return mConfiguration; },
+        [this] { return ReachableCells(); },
+        [this](JobCommand aCommand) { return Execute(std::move(aCommand)); },
+        [this](const std::string& aQueue) { return CountPending(aQueue); } })
   , mDoorServer(aPool,
                 DoorOptions(),
                 [this](net::HttpRequest aRequest) {
@@ -87,9 +82,7 @@
       [this](net::HttpRequest) -> net::Task<net::HttpResponse> {
         constexpr unsigned kOk = 200;
         constexpr unsigned kUnavailable = 503;
-        co_return net::HttpResponse{
-          IsReady() ? kOk : kUnavailable, {}, {}
-        };
+        co_return net::HttpResponse{ IsReady() ? kOk : kUnavailable, {}, {} };
       })
   , mMetricsServer(aPool,
                    {},
@@ -114,12 +107,17 @@
       co_return co_await holder->Execute(std::move(aCommand));
     });
   net::HandleTyped<StoreRelay, StoreReply>(
-    mMessageServer,
-    net::MessageKind::StoreRelay,
-    [this](StoreRelay aRelay) { return mStore.Serve(std::move(aRelay)); });
+    mMessageServer, net::MessageKind::StoreRelay, [this](StoreRelay aRelay) {
+      return mStore.Serve(std::move(aRelay));
+    });
   for (const auto& status :
        { mMessageServer.Listen(mSettings.mPeers).status(),
-         mPeers.Bind(mSettings.mPeers),
+         mPeers.Bind(mSettings.mPeers,
+                     [this](const Heartbeat& aHeartbeat) {
+                       for (const auto& [name, it] : mHolders) {
+                         it->Learn(aHeartbeat.mPairs);
+                       }
+                     }),
          mDoorServer.Listen(mSettings.mHttp).status(),
          mReadinessServer.Listen(mSettings.mReadiness).status(),
          mMetricsServer.Listen(mSettings.mMetrics).status() }) {
@@ -328,8 +326,7 @@
   ClaimView out;
   out.mMyName = mSettings.mName;
   out.mMyIncarnation = mIncarnation;
-  out.mSinceStart =
-    std::chrono::duration_cast<Milliseconds>(aNow - mStartedAt);
+  out.mSinceStart = std::chrono::duration_cast<Milliseconds>(aNow - mStartedAt);
   out.mLive.push_back({ mSettings.mName,
                         mIncarnation,
                         mSettings.mDomain,
@@ -447,16 +444,15 @@
                          std::uint64_t aVersion,
                          bool aIsPreviousGone) -> void
 {
-  const auto context = HolderContext{ mSettings, mStore,
-                                      mPorts.mWorkers, mMetrics, mLog,
-                                      mPool.Executor(0), mIncarnation,
-                                      mParts };
+  const auto context = HolderContext{ mSettings,    mStore, mPorts.mWorkers,
+                                      mMetrics,     mLog,   mPool.Executor(0),
+                                      mIncarnation, mParts };
   mLog.Record(kCellClaimed,
               { { "cell", aRow.mName },
                 { "term", static_cast<std::int64_t>(aRow.mTerm) },
                 { "token", static_cast<std::int64_t>(aVersion) },
-                { "previous_gone", static_cast<std::int64_t>(
-                                     aIsPreviousGone ? 1 : 0) } });
+                { "previous_gone",
+                  static_cast<std::int64_t>(aIsPreviousGone ? 1 : 0) } });
   auto holder = std::make_shared<CellHolder>(context, aRow, aVersion);
   mHolders[aRow.mName] = holder;
   std::vector<cell::WorkerRecord> workers;
@@ -591,6 +587,7 @@
       continue;
     }
     out.mCells.push_back(it->Describe());
+    it->Teach(out.mPairs);
     for (const auto& [id, job] : it->State().mJobs) {
       if (!job->mHasStarted && !cell::IsFinal(job->mState)) {
         ++pending[HashOf(job->mStored.mQueue.mName)];
--- a/src/dispatch/internal/frontdoor.cpp
+++ b/src/dispatch/internal/frontdoor.cpp
@@ -79,12 +79,12 @@
 
 FrontDoor::FrontDoor(DoorContext aContext)
   : mContext(std::move(aContext))
-  , mAccepted(mContext.mMetrics.FindCounter(
-      "submissions_total{outcome=\"accepted\"}"))
+  , mAccepted(
+      mContext.mMetrics.FindCounter("submissions_total{outcome=\"accepted\"}"))
   , mRefused(
       mContext.mMetrics.FindCounter("submissions_total{outcome=\"refused\"}"))
-  , mUncertain(mContext.mMetrics.FindCounter(
-      "submissions_total{outcome=\"uncertain\"}"))
+  , mUncertain(
+      mContext.mMetrics.FindCounter("submissions_total{outcome=\"uncertain\"}"))
 {
 }
 
@@ -108,9 +108,9 @@
     // A near cell saves a message between domains for each request.
     constexpr double kNearBonus = 0.1;
     const auto share =
-      need > 0 ? ShareOf(aCell.mFreeCpuMillis - need, aCell.mCapacityCpuMillis)
-               : 1.0 - ShareOf(aCell.mFillingCpuMillis,
-                               aCell.mLeftoverCpuMillis);
+      need > 0
+        ? ShareOf(aCell.mFreeCpuMillis - need, aCell.mCapacityCpuMillis)
+        : 1.0 - ShareOf(aCell.mFillingCpuMillis, aCell.mLeftoverCpuMillis);
     return -(share + (isNear && share > 0 ? kNearBonus : 0.0));
   };
   std::sort(cells.begin(), cells.end(), [&](const auto& a, const auto& b) {
@@ -177,8 +177,8 @@
 {
   RangeQuery query;
   query.mTable = std::string(kIdTable);
-  query.mPart = PartName(
-    static_cast<std::uint32_t>(HashOf(aId) % mContext.mParts));
+  query.mPart =
+    PartName(static_cast<std::uint32_t>(HashOf(aId) % mContext.mParts));
   query.mFrom = aId;
   query.mLimit = 1;
   const auto limit = base::MonotonicClock::now() + kStoreTimeout;
@@ -243,9 +243,8 @@
     out.mOutcome = CallerOutcome::UnknownJob;
     co_return out;
   }
-  co_return StateAnswer(cell::IsFinal(location.mState)
-                          ? location.mState
-                          : cell::JobState::Running);
+  co_return StateAnswer(
+    cell::IsFinal(location.mState) ? location.mState : cell::JobState::Running);
 }
 
 auto FrontDoor::Cancel(std::string aId, MonotonicTime aDeadline)
@@ -273,8 +272,8 @@
   if (!location.mIsCertain) {
     co_return NotRun("the store does not answer; cancel again");
   }
-  out.mOutcome = location.mExists ? CallerOutcome::Cancelled
-                                  : CallerOutcome::UnknownJob;
+  out.mOutcome =
+    location.mExists ? CallerOutcome::Cancelled : CallerOutcome::UnknownJob;
   co_return out;
 }
 
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -96,8 +96,7 @@
   -> net::Task<bool>
 {
   auto isOk = true;
-  for (std::size_t from = 0; from < aJobs.size();
-       from += kJobsPerTransaction) {
+  for (std::size_t from = 0; from < aJobs.size(); from += kJobsPerTransaction) {
     StoreTransaction transaction;
     transaction.mPart = PartName(aPart);
     transaction.mExpected.push_back(FenceOf(aPart));
@@ -158,8 +157,7 @@
         continue;
       }
       const auto key = JobKey(it.mId);
-      const auto* jobRow =
-        FindReplyRow(reply, { std::string(kJobTable), key });
+      const auto* jobRow = FindReplyRow(reply, { std::string(kJobTable), key });
       if (it.mIsFinal && (!jobRow || jobRow->mIsRemoved)) {
         // An earlier write without an answer has been carried out.
         FinishJob(it.mId, it.mState);
@@ -214,9 +212,8 @@
   for (const auto& [id, it] : mState.mWorkers) {
     if (!mMembers.contains(id) && added.size() < kMostRows) {
       added.push_back(id);
-      transaction.mWrites.push_back(
-        { { std::string(kMemberTable), JobKey(id) },
-          net::Encode(it->mRecord) });
+      transaction.mWrites.push_back({ { std::string(kMemberTable), JobKey(id) },
+                                      net::Encode(it->mRecord) });
     }
   }
   for (const auto& it : mMembers) {
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -29,9 +29,8 @@
   , mRow(std::move(aRow))
   , mRowVersion(aRowVersion)
   , mConfirmedAt(base::MonotonicClock::now())
-  , mFlushTimer(
-      std::make_unique<net::asio::steady_timer>(mContext.mExecutor,
-                                                MonotonicTime::max()))
+  , mFlushTimer(std::make_unique<net::asio::steady_timer>(mContext.mExecutor,
+                                                          MonotonicTime::max()))
 {
   mState.mName = mRow.mName;
   mState.mAttemptBase = mRow.mTerm * kAttemptsPerTerm;
@@ -160,14 +159,12 @@
     cell::JobProgress done;
     if (const auto found = byKey.find(it.mKey); found != byKey.end()) {
       rows.mProgressVersion = found->second->mVersion;
-      if (auto decoded =
-            net::Decode<cell::JobProgress>(found->second->mValue);
+      if (auto decoded = net::Decode<cell::JobProgress>(found->second->mValue);
           decoded.ok()) {
         done = *std::move(decoded);
       }
     }
-    cell::AddJob(
-      mState, *std::move(job), done, true, now, base::WallClockMs());
+    cell::AddJob(mState, *std::move(job), done, true, now, base::WallClockMs());
   }
   co_return true;
 }
@@ -191,9 +188,8 @@
     mMembers.insert(record->mId);
     mState.mUnsettled.insert(record->mId);
     const auto isNew = !mState.mWorkers.contains(record->mId);
-    auto& worker =
-      isNew ? cell::SeeWorker(mState, *record, now)
-            : *mState.mWorkers.at(record->mId);
+    auto& worker = isNew ? cell::SeeWorker(mState, *record, now)
+                         : *mState.mWorkers.at(record->mId);
     worker.mIsListed = !isNew;
     worker.mDeadBy = deadBy;
     if (!isNew && worker.mRecord.mBornMs > record->mBornMs) {
@@ -216,7 +212,7 @@
     }
   }
   const auto isLoaded = co_await JoinTasks(std::move(tasks));
-  co_return isLoaded && co_await LoadMembers();
+  co_return isLoaded&& co_await LoadMembers();
 }
 
 auto CellHolder::Run(std::vector<cell::WorkerRecord> aWorkers,
--- a/src/dispatch/internal/holdertending.cpp
+++ b/src/dispatch/internal/holdertending.cpp
@@ -83,8 +83,8 @@
   if (clock.mClockMs == 0 || !found->second->mIsKnown) {
     return;
   }
-  const auto left = Milliseconds(
-    std::max<std::int64_t>(0, clock.mLeaseEndMs - clock.mClockMs));
+  const auto left =
+    Milliseconds(std::max<std::int64_t>(0, clock.mLeaseEndMs - clock.mClockMs));
   found->second->mDeadBy = clock.mAt + WorkerTime(left) + kLeaseMargin;
 }
 
@@ -288,8 +288,7 @@
     cell::OpenDue(mState, now, base::WallClockMs());
     cell::CheckRuns(mState, now);
     cell::ExpireWorkers(mState, now);
-    const auto keep =
-      Milliseconds(mContext.mSettings.mStatusMs) + kKeepMargin;
+    const auto keep = Milliseconds(mContext.mSettings.mStatusMs) + kKeepMargin;
     while (!mFinishedOrder.empty() &&
            now - mFinishedOrder.front().first > keep) {
       mFinished.erase(mFinishedOrder.front().second);
@@ -300,6 +299,35 @@
   }
 }
 
+auto CellHolder::Teach(std::vector<LearnedPair>& aPairs) -> void
+{
+  // A heartbeat stays well below the size of a packet.
+  constexpr std::size_t kPairsPerHeartbeat = 16;
+  const auto& table = mState.mInterference;
+  const auto n = table.mImages.size();
+  for (std::size_t i = 0; i < n * n && aPairs.size() < kPairsPerHeartbeat;
+       ++i) {
+    const auto at = mNextTaught++ % (n * n);
+    const auto& pair = table.mPairs[at / n][at % n];
+    if (pair.mSamples > 0) {
+      aPairs.push_back({ table.mImages[at / n],
+                         table.mImages[at % n],
+                         static_cast<float>(pair.mPressure),
+                         pair.mSamples });
+    }
+  }
+}
+
+auto CellHolder::Learn(const std::vector<LearnedPair>& aPairs) -> void
+{
+  auto& table = mState.mInterference;
+  for (const auto& it : aPairs) {
+    const auto filling = cell::ImageIndex(table, it.mFilling);
+    const auto serving = cell::ImageIndex(table, it.mServing);
+    cell::AdoptPair(table, filling, serving, { it.mPressure, it.mSamples });
+  }
+}
+
 auto CellHolder::Describe() const -> HeldCell
 {
   const auto now = base::MonotonicClock::now();
--- a/src/dispatch/internal/peers.cpp
+++ b/src/dispatch/internal/peers.cpp
@@ -18,8 +18,10 @@
 {
 }
 
-auto Peers::Bind(const net::Address& aAddress) -> absl::Status
+auto Peers::Bind(const net::Address& aAddress, OnHeartbeat aOnHeartbeat)
+  -> absl::Status
 {
+  mOnHeartbeat = std::move(aOnHeartbeat);
   return mSocket
     .Bind(aAddress, [this](std::string_view aBytes) { Receive(aBytes); })
     .status();
@@ -41,6 +43,9 @@
                 heartbeat->mPeers };
   peer.mLast = *std::move(heartbeat);
   peer.mSeenAt = base::MonotonicClock::now();
+  mOnHeartbeat(peer.mLast);
+  // What was learned is kept by the cells.
+  peer.mLast.mPairs.clear();
 }
 
 auto Peers::Learn(const EntryRow& aRow) -> void
--- a/src/dispatch/internal/peers.h
+++ b/src/dispatch/internal/peers.h
@@ -28,10 +28,12 @@
 {
 public:
   using MakeHeartbeat = std::function<Heartbeat()>;
+  using OnHeartbeat = std::function<void(const Heartbeat&)>;
 
   Peers(net::IoPool& aPool, std::string aName);
 
-  auto Bind(const net::Address& aAddress) -> absl::Status;
+  auto Bind(const net::Address& aAddress, OnHeartbeat aOnHeartbeat)
+    -> absl::Status;
   /** Sends heartbeats until the process ends. */
   auto Run(MakeHeartbeat aMake) -> net::Task<void>;
   /** Takes a row of the control table in. */
@@ -45,6 +47,7 @@
   auto Receive(std::string_view aBytes) -> void;
 
   net::DatagramSocket mSocket;
+  OnHeartbeat mOnHeartbeat;
   std::string mName;
   std::map<std::string, Peer> mPeers;
 };
--- a/src/dispatch/internal/storeaccess.cpp
+++ b/src/dispatch/internal/storeaccess.cpp
@@ -14,8 +14,7 @@
 
 auto IsAnswer(StoreOutcome aOutcome) -> bool
 {
-  return aOutcome == StoreOutcome::Done ||
-         aOutcome == StoreOutcome::Conflict ||
+  return aOutcome == StoreOutcome::Done || aOutcome == StoreOutcome::Conflict ||
          aOutcome == StoreOutcome::HistoryGone;
 }
 
--- a/src/dispatch/internal/tablewatch.cpp
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -49,8 +49,7 @@
   std::uint64_t version = 0;
   for (auto hasMore = true; hasMore;) {
     const auto sentAt = base::MonotonicClock::now();
-    const auto reply =
-      co_await mStore.ReadRange(query, sentAt + kStoreTimeout);
+    const auto reply = co_await mStore.ReadRange(query, sentAt + kStoreTimeout);
     if (reply.mOutcome != StoreOutcome::Done) {
       co_return false;
     }
