Let workers' heartbeats gather and look at workers less often

Cause: each of seven entries read each heartbeat on its own, and workers answer at once while ends are unacknowledged. Change: 250 ms between reads of the workers' feed, 45 ms before ends are listed again; belief about pairs of images falls faster.

--- a/src/cell/internal/interference.cpp
+++ b/src/cell/internal/interference.cpp
@@ -15,7 +15,7 @@
 /** How fast belief rises after harm, and falls after work without harm. The
  * first is faster: harm costs more than room that is left unused. */
 constexpr double kRiseRate = 0.5;
-constexpr double kFallRate = 0.15;
+constexpr double kFallRate = 0.25;
 constexpr double kCalmRate = 0.05;
 /** Tails above the first are harm; below the second they are none. Between
  * them the swing of the serving load explains them. */
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -18,6 +18,9 @@
 
 /** How long the store may keep a feed's call waiting for a change. */
 constexpr auto kFeedWait = Milliseconds(2000);
+/** Workers' heartbeats gather for so long; a tenth of the time in which a
+ * draining worker must get no more starts. */
+constexpr auto kWorkerPause = Milliseconds(250);
 constexpr auto kManageInterval = Milliseconds(150);
 /** A domain's workers are counted once their list has not grown for so long. */
 constexpr auto kLayoutPause = Milliseconds(500);
@@ -58,9 +61,9 @@
   , mMessageServer(aPool)
   , mPeers(aPool, mSettings.mName)
   , mStore(mPorts.mStore, mMessages, mPeers, mMetrics)
-  , mConfigurationWatch(mStore, mPorts.mFormats.ConfigurationTable(), kFeedWait)
-  , mControlWatch(mStore, std::string(kControlTable), kFeedWait)
-  , mWorkerWatch(mStore, mPorts.mFormats.WorkerTable(), kFeedWait)
+  , mConfigurationWatch(mStore, mPorts.mFormats.ConfigurationTable(), kFeedWait, Milliseconds(0))
+  , mControlWatch(mStore, std::string(kControlTable), kFeedWait, Milliseconds(0))
+  , mWorkerWatch(mStore, mPorts.mFormats.WorkerTable(), kFeedWait, kWorkerPause)
   , mDoor(
       { mPorts.mFormats,
         mStore,
--- a/src/dispatch/internal/holdertending.cpp
+++ b/src/dispatch/internal/holdertending.cpp
@@ -141,10 +141,11 @@
   NoteClock(aWorker, reply.mReport.mClockMs, now);
   Kick();
   constexpr auto kQuick = Milliseconds(20);
-  const auto isNews = worker.mSeenEnds != seen || now - sentAt > kQuick;
-  if (!isNews && aWaitMs > 0) {
+  const auto isRelisted = worker.mSeenEnds == seen && now - sentAt < kQuick;
+  const auto isUnstored = worker.mSeenEnds > worker.mStoredEnds;
+  if (aWaitMs > 0 && (isRelisted || isUnstored)) {
     // Ends that are not stored yet are listed again at once.
-    co_await net::Sleep(kQuick);
+    co_await net::Sleep(kRelistPause);
   }
   co_return true;
 }
--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -23,6 +23,9 @@
 /** Serving tasks beside filling ones are looked at twice a second, as their
  * figures are of the last half second. */
 inline constexpr std::int64_t kWatchfulWaitMs = 500;
+/** A worker answers at once while it lists ends that are not acknowledged: the
+ * pause is about half of the time until they are stored. */
+inline constexpr auto kRelistPause = Milliseconds(45);
 inline constexpr auto kRetryPause = Milliseconds(200);
 /** Ends of so long are stored together. */
 inline constexpr auto kFlushDelay = Milliseconds(80);
--- a/src/dispatch/internal/tablewatch.cpp
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -18,10 +18,12 @@
 
 TableWatch::TableWatch(ISharedStore& aStore,
                        std::string aTable,
-                       Milliseconds aWait)
+                       Milliseconds aWait,
+                       Milliseconds aPause)
   : mStore(aStore)
   , mTable(std::move(aTable))
   , mWait(aWait)
+  , mPause(aPause)
 {
 }
 
@@ -109,6 +111,9 @@
       }
       mAfter = std::max(mAfter, reply.mVersion);
       aOnAnswer();
+      if (mPause.count() > 0) {
+        co_await net::Sleep(mPause);
+      }
     } else if (reply.mOutcome == StoreOutcome::HistoryGone) {
       isCurrent = false;
     } else {
--- a/src/dispatch/internal/tablewatch.h
+++ b/src/dispatch/internal/tablewatch.h
@@ -22,7 +22,11 @@
   /** After each answer of the store. */
   using OnAnswer = std::function<void()>;
 
-  TableWatch(ISharedStore& aStore, std::string aTable, Milliseconds aWait);
+  /** aPause: time in which further changes gather before the next call. */
+  TableWatch(ISharedStore& aStore,
+             std::string aTable,
+             Milliseconds aWait,
+             Milliseconds aPause);
 
   auto Run(OnRow aOnRow, OnGone aOnGone, OnAnswer aOnAnswer) -> net::Task<void>;
   /** Whether the table was read once. */
@@ -37,6 +41,7 @@
   ISharedStore& mStore;
   std::string mTable;
   Milliseconds mWait;
+  Milliseconds mPause;
   OnRow mOnRow;
   OnGone mOnGone;
   std::map<std::string, std::uint64_t> mVersions;
