Count a failed end once, also when it is listed to the next holder

Change: progress keeps the latest attempt that is counted. Tests of takeovers, doubtful starts, and noisy images without a network.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -37,6 +37,7 @@
    * not been heard since; it must not be started before that is settled. */
   bool mMayRunUnseen = false;
   std::uint32_t mFailures = 0;
+  std::uint64_t mCountedAttempt = 0;
   std::uint64_t mAttempt = 0;
   std::string mCheckpoint;
   /** The worker of its run; null when it is not placed. */
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -166,12 +166,16 @@
   std::uint32_t mIndex = 0;
   bool mIsDone = false;
   std::uint32_t mFailures = 0;
+  /** The latest attempt whose failure is counted: workers list an end until
+   * it is acknowledged, also to the next holder. */
+  std::uint64_t mCountedAttempt = 0;
   std::string mCheckpoint;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mOccurrence, mStep, mIndex, mIsDone, mFailures, mCheckpoint);
+    archive(mOccurrence, mStep, mIndex, mIsDone, mFailures, mCountedAttempt);
+    archive(mCheckpoint);
   }
 };
 
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -76,6 +76,7 @@
     auto& step = occurrence->mSteps[it.mStep];
     auto& task = step.mTasks[it.mIndex];
     task.mFailures = it.mFailures;
+    task.mCountedAttempt = it.mCountedAttempt;
     task.mCheckpoint = it.mCheckpoint;
     aJob.mHasStarted = true;
     if (it.mIsDone) {
@@ -289,6 +290,7 @@
                                  it.mIndex,
                                  isDone,
                                  it.mFailures,
+                                 it.mCountedAttempt,
                                  it.mCheckpoint });
         }
       }
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -97,8 +97,15 @@
   }
 }
 
-auto CountFailure(CellState& aCell, Worker& aWorker, Task& aTask) -> void
+auto CountFailure(CellState& aCell,
+                  Worker& aWorker,
+                  Task& aTask,
+                  std::uint64_t aAttempt) -> void
 {
+  if (aAttempt <= aTask.mCountedAttempt) {
+    return;
+  }
+  aTask.mCountedAttempt = aAttempt;
   auto& job = *aTask.mJob;
   const auto& spec = SpecOf(aTask);
   ++aCell.mEndsFailed;
@@ -110,8 +117,10 @@
     return;
   }
   if (spec.mIsGang) {
+    // The members of a gang share their attempts and their failures.
     for (auto& it : StepOf(aTask).mTasks) {
       it.mFailures += &it == &aTask ? 0 : 1;
+      it.mCountedAttempt = aAttempt;
     }
   }
   ++aTask.mFailures;
@@ -187,7 +196,7 @@
     return;
   }
   if (aEnd.mKind == EndKind::Failed) {
-    CountFailure(aCell, aWorker, *task);
+    CountFailure(aCell, aWorker, *task, aEnd.mAttempt);
   }
   if (!task->mCheckpoint.empty()) {
     MarkDirty(aCell, *task->mJob);
--- /dev/null
+++ b/src/cell/tests/cellfixture.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <string>
+
+#include "eelgrasspost/cell/cellstate.h"
+
+namespace eelgrasspost::cell::testing {
+
+/** A cell with workers that have answered, and a clock that tests move. */
+struct CellFixture
+{
+  CellState mCell;
+  MonotonicTime mNow = MonotonicTime{} + std::chrono::hours(1);
+  std::int64_t mClockMs = 1000;
+
+  auto Advance(Milliseconds aTime) -> void
+  {
+    mNow += aTime;
+    mClockMs += aTime.count();
+  }
+
+  auto AddWorker(const std::string& aId, std::int64_t aCpu = 16000) -> Worker&
+  {
+    WorkerRecord record;
+    record.mId = aId;
+    record.mService = "service";
+    record.mCapacity = { aCpu, 64000, 0 };
+    auto& worker = SeeWorker(mCell, record, mNow);
+    Report(aId, {}, {});
+    return worker;
+  }
+
+  auto Report(const std::string& aId,
+              std::vector<RunningRow> aRunning,
+              std::vector<EndRow> aEnds) -> void
+  {
+    Advance(Milliseconds(10));
+    WorkerReport report;
+    report.mBornMs = 1;
+    report.mClockMs = mClockMs;
+    report.mRunning = std::move(aRunning);
+    report.mEnds = std::move(aEnds);
+    auto& worker = *mCell.mWorkers.at(aId);
+    worker.mDeadBy = mNow + Milliseconds(6000);
+    ApplyReport(mCell, worker, report, mNow, mNow);
+  }
+
+  static auto MakeJob(const std::string& aId, StepSpec aStep) -> StoredJob
+  {
+    StoredJob out;
+    out.mSpec.mId = aId;
+    out.mSpec.mPayload = "payload";
+    out.mSpec.mSteps = { std::move(aStep) };
+    out.mQueue.mName = "queue";
+    out.mQueue.mService = "service";
+    out.mQueue.mMaxAttempts = 3;
+    return out;
+  }
+
+  static auto MakeStep(std::uint32_t aCount, std::int64_t aCpu = 1000)
+    -> StepSpec
+  {
+    StepSpec out;
+    out.mCount = aCount;
+    out.mNeed = { aCpu, 1000, 0 };
+    return out;
+  }
+
+  auto Add(StoredJob aJob,
+           const JobProgress& aProgress = {},
+           bool aInherited = false) -> Job&
+  {
+    return AddJob(mCell, std::move(aJob), aProgress, aInherited, mNow, 0);
+  }
+
+  /** Decides and answers each start with success. */
+  auto Start() -> std::vector<Order>
+  {
+    auto out = Decide(mCell, mNow);
+    for (const auto& it : out) {
+      ApplyOutcome(mCell, it, OrderOutcome::Done, mNow);
+    }
+    return out;
+  }
+};
+
+} // namespace eelgrasspost::cell::testing
--- /dev/null
+++ b/src/cell/tests/interference_tests.cpp
@@ -0,0 +1,120 @@
+#include <boost/test/unit_test.hpp>
+
+#include "cellfixture.h"
+
+namespace {
+
+using namespace eelgrasspost::cell;
+using eelgrasspost::cell::testing::CellFixture;
+
+struct PairFixture
+{
+  Interference mTable;
+  std::size_t mHeavy = ImageIndex(mTable, "heavy");
+  std::size_t mLight = ImageIndex(mTable, "light");
+  std::size_t mServing = ImageIndex(mTable, "serving");
+
+  auto Pressure(std::size_t aFilling) const -> double
+  {
+    return mTable.mPairs[aFilling][mServing].mPressure;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(colocated_noisy_images, PairFixture)
+
+BOOST_AUTO_TEST_CASE(pair_harm_seen_alone_is_blamed)
+{
+  const auto before = Pressure(mHeavy);
+  LearnTail(mTable, mServing, 5.0, { { mHeavy, 0.1 } });
+  LearnTail(mTable, mServing, 5.0, { { mHeavy, 0.1 } });
+  BOOST_TEST(Pressure(mHeavy) > 2 * before);
+}
+
+BOOST_AUTO_TEST_CASE(pair_known_harmless_stays_so_beside_a_heavy_one)
+{
+  for (auto i = 0; i < 200; ++i) {
+    LearnTail(mTable, mServing, 0.4, { { mLight, 0.5 } });
+  }
+  const auto light = Pressure(mLight);
+  for (auto i = 0; i < 5; ++i) {
+    LearnTail(mTable, mServing, 5.0, { { mLight, 0.3 }, { mHeavy, 0.1 } });
+  }
+  BOOST_TEST(Pressure(mLight) < 2 * light);
+  BOOST_TEST(Pressure(mHeavy) > 8.0);
+}
+
+BOOST_AUTO_TEST_CASE(pair_small_use_without_harm_proves_little)
+{
+  for (auto i = 0; i < 200; ++i) {
+    LearnTail(mTable, mServing, 0.4, { { mLight, 0.05 } });
+  }
+  const auto tail = ExpectedTail(mTable, mServing, { { mLight, 0.5 } });
+  BOOST_TEST(tail > 0.9);
+}
+
+BOOST_AUTO_TEST_CASE(pair_learned_elsewhere_is_adopted_when_it_saw_more)
+{
+  AdoptPair(mTable, mHeavy, mServing, { 12.0, 10 });
+  AdoptPair(mTable, mHeavy, mServing, { 1.0, 5 });
+  BOOST_TEST(Pressure(mHeavy) == 12.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(filling_beside_serving, CellFixture)
+
+BOOST_AUTO_TEST_CASE(servingtasks_are_packed_and_leave_workers_to_filling)
+{
+  AddWorker("w1");
+  AddWorker("w2");
+  auto serving = MakeStep(4, 4000);
+  serving.mIsLongRunning = true;
+  serving.mTargetTailMs = 18;
+  serving.mImage = "serving";
+  Add(MakeJob("s", serving));
+  const auto starts = Start();
+  BOOST_REQUIRE(starts.size() == 4U);
+  for (const auto& it : starts) {
+    BOOST_TEST(it.mWorker == starts[0].mWorker);
+  }
+
+  auto filling = MakeStep(4, 2000);
+  filling.mIsFilling = true;
+  filling.mImage = "heavy";
+  Add(MakeJob("f", filling));
+  for (const auto& it : Start()) {
+    BOOST_TEST(it.mWorker != starts[0].mWorker);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(fillingtask_over_target_is_slowed)
+{
+  AddWorker("w1");
+  auto serving = MakeStep(1, 4000);
+  serving.mIsLongRunning = true;
+  serving.mTargetTailMs = 18;
+  serving.mImage = "serving";
+  Add(MakeJob("s", serving));
+  const auto first = Start();
+  auto filling = MakeStep(1, 1000);
+  filling.mIsFilling = true;
+  filling.mImage = "heavy";
+  Add(MakeJob("f", filling));
+  const auto second = Start();
+  BOOST_REQUIRE(second.size() == 1U);
+
+  Advance(Milliseconds(1000));
+  Report("w1",
+         { { first[0].mTask, first[0].mAttempt, "", 100, 90 },
+           { second[0].mTask, second[0].mAttempt, "", 10, 1000 } },
+         {});
+
+  const auto orders = Start();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST((orders[0].mKind == OrderKind::Pace));
+  BOOST_TEST(orders[0].mPercent < 50);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/cell/tests/takeover_tests.cpp
@@ -0,0 +1,182 @@
+#define BOOST_TEST_MODULE cell
+#include <boost/test/unit_test.hpp>
+
+#include "cellfixture.h"
+
+namespace {
+
+using namespace eelgrasspost::cell;
+using eelgrasspost::cell::testing::CellFixture;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(takeover, CellFixture)
+
+BOOST_AUTO_TEST_CASE(failedend_listed_again_to_next_holder_counts_once)
+{
+  AddWorker("w1");
+  JobProgress progress;
+  progress.mTasks.push_back({ 0, 0, 0, false, 1, 7, "" });
+  auto& job = Add(MakeJob("j", MakeStep(1)), progress, true);
+
+  Report("w1", {}, { { 1, "j.0.0.0", 7, EndKind::Failed, "" } });
+
+  BOOST_TEST(job.mOccurrences.at(0)->mSteps[0].mTasks[0].mFailures == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(inheritedtask_end_of_earlier_attempt_still_waits)
+{
+  mCell.mUnsettled = { "w1", "w2" };
+  WorkerRecord silent;
+  silent.mId = "w2";
+  silent.mService = "service";
+  silent.mCapacity = { 16000, 64000, 0 };
+  SeeWorker(mCell, silent, mNow);
+  Add(MakeJob("j", MakeStep(1)), {}, true);
+
+  AddWorker("w1");
+  Report("w1", {}, { { 1, "j.0.0.0", 5, EndKind::Stopped, "" } });
+
+  // The task may run as a later attempt on the worker that is not heard.
+  BOOST_TEST(Start().empty());
+}
+
+BOOST_AUTO_TEST_CASE(inheritedtask_all_workers_heard_starts)
+{
+  mCell.mUnsettled = { "w1" };
+  Add(MakeJob("j", MakeStep(1)), {}, true);
+  AddWorker("w1");
+  BOOST_TEST(Start().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(inheritedtask_silent_worker_beyond_lease_starts)
+{
+  mCell.mUnsettled = { "w1", "w2" };
+  WorkerRecord silent;
+  silent.mId = "w2";
+  silent.mService = "service";
+  SeeWorker(mCell, silent, mNow);
+  Add(MakeJob("j", MakeStep(1)), {}, true);
+  AddWorker("w1");
+  Advance(Milliseconds(6100));
+  Report("w1", {}, {});
+
+  ExpireWorkers(mCell, mNow);
+
+  BOOST_TEST(Start().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(inheritedtask_seen_running_is_adopted)
+{
+  mCell.mUnsettled = { "w1" };
+  auto& job = Add(MakeJob("j", MakeStep(1)), {}, true);
+  SeeWorker(
+    mCell,
+    { "w1", 0, "service", {}, "", WorkerState::Ready, { 16000, 64000, 0 } },
+    mNow);
+
+  Report("w1", { { "j.0.0.0", 5, "", 10, 0 } }, {});
+
+  BOOST_TEST(Start().empty());
+  BOOST_TEST(job.mOccurrences.at(0)->mSteps[0].mTasks[0].mAttempt == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(unknownrun_listed_is_stopped_and_keeps_its_room)
+{
+  AddWorker("w1");
+  Add(MakeJob("j", MakeStep(1)));
+
+  Report("w1", { { "other.0.0.0", 5, "", 10, 0 } }, {});
+
+  const auto orders = Start();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST((orders[0].mKind == OrderKind::Stop));
+  BOOST_TEST(orders[0].mTask == "other.0.0.0");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(orders, CellFixture)
+
+BOOST_AUTO_TEST_CASE(start_no_answer_is_stopped_before_it_starts_elsewhere)
+{
+  AddWorker("w1");
+  AddWorker("w2");
+  Add(MakeJob("j", MakeStep(1)));
+  const auto start = Decide(mCell, mNow);
+  BOOST_REQUIRE(start.size() == 1U);
+
+  ApplyOutcome(mCell, start[0], OrderOutcome::Unknown, mNow);
+  const auto stop = Decide(mCell, mNow);
+  BOOST_REQUIRE(stop.size() == 1U);
+  BOOST_TEST((stop[0].mKind == OrderKind::Stop));
+  BOOST_TEST(Decide(mCell, mNow).empty());
+
+  ApplyOutcome(mCell, stop[0], OrderOutcome::Done, mNow);
+  BOOST_TEST(Decide(mCell, mNow).empty());
+  Report(start[0].mWorker, {}, {});
+  const auto again = Decide(mCell, mNow);
+  BOOST_REQUIRE(again.size() == 1U);
+  BOOST_TEST((again[0].mKind == OrderKind::Start));
+  BOOST_TEST(again[0].mAttempt > start[0].mAttempt);
+}
+
+BOOST_AUTO_TEST_CASE(room_of_reserving_tasks_is_never_exceeded)
+{
+  AddWorker("w1", 4000);
+  Add(MakeJob("j", MakeStep(6)));
+  BOOST_TEST(Start().size() == 4U);
+  BOOST_TEST(mCell.mWorkers.at("w1")->mUsed.mCpuMillis == 4000);
+}
+
+BOOST_AUTO_TEST_CASE(drainingworker_gets_no_start)
+{
+  auto& worker = AddWorker("w1");
+  auto record = worker.mRecord;
+  record.mState = WorkerState::Draining;
+  SeeWorker(mCell, record, mNow);
+  Add(MakeJob("j", MakeStep(1)));
+  BOOST_TEST(Start().empty());
+}
+
+BOOST_AUTO_TEST_CASE(worker_silent_beyond_lease_frees_its_tasks)
+{
+  AddWorker("w1");
+  Add(MakeJob("j", MakeStep(1)));
+  BOOST_REQUIRE(Start().size() == 1U);
+  AddWorker("w2");
+  Advance(Milliseconds(6200));
+  Report("w2", {}, {});
+
+  ExpireWorkers(mCell, mNow);
+
+  const auto orders = Start();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].mWorker == "w2");
+}
+
+BOOST_AUTO_TEST_CASE(hangingtask_percent_stands_still_moves_elsewhere)
+{
+  AddWorker("w1");
+  Add(MakeJob("j", MakeStep(1)));
+  const auto start = Start();
+  BOOST_REQUIRE(start.size() == 1U);
+  AddWorker("w2");
+  for (auto i = 0; i < 20; ++i) {
+    Advance(Milliseconds(100));
+    Report("w1", { { "j.0.0.0", start[0].mAttempt, "", 5, 0 } }, {});
+    Report("w2", {}, {});
+  }
+
+  CheckRuns(mCell, mNow);
+  const auto stop = Start();
+  BOOST_REQUIRE(stop.size() == 1U);
+  BOOST_TEST((stop[0].mKind == OrderKind::Stop));
+  Report(
+    "w1", {}, { { 1, "j.0.0.0", start[0].mAttempt, EndKind::Stopped, "" } });
+  const auto again = Start();
+  BOOST_REQUIRE(again.size() == 1U);
+  BOOST_TEST(again[0].mWorker == "w2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
