--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -36,8 +36,7 @@
   /** A previous holder of the cell may have started it on a worker that has
    * not been heard since; it must not be started before that is settled. */
   bool mMayRunUnseen = false;
-  std::uint32_t mFailures = 0;
-  std::uint64_t mCountedAttempt = 0;
+  std::vector<std::uint64_t> mFailedAttempts;
   std::uint64_t mAttempt = 0;
   std::string mCheckpoint;
   /** The worker of its run; null when it is not placed. */
@@ -149,6 +148,9 @@
   std::string mLastFailedJob;
   MonotonicTime mProbationUntil{};
   MonotonicTime mDrainingSince{};
+  /** Room that short tasks leave free for a lasting one that waits. */
+  std::int64_t mKeptCpuMillis = 0;
+  MonotonicTime mKeptUntil{};
   /** A fresh report is needed to settle a stopped run. */
   bool mWantsLook = false;
   /** Processor millis that serving tasks have reserved. */
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -165,16 +165,15 @@
   std::uint32_t mStep = 0;
   std::uint32_t mIndex = 0;
   bool mIsDone = false;
-  std::uint32_t mFailures = 0;
-  /** The latest attempt whose failure is counted: workers list an end until
-   * it is acknowledged, also to the next holder. */
-  std::uint64_t mCountedAttempt = 0;
+  /** Attempts whose failures are counted. Workers list an end until it is
+   * acknowledged, also to the next holder, and in any order. */
+  std::vector<std::uint64_t> mFailedAttempts;
   std::string mCheckpoint;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mOccurrence, mStep, mIndex, mIsDone, mFailures, mCountedAttempt);
+    archive(mOccurrence, mStep, mIndex, mIsDone, mFailedAttempts);
     archive(mCheckpoint);
   }
 };
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -75,8 +75,7 @@
     }
     auto& step = occurrence->mSteps[it.mStep];
     auto& task = step.mTasks[it.mIndex];
-    task.mFailures = it.mFailures;
-    task.mCountedAttempt = it.mCountedAttempt;
+    task.mFailedAttempts = it.mFailedAttempts;
     task.mCheckpoint = it.mCheckpoint;
     aJob.mHasStarted = true;
     if (it.mIsDone) {
@@ -284,13 +283,12 @@
     for (const auto& step : occurrence->mSteps) {
       for (const auto& it : step.mTasks) {
         const auto isDone = it.mPhase == TaskPhase::Done;
-        if (isDone || it.mFailures > 0 || !it.mCheckpoint.empty()) {
+        if (isDone || !it.mFailedAttempts.empty() || !it.mCheckpoint.empty()) {
           out.mTasks.push_back({ it.mOccurrence,
                                  it.mStep,
                                  it.mIndex,
                                  isDone,
-                                 it.mFailures,
-                                 it.mCountedAttempt,
+                                 it.mFailedAttempts,
                                  it.mCheckpoint });
         }
       }
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -32,12 +32,16 @@
          std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
-auto HasRoom(const Worker& aWorker, const StepSpec& aSpec) -> bool
+auto HasRoom(const Worker& aWorker, const StepSpec& aSpec, MonotonicTime aNow)
+  -> bool
 {
   const auto& capacity = aWorker.mRecord.mCapacity;
   const auto& used = aWorker.mUsed;
   const auto cpu = aSpec.mIsFilling ? 0 : aSpec.mNeed.mCpuMillis;
-  return used.mCpuMillis + cpu <= capacity.mCpuMillis &&
+  const auto isKept = !aSpec.mIsFilling && !aSpec.mIsLongRunning &&
+                      aNow < aWorker.mKeptUntil;
+  const auto kept = isKept ? aWorker.mKeptCpuMillis : 0;
+  return used.mCpuMillis + cpu + kept <= capacity.mCpuMillis &&
          used.mMemoryMb + aSpec.mNeed.mMemoryMb <= capacity.mMemoryMb &&
          used.mAccelerators + aSpec.mNeed.mAccelerators <=
            capacity.mAccelerators;
@@ -130,7 +134,7 @@
   Worker* best = nullptr;
   auto bestCost = std::numeric_limits<double>::max();
   for (auto& [id, worker] : aCell.mWorkers) {
-    if (worker->mRecord.mService != service || !HasRoom(*worker, aSpec) ||
+    if (worker->mRecord.mService != service || !HasRoom(*worker, aSpec, aNow) ||
         !HasLabel(*worker, aSpec.mRequiredLabel) ||
         !IsUsable(aCell, *worker, aNow)) {
       continue;
@@ -235,9 +239,19 @@
   }
 }
 
-/** Short work goes before lasting work of the same priority. */
+/** A lasting task that ran before: its users miss it. */
+auto IsRestart(const Task& aTask) -> bool
+{
+  return SpecOf(aTask).mIsLongRunning && aTask.mAttempt > 0;
+}
+
+/** Restarts of lasting tasks go first; else short work goes before lasting
+ * work of the same priority. */
 auto IsBefore(const Task* aLeft, const Task* aRight) -> bool
 {
+  if (IsRestart(*aLeft) != IsRestart(*aRight)) {
+    return IsRestart(*aLeft);
+  }
   const auto& left = aLeft->mJob->mStored.mQueue;
   const auto& right = aRight->mJob->mStored.mQueue;
   if (left.mPriority != right.mPriority) {
@@ -274,6 +288,57 @@
          aNow - aWorker.mLastContact < aCell.mPolicy.mSilenceLimit;
 }
 
+namespace {
+
+/** How long room is kept; longer than most short tasks run. */
+constexpr auto kKeepTime = Milliseconds(1500);
+
+/** Keeps room on the worker that soonest has enough of it, so that a lasting
+ * task is not starved by a stream of short ones. */
+auto KeepRoom(CellState& aCell, const Task& aTask, MonotonicTime aNow) -> void
+{
+  const auto& spec = SpecOf(aTask);
+  Worker* best = nullptr;
+  std::int64_t bestFree = 0;
+  for (auto& [id, worker] : aCell.mWorkers) {
+    if (!IsUsable(aCell, *worker, aNow) || aNow < worker->mKeptUntil ||
+        worker->mRecord.mService != aTask.mJob->mStored.mQueue.mService) {
+      continue;
+    }
+    const auto& capacity = worker->mRecord.mCapacity;
+    std::int64_t lasting = 0;
+    for (const auto& [name, run] : worker->mRuns) {
+      lasting += run.mIsLongRunning ? run.mNeed.mCpuMillis : 0;
+    }
+    const auto free = capacity.mCpuMillis - worker->mUsed.mCpuMillis;
+    const auto canFit =
+      capacity.mCpuMillis - lasting >= spec.mNeed.mCpuMillis;
+    if (canFit && (!best || free > bestFree)) {
+      best = worker.get();
+      bestFree = free;
+    }
+  }
+  if (best) {
+    best->mKeptCpuMillis = spec.mNeed.mCpuMillis;
+    best->mKeptUntil = aNow + kKeepTime;
+  }
+}
+
+/** Workers with kept room at one time; more would block short work. */
+constexpr std::size_t kMostKept = 2;
+
+auto CountKept(const CellState& aCell, MonotonicTime aNow) -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::count_if(aCell.mWorkers.begin(),
+                  aCell.mWorkers.end(),
+                  [&](const auto& aItem) {
+                    return aNow < aItem.second->mKeptUntil;
+                  }));
+}
+
+} // namespace
+
 auto PlaceReady(CellState& aCell,
                 MonotonicTime aNow,
                 std::vector<Order>& aOrders) -> void
@@ -283,6 +348,7 @@
   }
   auto& ready = aCell.mReady;
   std::sort(ready.begin(), ready.end(), IsBefore);
+  auto kept = CountKept(aCell, aNow);
   for (auto* it : ready) {
     if (!MayStart(*it, aNow)) {
       continue;
@@ -294,6 +360,9 @@
     }
     if (auto* worker = FindWorker(aCell, *it, spec, aNow)) {
       aOrders.push_back(Place(aCell, *it, *worker, NextAttempt(aCell), aNow));
+    } else if (spec.mIsLongRunning && kept < kMostKept) {
+      KeepRoom(aCell, *it, aNow);
+      ++kept;
     }
   }
   std::erase_if(
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -102,10 +102,10 @@
                   Task& aTask,
                   std::uint64_t aAttempt) -> void
 {
-  if (aAttempt <= aTask.mCountedAttempt) {
+  auto& counted = aTask.mFailedAttempts;
+  if (std::find(counted.begin(), counted.end(), aAttempt) != counted.end()) {
     return;
   }
-  aTask.mCountedAttempt = aAttempt;
   auto& job = *aTask.mJob;
   const auto& spec = SpecOf(aTask);
   ++aCell.mEndsFailed;
@@ -119,13 +119,15 @@
   if (spec.mIsGang) {
     // The members of a gang share their attempts and their failures.
     for (auto& it : StepOf(aTask).mTasks) {
-      it.mFailures += &it == &aTask ? 0 : 1;
-      it.mCountedAttempt = aAttempt;
+      if (&it != &aTask) {
+        it.mFailedAttempts.push_back(aAttempt);
+      }
     }
   }
-  ++aTask.mFailures;
+  counted.push_back(aAttempt);
   MarkDirty(aCell, job);
-  if (aTask.mFailures >= job.mStored.mQueue.mMaxAttempts) {
+  const auto failures = static_cast<std::int64_t>(counted.size());
+  if (failures >= job.mStored.mQueue.mMaxAttempts) {
     job.mState = JobState::Failed;
     AddNote(aCell,
             { NoteKind::JobEnded,
@@ -133,7 +135,7 @@
               aWorker.mRecord.mId,
               aTask.mAttempt,
               "attempts_used",
-              static_cast<double>(aTask.mFailures) });
+              static_cast<double>(failures) });
   }
 }
 
@@ -315,13 +317,15 @@
   -> void
 {
   auto runs = std::move(aWorker.mRuns);
-  AddNote(aCell,
+  if (!runs.empty()) {
+    AddNote(aCell,
           { NoteKind::RunsLost,
             {},
             aWorker.mRecord.mId,
             0,
             "life_over_or_lease_lapsed",
             static_cast<double>(runs.size()) });
+  }
   aWorker.mRuns.clear();
   aWorker.mUsed = {};
   aWorker.mFillingCpuMillis = 0;
--- a/src/cell/tests/takeover_tests.cpp
+++ b/src/cell/tests/takeover_tests.cpp
@@ -16,12 +16,26 @@
 {
   AddWorker("w1");
   JobProgress progress;
-  progress.mTasks.push_back({ 0, 0, 0, false, 1, 7, "" });
+  progress.mTasks.push_back({ 0, 0, 0, false, { 7 }, "" });
   auto& job = Add(MakeJob("j", MakeStep(1)), progress, true);
 
   Report("w1", {}, { { 1, "j.0.0.0", 7, EndKind::Failed, "" } });
 
-  BOOST_TEST(job.mOccurrences.at(0)->mSteps[0].mTasks[0].mFailures == 1U);
+  BOOST_TEST(
+    job.mOccurrences.at(0)->mSteps[0].mTasks[0].mFailedAttempts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(failedends_listed_in_any_order_all_count)
+{
+  AddWorker("w1");
+  AddWorker("w2");
+  auto& job = Add(MakeJob("j", MakeStep(1)), {}, true);
+
+  Report("w2", {}, { { 1, "j.0.0.0", 9, EndKind::Failed, "" } });
+  Report("w1", {}, { { 1, "j.0.0.0", 7, EndKind::Failed, "" } });
+
+  BOOST_TEST(
+    job.mOccurrences.at(0)->mSteps[0].mTasks[0].mFailedAttempts.size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(inheritedtask_end_of_earlier_attempt_still_waits)
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -21,6 +21,8 @@
 /** Workers' heartbeats gather for so long; a tenth of the time in which a
  * draining worker must get no more starts. */
 constexpr auto kWorkerPause = Milliseconds(250);
+/** After two heartbeats a cell's room counts the jobs that were sent to it. */
+constexpr auto kSentWorkAge = 2 * kHeartbeatInterval;
 constexpr auto kManageInterval = Milliseconds(150);
 /** A domain's workers are counted once their list has not grown for so long. */
 constexpr auto kLayoutPause = Milliseconds(500);
@@ -509,8 +511,24 @@
   return peer->mRow.mPeers;
 }
 
+auto DispatchEntry::NoteSentWork(const JobCommand& aCommand) -> void
+{
+  const auto now = base::MonotonicClock::now();
+  auto& sent = mSentWork[aCommand.mCell];
+  if (now - sent.mSince > kSentWorkAge) {
+    sent = { 0, 0, now };
+  }
+  for (const auto& it : aCommand.mJob.mSpec.mSteps) {
+    const auto cpu = it.mNeed.mCpuMillis * it.mCount;
+    (it.mIsFilling ? sent.mFilling : sent.mReserving) += cpu;
+  }
+}
+
 auto DispatchEntry::Execute(JobCommand aCommand) -> net::Task<JobReply>
 {
+  if (aCommand.mKind == JobCommandKind::Submit) {
+    NoteSentWork(aCommand);
+  }
   if (const auto holder = FindHolder(aCommand.mCell)) {
     co_return co_await holder->Execute(std::move(aCommand));
   }
@@ -552,6 +570,15 @@
       }
     }
   }
+  for (auto& it : out) {
+    const auto sent = mSentWork.find(it.mName);
+    // Work held here is part of the figures already.
+    if (sent != mSentWork.end() && !FindHolder(it.mName) &&
+        now - sent->second.mSince <= kSentWorkAge) {
+      it.mFreeCpuMillis -= sent->second.mReserving;
+      it.mFillingCpuMillis += sent->second.mFilling;
+    }
+  }
   return out;
 }
 
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -61,6 +61,7 @@
   auto HolderAddress(const std::string& aCell) const
     -> std::optional<net::Address>;
   auto ReachableCells() const -> std::vector<HeldCell>;
+  auto NoteSentWork(const JobCommand& aCommand) -> void;
   auto CountPending(const std::string& aQueue) const -> std::uint64_t;
   auto MakeHeartbeat() const -> Heartbeat;
   auto IsReady() const -> bool;
@@ -94,6 +95,15 @@
   std::map<std::string, cell::WorkerRecord> mWorkers;
   MonotonicTime mWorkersChangedAt;
   std::map<std::string, std::shared_ptr<CellHolder>> mHolders;
+  /** Processor millis of jobs that were sent to a cell since it told its
+   * room last. */
+  struct SentWork
+  {
+    std::int64_t mReserving = 0;
+    std::int64_t mFilling = 0;
+    MonotonicTime mSince{};
+  };
+  std::map<std::string, SentWork> mSentWork;
   std::set<std::string> mBusyCells;
   std::set<std::string> mBusyLayouts;
   bool mIsLeaving = false;
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -7,6 +7,7 @@
 #include "cellholder.h"
 #include "claiming.h"
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
@@ -237,6 +238,17 @@
     co_return;
   }
   mPhase = HolderPhase::Active;
+  const auto took = std::chrono::duration_cast<Milliseconds>(
+    base::MonotonicClock::now() - now);
+  mContext.mLog.Record(
+    kCellActive,
+    { { "cell", mRow.mName },
+      { "term", static_cast<std::int64_t>(mRow.mTerm) },
+      { "token", static_cast<std::int64_t>(mRowVersion) },
+      { "jobs", static_cast<std::int64_t>(mState.mJobs.size()) },
+      { "workers", static_cast<std::int64_t>(mState.mWorkers.size()) },
+      { "unsettled", static_cast<std::int64_t>(mState.mUnsettled.size()) },
+      { "took_ms", took.count() } });
   if (mState.mUnsettled.empty()) {
     for (auto& [id, job] : mState.mJobs) {
       for (auto& [number, occurrence] : job->mOccurrences) {
--- a/src/dispatch/internal/peers.cpp
+++ b/src/dispatch/internal/peers.cpp
@@ -56,6 +56,7 @@
   auto& peer = mPeers[aRow.mName];
   if (aRow.mIncarnation >= peer.mRow.mIncarnation) {
     peer.mRow = aRow;
+    peer.mLearnedAt = base::MonotonicClock::now();
   }
 }
 
@@ -82,7 +83,8 @@
     const auto bytes = net::Encode(aMake());
     const auto now = base::MonotonicClock::now();
     for (const auto& [name, it] : mPeers) {
-      const auto isSilent = now - it.mSeenAt > kLongSilence;
+      const auto isSilent =
+        now - std::max(it.mSeenAt, it.mLearnedAt) > kLongSilence;
       if (!isSilent || n % kSparseEvery == 0) {
         mSocket.Send(it.mRow.mPeers, bytes);
       }
--- a/src/dispatch/internal/peers.h
+++ b/src/dispatch/internal/peers.h
@@ -17,6 +17,7 @@
   Heartbeat mLast;
   /** Time of the last heartbeat; the epoch before the first. */
   MonotonicTime mSeenAt{};
+  MonotonicTime mLearnedAt{};
 };
 
 /** An entry without a heartbeat for so long counts as dead: four intervals. */
