--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -48,6 +48,28 @@
   MonotonicTime mNotBefore{};
 };
 
+/** How far a job is from its objective. */
+enum class Lateness : std::uint8_t
+{
+  /** It can still be met. */
+  InTime,
+  /** It is missed; the job is still worth something. */
+  Late,
+  /** Three times the objective has passed. */
+  Worthless,
+};
+
+/** The order in which filling jobs of one priority get room: those in time
+ * first, then the ones that need the least work. */
+struct JobRank
+{
+  Lateness mLateness = Lateness::InTime;
+  /** Processor seconds that its tasks still need, as estimated. */
+  double mWorkLeft = 0;
+
+  auto operator<=>(const JobRank&) const = default;
+};
+
 struct StepProgress
 {
   std::vector<Task> mTasks;
@@ -75,6 +97,9 @@
   /** Tasks started at least once. */
   bool mHasStarted = false;
   MonotonicTime mAddedAt{};
+  /** Place in the order of those that wait; see RankJob. */
+  JobRank mRank;
+  MonotonicTime mRankedAt{};
 };
 
 enum class RunPhase : std::uint8_t
@@ -226,6 +251,9 @@
 auto RemoveJob(CellState& aCell, const std::string& aId) -> void;
 auto FindJob(CellState& aCell, const std::string& aId) -> Job*;
 
+/** Ranks a job among those that wait for room. */
+auto RankJob(const Job& aJob, MonotonicTime aNow) -> JobRank;
+
 /** Opens occurrences whose time has come. */
 auto OpenDue(CellState& aCell, MonotonicTime aNow, std::int64_t aWallMs)
   -> void;
--- a/src/cell/internal/interference.cpp
+++ b/src/cell/internal/interference.cpp
@@ -15,12 +15,15 @@
 /** How fast belief rises after harm, and falls after work without harm. The
  * first is faster: harm costs more than room that is left unused. */
 constexpr double kRiseRate = 0.5;
-constexpr double kFallRate = 0.25;
+constexpr double kFallRate = 0.05;
 constexpr double kCalmRate = 0.05;
 /** Tails above the first are harm; below the second they are none. Between
  * them the swing of the serving load explains them. */
 constexpr double kHarmfulTail = 0.9;
 constexpr double kHarmlessTail = 0.7;
+/** Belief falls until no more than this tail is expected of what was seen to
+ * be harmless, so that several times as much may be tried next. */
+constexpr double kProvenTail = 0.5;
 /** Largest error of the logarithm that one sample may show. */
 constexpr double kMostMiss = 2.0;
 constexpr double kLeastPressure = 0.1;
@@ -96,15 +99,13 @@
   // harmful image comes beside it.
   const auto expected = ExpectedTail(aInterference, aServing, aUses);
   const auto isRise = tail > kHarmfulTail && tail > expected;
-  const auto isFall = tail < kHarmlessTail && expected > kHarmlessTail;
+  const auto proven = std::max(tail, kProvenTail);
+  const auto isFall = tail < kHarmlessTail && expected > proven;
   if (!isRise && !isFall) {
     return;
   }
-  const auto miss =
-    std::clamp(std::log((isRise ? tail : std::max(tail, kHarmlessTail)) /
-                        expected),
-               -kMostMiss,
-               kMostMiss);
+  const auto miss = std::clamp(
+    std::log((isRise ? tail : proven) / expected), -kMostMiss, kMostMiss);
   const auto rate = isRise ? kRiseRate : kFallRate;
   const auto whole = PressureOn(aInterference, aServing, aUses);
   for (const auto& it : aUses) {
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -257,6 +257,62 @@
   return it == aCell.mJobs.end() ? nullptr : it->second.get();
 }
 
+namespace {
+
+/** The longest chain of estimated run times through the steps. */
+auto LongestChainMs(const JobSpec& aSpec) -> double
+{
+  std::vector<double> ends(aSpec.mSteps.size(), 0.0);
+  auto out = 0.0;
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    auto start = 0.0;
+    for (const auto before : aSpec.mSteps[i].mAfter) {
+      start = before < i ? std::max(start, ends[before]) : start;
+    }
+    ends[i] = start + static_cast<double>(aSpec.mSteps[i].mEstimatedMs);
+    out = std::max(out, ends[i]);
+  }
+  return out;
+}
+
+auto WorkLeft(const Job& aJob) -> double
+{
+  constexpr double kMillisMs = 1e6;
+  const auto& steps = aJob.mStored.mSpec.mSteps;
+  auto out = 0.0;
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    std::uint32_t done = 0;
+    for (const auto& [number, occurrence] : aJob.mOccurrences) {
+      done += occurrence->mSteps[i].mDone;
+    }
+    const auto total =
+      steps[i].mCount * OccurrenceCount(aJob.mStored.mSpec);
+    out += static_cast<double>(total - std::min(total, done)) *
+           static_cast<double>(steps[i].mNeed.mCpuMillis) *
+           static_cast<double>(steps[i].mEstimatedMs) / kMillisMs;
+  }
+  return out;
+}
+
+} // namespace
+
+auto RankJob(const Job& aJob, MonotonicTime aNow) -> JobRank
+{
+  constexpr double kWorthlessFactor = 3.0;
+  const auto& queue = aJob.mStored.mQueue;
+  const auto objective =
+    queue.mStretch * LongestChainMs(aJob.mStored.mSpec) +
+    static_cast<double>(queue.mExtraMs);
+  const auto age = static_cast<double>(
+    std::chrono::duration_cast<Milliseconds>(aNow - aJob.mAddedAt).count());
+  JobRank out;
+  out.mWorkLeft = WorkLeft(aJob);
+  out.mLateness = age < objective                      ? Lateness::InTime
+                  : age < kWorthlessFactor * objective ? Lateness::Late
+                                                       : Lateness::Worthless;
+  return out;
+}
+
 auto RemoveJob(CellState& aCell, const std::string& aId) -> void
 {
   auto* job = FindJob(aCell, aId);
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -262,6 +262,10 @@
   if (leftLasts != rightLasts) {
     return rightLasts;
   }
+  if (SpecOf(*aLeft).mIsFilling && SpecOf(*aRight).mIsFilling &&
+      aLeft->mJob->mRank != aRight->mJob->mRank) {
+    return aLeft->mJob->mRank < aRight->mJob->mRank;
+  }
   if (aLeft->mJob->mAddedAt != aRight->mJob->mAddedAt) {
     return aLeft->mJob->mAddedAt < aRight->mJob->mAddedAt;
   }
@@ -347,6 +351,12 @@
     return;
   }
   auto& ready = aCell.mReady;
+  for (const auto* it : ready) {
+    if (it->mJob->mRankedAt != aNow) {
+      it->mJob->mRank = RankJob(*it->mJob, aNow);
+      it->mJob->mRankedAt = aNow;
+    }
+  }
   std::sort(ready.begin(), ready.end(), IsBefore);
   auto kept = CountKept(aCell, aNow);
   for (auto* it : ready) {
