Hand waiting jobs to cells with room, and let belief about harm decay

Change: a job without runs moves to another cell by one transaction under both cells' fences; while its outcome is unknown the job is frozen and settled by its progress row. Pressures above the assumption halve in ten seconds; a task that waited 5 s may try a quiet worker.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -50,6 +50,7 @@
   dispatch::kWorkerOnProbation,
   dispatch::kPaceChanged,
   dispatch::kJobEnded,
+  dispatch::kJobMoved,
   idempotency::kRecordFailed,
   idempotency::kBadRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -94,6 +94,8 @@
   /** What is decided; shown to callers once it is stored. */
   JobState mState = JobState::Queued;
   bool mIsDirty = false;
+  /** It is being handed to another cell; none of its tasks is started. */
+  bool mIsLeaving = false;
   /** Tasks started at least once. */
   bool mHasStarted = false;
   MonotonicTime mAddedAt{};
@@ -296,6 +298,20 @@
 auto CountPending(const CellState& aCell, std::string_view aQueue)
   -> std::size_t;
 
+/** What a job that may move to another cell needs there. */
+struct MovableJob
+{
+  std::string mId;
+  std::int64_t mReservingCpuMillis = 0;
+  std::int64_t mFillingCpuMillis = 0;
+};
+
+/** Jobs without any run of which a task has waited for room so long; the one
+ * that waits longest first. */
+auto FindMovable(const CellState& aCell,
+                 MonotonicTime aNow,
+                 Milliseconds aWait) -> std::vector<MovableJob>;
+
 /** Room of the usable workers of a cell. */
 struct CellRoom
 {
@@ -305,6 +321,8 @@
   std::int64_t mFillingCpuMillis = 0;
   /** Processor millis that are left for filling tasks. */
   std::int64_t mLeftoverCpuMillis = 0;
+  /** What tasks want that wait for room. */
+  std::int64_t mWaitingCpuMillis = 0;
 };
 auto RoomOf(const CellState& aCell, MonotonicTime aNow) -> CellRoom;
 
--- a/src/cell/include/eelgrasspost/cell/interference.h
+++ b/src/cell/include/eelgrasspost/cell/interference.h
@@ -56,6 +56,10 @@
                std::size_t aServing,
                PairPressure aPair) -> void;
 
+/** Forgets slowly: disturbance changes, and what is believed harmful is not
+ * tried again otherwise. */
+auto Forget(Interference& aInterference, double aSeconds) -> void;
+
 /** Learns from one tail latency, given as a share of its target. */
 auto LearnTail(Interference& aInterference,
                std::size_t aServing,
--- a/src/cell/internal/interference.cpp
+++ b/src/cell/internal/interference.cpp
@@ -83,6 +83,21 @@
   }
 }
 
+auto Forget(Interference& aInterference, double aSeconds) -> void
+{
+  // Halves the distance to the assumption in about ten seconds.
+  constexpr double kForgetRate = 0.07;
+  const auto factor = std::exp(-kForgetRate * aSeconds);
+  for (auto& row : aInterference.mPairs) {
+    for (auto& it : row) {
+      if (it.mPressure > kAssumedPressure) {
+        it.mPressure =
+          kAssumedPressure + (it.mPressure - kAssumedPressure) * factor;
+      }
+    }
+  }
+}
+
 auto LearnTail(Interference& aInterference,
                std::size_t aServing,
                double aTail,
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -313,6 +313,59 @@
   return out;
 }
 
+namespace {
+
+auto HasRun(const Job& aJob) -> bool
+{
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (const auto& step : occurrence->mSteps) {
+      for (const auto& it : step.mTasks) {
+        if (it.mPhase == TaskPhase::Placed || it.mMayRunUnseen) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+auto FindMovable(const CellState& aCell,
+                 MonotonicTime aNow,
+                 Milliseconds aWait) -> std::vector<MovableJob>
+{
+  std::map<const Job*, MovableJob> found;
+  std::map<const Job*, MonotonicTime> since;
+  for (const auto* it : aCell.mReady) {
+    const auto* job = it->mJob;
+    if (job->mIsLeaving || job->mIsDirty || IsFinal(job->mState)) {
+      continue;
+    }
+    auto& movable = found[job];
+    movable.mId = job->mStored.mSpec.mId;
+    const auto& spec = SpecOf(*it);
+    (spec.mIsFilling ? movable.mFillingCpuMillis
+                     : movable.mReservingCpuMillis) += spec.mNeed.mCpuMillis;
+    auto [slot, isNew] = since.emplace(job, it->mReadyAt);
+    slot->second = std::min(slot->second, it->mReadyAt);
+  }
+  std::vector<std::pair<MonotonicTime, MovableJob>> order;
+  for (const auto& [job, it] : found) {
+    if (aNow - since.at(job) > aWait && !HasRun(*job)) {
+      order.emplace_back(since.at(job), it);
+    }
+  }
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    return a.first < b.first;
+  });
+  std::vector<MovableJob> out;
+  for (auto& [at, it] : order) {
+    out.push_back(std::move(it));
+  }
+  return out;
+}
+
 auto RemoveJob(CellState& aCell, const std::string& aId) -> void
 {
   auto* job = FindJob(aCell, aId);
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -22,6 +22,8 @@
 /** Weight of the expected tail, as a share of its target, against a slowdown
  * by one. */
 constexpr double kTailWeight = 2.0;
+/** A task that waited so long may run where it is believed to do harm. */
+constexpr auto kTryAfter = Milliseconds(5000);
 /** Expected tail beyond which a filling task waits for another worker. */
 constexpr double kMostTail = 0.85;
 
@@ -61,7 +63,7 @@
 }
 
 /** Lower is better; nothing when a filling task should rather wait. */
-auto FillingCost(CellState& aCell, const Worker& aWorker, const StepSpec& aSpec)
+auto FillingCost(CellState& aCell, const Worker& aWorker, const StepSpec& aSpec, Milliseconds aWaited)
   -> std::optional<double>
 {
   const auto left = std::max(1.0, LeftoverCpu(aWorker));
@@ -77,7 +79,11 @@
                          1, aWorker.mRecord.mCapacity.mCpuMillis)) });
     tail = WorstExpectedTail(aCell, aWorker, uses);
   }
-  if (slowdown > kMostSlowdown || tail > kMostTail ||
+  // Who has waited long may try what is believed harmful, on an otherwise
+  // quiet worker: else belief would never be corrected.
+  const auto mayTry =
+    aWaited > kTryAfter && aWorker.mFillingCpuMillis == 0;
+  if (slowdown > kMostSlowdown || (tail > kMostTail && !mayTry) ||
       (aWorker.mServingCpuMillis > 0 && aWorker.mFillPace < 100)) {
     return std::nullopt;
   }
@@ -109,9 +115,12 @@
 auto Cost(CellState& aCell,
           const Worker& aWorker,
           const Task& aTask,
-          const StepSpec& aSpec) -> std::optional<double>
+          const StepSpec& aSpec,
+          MonotonicTime aNow) -> std::optional<double>
 {
-  auto out = aSpec.mIsFilling ? FillingCost(aCell, aWorker, aSpec)
+  const auto waited =
+    std::chrono::duration_cast<Milliseconds>(aNow - aTask.mReadyAt);
+  auto out = aSpec.mIsFilling ? FillingCost(aCell, aWorker, aSpec, waited)
                               : ReservingCost(aCell, aWorker, aSpec);
   if (!out) {
     return out;
@@ -144,7 +153,7 @@
     if (isFull) {
       continue;
     }
-    const auto cost = Cost(aCell, *worker, aTask, aSpec);
+    const auto cost = Cost(aCell, *worker, aTask, aSpec, aNow);
     if (cost && *cost < bestCost) {
       bestCost = *cost;
       best = worker.get();
@@ -191,7 +200,8 @@
 auto MayStart(const Task& aTask, MonotonicTime aNow) -> bool
 {
   return aTask.mPhase == TaskPhase::Ready && !aTask.mMayRunUnseen &&
-         aTask.mNotBefore <= aNow && !IsFinal(aTask.mJob->mState);
+         aTask.mNotBefore <= aNow && !IsFinal(aTask.mJob->mState) &&
+         !aTask.mJob->mIsLeaving;
 }
 
 auto NextAttempt(CellState& aCell) -> std::uint64_t
@@ -400,6 +410,7 @@
     (spec.mIsFilling ? out.mFillingCpuMillis : free.mCpuMillis) +=
       spec.mIsFilling ? spec.mNeed.mCpuMillis : -spec.mNeed.mCpuMillis;
     free.mMemoryMb -= spec.mNeed.mMemoryMb;
+    out.mWaitingCpuMillis += spec.mNeed.mCpuMillis;
   }
   return out;
 }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -133,7 +133,14 @@
   "see the reason",
 };
 
-inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted, kStopAsked, kReloadAsked, kConfigurationInForce, kCellClaimed, kCellActive, kCellLost, kStoreLost, kStoreBack, kJobAnswered, kTaskPlaced, kOrderFailed, kRunEnded, kRunStopped, kRunsLost, kWorkerOnProbation, kPaceChanged, kJobEnded };
+inline constexpr auto kJobMoved = base::LogEvent{
+  938,
+  base::LogLevel::Info,
+  "a job that waited for room is handed to another cell",
+  "none; an outcome other than 0 means that it stayed or is being settled",
+};
+
+inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted, kStopAsked, kReloadAsked, kConfigurationInForce, kCellClaimed, kCellActive, kCellLost, kStoreLost, kStoreBack, kJobAnswered, kTaskPlaced, kOrderFailed, kRunEnded, kRunStopped, kRunsLost, kWorkerOnProbation, kPaceChanged, kJobEnded, kJobMoved };
 
 /** The event that stands for a kind of a cell's decisions. */
 inline auto FindNoteEvent(cell::NoteKind aKind) -> const base::LogEvent*
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -41,13 +41,15 @@
   /** What filling tasks want, and what is left for them. */
   std::int64_t mFillingCpuMillis = 0;
   std::int64_t mLeftoverCpuMillis = 0;
+  /** What tasks want that wait for room. */
+  std::int64_t mWaitingCpuMillis = 0;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mName, mToken, mIsActive);
     archive(mFreeCpuMillis, mFreeMemoryMb, mCapacityCpuMillis);
-    archive(mFillingCpuMillis, mLeftoverCpuMillis);
+    archive(mFillingCpuMillis, mLeftoverCpuMillis, mWaitingCpuMillis);
   }
 };
 
@@ -166,9 +168,27 @@
   Submit,
   ShowState,
   Cancel,
+  /** Takes a job over from another cell. */
+  Import,
 };
 
-/** A caller's request, passed to the entry that holds the cell. */
+/** Where a job that moves between cells is stored now. */
+struct JobOrigin
+{
+  std::string mCell;
+  std::uint64_t mFenceVersion = 0;
+  std::uint64_t mJobVersion = 0;
+  /** 0: there is no progress row. */
+  std::uint64_t mProgressVersion = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mCell, mFenceVersion, mJobVersion, mProgressVersion);
+  }
+};
+
+/** A caller's request or a job that moves, for the entry that holds a cell. */
 struct JobCommand
 {
   JobCommandKind mKind = JobCommandKind::Submit;
@@ -176,11 +196,14 @@
   std::string mJobId;
   cell::StoredJob mJob;
   std::int64_t mPatienceMs = 0;
+  /** Of an import. */
+  cell::JobProgress mProgress;
+  JobOrigin mOrigin;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mKind, mCell, mJobId, mJob, mPatienceMs);
+    archive(mKind, mCell, mJobId, mJob, mPatienceMs, mProgress, mOrigin);
   }
 };
 
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -28,6 +28,10 @@
   std::uint64_t mIncarnation = 0;
   /** Parts over which jobs are spread. */
   std::uint32_t mParts = 4;
+  /** Finds another cell with room for a job; nothing when there is none. */
+  std::function<std::optional<std::string>(const cell::MovableJob&)> mFindRoom;
+  /** Runs a command where its cell is held. */
+  std::function<net::Task<JobReply>(JobCommand)> mExecute;
 };
 
 enum class HolderPhase : std::uint8_t
@@ -123,6 +127,13 @@
   auto FinishJob(const std::string& aId, cell::JobState aState) -> void;
 
   auto Submit(JobCommand aCommand) -> net::Task<JobReply>;
+  auto Import(JobCommand aCommand) -> net::Task<JobReply>;
+  auto SettleImport(std::string aId) -> net::Task<void>;
+  auto ReadProgress(std::string aId)
+    -> net::Task<std::optional<cell::JobProgress>>;
+  auto MoveJobs() -> void;
+  auto MoveJob(std::string aId, std::string aCell) -> net::Task<void>;
+  auto ForgetJob(const std::string& aId) -> void;
   auto Cancel(std::string aId, MonotonicTime aDeadline) -> net::Task<JobReply>;
   auto ShowState(const std::string& aId) -> JobReply;
   auto CommitJob(const cell::StoredJob& aJob, MonotonicTime aDeadline)
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -449,9 +449,21 @@
                          std::uint64_t aVersion,
                          bool aIsPreviousGone) -> void
 {
-  const auto context = HolderContext{ mSettings,    mStore, mPorts.mWorkers,
-                                      mMetrics,     mLog,   mPool.Executor(0),
-                                      mIncarnation, mParts };
+  const auto cell = aRow.mName;
+  const auto context = HolderContext{
+    mSettings,
+    mStore,
+    mPorts.mWorkers,
+    mMetrics,
+    mLog,
+    mPool.Executor(0),
+    mIncarnation,
+    mParts,
+    [this, cell](const cell::MovableJob& aJob) {
+      return FindRoom(cell, aJob);
+    },
+    [this](JobCommand aCommand) { return Execute(std::move(aCommand)); }
+  };
   mLog.Record(kCellClaimed,
               { { "cell", aRow.mName },
                 { "term", static_cast<std::int64_t>(aRow.mTerm) },
@@ -518,7 +530,11 @@
   if (now - sent.mSince > kSentWorkAge) {
     sent = { 0, 0, now };
   }
+  // The first step tells what comes at once.
   for (const auto& it : aCommand.mJob.mSpec.mSteps) {
+    if (!it.mAfter.empty()) {
+      continue;
+    }
     const auto cpu = it.mNeed.mCpuMillis * it.mCount;
     (it.mIsFilling ? sent.mFilling : sent.mReserving) += cpu;
   }
@@ -526,7 +542,8 @@
 
 auto DispatchEntry::Execute(JobCommand aCommand) -> net::Task<JobReply>
 {
-  if (aCommand.mKind == JobCommandKind::Submit) {
+  if (aCommand.mKind == JobCommandKind::Submit ||
+      aCommand.mKind == JobCommandKind::Import) {
     NoteSentWork(aCommand);
   }
   if (const auto holder = FindHolder(aCommand.mCell)) {
@@ -552,6 +569,33 @@
                         : JobOutcome::Uncertain };
 }
 
+auto DispatchEntry::FindRoom(const std::string& aFrom,
+                             const cell::MovableJob& aJob) const
+  -> std::optional<std::string>
+{
+  std::optional<std::string> out;
+  std::int64_t bestRoom = 0;
+  for (const auto& it : ReachableCells()) {
+    if (it.mName == aFrom || !it.mIsActive || it.mWaitingCpuMillis > 0) {
+      continue;
+    }
+    // A fragment of the room is lost to the sizes of tasks and workers.
+    constexpr double kUsableRoom = 0.8;
+    const auto free =
+      static_cast<std::int64_t>(static_cast<double>(it.mFreeCpuMillis) *
+                                kUsableRoom) -
+      aJob.mReservingCpuMillis;
+    const auto left = it.mLeftoverCpuMillis - it.mFillingCpuMillis -
+                      aJob.mFillingCpuMillis;
+    const auto room = aJob.mReservingCpuMillis > 0 ? free : left;
+    if (free >= 0 && left >= 0 && (!out || room > bestRoom)) {
+      out = it.mName;
+      bestRoom = room;
+    }
+  }
+  return out;
+}
+
 auto DispatchEntry::ReachableCells() const -> std::vector<HeldCell>
 {
   std::vector<HeldCell> out;
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -60,6 +60,8 @@
   auto Execute(JobCommand aCommand) -> net::Task<JobReply>;
   auto HolderAddress(const std::string& aCell) const
     -> std::optional<net::Address>;
+  auto FindRoom(const std::string& aFrom, const cell::MovableJob& aJob) const
+    -> std::optional<std::string>;
   auto ReachableCells() const -> std::vector<HeldCell>;
   auto NoteSentWork(const JobCommand& aCommand) -> void;
   auto CountPending(const std::string& aQueue) const -> std::uint64_t;
--- a/src/dispatch/internal/frontdoor.cpp
+++ b/src/dispatch/internal/frontdoor.cpp
@@ -230,6 +230,9 @@
     }
     // The holder does not know it, or does not answer: the store decides.
     location = co_await ReadIdRow(aId, aDeadline);
+    if (location.mExists) {
+      Remember(aId, location.mCell);
+    }
     if (!location.mIsCertain) {
       co_return StateAnswer(cell::JobState::Running);
     }
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -37,6 +37,8 @@
       co_return ShowState(aCommand.mJobId);
     case JobCommandKind::Cancel:
       co_return co_await Cancel(aCommand.mJobId, deadline);
+    case JobCommandKind::Import:
+      co_return co_await Import(std::move(aCommand));
   }
   co_return JobReply{ JobOutcome::NotHere };
 }
@@ -176,9 +178,16 @@
 auto CellHolder::Cancel(std::string aId, MonotonicTime aDeadline)
   -> net::Task<JobReply>
 {
-  while (mSettling.contains(aId) && base::MonotonicClock::now() < aDeadline) {
+  const auto isBusy = [&] {
+    const auto* job = cell::FindJob(mState, aId);
+    return mSettling.contains(aId) || (job && job->mIsLeaving);
+  };
+  while (isBusy() && base::MonotonicClock::now() < aDeadline) {
     co_await net::Sleep(kWaitStep);
   }
+  if (isBusy()) {
+    co_return JobReply{ JobOutcome::Uncertain };
+  }
   if (auto* job = cell::FindJob(mState, aId); job && !mIsFinishing) {
     if (!cell::IsFinal(job->mState)) {
       job->mState = cell::JobState::Cancelled;
--- /dev/null
+++ b/src/dispatch/internal/holdermoves.cpp
@@ -0,0 +1,235 @@
+#include "cellholder.h"
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
+#include "eelgrasspost/net/codec.h"
+#include "eelgrasspost/net/iopool.h"
+#include "holdertimes.h"
+#include "storeaccess.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** A job that waited so long for room is offered to another cell. */
+constexpr auto kMoveWait = Milliseconds(1200);
+/** Jobs that move away at one tick. */
+constexpr std::size_t kMovesPerTick = 3;
+
+/** A write without an answer is carried out within this time, or never. */
+constexpr auto kLateWrite = Milliseconds(10000);
+constexpr auto kSettlePause = Milliseconds(500);
+
+} // namespace
+
+auto CellHolder::MoveJobs() -> void
+{
+  if (mIsFinishing || !MayOrder() || mState.mReady.empty()) {
+    return;
+  }
+  const auto now = base::MonotonicClock::now();
+  std::size_t moves = 0;
+  for (const auto& it : cell::FindMovable(mState, now, kMoveWait)) {
+    if (moves >= kMovesPerTick) {
+      return;
+    }
+    if (const auto target = mContext.mFindRoom(it)) {
+      ++moves;
+      cell::FindJob(mState, it.mId)->mIsLeaving = true;
+      net::SpawnTask(mContext.mExecutor, MoveJob(it.mId, *target));
+    }
+  }
+}
+
+/** The target writes the job's rows anew, on the condition that the ones here
+ * are unchanged. While the outcome is unknown the job stays frozen: storing
+ * its progress here then tells which of the two came first. */
+auto CellHolder::MoveJob(std::string aId, std::string aCell) -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  auto* job = cell::FindJob(mState, aId);
+  if (!job || !mRows.contains(aId)) {
+    co_return;
+  }
+  const auto& rows = mRows.at(aId);
+  JobCommand command;
+  command.mKind = JobCommandKind::Import;
+  command.mCell = aCell;
+  command.mJobId = aId;
+  command.mJob = job->mStored;
+  command.mProgress = cell::ProgressOf(*job);
+  command.mOrigin = { mRow.mName,
+                      mFences.at(PartOf(aId)),
+                      rows.mJobVersion,
+                      rows.mProgressVersion };
+  command.mPatienceMs = kStoreTimeout.count();
+  const auto reply = co_await mContext.mExecute(std::move(command));
+  if (mPhase == HolderPhase::Ended) {
+    co_return;
+  }
+  mContext.mLog.Record(
+    kJobMoved,
+    { { "job", aId },
+      { "from", mRow.mName },
+      { "to", aCell },
+      { "outcome", static_cast<std::int64_t>(reply.mOutcome) } });
+  job = cell::FindJob(mState, aId);
+  if (!job) {
+    co_return;
+  }
+  if (reply.mOutcome == JobOutcome::Done) {
+    ForgetJob(aId);
+    co_return;
+  }
+  if (reply.mOutcome != JobOutcome::Uncertain) {
+    job->mIsLeaving = false;
+    co_return;
+  }
+  while (mPhase == HolderPhase::Active) {
+    job = cell::FindJob(mState, aId);
+    if (!job) {
+      co_return;
+    }
+    job->mIsDirty = true;
+    mState.mDirty.insert(aId);
+    const auto version = mRows.at(aId).mProgressVersion;
+    Kick();
+    co_await net::Sleep(kRetryPause);
+    const auto it = mRows.find(aId);
+    job = cell::FindJob(mState, aId);
+    if (job && it != mRows.end() && it->second.mProgressVersion > version) {
+      job->mIsLeaving = false;
+      co_return;
+    }
+  }
+}
+
+auto CellHolder::ForgetJob(const std::string& aId) -> void
+{
+  mRows.erase(aId);
+  cell::RemoveJob(mState, aId);
+}
+
+/** Looks whether an import without an answer has been carried out. */
+auto CellHolder::SettleImport(std::string aId) -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  const auto last = base::MonotonicClock::now() + kLateWrite;
+  RangeQuery query;
+  query.mTable = std::string(kJobTable);
+  query.mPart = PartName(PartOf(aId));
+  query.mFrom = JobKey(aId);
+  query.mLimit = 1;
+  while (mPhase == HolderPhase::Active && !cell::FindJob(mState, aId) &&
+         base::MonotonicClock::now() < last) {
+    const auto reply = co_await mContext.mStore.ReadRange(
+      query, base::MonotonicClock::now() + kStoreTimeout);
+    const auto isThere = reply.mOutcome == StoreOutcome::Done &&
+                         !reply.mRows.empty() &&
+                         reply.mRows[0].mKey == JobKey(aId);
+    if (isThere && mPhase == HolderPhase::Active) {
+      auto job = net::Decode<cell::StoredJob>(reply.mRows[0].mValue);
+      const auto version = reply.mRows[0].mVersion;
+      if (job.ok() && !cell::FindJob(mState, aId)) {
+        auto progress = co_await ReadProgress(aId);
+        if (!progress) {
+          continue;
+        }
+        mRows[aId] = { version, version };
+        cell::AddJob(mState,
+                     *std::move(job),
+                     *progress,
+                     false,
+                     base::MonotonicClock::now(),
+                     base::WallClockMs());
+        Kick();
+        co_return;
+      }
+    }
+    co_await net::Sleep(kSettlePause);
+  }
+}
+
+auto CellHolder::ReadProgress(std::string aId)
+  -> net::Task<std::optional<cell::JobProgress>>
+{
+  RangeQuery query;
+  query.mTable = std::string(kProgressTable);
+  query.mPart = PartName(PartOf(aId));
+  query.mFrom = JobKey(aId);
+  query.mLimit = 1;
+  const auto reply = co_await mContext.mStore.ReadRange(
+    query, base::MonotonicClock::now() + kStoreTimeout);
+  if (reply.mOutcome != StoreOutcome::Done || reply.mRows.empty() ||
+      reply.mRows[0].mKey != JobKey(aId)) {
+    co_return std::nullopt;
+  }
+  auto out = net::Decode<cell::JobProgress>(reply.mRows[0].mValue);
+  if (!out.ok()) {
+    co_return std::nullopt;
+  }
+  co_return *std::move(out);
+}
+
+auto CellHolder::Import(JobCommand aCommand) -> net::Task<JobReply>
+{
+  const auto& id = aCommand.mJobId;
+  if (mIsFinishing || !MayOrder() || mSettling.contains(id)) {
+    co_return JobReply{ JobOutcome::NotHeld };
+  }
+  if (cell::FindJob(mState, id)) {
+    co_return JobReply{ JobOutcome::Done };
+  }
+  const auto part = PartOf(id);
+  const auto& origin = aCommand.mOrigin;
+  const auto fromKey = base::Cat(origin.mCell, "/", id);
+  const auto fromJob = RowKey{ std::string(kJobTable), fromKey };
+  const auto fromProgress = RowKey{ std::string(kProgressTable), fromKey };
+  StoreTransaction transaction;
+  transaction.mPart = PartName(part);
+  transaction.mExpected = {
+    FenceOf(part),
+    { { std::string(kFenceTable), origin.mCell }, origin.mFenceVersion },
+    { fromJob, origin.mJobVersion },
+    { fromProgress, origin.mProgressVersion }
+  };
+  transaction.mRemovals = { fromJob };
+  if (origin.mProgressVersion > 0) {
+    transaction.mRemovals.push_back(fromProgress);
+  }
+  const auto row =
+    IdRow{ mRow.mName, cell::JobState::Queued, base::WallClockMs() };
+  transaction.mWrites = {
+    { { std::string(kIdTable), id }, net::Encode(row) },
+    { { std::string(kJobTable), JobKey(id) }, net::Encode(aCommand.mJob) },
+    { { std::string(kProgressTable), JobKey(id) },
+      net::Encode(aCommand.mProgress) }
+  };
+  mSettling.insert(id);
+  const auto reply = co_await mContext.mStore.Commit(
+    std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
+  mSettling.erase(id);
+  if (mPhase == HolderPhase::Ended) {
+    co_return JobReply{ JobOutcome::Uncertain };
+  }
+  if (reply.mOutcome == StoreOutcome::Conflict) {
+    LearnVersions(reply);
+  }
+  if (reply.mOutcome == StoreOutcome::Unknown) {
+    net::SpawnTask(mContext.mExecutor, SettleImport(id));
+    co_return JobReply{ JobOutcome::Uncertain };
+  }
+  if (reply.mOutcome != StoreOutcome::Done) {
+    co_return JobReply{ JobOutcome::Refused };
+  }
+  mRows[id] = { reply.mVersion, reply.mVersion };
+  cell::AddJob(mState,
+               std::move(aCommand.mJob),
+               aCommand.mProgress,
+               false,
+               base::MonotonicClock::now(),
+               base::WallClockMs());
+  Kick();
+  co_return JobReply{ JobOutcome::Done };
+}
+
+} // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-/** Jobs of one transaction: each takes up to three of its 100 entries. */
-constexpr std::size_t kJobsPerTransaction = 24;
+/** Jobs of one transaction: each takes up to five of its 100 entries. */
+constexpr std::size_t kJobsPerTransaction = 18;
 
 struct JobWrite
 {
@@ -112,10 +112,10 @@
       const auto key = JobKey(id);
       const auto progressKey = RowKey{ std::string(kProgressTable), key };
       const auto isFinal = cell::IsFinal(job->mState);
+      const auto jobKey = RowKey{ std::string(kJobTable), key };
       transaction.mExpected.push_back({ progressKey, rows.mProgressVersion });
+      transaction.mExpected.push_back({ jobKey, rows.mJobVersion });
       if (isFinal) {
-        const auto jobKey = RowKey{ std::string(kJobTable), key };
-        transaction.mExpected.push_back({ jobKey, rows.mJobVersion });
         transaction.mRemovals.push_back(jobKey);
         if (rows.mProgressVersion > 0) {
           transaction.mRemovals.push_back(progressKey);
@@ -157,10 +157,20 @@
         continue;
       }
       const auto key = JobKey(it.mId);
-      const auto* jobRow = FindReplyRow(reply, { std::string(kJobTable), key });
-      if (it.mIsFinal && (!jobRow || jobRow->mIsRemoved)) {
+      // The rows of a conflict are complete when the fence's row is there.
+      const auto isComplete = FindReplyRow(
+        reply, { std::string(kFenceTable), mRow.mName }) != nullptr;
+      const auto* jobRow =
+        FindReplyRow(reply, { std::string(kJobTable), key });
+      const auto isJobGone =
+        isComplete && (!jobRow || jobRow->mVersion == 0);
+      if (isJobGone) {
         // An earlier write without an answer has been carried out.
-        FinishJob(it.mId, it.mState);
+        if (it.mIsFinal) {
+          FinishJob(it.mId, it.mState);
+        } else {
+          ForgetJob(it.mId);
+        }
         continue;
       }
       const auto* progressRow =
--- a/src/dispatch/internal/holdertending.cpp
+++ b/src/dispatch/internal/holdertending.cpp
@@ -289,6 +289,9 @@
     cell::OpenDue(mState, now, base::WallClockMs());
     cell::CheckRuns(mState, now);
     cell::ExpireWorkers(mState, now);
+    cell::Forget(mState.mInterference,
+                 std::chrono::duration<double>(kTickInterval).count());
+    MoveJobs();
     const auto keep = Milliseconds(mContext.mSettings.mStatusMs) + kKeepMargin;
     while (!mFinishedOrder.empty() &&
            now - mFinishedOrder.front().first > keep) {
@@ -342,6 +345,7 @@
   out.mCapacityCpuMillis = room.mCapacityCpuMillis;
   out.mFillingCpuMillis = room.mFillingCpuMillis;
   out.mLeftoverCpuMillis = room.mLeftoverCpuMillis;
+  out.mWaitingCpuMillis = room.mWaitingCpuMillis;
   return out;
 }
 
