Borrow a worker for a lasting task that finds no room in its cell

Ruled out: moving the whole job, as its other tasks would have to stop. Change: a cell lends a worker that reserves nothing: it is emptied, leaves the lender's members, and a row of the control table names its new cell; the row's version is the least token for it.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -51,6 +51,7 @@
   dispatch::kPaceChanged,
   dispatch::kJobEnded,
   dispatch::kJobMoved,
+  dispatch::kWorkerBorrowed,
   idempotency::kRecordFailed,
   idempotency::kBadRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -152,6 +152,8 @@
   std::int64_t mBornMs = 0;
   /** It has answered under this holder's token: its runs are known. */
   bool mIsKnown = false;
+  /** It is being handed to another cell and gets no more starts. */
+  bool mIsLent = false;
   /** It is in the platform's list. */
   bool mIsListed = true;
   /** Runs by the names of their tasks. */
@@ -298,6 +300,21 @@
 auto CountPending(const CellState& aCell, std::string_view aQueue)
   -> std::size_t;
 
+/** A lasting task that has waited for room so long; null when there is none. */
+auto FindStarved(const CellState& aCell,
+                 MonotonicTime aNow,
+                 Milliseconds aWait) -> const Task*;
+
+/** A worker that can be given away: it reserves nothing and holds aNeed; null
+ * when there is none. */
+auto FindLendable(CellState& aCell,
+                  const std::string& aService,
+                  const Resources& aNeed,
+                  MonotonicTime aNow) -> Worker*;
+
+/** Gives a worker no more starts and stops what runs on it. */
+auto Vacate(Worker& aWorker) -> void;
+
 /** What a job that may move to another cell needs there. */
 struct MovableJob
 {
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -296,7 +296,7 @@
 auto IsUsable(const CellState& aCell, const Worker& aWorker, MonotonicTime aNow)
   -> bool
 {
-  return aWorker.mIsKnown && aWorker.mIsListed &&
+  return aWorker.mIsKnown && aWorker.mIsListed && !aWorker.mIsLent &&
          aWorker.mRecord.mState == WorkerState::Ready &&
          aNow >= aWorker.mSuspectUntil && aNow >= aWorker.mProbationUntil &&
          aNow - aWorker.mLastContact < aCell.mPolicy.mSilenceLimit;
@@ -389,6 +389,49 @@
     ready, [](const Task* aTask) { return aTask->mPhase != TaskPhase::Ready; });
 }
 
+auto FindStarved(const CellState& aCell,
+                 MonotonicTime aNow,
+                 Milliseconds aWait) -> const Task*
+{
+  for (const auto* it : aCell.mReady) {
+    if (SpecOf(*it).mIsLongRunning && MayStart(*it, aNow) &&
+        aNow - it->mReadyAt > aWait) {
+      return it;
+    }
+  }
+  return nullptr;
+}
+
+auto FindLendable(CellState& aCell,
+                  const std::string& aService,
+                  const Resources& aNeed,
+                  MonotonicTime aNow) -> Worker*
+{
+  Worker* best = nullptr;
+  for (auto& [id, worker] : aCell.mWorkers) {
+    const auto& capacity = worker->mRecord.mCapacity;
+    const auto isLendable =
+      IsUsable(aCell, *worker, aNow) && worker->mRecord.mService == aService &&
+      worker->mUsed.mCpuMillis == 0 && aNow >= worker->mKeptUntil &&
+      capacity.mCpuMillis >= aNeed.mCpuMillis &&
+      capacity.mMemoryMb >= aNeed.mMemoryMb &&
+      capacity.mAccelerators >= aNeed.mAccelerators;
+    if (isLendable &&
+        (!best || worker->mFillingCpuMillis < best->mFillingCpuMillis)) {
+      best = worker.get();
+    }
+  }
+  return best;
+}
+
+auto Vacate(Worker& aWorker) -> void
+{
+  aWorker.mIsLent = true;
+  for (auto& [name, run] : aWorker.mRuns) {
+    AskStop(run);
+  }
+}
+
 auto RoomOf(const CellState& aCell, MonotonicTime aNow) -> CellRoom
 {
   CellRoom out;
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -140,7 +140,14 @@
   "none; an outcome other than 0 means that it stayed or is being settled",
 };
 
-inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted, kStopAsked, kReloadAsked, kConfigurationInForce, kCellClaimed, kCellActive, kCellLost, kStoreLost, kStoreBack, kJobAnswered, kTaskPlaced, kOrderFailed, kRunEnded, kRunStopped, kRunsLost, kWorkerOnProbation, kPaceChanged, kJobEnded, kJobMoved };
+inline constexpr auto kWorkerBorrowed = base::LogEvent{
+  939,
+  base::LogLevel::Info,
+  "a cell without room for a lasting task has got a worker of another cell",
+  "none; add workers if it goes on",
+};
+
+inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted, kStopAsked, kReloadAsked, kConfigurationInForce, kCellClaimed, kCellActive, kCellLost, kStoreLost, kStoreBack, kJobAnswered, kTaskPlaced, kOrderFailed, kRunEnded, kRunStopped, kRunsLost, kWorkerOnProbation, kPaceChanged, kJobEnded, kJobMoved, kWorkerBorrowed };
 
 /** The event that stands for a kind of a cell's decisions. */
 inline auto FindNoteEvent(cell::NoteKind aKind) -> const base::LogEvent*
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -170,6 +170,35 @@
   Cancel,
   /** Takes a job over from another cell. */
   Import,
+  /** Hands a worker without reserving runs to another cell. */
+  Lend,
+};
+
+/** Row of a worker in the control table that is not in the cell of its hash. */
+struct LentRow
+{
+  std::string mWorker;
+  std::string mCell;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mWorker, mCell);
+  }
+};
+
+/** A worker that another cell needs. */
+struct WorkerRequest
+{
+  std::string mBorrower;
+  std::string mService;
+  cell::Resources mNeed;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mBorrower, mService, mNeed);
+  }
 };
 
 /** Where a job that moves between cells is stored now. */
@@ -199,11 +228,14 @@
   /** Of an import. */
   cell::JobProgress mProgress;
   JobOrigin mOrigin;
+  /** Of a loan. */
+  WorkerRequest mRequest;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mKind, mCell, mJobId, mJob, mPatienceMs, mProgress, mOrigin);
+    archive(mRequest);
   }
 };
 
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -32,6 +32,8 @@
   std::function<std::optional<std::string>(const cell::MovableJob&)> mFindRoom;
   /** Runs a command where its cell is held. */
   std::function<net::Task<JobReply>(JobCommand)> mExecute;
+  /** Cells that may have a worker to lend, the best first. */
+  std::function<std::vector<std::string>()> mFindLenders;
 };
 
 enum class HolderPhase : std::uint8_t
@@ -71,6 +73,8 @@
   auto End() -> void;
 
   auto SeeWorker(const cell::WorkerRecord& aRecord) -> void;
+  /** Orders to a worker that was lent carry at least this token. */
+  auto RaiseToken(const std::string& aWorker, std::uint64_t aToken) -> void;
   auto UnlistWorker(const std::string& aId) -> void;
   /** No other holder was seen before this time. */
   auto Confirm(MonotonicTime aAt) -> void;
@@ -131,6 +135,10 @@
   auto SettleImport(std::string aId) -> net::Task<void>;
   auto ReadProgress(std::string aId)
     -> net::Task<std::optional<cell::JobProgress>>;
+  auto BorrowWorkers() -> void;
+  auto Borrow(WorkerRequest aRequest) -> net::Task<void>;
+  auto Lend(JobCommand aCommand) -> net::Task<JobReply>;
+  auto TokenFor(const std::string& aWorker) const -> std::uint64_t;
   auto MoveJobs() -> void;
   auto MoveJob(std::string aId, std::string aCell) -> net::Task<void>;
   auto ForgetJob(const std::string& aId) -> void;
@@ -169,6 +177,9 @@
   std::unordered_map<std::string, cell::JobState> mFinished;
   std::deque<std::pair<MonotonicTime, std::string>> mFinishedOrder;
   std::set<std::string> mSettling;
+  std::map<std::string, std::uint64_t> mLeastTokens;
+  bool mIsBorrowing = false;
+  MonotonicTime mBorrowedAt{};
   std::size_t mNextTaught = 0;
   bool mIsKicked = false;
   bool mIsFlushUrgent = false;
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -197,6 +197,10 @@
     if (auto row = net::Decode<LayoutRow>(aRow.mValue); row.ok()) {
       mLayouts[row->mDomain] = *row;
     }
+  } else if (aRow.mKey.starts_with("lent/")) {
+    if (auto row = net::Decode<LentRow>(aRow.mValue); row.ok()) {
+      SeeLoan(*row, aRow.mVersion);
+    }
   } else if (aRow.mKey.starts_with("cell/")) {
     if (auto row = net::Decode<CellRow>(aRow.mValue); row.ok()) {
       SeeCell(*row, aRow.mVersion);
@@ -249,6 +253,9 @@
 auto DispatchEntry::CellOf(const cell::WorkerRecord& aRecord) const
   -> std::optional<std::string>
 {
+  if (const auto loan = mLoans.find(aRecord.mId); loan != mLoans.end()) {
+    return loan->second.mCell;
+  }
   const auto it = mLayouts.find(aRecord.mDomain);
   if (it == mLayouts.end()) {
     return std::nullopt;
@@ -462,7 +469,8 @@
     [this, cell](const cell::MovableJob& aJob) {
       return FindRoom(cell, aJob);
     },
-    [this](JobCommand aCommand) { return Execute(std::move(aCommand)); }
+    [this](JobCommand aCommand) { return Execute(std::move(aCommand)); },
+    [this, domain = aRow.mDomain] { return FindLenders(domain); }
   };
   mLog.Record(kCellClaimed,
               { { "cell", aRow.mName },
@@ -478,6 +486,11 @@
       workers.push_back(it);
     }
   }
+  for (const auto& [id, it] : mLoans) {
+    if (it.mCell == aRow.mName) {
+      holder->RaiseToken(id, it.mVersion);
+    }
+  }
   net::SpawnTask(mPool.Executor(0),
                  holder->Run(std::move(workers), aIsPreviousGone));
 }
@@ -569,6 +582,43 @@
                         : JobOutcome::Uncertain };
 }
 
+auto DispatchEntry::SeeLoan(const LentRow& aRow, std::uint64_t aVersion) -> void
+{
+  auto& loan = mLoans[aRow.mWorker];
+  if (aVersion <= loan.mVersion) {
+    return;
+  }
+  loan = { aRow.mCell, aVersion };
+  const auto holder = FindHolder(aRow.mCell);
+  const auto worker = mWorkers.find(aRow.mWorker);
+  if (holder) {
+    holder->RaiseToken(aRow.mWorker, aVersion);
+    if (worker != mWorkers.end()) {
+      holder->SeeWorker(worker->second);
+    }
+  }
+}
+
+/** Cells of the own domain first: a loan across domains costs latency. */
+auto DispatchEntry::FindLenders(const std::string& aDomain) const
+  -> std::vector<std::string>
+{
+  auto cells = ReachableCells();
+  std::erase_if(cells, [](const HeldCell& aCell) { return !aCell.mIsActive; });
+  const auto rank = [&](const HeldCell& aCell) {
+    return std::pair(!aCell.mName.starts_with(aDomain + "/"),
+                     -aCell.mFreeCpuMillis);
+  };
+  std::sort(cells.begin(), cells.end(), [&](const auto& a, const auto& b) {
+    return rank(a) < rank(b);
+  });
+  std::vector<std::string> out;
+  for (const auto& it : cells) {
+    out.push_back(it.mName);
+  }
+  return out;
+}
+
 auto DispatchEntry::FindRoom(const std::string& aFrom,
                              const cell::MovableJob& aJob) const
   -> std::optional<std::string>
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -62,6 +62,9 @@
     -> std::optional<net::Address>;
   auto FindRoom(const std::string& aFrom, const cell::MovableJob& aJob) const
     -> std::optional<std::string>;
+  auto FindLenders(const std::string& aDomain) const
+    -> std::vector<std::string>;
+  auto SeeLoan(const LentRow& aRow, std::uint64_t aVersion) -> void;
   auto ReachableCells() const -> std::vector<HeldCell>;
   auto NoteSentWork(const JobCommand& aCommand) -> void;
   auto CountPending(const std::string& aQueue) const -> std::uint64_t;
@@ -94,6 +97,13 @@
   std::shared_ptr<const Configuration> mConfiguration;
   std::map<std::string, KnownCell> mCells;
   std::map<std::string, LayoutRow> mLayouts;
+  /** Workers that are not in the cell of their hash. */
+  struct Loan
+  {
+    std::string mCell;
+    std::uint64_t mVersion = 0;
+  };
+  std::map<std::string, Loan> mLoans;
   std::map<std::string, cell::WorkerRecord> mWorkers;
   MonotonicTime mWorkersChangedAt;
   std::map<std::string, std::shared_ptr<CellHolder>> mHolders;
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -39,6 +39,8 @@
       co_return co_await Cancel(aCommand.mJobId, deadline);
     case JobCommandKind::Import:
       co_return co_await Import(std::move(aCommand));
+    case JobCommandKind::Lend:
+      co_return co_await Lend(std::move(aCommand));
   }
   co_return JobReply{ JobOutcome::NotHere };
 }
--- /dev/null
+++ b/src/dispatch/internal/holderloans.cpp
@@ -0,0 +1,136 @@
+#include "cellholder.h"
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
+#include "eelgrasspost/net/codec.h"
+#include "eelgrasspost/net/iopool.h"
+#include "holdertimes.h"
+#include "storeaccess.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** A lasting task that waited so long makes its cell borrow a worker. Its
+ * users should have it back within six seconds. */
+constexpr auto kBorrowAfter = Milliseconds(1000);
+/** Between two loans; one takes under a second to arrive. */
+constexpr auto kBorrowPause = Milliseconds(2000);
+/** Longest time in which a lent worker has to become empty. */
+constexpr auto kVacateTime = Milliseconds(2500);
+constexpr auto kVacateStep = Milliseconds(25);
+
+} // namespace
+
+auto CellHolder::RaiseToken(const std::string& aWorker, std::uint64_t aToken)
+  -> void
+{
+  auto& token = mLeastTokens[aWorker];
+  token = std::max(token, aToken);
+}
+
+auto CellHolder::TokenFor(const std::string& aWorker) const -> std::uint64_t
+{
+  const auto it = mLeastTokens.find(aWorker);
+  return it == mLeastTokens.end() ? mRowVersion
+                                  : std::max(mRowVersion, it->second);
+}
+
+auto CellHolder::BorrowWorkers() -> void
+{
+  const auto now = base::MonotonicClock::now();
+  if (mIsBorrowing || mIsFinishing || !MayOrder() ||
+      now - mBorrowedAt < kBorrowPause) {
+    return;
+  }
+  if (const auto* task = cell::FindStarved(mState, now, kBorrowAfter)) {
+    const auto& stored = task->mJob->mStored;
+    mIsBorrowing = true;
+    mBorrowedAt = now;
+    net::SpawnTask(mContext.mExecutor,
+                   Borrow({ mRow.mName,
+                            stored.mQueue.mService,
+                            stored.mSpec.mSteps[task->mStep].mNeed }));
+  }
+}
+
+auto CellHolder::Borrow(WorkerRequest aRequest) -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  for (const auto& it : mContext.mFindLenders()) {
+    if (it == mRow.mName) {
+      continue;
+    }
+    JobCommand command;
+    command.mKind = JobCommandKind::Lend;
+    command.mCell = it;
+    command.mRequest = aRequest;
+    command.mPatienceMs = (kVacateTime + kStoreTimeout).count();
+    const auto reply = co_await mContext.mExecute(std::move(command));
+    if (reply.mOutcome == JobOutcome::Done) {
+      mContext.mLog.Record(kWorkerBorrowed,
+                           { { "cell", mRow.mName }, { "lender", it } });
+      break;
+    }
+    if (mPhase == HolderPhase::Ended) {
+      break;
+    }
+  }
+  mIsBorrowing = false;
+}
+
+/** The worker is emptied and leaves the cell's members first; only then the
+ * control table names its new cell. If this holder ends in between, the worker
+ * is still in the cell of its hash. */
+auto CellHolder::Lend(JobCommand aCommand) -> net::Task<JobReply>
+{
+  const auto& request = aCommand.mRequest;
+  const auto now = base::MonotonicClock::now();
+  auto* worker =
+    cell::FindLendable(mState, request.mService, request.mNeed, now);
+  if (!worker || mIsFinishing || !MayOrder() || !mState.mUnsettled.empty()) {
+    co_return JobReply{ JobOutcome::Refused };
+  }
+  const auto id = worker->mRecord.mId;
+  cell::Vacate(*worker);
+  Kick();
+  auto isEmpty = false;
+  while (!isEmpty && base::MonotonicClock::now() - now < kVacateTime) {
+    co_await net::Sleep(kVacateStep);
+    const auto it = mState.mWorkers.find(id);
+    if (mPhase != HolderPhase::Active || it == mState.mWorkers.end()) {
+      co_return JobReply{ JobOutcome::Refused };
+    }
+    isEmpty = it->second->mRuns.empty() &&
+              it->second->mSeenEnds <= it->second->mStoredEnds;
+  }
+  if (!isEmpty) {
+    mState.mWorkers.at(id)->mIsLent = false;
+    co_return JobReply{ JobOutcome::Refused };
+  }
+  const auto record = mState.mWorkers.at(id)->mRecord;
+  mState.mWorkers.erase(id);
+  mLeastTokens.erase(id);
+  for (auto n = 0; n < 3 && mMembers.contains(id); ++n) {
+    co_await WriteMembers();
+  }
+  if (mPhase != HolderPhase::Active || mMembers.contains(id)) {
+    if (mPhase == HolderPhase::Active) {
+      SeeWorker(record);
+    }
+    co_return JobReply{ JobOutcome::Refused };
+  }
+  StoreTransaction transaction;
+  transaction.mWrites.push_back(
+    { { std::string(kControlTable), "lent/" + id },
+      net::Encode(LentRow{ id, request.mBorrower }) });
+  const auto reply = co_await mContext.mStore.Commit(
+    std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
+  if (reply.mOutcome == StoreOutcome::Refused &&
+      mPhase == HolderPhase::Active) {
+    SeeWorker(record);
+  }
+  co_return JobReply{ reply.mOutcome == StoreOutcome::Done
+                        ? JobOutcome::Done
+                        : JobOutcome::Refused };
+}
+
+} // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/holdertending.cpp
+++ b/src/dispatch/internal/holdertending.cpp
@@ -109,7 +109,7 @@
   WorkerCall call;
   call.mAddress = found->second->mRecord.mAddress;
   call.mWorker = aWorker;
-  call.mToken = mRowVersion;
+  call.mToken = TokenFor(aWorker);
   call.mDeadline = sentAt + Milliseconds(aWaitMs) + kOrderTimeout;
   const auto reply = co_await mContext.mWorkers.Renew(call, renewal);
   const auto it = mState.mWorkers.find(aWorker);
@@ -196,7 +196,7 @@
   WorkerCall call;
   call.mAddress = found->second->mRecord.mAddress;
   call.mWorker = aOrder.mWorker;
-  call.mToken = mRowVersion;
+  call.mToken = TokenFor(aOrder.mWorker);
   call.mDeadline = now + kOrderTimeout;
   const auto leaseEnd = LeaseEnd(aOrder.mWorker, now);
   if (aOrder.mKind == cell::OrderKind::Start) {
@@ -209,7 +209,10 @@
     co_return;
   }
   if (reply.mOutcome == cell::OrderOutcome::Superseded) {
-    End();
+    // A worker that was lent meanwhile has another holder; the cell has not.
+    if (mState.mWorkers.contains(aOrder.mWorker)) {
+      End();
+    }
     co_return;
   }
   const auto answeredAt = base::MonotonicClock::now();
@@ -292,6 +295,7 @@
     cell::Forget(mState.mInterference,
                  std::chrono::duration<double>(kTickInterval).count());
     MoveJobs();
+    BorrowWorkers();
     const auto keep = Milliseconds(mContext.mSettings.mStatusMs) + kKeepMargin;
     while (!mFinishedOrder.empty() &&
            now - mFinishedOrder.front().first > keep) {
