--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -23,9 +23,7 @@
                       std::int64_t aHighest,
                       std::string_view aHelp) -> SettingField
 {
-  return {
-    aSection, aKey, SettingKind::Integer, aDefault, 0, aHighest, aHelp
-  };
+  return { aSection, aKey, SettingKind::Integer, aDefault, 0, aHighest, aHelp };
 }
 
 constexpr std::int64_t kDayMs = 86'400'000;
@@ -118,10 +116,10 @@
   out.mPeers = address("listen", "peers");
   out.mMetrics = address("listen", "metrics");
   out.mStore = address("platform", "store");
-  out.mStoreWritesPerS = static_cast<double>(
-    values->Integer("platform", "store_writes_per_s"));
-  out.mStorePartWritesPerS = static_cast<double>(
-    values->Integer("platform", "store_part_writes_per_s"));
+  out.mStoreWritesPerS =
+    static_cast<double>(values->Integer("platform", "store_writes_per_s"));
+  out.mStorePartWritesPerS =
+    static_cast<double>(values->Integer("platform", "store_part_writes_per_s"));
   out.mLeaseMs = values->Integer("bounds", "lease_ms");
   out.mEarlyMs = values->Integer("bounds", "early_ms");
   out.mGraceMs = values->Integer("bounds", "grace_s") * kMsPerSecond;
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -301,9 +301,8 @@
   -> std::size_t;
 
 /** A lasting task that has waited for room so long; null when there is none. */
-auto FindStarved(const CellState& aCell,
-                 MonotonicTime aNow,
-                 Milliseconds aWait) -> const Task*;
+auto FindStarved(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
+  -> const Task*;
 
 /** A worker that can be given away: it reserves nothing and holds aNeed; null
  * when there is none. */
@@ -325,9 +324,8 @@
 
 /** Jobs without any run of which a task has waited for room so long; the one
  * that waits longest first. */
-auto FindMovable(const CellState& aCell,
-                 MonotonicTime aNow,
-                 Milliseconds aWait) -> std::vector<MovableJob>;
+auto FindMovable(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
+  -> std::vector<MovableJob>;
 
 /** Room of the usable workers of a cell. */
 struct CellRoom
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -285,8 +285,7 @@
     for (const auto& [number, occurrence] : aJob.mOccurrences) {
       done += occurrence->mSteps[i].mDone;
     }
-    const auto total =
-      steps[i].mCount * OccurrenceCount(aJob.mStored.mSpec);
+    const auto total = steps[i].mCount * OccurrenceCount(aJob.mStored.mSpec);
     out += static_cast<double>(total - std::min(total, done)) *
            static_cast<double>(steps[i].mNeed.mCpuMillis) *
            static_cast<double>(steps[i].mEstimatedMs) / kMillisMs;
@@ -300,9 +299,8 @@
 {
   constexpr double kWorthlessFactor = 3.0;
   const auto& queue = aJob.mStored.mQueue;
-  const auto objective =
-    queue.mStretch * LongestChainMs(aJob.mStored.mSpec) +
-    static_cast<double>(queue.mExtraMs);
+  const auto objective = queue.mStretch * LongestChainMs(aJob.mStored.mSpec) +
+                         static_cast<double>(queue.mExtraMs);
   const auto age = static_cast<double>(
     std::chrono::duration_cast<Milliseconds>(aNow - aJob.mAddedAt).count());
   JobRank out;
@@ -331,9 +329,8 @@
 
 } // namespace
 
-auto FindMovable(const CellState& aCell,
-                 MonotonicTime aNow,
-                 Milliseconds aWait) -> std::vector<MovableJob>
+auto FindMovable(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
+  -> std::vector<MovableJob>
 {
   std::map<const Job*, MovableJob> found;
   std::map<const Job*, MonotonicTime> since;
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -40,8 +40,8 @@
   const auto& capacity = aWorker.mRecord.mCapacity;
   const auto& used = aWorker.mUsed;
   const auto cpu = aSpec.mIsFilling ? 0 : aSpec.mNeed.mCpuMillis;
-  const auto isKept = !aSpec.mIsFilling && !aSpec.mIsLongRunning &&
-                      aNow < aWorker.mKeptUntil;
+  const auto isKept =
+    !aSpec.mIsFilling && !aSpec.mIsLongRunning && aNow < aWorker.mKeptUntil;
   const auto kept = isKept ? aWorker.mKeptCpuMillis : 0;
   return used.mCpuMillis + cpu + kept <= capacity.mCpuMillis &&
          used.mMemoryMb + aSpec.mNeed.mMemoryMb <= capacity.mMemoryMb &&
@@ -63,8 +63,10 @@
 }
 
 /** Lower is better; nothing when a filling task should rather wait. */
-auto FillingCost(CellState& aCell, const Worker& aWorker, const StepSpec& aSpec, Milliseconds aWaited)
-  -> std::optional<double>
+auto FillingCost(CellState& aCell,
+                 const Worker& aWorker,
+                 const StepSpec& aSpec,
+                 Milliseconds aWaited) -> std::optional<double>
 {
   const auto left = std::max(1.0, LeftoverCpu(aWorker));
   const auto wanted =
@@ -81,8 +83,7 @@
   }
   // Who has waited long may try what is believed harmful, on an otherwise
   // quiet worker: else belief would never be corrected.
-  const auto mayTry =
-    aWaited > kTryAfter && aWorker.mFillingCpuMillis == 0;
+  const auto mayTry = aWaited > kTryAfter && aWorker.mFillingCpuMillis == 0;
   if (slowdown > kMostSlowdown || (tail > kMostTail && !mayTry) ||
       (aWorker.mServingCpuMillis > 0 && aWorker.mFillPace < 100)) {
     return std::nullopt;
@@ -325,8 +326,7 @@
       lasting += run.mIsLongRunning ? run.mNeed.mCpuMillis : 0;
     }
     const auto free = capacity.mCpuMillis - worker->mUsed.mCpuMillis;
-    const auto canFit =
-      capacity.mCpuMillis - lasting >= spec.mNeed.mCpuMillis;
+    const auto canFit = capacity.mCpuMillis - lasting >= spec.mNeed.mCpuMillis;
     if (canFit && (!best || free > bestFree)) {
       best = worker.get();
       bestFree = free;
@@ -343,12 +343,10 @@
 
 auto CountKept(const CellState& aCell, MonotonicTime aNow) -> std::size_t
 {
-  return static_cast<std::size_t>(
-    std::count_if(aCell.mWorkers.begin(),
-                  aCell.mWorkers.end(),
-                  [&](const auto& aItem) {
-                    return aNow < aItem.second->mKeptUntil;
-                  }));
+  return static_cast<std::size_t>(std::count_if(
+    aCell.mWorkers.begin(), aCell.mWorkers.end(), [&](const auto& aItem) {
+      return aNow < aItem.second->mKeptUntil;
+    }));
 }
 
 } // namespace
@@ -389,9 +387,8 @@
     ready, [](const Task* aTask) { return aTask->mPhase != TaskPhase::Ready; });
 }
 
-auto FindStarved(const CellState& aCell,
-                 MonotonicTime aNow,
-                 Milliseconds aWait) -> const Task*
+auto FindStarved(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
+  -> const Task*
 {
   for (const auto* it : aCell.mReady) {
     if (SpecOf(*it).mIsLongRunning && MayStart(*it, aNow) &&
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -319,12 +319,12 @@
   auto runs = std::move(aWorker.mRuns);
   if (!runs.empty()) {
     AddNote(aCell,
-          { NoteKind::RunsLost,
-            {},
-            aWorker.mRecord.mId,
-            0,
-            "life_over_or_lease_lapsed",
-            static_cast<double>(runs.size()) });
+            { NoteKind::RunsLost,
+              {},
+              aWorker.mRecord.mId,
+              0,
+              "life_over_or_lease_lapsed",
+              static_cast<double>(runs.size()) });
   }
   aWorker.mRuns.clear();
   aWorker.mUsed = {};
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -147,7 +147,12 @@
   "none; add workers if it goes on",
 };
 
-inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted, kStopAsked, kReloadAsked, kConfigurationInForce, kCellClaimed, kCellActive, kCellLost, kStoreLost, kStoreBack, kJobAnswered, kTaskPlaced, kOrderFailed, kRunEnded, kRunStopped, kRunsLost, kWorkerOnProbation, kPaceChanged, kJobEnded, kJobMoved, kWorkerBorrowed };
+inline constexpr auto kDispatchLogEvents =
+  std::array{ kEntryStarted, kStopAsked,   kReloadAsked, kConfigurationInForce,
+              kCellClaimed,  kCellActive,  kCellLost,    kStoreLost,
+              kStoreBack,    kJobAnswered, kTaskPlaced,  kOrderFailed,
+              kRunEnded,     kRunStopped,  kRunsLost,    kWorkerOnProbation,
+              kPaceChanged,  kJobEnded,    kJobMoved,    kWorkerBorrowed };
 
 /** The event that stands for a kind of a cell's decisions. */
 inline auto FindNoteEvent(cell::NoteKind aKind) -> const base::LogEvent*
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -63,8 +63,14 @@
   , mMessageServer(aPool)
   , mPeers(aPool, mSettings.mName)
   , mStore(mPorts.mStore, mMessages, mPeers, mMetrics)
-  , mConfigurationWatch(mStore, mPorts.mFormats.ConfigurationTable(), kFeedWait, Milliseconds(0))
-  , mControlWatch(mStore, std::string(kControlTable), kFeedWait, Milliseconds(0))
+  , mConfigurationWatch(mStore,
+                        mPorts.mFormats.ConfigurationTable(),
+                        kFeedWait,
+                        Milliseconds(0))
+  , mControlWatch(mStore,
+                  std::string(kControlTable),
+                  kFeedWait,
+                  Milliseconds(0))
   , mWorkerWatch(mStore, mPorts.mFormats.WorkerTable(), kFeedWait, kWorkerPause)
   , mDoor(
       { mPorts.mFormats,
@@ -466,9 +472,7 @@
     mPool.Executor(0),
     mIncarnation,
     mParts,
-    [this, cell](const cell::MovableJob& aJob) {
-      return FindRoom(cell, aJob);
-    },
+    [this, cell](const cell::MovableJob& aJob) { return FindRoom(cell, aJob); },
     [this](JobCommand aCommand) { return Execute(std::move(aCommand)); },
     [this, domain = aRow.mDomain] { return FindLenders(domain); }
   };
@@ -631,12 +635,11 @@
     }
     // A fragment of the room is lost to the sizes of tasks and workers.
     constexpr double kUsableRoom = 0.8;
-    const auto free =
-      static_cast<std::int64_t>(static_cast<double>(it.mFreeCpuMillis) *
-                                kUsableRoom) -
-      aJob.mReservingCpuMillis;
-    const auto left = it.mLeftoverCpuMillis - it.mFillingCpuMillis -
-                      aJob.mFillingCpuMillis;
+    const auto free = static_cast<std::int64_t>(
+                        static_cast<double>(it.mFreeCpuMillis) * kUsableRoom) -
+                      aJob.mReservingCpuMillis;
+    const auto left =
+      it.mLeftoverCpuMillis - it.mFillingCpuMillis - aJob.mFillingCpuMillis;
     const auto room = aJob.mReservingCpuMillis > 0 ? free : left;
     if (free >= 0 && left >= 0 && (!out || room > bestRoom)) {
       out = it.mName;
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -48,9 +48,8 @@
   auto MakeView(MonotonicTime aNow) const -> ClaimView;
   auto Claim(std::string aCell) -> net::Task<void>;
   auto Return(std::string aCell) -> net::Task<void>;
-  auto Hold(const CellRow& aRow,
-            std::uint64_t aVersion,
-            bool aIsPreviousGone) -> void;
+  auto Hold(const CellRow& aRow, std::uint64_t aVersion, bool aIsPreviousGone)
+    -> void;
   auto IsGone(const CellRow& aRow) const -> bool;
   auto CellOf(const cell::WorkerRecord& aRecord) const
     -> std::optional<std::string>;
--- a/src/dispatch/internal/holdermoves.cpp
+++ b/src/dispatch/internal/holdermoves.cpp
@@ -57,10 +57,9 @@
   command.mJobId = aId;
   command.mJob = job->mStored;
   command.mProgress = cell::ProgressOf(*job);
-  command.mOrigin = { mRow.mName,
-                      mFences.at(PartOf(aId)),
-                      rows.mJobVersion,
-                      rows.mProgressVersion };
+  command.mOrigin = {
+    mRow.mName, mFences.at(PartOf(aId)), rows.mJobVersion, rows.mProgressVersion
+  };
   command.mPatienceMs = kStoreTimeout.count();
   const auto reply = co_await mContext.mExecute(std::move(command));
   if (mPhase == HolderPhase::Ended) {
@@ -186,24 +185,22 @@
   const auto fromProgress = RowKey{ std::string(kProgressTable), fromKey };
   StoreTransaction transaction;
   transaction.mPart = PartName(part);
-  transaction.mExpected = {
-    FenceOf(part),
-    { { std::string(kFenceTable), origin.mCell }, origin.mFenceVersion },
-    { fromJob, origin.mJobVersion },
-    { fromProgress, origin.mProgressVersion }
-  };
+  transaction.mExpected = { FenceOf(part),
+                            { { std::string(kFenceTable), origin.mCell },
+                              origin.mFenceVersion },
+                            { fromJob, origin.mJobVersion },
+                            { fromProgress, origin.mProgressVersion } };
   transaction.mRemovals = { fromJob };
   if (origin.mProgressVersion > 0) {
     transaction.mRemovals.push_back(fromProgress);
   }
   const auto row =
     IdRow{ mRow.mName, cell::JobState::Queued, base::WallClockMs() };
-  transaction.mWrites = {
-    { { std::string(kIdTable), id }, net::Encode(row) },
-    { { std::string(kJobTable), JobKey(id) }, net::Encode(aCommand.mJob) },
-    { { std::string(kProgressTable), JobKey(id) },
-      net::Encode(aCommand.mProgress) }
-  };
+  transaction.mWrites = { { { std::string(kIdTable), id }, net::Encode(row) },
+                          { { std::string(kJobTable), JobKey(id) },
+                            net::Encode(aCommand.mJob) },
+                          { { std::string(kProgressTable), JobKey(id) },
+                            net::Encode(aCommand.mProgress) } };
   mSettling.insert(id);
   const auto reply = co_await mContext.mStore.Commit(
     std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -158,12 +158,11 @@
       }
       const auto key = JobKey(it.mId);
       // The rows of a conflict are complete when the fence's row is there.
-      const auto isComplete = FindReplyRow(
-        reply, { std::string(kFenceTable), mRow.mName }) != nullptr;
-      const auto* jobRow =
-        FindReplyRow(reply, { std::string(kJobTable), key });
-      const auto isJobGone =
-        isComplete && (!jobRow || jobRow->mVersion == 0);
+      const auto isComplete =
+        FindReplyRow(reply, { std::string(kFenceTable), mRow.mName }) !=
+        nullptr;
+      const auto* jobRow = FindReplyRow(reply, { std::string(kJobTable), key });
+      const auto isJobGone = isComplete && (!jobRow || jobRow->mVersion == 0);
       if (isJobGone) {
         // An earlier write without an answer has been carried out.
         if (it.mIsFinal) {
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -238,8 +238,8 @@
     co_return;
   }
   mPhase = HolderPhase::Active;
-  const auto took = std::chrono::duration_cast<Milliseconds>(
-    base::MonotonicClock::now() - now);
+  const auto took =
+    std::chrono::duration_cast<Milliseconds>(base::MonotonicClock::now() - now);
   mContext.mLog.Record(
     kCellActive,
     { { "cell", mRow.mName },
--- /dev/null
+++ b/src/dispatch/tests/claiming_tests.cpp
@@ -0,0 +1,109 @@
+#define BOOST_TEST_MODULE dispatch
+#include <boost/test/unit_test.hpp>
+
+#include "internal/claiming.h"
+
+namespace {
+
+using namespace eelgrasspost::dispatch;
+
+/** Three entries in domain "a", one in "b", and a cell in each. */
+struct ClaimFixture
+{
+  ClaimView mView;
+
+  ClaimFixture()
+  {
+    mView.mMyName = "a1";
+    mView.mMyIncarnation = 10;
+    mView.mSinceStart = Milliseconds(5000);
+    mView.mLive = { { "a1", 10, "a" }, { "a2", 10, "a" }, { "b1", 10, "b" } };
+    mView.mCells = { { "a/0", "a", "a2", 10, 1 }, { "b/0", "b", "b1", 10, 1 } };
+  }
+
+  auto RemoveLive(const std::string& aName) -> void
+  {
+    std::erase_if(mView.mLive, [&](const ClaimCandidate& aCandidate) {
+      return aCandidate.mName == aName;
+    });
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(claiming, ClaimFixture)
+
+BOOST_AUTO_TEST_CASE(cells_with_live_holders_are_left_alone)
+{
+  BOOST_TEST(CellsToClaim(mView).empty());
+}
+
+BOOST_AUTO_TEST_CASE(cell_holder_dead_is_claimed_in_its_domain)
+{
+  RemoveLive("a2");
+  BOOST_TEST(CellsToClaim(mView) == std::vector<std::string>{ "a/0" });
+}
+
+BOOST_AUTO_TEST_CASE(cell_holder_restarted_is_claimed)
+{
+  mView.mLive[1].mIncarnation = 11;
+  mView.mLive[1].mHeld = 5;
+  BOOST_TEST(CellsToClaim(mView) == std::vector<std::string>{ "a/0" });
+}
+
+BOOST_AUTO_TEST_CASE(cell_holder_not_heard_yet_after_own_start_waits)
+{
+  RemoveLive("a2");
+  mView.mSinceStart = Milliseconds(500);
+  BOOST_TEST(CellsToClaim(mView).empty());
+}
+
+BOOST_AUTO_TEST_CASE(cell_handed_back_is_claimed_by_exactly_one)
+{
+  mView.mCells[0].mHolder.clear();
+  const auto first = CellsToClaim(mView);
+  mView.mMyName = "a2";
+  const auto second = CellsToClaim(mView);
+  BOOST_TEST(first.size() + second.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(cell_leaving_entry_claims_nothing)
+{
+  mView.mCells[0].mHolder.clear();
+  RemoveLive("a2");
+  mView.mLive[0].mIsLeaving = true;
+  BOOST_TEST(CellsToClaim(mView).empty());
+}
+
+BOOST_AUTO_TEST_CASE(cell_of_cut_domain_is_left_to_it_at_first)
+{
+  RemoveLive("b1");
+  mView.mDomainSilence["b"] = Milliseconds(5000);
+  BOOST_TEST(CellsToClaim(mView).empty());
+}
+
+BOOST_AUTO_TEST_CASE(cell_of_domain_long_silent_is_claimed_elsewhere)
+{
+  RemoveLive("b1");
+  RemoveLive("a2");
+  mView.mCells[0].mHolder = "a1";
+  mView.mDomainSilence["b"] = Milliseconds(9000);
+  BOOST_TEST(CellsToClaim(mView) == std::vector<std::string>{ "b/0" });
+}
+
+BOOST_AUTO_TEST_CASE(foreign_cell_domain_is_back_is_returned)
+{
+  mView.mCells[1].mHolder = "a1";
+  BOOST_TEST(CellsToReturn(mView) == std::vector<std::string>{ "b/0" });
+}
+
+BOOST_AUTO_TEST_CASE(worker_is_always_in_the_same_cell)
+{
+  const auto layout = LayoutRow{ "a", 3 };
+  BOOST_TEST(CellOfWorker("w1", layout) == CellOfWorker("w1", layout));
+  BOOST_TEST(CellOfWorker("w1", layout).starts_with("a/"));
+  BOOST_TEST(CellsFor(0) == 1U);
+  BOOST_TEST(CellsFor(25) == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/dispatch/tests/fakestore.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <tuple>
+
+#include "eelgrasspost/dispatch/iplatform.h"
+#include "eelgrasspost/net/iopool.h"
+
+namespace eelgrasspost::dispatch::testing {
+
+/** What a fake call does before it answers. */
+enum class FakeFault
+{
+  None,
+  /** Nothing is done; the caller is told so. */
+  Refuse,
+  /** It is done, and the answer is lost. */
+  LoseAnswer,
+  /** Nothing is done, and the answer is lost. */
+  LoseCall,
+};
+
+/** The store in memory: transactions of one part, ranges, feeds. */
+class FakeStore final : public ISharedStore
+{
+public:
+  using Key = std::tuple<std::string, std::string, std::string>;
+
+  std::map<Key, StoreRow> mRows;
+  std::uint64_t mVersion = 0;
+  /** Faults of the next commits, in order. */
+  std::deque<FakeFault> mFaults;
+
+  auto Find(const std::string& aTable,
+            const std::string& aPart,
+            const std::string& aKey) const -> const StoreRow*
+  {
+    const auto it = mRows.find({ aTable, aPart, aKey });
+    return it == mRows.end() ? nullptr : &it->second;
+  }
+
+  auto Commit(StoreTransaction aTransaction, MonotonicTime)
+    -> net::Task<StoreReply> override
+  {
+    const auto fault = mFaults.empty() ? FakeFault::None : mFaults.front();
+    if (!mFaults.empty()) {
+      mFaults.pop_front();
+    }
+    StoreReply out;
+    if (fault == FakeFault::Refuse || fault == FakeFault::LoseCall) {
+      out.mOutcome = fault == FakeFault::Refuse ? StoreOutcome::Refused
+                                                : StoreOutcome::Unknown;
+      co_return out;
+    }
+    out = Apply(aTransaction);
+    if (fault == FakeFault::LoseAnswer) {
+      out = {};
+    }
+    co_return out;
+  }
+
+  auto ReadRange(RangeQuery aQuery, MonotonicTime)
+    -> net::Task<StoreReply> override
+  {
+    StoreReply out;
+    out.mOutcome = StoreOutcome::Done;
+    out.mVersion = mVersion;
+    for (const auto& [key, it] : mRows) {
+      const auto isInRange =
+        it.mTable == aQuery.mTable && it.mPart == aQuery.mPart &&
+        it.mKey >= aQuery.mFrom &&
+        (aQuery.mBefore.empty() || it.mKey < aQuery.mBefore);
+      if (!isInRange) {
+        continue;
+      }
+      if (aQuery.mLimit > 0 && out.mRows.size() == aQuery.mLimit) {
+        out.mHasMore = true;
+        break;
+      }
+      out.mRows.push_back(it);
+    }
+    co_return out;
+  }
+
+  auto ReadFeed(FeedQuery, MonotonicTime) -> net::Task<StoreReply> override
+  {
+    co_await net::Sleep(Milliseconds(20));
+    StoreReply out;
+    out.mOutcome = StoreOutcome::Done;
+    out.mVersion = mVersion;
+    co_return out;
+  }
+
+private:
+  auto Apply(const StoreTransaction& aTransaction) -> StoreReply
+  {
+    StoreReply out;
+    auto isConflict = false;
+    for (const auto& it : aTransaction.mExpected) {
+      const auto* row = Find(it.mRow.mTable, aTransaction.mPart, it.mRow.mKey);
+      isConflict = isConflict || (row ? row->mVersion : 0) != it.mVersion;
+      if (row) {
+        out.mRows.push_back(*row);
+      }
+    }
+    if (isConflict) {
+      out.mOutcome = StoreOutcome::Conflict;
+      return out;
+    }
+    ++mVersion;
+    for (const auto& it : aTransaction.mWrites) {
+      mRows[{ it.mRow.mTable, aTransaction.mPart, it.mRow.mKey }] = {
+        it.mRow.mTable, aTransaction.mPart, it.mRow.mKey, it.mValue, mVersion
+      };
+    }
+    for (const auto& it : aTransaction.mRemovals) {
+      mRows.erase({ it.mTable, aTransaction.mPart, it.mKey });
+    }
+    out.mRows.clear();
+    out.mOutcome = StoreOutcome::Done;
+    out.mVersion = mVersion;
+    return out;
+  }
+};
+
+} // namespace eelgrasspost::dispatch::testing
--- /dev/null
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -0,0 +1,291 @@
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+#include "eelgrasspost/net/codec.h"
+#include "fakestore.h"
+#include "internal/cellholder.h"
+#include "internal/claiming.h"
+
+namespace {
+
+using namespace eelgrasspost;
+using namespace eelgrasspost::dispatch;
+using dispatch::testing::FakeFault;
+using dispatch::testing::FakeStore;
+
+/** Workers that carry out each start and end it with success when told. */
+class FakeWorkers final : public IWorkerOrders
+{
+public:
+  std::vector<cell::Order> mStarts;
+  std::map<std::string, cell::RunningRow> mRunning;
+  std::vector<cell::EndRow> mEnds;
+  std::uint64_t mAcknowledged = 0;
+  std::uint64_t mHighestToken = 0;
+  std::int64_t mClockMs = 1000;
+
+  auto End(const std::string& aTask, cell::EndKind aKind) -> void
+  {
+    const auto attempt = mRunning.at(aTask).mAttempt;
+    mRunning.erase(aTask);
+    mEnds.push_back({ ++mLastEnd, aTask, attempt, aKind, "" });
+  }
+
+  auto Send(WorkerCall aCall, const cell::Order& aOrder, std::int64_t)
+    -> net::Task<OrderReply> override
+  {
+    if (aCall.mToken < mHighestToken) {
+      co_return OrderReply{ cell::OrderOutcome::Superseded, ++mClockMs };
+    }
+    mHighestToken = aCall.mToken;
+    if (aOrder.mKind == cell::OrderKind::Start) {
+      mStarts.push_back(aOrder);
+      mRunning[aOrder.mTask] = { aOrder.mTask, aOrder.mAttempt, "", 1, 0 };
+    }
+    co_return OrderReply{ cell::OrderOutcome::Done, ++mClockMs };
+  }
+
+  auto Renew(WorkerCall aCall, Renewal aRenewal)
+    -> net::Task<RenewalReply> override
+  {
+    co_await net::Sleep(Milliseconds(5));
+    RenewalReply out;
+    if (aCall.mToken < mHighestToken) {
+      out.mOutcome = cell::OrderOutcome::Superseded;
+      co_return out;
+    }
+    mHighestToken = aCall.mToken;
+    mAcknowledged = std::max(mAcknowledged, aRenewal.mStoredEnds);
+    std::erase_if(mEnds, [&](const cell::EndRow& aEnd) {
+      return aEnd.mNumber <= mAcknowledged;
+    });
+    out.mOutcome = cell::OrderOutcome::Done;
+    out.mReport.mBornMs = 1;
+    mClockMs += 10;
+    out.mReport.mClockMs = mClockMs;
+    for (auto& [name, it] : mRunning) {
+      it.mPercent += 1;
+      out.mReport.mRunning.push_back(it);
+    }
+    out.mReport.mEnds = mEnds;
+    co_return out;
+  }
+
+private:
+  std::uint64_t mLastEnd = 0;
+};
+
+struct HolderFixture
+{
+  net::IoPool mPool{ 1 };
+  DispatchSettings mSettings;
+  FakeStore mStore;
+  FakeWorkers mWorkers;
+  base::Metrics mMetrics;
+  base::EventLog mLog{ "test" };
+
+  HolderFixture() { mPool.Start(); }
+  ~HolderFixture() { mPool.Stop(); }
+
+  template<typename T>
+  auto Wait(net::Task<T> aTask) -> T
+  {
+    std::promise<T> promise;
+    auto run = [](net::Task<T> aInner,
+                  std::promise<T>& aPromise) -> net::Task<void> {
+      aPromise.set_value(co_await std::move(aInner));
+    };
+    mPool.Spawn(mPool.Executor(0), run(std::move(aTask), promise));
+    return promise.get_future().get();
+  }
+
+  /** Waits on the pool's thread until a condition holds; false after 5 s. */
+  auto Until(std::function<bool()> aCondition) -> bool
+  {
+    auto poll = [](std::function<bool()> aHolds) -> net::Task<bool> {
+      for (auto i = 0; i < 1000; ++i) {
+        if (aHolds()) {
+          co_return true;
+        }
+        co_await net::Sleep(Milliseconds(5));
+      }
+      co_return false;
+    };
+    return Wait(poll(std::move(aCondition)));
+  }
+
+  auto MakeHolder(std::uint64_t aTerm) -> std::shared_ptr<CellHolder>
+  {
+    HolderContext context{ mSettings,
+                           mStore,
+                           mWorkers,
+                           mMetrics,
+                           mLog,
+                           mPool.Executor(0),
+                           1,
+                           2,
+                           [](const cell::MovableJob&) {
+                             return std::optional<std::string>();
+                           },
+                           [](JobCommand) -> net::Task<JobReply> {
+                             co_return JobReply{ JobOutcome::NotHeld };
+                           },
+                           [] { return std::vector<std::string>(); } };
+    CellRow row;
+    row.mName = "a/0";
+    row.mDomain = "a";
+    row.mTerm = aTerm;
+    auto out = std::make_shared<CellHolder>(context, row, aTerm * 1000);
+    cell::WorkerRecord worker;
+    worker.mId = "w1";
+    worker.mService = "service";
+    worker.mCapacity = { 16000, 64000, 0 };
+    mPool.Spawn(mPool.Executor(0), out->Run({ worker }, true));
+    return out;
+  }
+
+  static auto MakeSubmission(const std::string& aId) -> JobCommand
+  {
+    JobCommand out;
+    out.mCell = "a/0";
+    out.mJobId = aId;
+    out.mPatienceMs = 3000;
+    out.mJob.mSpec.mId = aId;
+    cell::StepSpec step;
+    step.mCount = 1;
+    step.mNeed = { 1000, 1000, 0 };
+    out.mJob.mSpec.mSteps = { step };
+    out.mJob.mQueue.mName = "queue";
+    out.mJob.mQueue.mService = "service";
+    out.mJob.mQueue.mMaxAttempts = 3;
+    return out;
+  }
+
+  auto IdState(const std::string& aId) -> std::optional<cell::JobState>
+  {
+    for (const auto& [key, it] : mStore.mRows) {
+      if (it.mTable == kIdTable && it.mKey == aId) {
+        return net::Decode<IdRow>(it.mValue)->mState;
+      }
+    }
+    return std::nullopt;
+  }
+
+  auto CountRows(std::string_view aTable) -> std::size_t
+  {
+    std::size_t out = 0;
+    for (const auto& [key, it] : mStore.mRows) {
+      out += it.mTable == aTable ? 1 : 0;
+    }
+    return out;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(holder, HolderFixture)
+
+BOOST_AUTO_TEST_CASE(job_submitted_runs_and_is_shown_done_once_stored)
+{
+  const auto holder = MakeHolder(1);
+  const auto reply = Wait(holder->Execute(MakeSubmission("0000000000000001")));
+  BOOST_TEST((reply.mOutcome == JobOutcome::Done));
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 1; }));
+  BOOST_REQUIRE(Until([&] {
+    mWorkers.End("0000000000000001.0.0.0", cell::EndKind::Done);
+    return true;
+  }));
+
+  BOOST_TEST(
+    Until([&] { return IdState("0000000000000001") == cell::JobState::Done; }));
+  BOOST_TEST(Until([&] { return mWorkers.mAcknowledged == 1; }));
+  BOOST_TEST(CountRows(kJobTable) == 0U);
+  Until([&] {
+    holder->End();
+    return true;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(job_answer_of_store_lost_is_accepted_once)
+{
+  const auto holder = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] { return holder->Phase() == HolderPhase::Active; }));
+  BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 1; }));
+  Until([&] {
+    mStore.mFaults = { FakeFault::LoseAnswer };
+    return true;
+  });
+
+  const auto reply = Wait(holder->Execute(MakeSubmission("0000000000000002")));
+
+  BOOST_TEST((reply.mOutcome == JobOutcome::Done));
+  BOOST_TEST(Until([&] { return mWorkers.mStarts.size() == 1; }));
+  BOOST_TEST(CountRows(kJobTable) == 1U);
+  Until([&] {
+    holder->End();
+    return true;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(job_store_refuses_is_not_run)
+{
+  const auto holder = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 1; }));
+  Until([&] {
+    mStore.mFaults = { FakeFault::Refuse };
+    return true;
+  });
+
+  const auto reply = Wait(holder->Execute(MakeSubmission("0000000000000003")));
+
+  BOOST_TEST((reply.mOutcome == JobOutcome::Refused));
+  BOOST_TEST(mWorkers.mStarts.empty());
+  Until([&] {
+    holder->End();
+    return true;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(nextholder_adopts_runs_and_the_last_one_ends)
+{
+  const auto first = MakeHolder(1);
+  Wait(first->Execute(MakeSubmission("0000000000000004")));
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 1; }));
+
+  const auto second = MakeHolder(2);
+
+  BOOST_TEST(Until([&] { return first->Phase() == HolderPhase::Ended; }));
+  BOOST_REQUIRE(Until([&] { return second->Phase() == HolderPhase::Active; }));
+  BOOST_REQUIRE(Until([&] { return second->State().mUnsettled.empty(); }));
+  Until([&] {
+    mWorkers.End("0000000000000004.0.0.0", cell::EndKind::Done);
+    return true;
+  });
+  BOOST_TEST(
+    Until([&] { return IdState("0000000000000004") == cell::JobState::Done; }));
+  BOOST_TEST(mWorkers.mStarts.size() == 1U);
+  Until([&] {
+    second->End();
+    return true;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(job_cancelled_is_stored_before_it_is_answered)
+{
+  const auto holder = MakeHolder(1);
+  Wait(holder->Execute(MakeSubmission("0000000000000005")));
+  auto cancel = MakeSubmission("0000000000000005");
+  cancel.mKind = JobCommandKind::Cancel;
+
+  const auto reply = Wait(holder->Execute(cancel));
+
+  BOOST_TEST((reply.mOutcome == JobOutcome::Done));
+  BOOST_TEST((IdState("0000000000000005") == cell::JobState::Cancelled));
+  Until([&] {
+    holder->End();
+    return true;
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/framework/base/include/eelgrasspost/base/eventlog.h
+++ b/src/framework/base/include/eelgrasspost/base/eventlog.h
@@ -28,8 +28,8 @@
   /** aProcess is part of each line. */
   explicit EventLog(std::string aProcess);
 
-  auto Record(const LogEvent& aEvent,
-              std::initializer_list<EventField> aFields) -> void;
+  auto Record(const LogEvent& aEvent, std::initializer_list<EventField> aFields)
+    -> void;
   /** Hands what waits to standard output, as far as it takes it. */
   auto Flush() -> void;
   /** Lines that were left out since the start. */
--- a/src/framework/base/internal/eventlog.cpp
+++ b/src/framework/base/internal/eventlog.cpp
@@ -27,9 +27,8 @@
       aOut += '\\';
       aOut += it;
     } else if (static_cast<unsigned char>(it) < kFirstPrintable) {
-      fmt::format_to(std::back_inserter(aOut),
-                     "\\u{:04x}",
-                     static_cast<unsigned char>(it));
+      fmt::format_to(
+        std::back_inserter(aOut), "\\u{:04x}", static_cast<unsigned char>(it));
     } else {
       aOut += it;
     }
@@ -47,9 +46,8 @@
   } else if (const auto* n = std::get_if<std::int64_t>(&aField.mValue)) {
     Append(aOut, *n);
   } else {
-    fmt::format_to(std::back_inserter(aOut),
-                   "{:.3g}",
-                   std::get<double>(aField.mValue));
+    fmt::format_to(
+      std::back_inserter(aOut), "{:.3g}", std::get<double>(aField.mValue));
   }
 }
 
