Look for room once for like tasks; keep sums for each worker

Change: a task that needs no less than one that found no room is not tried; a round follows new ready tasks or 15 ms; sums of filling use and serving images are kept. Progress is grouped by the store's speed. A submission waits 400 ms for a handover before it is refused.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -182,6 +182,10 @@
   MonotonicTime mKeptUntil{};
   /** A fresh report is needed to settle a stopped run. */
   bool mWantsLook = false;
+  /** What filling runs would use at full speed, by image. */
+  std::vector<ImageUse> mFillingUses;
+  /** Images of the serving runs, each with the number of its runs. */
+  std::vector<std::pair<std::size_t, std::uint32_t>> mServingImages;
   /** Processor millis that serving tasks have reserved. */
   std::int64_t mServingCpuMillis = 0;
   int mFillPace = 100;
@@ -228,6 +232,9 @@
   Interference mInterference;
   /** Tasks that may be started once there is room. */
   std::vector<Task*> mReady;
+  /** A task became ready since room was last looked for. */
+  bool mHasNewReady = false;
+  MonotonicTime mPlacedAt{};
   /** Decisions since they were last taken for the log; bounded. */
   std::vector<Note> mNotes;
   /** Counts for the metrics. */
--- a/src/cell/internal/filling.cpp
+++ b/src/cell/internal/filling.cpp
@@ -1,6 +1,7 @@
 #include "filling.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "cellsteps.h"
 #include "eelgrasspost/base/text.h"
@@ -109,32 +110,17 @@
   return CapacityOf(aWorker) - (reserved - serving) - serving * kServingUse;
 }
 
-auto WantedUses(const Worker& aWorker) -> std::vector<ImageUse>
-{
-  std::vector<ImageUse> out;
-  for (const auto& [name, run] : aWorker.mRuns) {
-    if (run.mIsFilling) {
-      AddUse(out,
-             run.mImageIndex,
-             static_cast<double>(run.mNeed.mCpuMillis) / CapacityOf(aWorker));
-    }
-  }
-  return out;
-}
-
 auto WorstExpectedTail(const CellState& aCell,
                        const Worker& aWorker,
-                       const std::vector<ImageUse>& aUses) -> double
+                       const ImageUse& aMore) -> double
 {
   const auto& table = aCell.mInterference;
   auto out = 0.0;
-  std::size_t last = table.mImages.size();
-  for (const auto& [name, run] : aWorker.mRuns) {
-    if (run.mTargetTailMs == 0 || run.mImageIndex == last) {
-      continue;
-    }
-    last = run.mImageIndex;
-    out = std::max(out, ExpectedTail(table, last, aUses));
+  for (const auto& [image, count] : aWorker.mServingImages) {
+    const auto rise =
+      PressureOn(table, image, aWorker.mFillingUses) +
+      table.mPairs[aMore.mImage][image].mPressure * aMore.mUse;
+    out = std::max(out, table.mCalmTails[image] * std::exp(rise));
   }
   return out;
 }
@@ -190,7 +176,7 @@
     aWorker.mSlowedSince = aNow;
   }
   const auto isSlowedLong = aNow - aWorker.mSlowedSince > kMoveAfter;
-  const auto uses = WantedUses(aWorker);
+  const auto& uses = aWorker.mFillingUses;
   for (auto& [name, run] : aWorker.mRuns) {
     if (!run.mIsFilling || run.mPhase != RunPhase::Running || !run.mTask) {
       continue;
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -145,6 +145,7 @@
   aTask.mWorker = nullptr;
   aTask.mReadyAt = aNow;
   aCell.mReady.push_back(&aTask);
+  aCell.mHasNewReady = true;
 }
 
 auto OpenSteps(CellState& aCell,
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -74,12 +74,14 @@
   const auto slowdown = wanted / left;
   auto tail = 0.0;
   if (aWorker.mServingCpuMillis > 0) {
-    auto uses = WantedUses(aWorker);
-    uses.push_back({ ImageIndex(aCell.mInterference, aSpec.mImage),
-                     static_cast<double>(aSpec.mNeed.mCpuMillis) /
-                       static_cast<double>(std::max<std::int64_t>(
-                         1, aWorker.mRecord.mCapacity.mCpuMillis)) });
-    tail = WorstExpectedTail(aCell, aWorker, uses);
+    const auto share =
+      static_cast<double>(aSpec.mNeed.mCpuMillis) /
+      static_cast<double>(
+        std::max<std::int64_t>(1, aWorker.mRecord.mCapacity.mCpuMillis));
+    tail = WorstExpectedTail(
+      aCell,
+      aWorker,
+      { ImageIndex(aCell.mInterference, aSpec.mImage), share });
   }
   // Who has waited long may try what is believed harmful, on an otherwise
   // quiet worker: else belief would never be corrected.
@@ -104,12 +106,11 @@
     return out;
   }
   const auto image = ImageIndex(aCell.mInterference, aSpec.mImage);
-  for (const auto& [name, run] : aWorker.mRuns) {
-    const auto isOther = run.mTargetTailMs > 0 && run.mImageIndex != image;
-    out += isOther ? kOtherImagePenalty : 0;
+  for (const auto& [other, count] : aWorker.mServingImages) {
+    out += other != image ? kOtherImagePenalty * count : 0;
   }
   const auto pressure =
-    PressureOn(aCell.mInterference, image, WantedUses(aWorker));
+    PressureOn(aCell.mInterference, image, aWorker.mFillingUses);
   return out + pressure * kFreshWorkerPenalty;
 }
 
@@ -305,6 +306,45 @@
 
 namespace {
 
+/** Room is looked for again after this time, if no task became ready. */
+constexpr auto kPlacingPause = Milliseconds(15);
+/** The order of waiting jobs changes slowly. */
+constexpr auto kRankAge = Milliseconds(250);
+
+/** A task for which there was no room in this round. */
+struct Misfit
+{
+  const Task* mTask = nullptr;
+  const StepSpec* mSpec = nullptr;
+  bool mMayTry = false;
+};
+
+/** Whether a task needs no less than one that found no room. */
+auto IsMisfit(const std::vector<Misfit>& aMisfits,
+              const Task& aTask,
+              const StepSpec& aSpec,
+              bool aMayTry) -> bool
+{
+  return std::any_of(
+    aMisfits.begin(), aMisfits.end(), [&](const Misfit& aMisfit) {
+      const auto& spec = *aMisfit.mSpec;
+      const auto isPlain = spec.mMaxPerWorker == 0 &&
+                           spec.mRequiredLabel.empty() &&
+                           spec.mIsFilling == aSpec.mIsFilling &&
+                           spec.mIsLongRunning == aSpec.mIsLongRunning;
+      const auto isSameStep = &spec == &aSpec;
+      const auto isLike =
+        isPlain &&
+        aMisfit.mTask->mJob->mStored.mQueue.mService ==
+          aTask.mJob->mStored.mQueue.mService &&
+        (!spec.mIsFilling || spec.mImage == aSpec.mImage) &&
+        aSpec.mNeed.mCpuMillis >= spec.mNeed.mCpuMillis &&
+        aSpec.mNeed.mMemoryMb >= spec.mNeed.mMemoryMb &&
+        aSpec.mNeed.mAccelerators >= spec.mNeed.mAccelerators;
+      return (isSameStep || isLike) && (aMisfit.mMayTry || !aMayTry);
+    });
+}
+
 /** How long room is kept; longer than most short tasks run. */
 constexpr auto kKeepTime = Milliseconds(1500);
 
@@ -355,12 +395,16 @@
                 MonotonicTime aNow,
                 std::vector<Order>& aOrders) -> void
 {
-  if (aCell.mReady.empty()) {
+  if (aCell.mReady.empty() ||
+      (!aCell.mHasNewReady && aNow - aCell.mPlacedAt < kPlacingPause)) {
     return;
   }
+  aCell.mHasNewReady = false;
+  aCell.mPlacedAt = aNow;
+  std::vector<Misfit> misfits;
   auto& ready = aCell.mReady;
   for (const auto* it : ready) {
-    if (it->mJob->mRankedAt != aNow) {
+    if (aNow - it->mJob->mRankedAt > kRankAge) {
       it->mJob->mRank = RankJob(*it->mJob, aNow);
       it->mJob->mRankedAt = aNow;
     }
@@ -376,11 +420,18 @@
       PlaceGang(aCell, *it, aNow, aOrders);
       continue;
     }
+    const auto mayTry = aNow - it->mReadyAt > kTryAfter;
+    if (IsMisfit(misfits, *it, spec, mayTry)) {
+      continue;
+    }
     if (auto* worker = FindWorker(aCell, *it, spec, aNow)) {
       aOrders.push_back(Place(aCell, *it, *worker, NextAttempt(aCell), aNow));
     } else if (spec.mIsLongRunning && kept < kMostKept) {
       KeepRoom(aCell, *it, aNow);
       ++kept;
+      misfits.push_back({ it, &spec, mayTry });
+    } else {
+      misfits.push_back({ it, &spec, mayTry });
     }
   }
   std::erase_if(
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -126,6 +126,7 @@
   auto Flush() -> net::Task<bool>;
   auto FlushPart(std::uint32_t aPart, std::vector<std::string> aJobs)
     -> net::Task<bool>;
+  auto NoteCommitTime(MonotonicTime aSentAt) -> void;
   auto WriteMembers() -> net::Task<void>;
   auto LearnVersions(const StoreReply& aReply) -> void;
   auto FinishJob(const std::string& aId, cell::JobState aState) -> void;
@@ -184,6 +185,8 @@
   bool mIsKicked = false;
   bool mIsFlushUrgent = false;
   std::size_t mFlushing = 0;
+  /** Smoothed time of a commit; grouping grows with it. */
+  Milliseconds mCommitTime{ 10 };
   MonotonicTime mConfirmedAt{};
   std::unique_ptr<net::asio::steady_timer> mFlushTimer;
 };
--- a/src/dispatch/internal/frontdoor.cpp
+++ b/src/dispatch/internal/frontdoor.cpp
@@ -18,6 +18,9 @@
 constexpr auto kComeBack = Milliseconds(1000);
 /** Pause before a command is tried again at the cell's next holder. */
 constexpr auto kHolderPause = Milliseconds(60);
+/** A planned handover of a cell is over within this time; waiting for it is
+ * shorter than coming back. */
+constexpr auto kHandOverTime = Milliseconds(400);
 /** Locations of jobs that are remembered; about 100 bytes each. */
 constexpr std::size_t kMostLocations = 20000;
 
@@ -143,7 +146,9 @@
   command.mJob.mQueue = *aRequest.mQueue;
   command.mJob.mSpec = *std::move(spec);
   command.mJob.mAcceptedMs = base::WallClockMs();
+  const auto startedAt = base::MonotonicClock::now();
   auto isInDoubt = false;
+  auto isRefused = false;
   while (true) {
     for (const auto& it : RankCells(command.mJob.mSpec)) {
       command.mCell = it;
@@ -159,7 +164,8 @@
       if (reply.mOutcome == JobOutcome::Uncertain) {
         isInDoubt = true;
       }
-      if (reply.mOutcome == JobOutcome::Refused || isInDoubt) {
+      isRefused = reply.mOutcome == JobOutcome::Refused;
+      if (isRefused || isInDoubt) {
         break;
       }
     }
@@ -167,6 +173,12 @@
       mUncertain.Add();
       co_return Uncertain();
     }
+    if (!isRefused &&
+        base::MonotonicClock::now() - startedAt < kHandOverTime &&
+        LeftMs(aDeadline) > kHandOverTime.count()) {
+      co_await net::Sleep(kHolderPause);
+      continue;
+    }
     mRefused.Add();
     co_return NotRun("no cell can take the job now; come back later");
   }
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -134,8 +134,10 @@
     if (writes.empty()) {
       continue;
     }
-    const auto reply = co_await mContext.mStore.Commit(
-      transaction, base::MonotonicClock::now() + kStoreTimeout);
+    const auto sentAt = base::MonotonicClock::now();
+    const auto reply =
+      co_await mContext.mStore.Commit(transaction, sentAt + kStoreTimeout);
+    NoteCommitTime(sentAt);
     if (mPhase == HolderPhase::Ended) {
       co_return false;
     }
@@ -185,6 +187,13 @@
   co_return isOk;
 }
 
+auto CellHolder::NoteCommitTime(MonotonicTime aSentAt) -> void
+{
+  const auto took = std::chrono::duration_cast<Milliseconds>(
+    base::MonotonicClock::now() - aSentAt);
+  mCommitTime = (mCommitTime * 3 + took) / 4;
+}
+
 auto CellHolder::LearnVersions(const StoreReply& aReply) -> void
 {
   const auto* fence =
--- a/src/dispatch/internal/holdertending.cpp
+++ b/src/dispatch/internal/holdertending.cpp
@@ -259,7 +259,11 @@
     mIsFlushUrgent = mIsFlushUrgent || (job && cell::IsFinal(job->mState));
   }
   if (needsFlush) {
-    const auto at = now + (mIsFlushUrgent ? kUrgentFlushDelay : kFlushDelay);
+    // A slow store takes few transactions; submissions should not wait for
+    // progress, so more of it goes into each.
+    const auto at =
+      now + (mIsFlushUrgent ? std::max(kUrgentFlushDelay, mCommitTime / 4)
+                            : std::max(kFlushDelay, mCommitTime * 2));
     if (at < mFlushTimer->expiry()) {
       mFlushTimer->expires_at(at);
     }
