--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -311,14 +311,14 @@
 auto FindStarved(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
   -> const Task*;
 
-/** A worker that can be given away: it reserves nothing and holds aNeed; null
- * when there is none. */
+/** A worker that can be given away: nothing lasting runs on it, and it holds
+ * aNeed; null when there is none. */
 auto FindLendable(CellState& aCell,
                   const std::string& aService,
                   const Resources& aNeed,
                   MonotonicTime aNow) -> Worker*;
 
-/** Gives a worker no more starts and stops what runs on it. */
+/** Gives a worker no more starts and stops its filling runs. */
 auto Vacate(Worker& aWorker) -> void;
 
 /** What a job that may move to another cell needs there. */
--- a/src/cell/internal/filling.cpp
+++ b/src/cell/internal/filling.cpp
@@ -117,9 +117,8 @@
   const auto& table = aCell.mInterference;
   auto out = 0.0;
   for (const auto& [image, count] : aWorker.mServingImages) {
-    const auto rise =
-      PressureOn(table, image, aWorker.mFillingUses) +
-      table.mPairs[aMore.mImage][image].mPressure * aMore.mUse;
+    const auto rise = PressureOn(table, image, aWorker.mFillingUses) +
+                      table.mPairs[aMore.mImage][image].mPressure * aMore.mUse;
     out = std::max(out, table.mCalmTails[image] * std::exp(rise));
   }
   return out;
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -74,14 +74,11 @@
   const auto slowdown = wanted / left;
   auto tail = 0.0;
   if (aWorker.mServingCpuMillis > 0) {
-    const auto share =
-      static_cast<double>(aSpec.mNeed.mCpuMillis) /
-      static_cast<double>(
-        std::max<std::int64_t>(1, aWorker.mRecord.mCapacity.mCpuMillis));
+    const auto share = static_cast<double>(aSpec.mNeed.mCpuMillis) /
+                       static_cast<double>(std::max<std::int64_t>(
+                         1, aWorker.mRecord.mCapacity.mCpuMillis));
     tail = WorstExpectedTail(
-      aCell,
-      aWorker,
-      { ImageIndex(aCell.mInterference, aSpec.mImage), share });
+      aCell, aWorker, { ImageIndex(aCell.mInterference, aSpec.mImage), share });
   }
   // Who has waited long may try what is believed harmful, on an otherwise
   // quiet worker: else belief would never be corrected.
@@ -333,14 +330,13 @@
                            spec.mIsFilling == aSpec.mIsFilling &&
                            spec.mIsLongRunning == aSpec.mIsLongRunning;
       const auto isSameStep = &spec == &aSpec;
-      const auto isLike =
-        isPlain &&
-        aMisfit.mTask->mJob->mStored.mQueue.mService ==
-          aTask.mJob->mStored.mQueue.mService &&
-        (!spec.mIsFilling || spec.mImage == aSpec.mImage) &&
-        aSpec.mNeed.mCpuMillis >= spec.mNeed.mCpuMillis &&
-        aSpec.mNeed.mMemoryMb >= spec.mNeed.mMemoryMb &&
-        aSpec.mNeed.mAccelerators >= spec.mNeed.mAccelerators;
+      const auto isLike = isPlain &&
+                          aMisfit.mTask->mJob->mStored.mQueue.mService ==
+                            aTask.mJob->mStored.mQueue.mService &&
+                          (!spec.mIsFilling || spec.mImage == aSpec.mImage) &&
+                          aSpec.mNeed.mCpuMillis >= spec.mNeed.mCpuMillis &&
+                          aSpec.mNeed.mMemoryMb >= spec.mNeed.mMemoryMb &&
+                          aSpec.mNeed.mAccelerators >= spec.mNeed.mAccelerators;
       return (isSameStep || isLike) && (aMisfit.mMayTry || !aMayTry);
     });
 }
@@ -450,6 +446,18 @@
   return nullptr;
 }
 
+namespace {
+
+auto HasLasting(const Worker& aWorker) -> bool
+{
+  return std::any_of(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const auto& aItem) {
+      return aItem.second.mIsLongRunning;
+    });
+}
+
+} // namespace
+
 auto FindLendable(CellState& aCell,
                   const std::string& aService,
                   const Resources& aNeed,
@@ -460,12 +468,14 @@
     const auto& capacity = worker->mRecord.mCapacity;
     const auto isLendable =
       IsUsable(aCell, *worker, aNow) && worker->mRecord.mService == aService &&
-      worker->mUsed.mCpuMillis == 0 && aNow >= worker->mKeptUntil &&
+      !HasLasting(*worker) && aNow >= worker->mKeptUntil &&
       capacity.mCpuMillis >= aNeed.mCpuMillis &&
       capacity.mMemoryMb >= aNeed.mMemoryMb &&
       capacity.mAccelerators >= aNeed.mAccelerators;
-    if (isLendable &&
-        (!best || worker->mFillingCpuMillis < best->mFillingCpuMillis)) {
+    const auto busy = [](const Worker& aWorker) {
+      return std::pair(aWorker.mUsed.mCpuMillis, aWorker.mFillingCpuMillis);
+    };
+    if (isLendable && (!best || busy(*worker) < busy(*best))) {
       best = worker.get();
     }
   }
@@ -476,7 +486,10 @@
 {
   aWorker.mIsLent = true;
   for (auto& [name, run] : aWorker.mRuns) {
-    AskStop(run);
+    // Short runs end soon by themselves; filling ones resume elsewhere.
+    if (run.mIsFilling) {
+      AskStop(run);
+    }
   }
 }
 
--- a/src/cell/tests/interference_tests.cpp
+++ b/src/cell/tests/interference_tests.cpp
@@ -118,3 +118,50 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(full_cell_after_drain, CellFixture)
+
+BOOST_AUTO_TEST_CASE(lastingtask_without_room_is_found_after_its_wait)
+{
+  AddWorker("w1", 4000);
+  auto lasting = MakeStep(2, 3000);
+  lasting.mIsLongRunning = true;
+  Add(MakeJob("j", lasting));
+  BOOST_REQUIRE(Start().size() == 1U);
+  BOOST_TEST(FindStarved(mCell, mNow, Milliseconds(500)) == nullptr);
+  Advance(Milliseconds(600));
+  BOOST_TEST(FindStarved(mCell, mNow, Milliseconds(500)) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(worker_with_lasting_run_is_not_lent)
+{
+  AddWorker("w1");
+  auto lasting = MakeStep(1, 3000);
+  lasting.mIsLongRunning = true;
+  Add(MakeJob("j", lasting));
+  BOOST_REQUIRE(Start().size() == 1U);
+  const auto need = Resources{ 2000, 1000, 0 };
+  BOOST_TEST(FindLendable(mCell, "service", need, mNow) == nullptr);
+  AddWorker("w2");
+  auto* worker = FindLendable(mCell, "service", need, mNow);
+  BOOST_REQUIRE(worker != nullptr);
+  BOOST_TEST(worker->mRecord.mId == "w2");
+  Vacate(*worker);
+  Add(MakeJob("k", MakeStep(1, 14000)));
+  BOOST_TEST(Start().empty());
+}
+
+BOOST_AUTO_TEST_CASE(job_without_runs_may_move_and_one_with_runs_may_not)
+{
+  AddWorker("w1", 1000);
+  Add(MakeJob("j", MakeStep(2)));
+  Add(MakeJob("k", MakeStep(1, 2000)));
+  BOOST_REQUIRE(Start().size() == 1U);
+  Advance(Milliseconds(2000));
+  const auto movable = FindMovable(mCell, mNow, Milliseconds(1000));
+  BOOST_REQUIRE(movable.size() == 1U);
+  BOOST_TEST(movable[0].mId == "k");
+  BOOST_TEST(movable[0].mReservingCpuMillis == 2000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/internal/frontdoor.cpp
+++ b/src/dispatch/internal/frontdoor.cpp
@@ -173,8 +173,7 @@
       mUncertain.Add();
       co_return Uncertain();
     }
-    if (!isRefused &&
-        base::MonotonicClock::now() - startedAt < kHandOverTime &&
+    if (!isRefused && base::MonotonicClock::now() - startedAt < kHandOverTime &&
         LeftMs(aDeadline) > kHandOverTime.count()) {
       co_await net::Sleep(kHolderPause);
       continue;
--- a/src/dispatch/internal/holderloans.cpp
+++ b/src/dispatch/internal/holderloans.cpp
@@ -11,9 +11,9 @@
 
 /** A lasting task that waited so long makes its cell borrow a worker. Its
  * users should have it back within six seconds. */
-constexpr auto kBorrowAfter = Milliseconds(1000);
+constexpr auto kBorrowAfter = Milliseconds(600);
 /** Between two loans; one takes under a second to arrive. */
-constexpr auto kBorrowPause = Milliseconds(2000);
+constexpr auto kBorrowPause = Milliseconds(500);
 /** Longest time in which a lent worker has to become empty. */
 constexpr auto kVacateTime = Milliseconds(2500);
 constexpr auto kVacateStep = Milliseconds(25);
