--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -7,10 +7,11 @@
 
 #include <cxxopts.hpp>
 
+#include "dispatchcommand.h"
+#include "dispatchsettings.h"
 #include "eelgrasspost/base/jsonfields.h"
 #include "eelgrasspost/base/logging.h"
 #include "eelgrasspost/base/text.h"
-#include "dispatchcommand.h"
 #include "entry.h"
 #include "jobscommand.h"
 #include "loadcommand.h"
@@ -25,8 +26,9 @@
   "usage: eelgrasspost COMMAND [OPTIONS]\n"
   "  serve --settings FILE            run an entry\n"
   "  dispatch --settings FILE         run an entry on the users' platform\n"
-  "  check-settings --settings FILE   check a settings file\n"
-  "  settings                         list all settings\n"
+  "  check-settings [dispatch] --settings FILE\n"
+  "                                   check a settings file\n"
+  "  settings [dispatch]              list all settings\n"
   "  log-events                       list all numbered log events\n"
   "  note plan FILE --entry IP:PORT [--against REVISION]\n"
   "                                   show what a note would change\n"
@@ -237,9 +239,13 @@
 
 auto CheckSettings(const Arguments& aArguments) -> ExitCode
 {
-  const auto settings = LoadEntrySettings(aArguments.mSettings);
-  if (!settings.ok()) {
-    std::cerr << base::MessageOf(settings.status()) << "\n";
+  const auto isDispatch =
+    aArguments.mWords.size() > 1 && aArguments.mWords[1] == "dispatch";
+  const auto status = isDispatch
+                        ? LoadDispatchSettings(aArguments.mSettings).status()
+                        : LoadEntrySettings(aArguments.mSettings).status();
+  if (!status.ok()) {
+    std::cerr << base::MessageOf(status) << "\n";
     return ExitCode::Failed;
   }
   std::cout << aArguments.mSettings << ": no mistakes\n";
@@ -283,12 +289,16 @@
   if (command == "dispatch") {
     return RunDispatch(arguments->mSettings);
   }
-  if (command == "check-settings") {
+  if (command == "check-settings" || command == "check-settings dispatch") {
     return CheckSettings(*arguments);
   }
   if (command == "load") {
     return RunLoadCommand(arguments->mLoad);
   }
+  if (command == "settings dispatch") {
+    std::cout << RenderSettings(DispatchSettingFields());
+    return ExitCode::Done;
+  }
   if (command == "settings") {
     std::cout << RenderSettings(EntrySettingFields());
     return ExitCode::Done;
--- a/src/app/tests/pages_tests.cpp
+++ b/src/app/tests/pages_tests.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <sstream>
 
+#include "internal/dispatchsettings.h"
 #include "internal/entrysettings.h"
 #include "internal/pages.h"
 
@@ -60,6 +61,23 @@
   BOOST_TEST(Contains(page, table));
 }
 
+BOOST_AUTO_TEST_CASE(settingspage_holds_every_platform_setting_as_in_code)
+{
+  const auto page = ReadFile(kRoot / "docs/settings.md");
+  const auto table = app::RenderSettings(app::DispatchSettingFields());
+  BOOST_TEST_INFO("write the output of 'eelgrasspost settings dispatch' there");
+  BOOST_TEST(Contains(page, table));
+}
+
+BOOST_AUTO_TEST_CASE(settingstemplate_gives_every_required_platform_setting)
+{
+  const auto text = ReadFile(kRoot / "deploy/entry.ini");
+  for (const auto& it : app::DispatchSettingFields()) {
+    BOOST_TEST_INFO(it.mSection << "." << it.mKey);
+    BOOST_TEST(Contains(text, "\n" + std::string(it.mKey) + " = "));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(logeventspage_holds_every_event_as_in_code)
 {
   const auto page = ReadFile(kRoot / "docs/log-events.md");
--- a/src/cell/internal/cellsteps.h
+++ b/src/cell/internal/cellsteps.h
@@ -49,6 +49,9 @@
                     const Run& aRun,
                     MonotonicTime aNow) -> bool;
 
+/** Whether a task may be started once there is room. */
+auto MayStart(const Task& aTask, MonotonicTime aNow) -> bool;
+
 /** Whether a worker may be given new work. */
 auto IsUsable(const CellState& aCell, const Worker& aWorker, MonotonicTime aNow)
   -> bool;
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -354,10 +354,12 @@
       order.emplace_back(since.at(job), it);
     }
   }
-  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
-    return a.first < b.first;
-  });
+  std::sort(
+    order.begin(), order.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
   std::vector<MovableJob> out;
+  out.reserve(order.size());
   for (auto& [at, it] : order) {
     out.push_back(std::move(it));
   }
@@ -407,10 +409,11 @@
 auto CountPending(const CellState& aCell, std::string_view aQueue)
   -> std::size_t
 {
-  return static_cast<std::size_t>(
-    std::count_if(aCell.mJobs.begin(), aCell.mJobs.end(), [&](const auto& it) {
-      return it.second->mStored.mQueue.mName == aQueue &&
-             !it.second->mHasStarted && !IsFinal(it.second->mState);
+  return static_cast<std::size_t>(std::count_if(
+    aCell.mJobs.begin(), aCell.mJobs.end(), [&](const auto& aItem) {
+      const auto& job = *aItem.second;
+      return job.mStored.mQueue.mName == aQueue && !job.mHasStarted &&
+             !IsFinal(job.mState);
     }));
 }
 
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -196,13 +196,6 @@
   return order;
 }
 
-auto MayStart(const Task& aTask, MonotonicTime aNow) -> bool
-{
-  return aTask.mPhase == TaskPhase::Ready && !aTask.mMayRunUnseen &&
-         aTask.mNotBefore <= aNow && !IsFinal(aTask.mJob->mState) &&
-         !aTask.mJob->mIsLeaving;
-}
-
 auto NextAttempt(CellState& aCell) -> std::uint64_t
 {
   return aCell.mAttemptBase + aCell.mNextAttempt++;
@@ -434,89 +427,4 @@
     ready, [](const Task* aTask) { return aTask->mPhase != TaskPhase::Ready; });
 }
 
-auto FindStarved(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
-  -> const Task*
-{
-  for (const auto* it : aCell.mReady) {
-    if (SpecOf(*it).mIsLongRunning && MayStart(*it, aNow) &&
-        aNow - it->mReadyAt > aWait) {
-      return it;
-    }
-  }
-  return nullptr;
-}
-
-namespace {
-
-auto HasLasting(const Worker& aWorker) -> bool
-{
-  return std::any_of(
-    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const auto& aItem) {
-      return aItem.second.mIsLongRunning;
-    });
-}
-
-} // namespace
-
-auto FindLendable(CellState& aCell,
-                  const std::string& aService,
-                  const Resources& aNeed,
-                  MonotonicTime aNow) -> Worker*
-{
-  Worker* best = nullptr;
-  for (auto& [id, worker] : aCell.mWorkers) {
-    const auto& capacity = worker->mRecord.mCapacity;
-    const auto isLendable =
-      IsUsable(aCell, *worker, aNow) && worker->mRecord.mService == aService &&
-      !HasLasting(*worker) && aNow >= worker->mKeptUntil &&
-      capacity.mCpuMillis >= aNeed.mCpuMillis &&
-      capacity.mMemoryMb >= aNeed.mMemoryMb &&
-      capacity.mAccelerators >= aNeed.mAccelerators;
-    const auto busy = [](const Worker& aWorker) {
-      return std::pair(aWorker.mUsed.mCpuMillis, aWorker.mFillingCpuMillis);
-    };
-    if (isLendable && (!best || busy(*worker) < busy(*best))) {
-      best = worker.get();
-    }
-  }
-  return best;
-}
-
-auto Vacate(Worker& aWorker) -> void
-{
-  aWorker.mIsLent = true;
-  for (auto& [name, run] : aWorker.mRuns) {
-    // Short runs end soon by themselves; filling ones resume elsewhere.
-    if (run.mIsFilling) {
-      AskStop(run);
-    }
-  }
-}
-
-auto RoomOf(const CellState& aCell, MonotonicTime aNow) -> CellRoom
-{
-  CellRoom out;
-  auto& free = out.mFree;
-  for (const auto& [id, it] : aCell.mWorkers) {
-    if (!IsUsable(aCell, *it, aNow)) {
-      continue;
-    }
-    const auto& capacity = it->mRecord.mCapacity;
-    free.mCpuMillis += capacity.mCpuMillis - it->mUsed.mCpuMillis;
-    free.mMemoryMb += capacity.mMemoryMb - it->mUsed.mMemoryMb;
-    free.mAccelerators += capacity.mAccelerators - it->mUsed.mAccelerators;
-    out.mCapacityCpuMillis += capacity.mCpuMillis;
-    out.mFillingCpuMillis += it->mFillingCpuMillis;
-    out.mLeftoverCpuMillis += static_cast<std::int64_t>(LeftoverCpu(*it));
-  }
-  for (const auto* it : aCell.mReady) {
-    const auto& spec = SpecOf(*it);
-    (spec.mIsFilling ? out.mFillingCpuMillis : free.mCpuMillis) +=
-      spec.mIsFilling ? spec.mNeed.mCpuMillis : -spec.mNeed.mCpuMillis;
-    free.mMemoryMb -= spec.mNeed.mMemoryMb;
-    out.mWaitingCpuMillis += spec.mNeed.mCpuMillis;
-  }
-  return out;
-}
-
 } // namespace eelgrasspost::cell
--- /dev/null
+++ b/src/cell/internal/runs.cpp
@@ -0,0 +1,115 @@
+#include <algorithm>
+
+#include "cellsteps.h"
+
+namespace eelgrasspost::cell {
+
+auto AskStop(Run& aRun) -> void
+{
+  if (aRun.mPhase != RunPhase::Stopping) {
+    aRun.mPhase = RunPhase::Stopping;
+    aRun.mStopAnswered = false;
+    aRun.mStopInFlight = false;
+    aRun.mStopSentAt = {};
+  }
+}
+
+namespace {
+
+auto AddFillingUse(Worker& aWorker, std::size_t aImage, double aUse) -> void
+{
+  auto& uses = aWorker.mFillingUses;
+  const auto it =
+    std::find_if(uses.begin(), uses.end(), [&](const ImageUse& aItem) {
+      return aItem.mImage == aImage;
+    });
+  if (it == uses.end()) {
+    uses.push_back({ aImage, aUse });
+    return;
+  }
+  it->mUse += aUse;
+  constexpr double kNothing = 1e-6;
+  if (it->mUse < kNothing) {
+    uses.erase(it);
+  }
+}
+
+auto CountServing(Worker& aWorker, std::size_t aImage, bool aIsNew) -> void
+{
+  auto& images = aWorker.mServingImages;
+  const auto it =
+    std::find_if(images.begin(), images.end(), [&](const auto& aItem) {
+      return aItem.first == aImage;
+    });
+  if (it == images.end()) {
+    images.emplace_back(aImage, 1);
+    return;
+  }
+  it->second = aIsNew ? it->second + 1 : it->second - 1;
+  if (it->second == 0) {
+    images.erase(it);
+  }
+}
+
+/** Adds a run to the sums of its worker, or takes it off them. */
+auto Account(Worker& aWorker, const Run& aRun, bool aIsNew) -> void
+{
+  const std::int64_t sign = aIsNew ? 1 : -1;
+  const auto cpu = sign * aRun.mNeed.mCpuMillis;
+  aWorker.mUsed.mMemoryMb += sign * aRun.mNeed.mMemoryMb;
+  aWorker.mUsed.mAccelerators += sign * aRun.mNeed.mAccelerators;
+  if (aRun.mIsFilling) {
+    aWorker.mFillingCpuMillis += cpu;
+    const auto capacity =
+      std::max<std::int64_t>(1, aWorker.mRecord.mCapacity.mCpuMillis);
+    AddFillingUse(aWorker,
+                  aRun.mImageIndex,
+                  static_cast<double>(cpu) / static_cast<double>(capacity));
+  } else {
+    aWorker.mUsed.mCpuMillis += cpu;
+  }
+  if (aRun.mTargetTailMs > 0) {
+    aWorker.mServingCpuMillis += cpu;
+    CountServing(aWorker, aRun.mImageIndex, aIsNew);
+  }
+}
+
+} // namespace
+
+auto EraseRun(Worker& aWorker, const std::string& aName) -> void
+{
+  const auto it = aWorker.mRuns.find(aName);
+  if (it != aWorker.mRuns.end()) {
+    Account(aWorker, it->second, false);
+    aWorker.mRuns.erase(it);
+  }
+}
+
+auto InsertRun(Worker& aWorker, const std::string& aName, Run aRun) -> Run&
+{
+  EraseRun(aWorker, aName);
+  Account(aWorker, aRun, true);
+  return aWorker.mRuns.emplace(aName, std::move(aRun)).first->second;
+}
+
+auto MakeRun(CellState& aCell,
+             Task& aTask,
+             std::uint64_t aAttempt,
+             MonotonicTime aNow) -> Run
+{
+  const auto& spec = SpecOf(aTask);
+  Run out;
+  out.mTask = &aTask;
+  out.mAttempt = aAttempt;
+  out.mNeed = spec.mNeed;
+  out.mIsFilling = spec.mIsFilling;
+  out.mIsLongRunning = spec.mIsLongRunning;
+  out.mCheckpoints = spec.mCheckpoints;
+  out.mTargetTailMs = spec.mTargetTailMs;
+  out.mImageIndex = ImageIndex(aCell.mInterference, spec.mImage);
+  out.mStartedAt = aNow;
+  out.mPercentMovedAt = aNow;
+  return out;
+}
+
+} // namespace eelgrasspost::cell
--- a/src/dispatch/internal/claiming.cpp
+++ b/src/dispatch/internal/claiming.cpp
@@ -14,9 +14,10 @@
 auto FindLive(const ClaimView& aView, const std::string& aName)
   -> const ClaimCandidate*
 {
-  const auto it = std::find_if(aView.mLive.begin(),
-                               aView.mLive.end(),
-                               [&](const auto& a) { return a.mName == aName; });
+  const auto it =
+    std::find_if(aView.mLive.begin(),
+                 aView.mLive.end(),
+                 [&](const auto& aLive) { return aLive.mName == aName; });
   return it == aView.mLive.end() ? nullptr : &*it;
 }
 
--- /dev/null
+++ b/src/dispatch/internal/entrycells.cpp
@@ -0,0 +1,218 @@
+#include "dispatchentry.h"
+
+#include <algorithm>
+
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
+#include "eelgrasspost/net/codec.h"
+#include "holdertimes.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+constexpr auto kManageInterval = Milliseconds(150);
+/** A domain's workers are counted once their list has not grown for so long. */
+constexpr auto kLayoutPause = Milliseconds(500);
+
+} // namespace
+
+auto DispatchEntry::IsGone(const CellRow& aRow) const -> bool
+{
+  if (aRow.mHolder.empty()) {
+    return true;
+  }
+  if (aRow.mHolder == mSettings.mName) {
+    return aRow.mHolderIncarnation != mIncarnation;
+  }
+  const auto* peer = mPeers.Find(aRow.mHolder);
+  return peer && peer->mRow.mIncarnation > aRow.mHolderIncarnation;
+}
+
+auto DispatchEntry::MakeView(MonotonicTime aNow) const -> ClaimView
+{
+  ClaimView out;
+  out.mMyName = mSettings.mName;
+  out.mMyIncarnation = mIncarnation;
+  out.mSinceStart = std::chrono::duration_cast<Milliseconds>(aNow - mStartedAt);
+  out.mLive.push_back({ mSettings.mName,
+                        mIncarnation,
+                        mSettings.mDomain,
+                        mIsLeaving,
+                        mHolders.size() });
+  for (const auto& [name, it] : mPeers.All()) {
+    if (it.mSeenAt != MonotonicTime{}) {
+      const auto silence =
+        std::chrono::duration_cast<Milliseconds>(aNow - it.mSeenAt);
+      const auto [slot, isNew] =
+        out.mDomainSilence.emplace(it.mRow.mDomain, silence);
+      slot->second = std::min(slot->second, silence);
+    }
+    if (mPeers.IsAlive(it, aNow)) {
+      out.mLive.push_back({ name,
+                            it.mRow.mIncarnation,
+                            it.mRow.mDomain,
+                            it.mLast.mIsLeaving,
+                            it.mLast.mCells.size() });
+    }
+  }
+  for (const auto& [name, it] : mCells) {
+    out.mCells.push_back(it.mRow);
+  }
+  return out;
+}
+
+auto DispatchEntry::ManageCells() -> net::Task<void>
+{
+  while (true) {
+    co_await net::Sleep(kManageInterval);
+    const auto now = base::MonotonicClock::now();
+    if (!mControlWatch.IsLoaded() || !mWorkerWatch.IsLoaded()) {
+      continue;
+    }
+    std::erase_if(mHolders, [](const auto& aItem) {
+      return aItem.second->Phase() == HolderPhase::Ended;
+    });
+    ManageLayouts(now);
+    const auto view = MakeView(now);
+    for (const auto& it : CellsToClaim(view)) {
+      if (!mIsLeaving && mBusyCells.insert(it).second) {
+        net::SpawnTask(mPool.Executor(0), Claim(it));
+      }
+    }
+    for (const auto& it : CellsToReturn(view)) {
+      if (mBusyCells.insert(it).second) {
+        net::SpawnTask(mPool.Executor(0), Return(it));
+      }
+    }
+  }
+}
+
+auto DispatchEntry::ManageLayouts(MonotonicTime aNow) -> void
+{
+  if (aNow - mWorkersChangedAt < kLayoutPause) {
+    return;
+  }
+  std::map<std::string, std::size_t> counts;
+  for (const auto& [id, it] : mWorkers) {
+    ++counts[it.mDomain];
+  }
+  for (const auto& [domain, n] : counts) {
+    if (!mLayouts.contains(domain) && mBusyLayouts.insert(domain).second) {
+      net::SpawnTask(mPool.Executor(0), CreateLayout(domain, CellsFor(n)));
+    }
+  }
+}
+
+auto DispatchEntry::CreateLayout(std::string aDomain, std::uint32_t aCells)
+  -> net::Task<void>
+{
+  StoreTransaction transaction;
+  const auto add = [&](std::string aKey, std::string aValue) {
+    const auto key = RowKey{ std::string(kControlTable), std::move(aKey) };
+    transaction.mExpected.push_back({ key, 0 });
+    transaction.mWrites.push_back({ key, std::move(aValue) });
+  };
+  add("layout/" + aDomain, net::Encode(LayoutRow{ aDomain, aCells }));
+  for (std::uint32_t i = 0; i < aCells; ++i) {
+    CellRow row;
+    row.mName = base::Cat(aDomain, "/", i);
+    row.mDomain = aDomain;
+    add("cell/" + row.mName, net::Encode(row));
+  }
+  co_await mStore.Commit(std::move(transaction),
+                         base::MonotonicClock::now() + kStoreTimeout);
+  // Whoever was first, the feed shows the layout.
+  co_await net::Sleep(kRetryPause);
+  mBusyLayouts.erase(aDomain);
+}
+
+auto DispatchEntry::Claim(std::string aCell) -> net::Task<void>
+{
+  const auto known = mCells.at(aCell);
+  auto row = known.mRow;
+  row.mHolder = mSettings.mName;
+  row.mHolderIncarnation = mIncarnation;
+  ++row.mTerm;
+  StoreTransaction transaction;
+  const auto key = RowKey{ std::string(kControlTable), "cell/" + aCell };
+  transaction.mExpected.push_back({ key, known.mVersion });
+  transaction.mWrites.push_back({ key, net::Encode(row) });
+  const auto reply = co_await mStore.Commit(
+    std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
+  if (reply.mOutcome == StoreOutcome::Done) {
+    SeeCell(row, reply.mVersion);
+  } else if (reply.mOutcome != StoreOutcome::Conflict) {
+    co_await net::Sleep(kRetryPause);
+  }
+  mBusyCells.erase(aCell);
+}
+
+auto DispatchEntry::Hold(const CellRow& aRow,
+                         std::uint64_t aVersion,
+                         bool aIsPreviousGone) -> void
+{
+  const auto cell = aRow.mName;
+  const auto context = HolderContext{
+    mSettings,
+    mStore,
+    mPorts.mWorkers,
+    mMetrics,
+    mLog,
+    mPool.Executor(0),
+    mIncarnation,
+    mParts,
+    [this, cell](const cell::MovableJob& aJob) { return FindRoom(cell, aJob); },
+    [this](JobCommand aCommand) { return Execute(std::move(aCommand)); },
+    [this, domain = aRow.mDomain] { return FindLenders(domain); }
+  };
+  mLog.Record(kCellClaimed,
+              { { "cell", aRow.mName },
+                { "term", static_cast<std::int64_t>(aRow.mTerm) },
+                { "token", static_cast<std::int64_t>(aVersion) },
+                { "previous_gone",
+                  static_cast<std::int64_t>(aIsPreviousGone ? 1 : 0) } });
+  auto holder = std::make_shared<CellHolder>(context, aRow, aVersion);
+  mHolders[aRow.mName] = holder;
+  std::vector<cell::WorkerRecord> workers;
+  for (const auto& [id, it] : mWorkers) {
+    if (CellOf(it) == aRow.mName) {
+      workers.push_back(it);
+    }
+  }
+  for (const auto& [id, it] : mLoans) {
+    if (it.mCell == aRow.mName) {
+      holder->RaiseToken(id, it.mVersion);
+    }
+  }
+  net::SpawnTask(mPool.Executor(0),
+                 holder->Run(std::move(workers), aIsPreviousGone));
+}
+
+auto DispatchEntry::Return(std::string aCell) -> net::Task<void>
+{
+  if (const auto holder = FindHolder(aCell)) {
+    co_await holder->Finish();
+    auto row = holder->Row();
+    row.mHolder.clear();
+    StoreTransaction transaction;
+    const auto key = RowKey{ std::string(kControlTable), "cell/" + aCell };
+    transaction.mExpected.push_back({ key, holder->RowVersion() });
+    transaction.mWrites.push_back({ key, net::Encode(row) });
+    co_await mStore.Commit(std::move(transaction),
+                           base::MonotonicClock::now() + kStoreTimeout);
+    mHolders.erase(aCell);
+  }
+  mBusyCells.erase(aCell);
+}
+
+auto DispatchEntry::FindHolder(const std::string& aCell) const
+  -> std::shared_ptr<CellHolder>
+{
+  const auto it = mHolders.find(aCell);
+  const auto isLive =
+    it != mHolders.end() && it->second->Phase() != HolderPhase::Ended;
+  return isLive ? it->second : nullptr;
+}
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -0,0 +1,214 @@
+#include "dispatchentry.h"
+
+#include <algorithm>
+
+#include "eelgrasspost/net/codec.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** After two heartbeats a cell's room counts the jobs that were sent to it. */
+constexpr auto kSentWorkAge = 2 * kHeartbeatInterval;
+
+} // namespace
+
+auto DispatchEntry::HolderAddress(const std::string& aCell) const
+  -> std::optional<net::Address>
+{
+  const auto now = base::MonotonicClock::now();
+  const auto it = mCells.find(aCell);
+  if (it == mCells.end()) {
+    return std::nullopt;
+  }
+  const auto* peer = mPeers.Find(it->second.mRow.mHolder);
+  if (!peer || !mPeers.IsAlive(*peer, now)) {
+    return std::nullopt;
+  }
+  return peer->mRow.mPeers;
+}
+
+auto DispatchEntry::NoteSentWork(const JobCommand& aCommand) -> void
+{
+  const auto now = base::MonotonicClock::now();
+  auto& sent = mSentWork[aCommand.mCell];
+  if (now - sent.mSince > kSentWorkAge) {
+    sent = { 0, 0, now };
+  }
+  // The first step tells what comes at once.
+  for (const auto& it : aCommand.mJob.mSpec.mSteps) {
+    if (!it.mAfter.empty()) {
+      continue;
+    }
+    const auto cpu = it.mNeed.mCpuMillis * it.mCount;
+    (it.mIsFilling ? sent.mFilling : sent.mReserving) += cpu;
+  }
+}
+
+auto DispatchEntry::Execute(JobCommand aCommand) -> net::Task<JobReply>
+{
+  if (aCommand.mKind == JobCommandKind::Submit ||
+      aCommand.mKind == JobCommandKind::Import) {
+    NoteSentWork(aCommand);
+  }
+  if (const auto holder = FindHolder(aCommand.mCell)) {
+    co_return co_await holder->Execute(std::move(aCommand));
+  }
+  const auto address = HolderAddress(aCommand.mCell);
+  if (!address) {
+    co_return JobReply{ JobOutcome::NotHeld };
+  }
+  const auto deadline =
+    base::MonotonicClock::now() + Milliseconds(aCommand.mPatienceMs);
+  const auto reply =
+    co_await net::CallTyped<JobReply>(mMessages,
+                                      *address,
+                                      net::MessageKind::JobCommand,
+                                      std::move(aCommand),
+                                      deadline);
+  if (reply.mStatus.ok()) {
+    co_return reply.mReply;
+  }
+  co_return JobReply{ reply.mProgress == net::SendProgress::NothingSent
+                        ? JobOutcome::NotHeld
+                        : JobOutcome::Uncertain };
+}
+
+/** Cells of the own domain first: a loan across domains costs latency. */
+auto DispatchEntry::FindLenders(const std::string& aDomain) const
+  -> std::vector<std::string>
+{
+  auto cells = ReachableCells();
+  std::erase_if(cells, [](const HeldCell& aCell) { return !aCell.mIsActive; });
+  const auto rank = [&](const HeldCell& aCell) {
+    return std::pair(!aCell.mName.starts_with(aDomain + "/"),
+                     -aCell.mFreeCpuMillis);
+  };
+  std::sort(
+    cells.begin(), cells.end(), [&](const auto& aLeft, const auto& aRight) {
+      return rank(aLeft) < rank(aRight);
+    });
+  std::vector<std::string> out;
+  out.reserve(cells.size());
+  for (const auto& it : cells) {
+    out.push_back(it.mName);
+  }
+  return out;
+}
+
+auto DispatchEntry::FindRoom(const std::string& aFrom,
+                             const cell::MovableJob& aJob) const
+  -> std::optional<std::string>
+{
+  std::optional<std::string> out;
+  std::int64_t bestRoom = 0;
+  for (const auto& it : ReachableCells()) {
+    if (it.mName == aFrom || !it.mIsActive || it.mWaitingCpuMillis > 0) {
+      continue;
+    }
+    // A fragment of the room is lost to the sizes of tasks and workers.
+    constexpr double kUsableRoom = 0.8;
+    const auto free = static_cast<std::int64_t>(
+                        static_cast<double>(it.mFreeCpuMillis) * kUsableRoom) -
+                      aJob.mReservingCpuMillis;
+    const auto left =
+      it.mLeftoverCpuMillis - it.mFillingCpuMillis - aJob.mFillingCpuMillis;
+    const auto room = aJob.mReservingCpuMillis > 0 ? free : left;
+    if (free >= 0 && left >= 0 && (!out || room > bestRoom)) {
+      out = it.mName;
+      bestRoom = room;
+    }
+  }
+  return out;
+}
+
+auto DispatchEntry::ReachableCells() const -> std::vector<HeldCell>
+{
+  std::vector<HeldCell> out;
+  for (const auto& [name, it] : mHolders) {
+    if (it->Phase() != HolderPhase::Ended) {
+      out.push_back(it->Describe());
+    }
+  }
+  const auto now = base::MonotonicClock::now();
+  for (const auto& [name, it] : mPeers.All()) {
+    if (mPeers.IsAlive(it, now)) {
+      for (const auto& cell : it.mLast.mCells) {
+        if (!FindHolder(cell.mName)) {
+          out.push_back(cell);
+        }
+      }
+    }
+  }
+  for (auto& it : out) {
+    const auto sent = mSentWork.find(it.mName);
+    // Work held here is part of the figures already.
+    if (sent != mSentWork.end() && !FindHolder(it.mName) &&
+        now - sent->second.mSince <= kSentWorkAge) {
+      it.mFreeCpuMillis -= sent->second.mReserving;
+      it.mFillingCpuMillis += sent->second.mFilling;
+    }
+  }
+  return out;
+}
+
+auto DispatchEntry::CountPending(const std::string& aQueue) const
+  -> std::uint64_t
+{
+  std::uint64_t out = 0;
+  for (const auto& [name, it] : mHolders) {
+    out += cell::CountPending(it->State(), aQueue);
+  }
+  const auto hash = HashOf(aQueue);
+  const auto now = base::MonotonicClock::now();
+  for (const auto& [name, it] : mPeers.All()) {
+    if (!mPeers.IsAlive(it, now)) {
+      continue;
+    }
+    for (const auto& pending : it.mLast.mPending) {
+      out += pending.mQueueHash == hash ? pending.mCount : 0;
+    }
+  }
+  return out;
+}
+
+auto DispatchEntry::MakeHeartbeat() const -> Heartbeat
+{
+  Heartbeat out;
+  out.mName = mSettings.mName;
+  out.mIncarnation = mIncarnation;
+  out.mDomain = mSettings.mDomain;
+  out.mPeers = mSettings.mPeers;
+  out.mIsLeaving = mIsLeaving;
+  out.mReachesStore = mStore.ReachesDirectly();
+  std::map<std::uint64_t, std::uint32_t> pending;
+  for (const auto& [name, it] : mHolders) {
+    if (it->Phase() == HolderPhase::Ended) {
+      continue;
+    }
+    out.mCells.push_back(it->Describe());
+    it->Teach(out.mPairs);
+    for (const auto& [id, job] : it->State().mJobs) {
+      if (!job->mHasStarted && !cell::IsFinal(job->mState)) {
+        ++pending[HashOf(job->mStored.mQueue.mName)];
+      }
+    }
+  }
+  for (const auto& [hash, n] : pending) {
+    out.mPending.push_back({ hash, n });
+  }
+  return out;
+}
+
+auto DispatchEntry::IsReady() const -> bool
+{
+  if (mIsLeaving || !mConfiguration) {
+    return false;
+  }
+  const auto cells = ReachableCells();
+  return std::any_of(cells.begin(), cells.end(), [](const HeldCell& aCell) {
+    return aCell.mIsActive;
+  });
+}
+
+} // namespace eelgrasspost::dispatch
--- /dev/null
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -0,0 +1,184 @@
+#include "dispatchentry.h"
+
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
+#include "eelgrasspost/net/codec.h"
+#include "holdertimes.h"
+
+namespace eelgrasspost::dispatch {
+
+auto DispatchEntry::WatchConfiguration() -> net::Task<void>
+{
+  const auto onRow = [this](const StoreRow& aRow) {
+    if (aRow.mKey != mPorts.mFormats.ConfigurationKey()) {
+      return;
+    }
+    auto decoded = mPorts.mFormats.DecodeConfiguration(aRow.mValue);
+    const auto isNewer =
+      decoded.ok() &&
+      (!mConfiguration || decoded->mVersion > mConfiguration->mVersion);
+    if (isNewer) {
+      mConfiguration =
+        std::make_shared<const Configuration>(*std::move(decoded));
+      mLog.Record(
+        kConfigurationInForce,
+        { { "version", static_cast<std::int64_t>(mConfiguration->mVersion) },
+          { "queues",
+            static_cast<std::int64_t>(mConfiguration->mQueues.size()) } });
+    }
+  };
+  co_await mConfigurationWatch.Run(
+    onRow, [](const std::string&) {}, [] {});
+}
+
+auto DispatchEntry::SeeControlRow(const StoreRow& aRow) -> void
+{
+  if (aRow.mKey.starts_with("entry/")) {
+    if (auto row = net::Decode<EntryRow>(aRow.mValue); row.ok()) {
+      mPeers.Learn(*row);
+    }
+  } else if (aRow.mKey.starts_with("layout/")) {
+    if (auto row = net::Decode<LayoutRow>(aRow.mValue); row.ok()) {
+      mLayouts[row->mDomain] = *row;
+    }
+  } else if (aRow.mKey.starts_with("lent/")) {
+    if (auto row = net::Decode<LentRow>(aRow.mValue); row.ok()) {
+      SeeLoan(*row, aRow.mVersion);
+    }
+  } else if (aRow.mKey.starts_with("cell/")) {
+    if (auto row = net::Decode<CellRow>(aRow.mValue); row.ok()) {
+      SeeCell(*row, aRow.mVersion);
+    }
+  }
+}
+
+auto DispatchEntry::SeeCell(const CellRow& aRow, std::uint64_t aVersion) -> void
+{
+  auto& known = mCells[aRow.mName];
+  if (aVersion <= known.mVersion) {
+    return;
+  }
+  const auto isPreviousGone = IsGone(known.mRow);
+  known = { aRow, aVersion };
+  const auto isMine =
+    aRow.mHolder == mSettings.mName && aRow.mHolderIncarnation == mIncarnation;
+  const auto holder = FindHolder(aRow.mName);
+  if (holder && holder->RowVersion() < aVersion) {
+    mLog.Record(kCellLost,
+                { { "cell", aRow.mName },
+                  { "holder", aRow.mHolder },
+                  { "term", static_cast<std::int64_t>(aRow.mTerm) } });
+    holder->End();
+    mHolders.erase(aRow.mName);
+  }
+  if (isMine && !FindHolder(aRow.mName)) {
+    Hold(aRow, aVersion, isPreviousGone);
+  }
+}
+
+auto DispatchEntry::WatchControl() -> net::Task<void>
+{
+  const auto onAnswer = [this] {
+    for (const auto& [name, it] : mHolders) {
+      it->Confirm(mControlWatch.ConfirmedAt());
+    }
+  };
+  co_await mControlWatch.Run(
+    [this](const StoreRow& aRow) { SeeControlRow(aRow); },
+    [this](const std::string& aKey) {
+      constexpr std::string_view kPrefix = "entry/";
+      if (aKey.starts_with(kPrefix)) {
+        mPeers.Forget(aKey.substr(kPrefix.size()));
+      }
+    },
+    onAnswer);
+}
+
+auto DispatchEntry::CellOf(const cell::WorkerRecord& aRecord) const
+  -> std::optional<std::string>
+{
+  if (const auto loan = mLoans.find(aRecord.mId); loan != mLoans.end()) {
+    return loan->second.mCell;
+  }
+  const auto it = mLayouts.find(aRecord.mDomain);
+  if (it == mLayouts.end()) {
+    return std::nullopt;
+  }
+  return CellOfWorker(aRecord.mId, it->second);
+}
+
+auto DispatchEntry::SeeWorkerRow(const StoreRow& aRow) -> void
+{
+  auto record = mPorts.mFormats.DecodeWorker(aRow.mKey, aRow.mValue);
+  if (!record.ok()) {
+    return;
+  }
+  auto& known = mWorkers[aRow.mKey];
+  const auto isNew = known.mId.empty();
+  if (isNew) {
+    mWorkersChangedAt = base::MonotonicClock::now();
+  }
+  const auto isChanged = isNew || known.mState != record->mState ||
+                         known.mBornMs != record->mBornMs ||
+                         known.mAddress != record->mAddress ||
+                         known.mService != record->mService;
+  known = *std::move(record);
+  if (!isChanged) {
+    return;
+  }
+  if (const auto name = CellOf(known)) {
+    if (const auto holder = FindHolder(*name)) {
+      holder->SeeWorker(known);
+    }
+  }
+}
+
+auto DispatchEntry::WatchWorkers() -> net::Task<void>
+{
+  co_await mWorkerWatch.Run(
+    [this](const StoreRow& aRow) { SeeWorkerRow(aRow); },
+    [this](const std::string& aKey) {
+      mWorkers.erase(aKey);
+      for (const auto& [name, it] : mHolders) {
+        it->UnlistWorker(aKey);
+      }
+    },
+    [] {});
+}
+
+auto DispatchEntry::WriteEntryRow() -> net::Task<void>
+{
+  const auto row = EntryRow{
+    mSettings.mName, mIncarnation, mSettings.mDomain, mSettings.mPeers
+  };
+  while (true) {
+    StoreTransaction transaction;
+    transaction.mWrites.push_back(
+      { { std::string(kControlTable), "entry/" + mSettings.mName },
+        net::Encode(row) });
+    const auto reply = co_await mStore.Commit(
+      std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
+    if (reply.mOutcome == StoreOutcome::Done) {
+      co_return;
+    }
+    co_await net::Sleep(kRetryPause);
+  }
+}
+
+auto DispatchEntry::SeeLoan(const LentRow& aRow, std::uint64_t aVersion) -> void
+{
+  auto& loan = mLoans[aRow.mWorker];
+  if (aVersion <= loan.mVersion) {
+    return;
+  }
+  loan = { aRow.mCell, aVersion };
+  const auto holder = FindHolder(aRow.mCell);
+  const auto worker = mWorkers.find(aRow.mWorker);
+  if (holder) {
+    holder->RaiseToken(aRow.mWorker, aVersion);
+    if (worker != mWorkers.end()) {
+      holder->SeeWorker(worker->second);
+    }
+  }
+}
+
+} // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/frontdoor.cpp
+++ b/src/dispatch/internal/frontdoor.cpp
@@ -116,11 +116,11 @@
         : 1.0 - ShareOf(aCell.mFillingCpuMillis, aCell.mLeftoverCpuMillis);
     return -(share + (isNear && share > 0 ? kNearBonus : 0.0));
   };
-  std::sort(cells.begin(), cells.end(), [&](const auto& a, const auto& b) {
-    const auto left = std::pair(!a.mIsActive, rank(a));
-    const auto right = std::pair(!b.mIsActive, rank(b));
-    return left < right;
-  });
+  std::sort(
+    cells.begin(), cells.end(), [&](const auto& aLeft, const auto& aRight) {
+      return std::pair(!aLeft.mIsActive, rank(aLeft)) <
+             std::pair(!aRight.mIsActive, rank(aRight));
+    });
   std::vector<std::string> out;
   out.reserve(cells.size());
   for (const auto& it : cells) {
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -71,6 +71,7 @@
     byPart[PartOf(it)].push_back(it);
   }
   std::vector<net::Task<bool>> tasks;
+  tasks.reserve(byPart.size());
   for (auto& [part, jobs] : byPart) {
     tasks.push_back(FlushPart(part, std::move(jobs)));
   }
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -261,6 +261,7 @@
     }
   }
   std::vector<std::string> ids;
+  ids.reserve(mState.mWorkers.size());
   for (const auto& [id, it] : mState.mWorkers) {
     ids.push_back(id);
   }
