Log answers to callers and the store's coming and going

One line for each submission, cancellation and refusal, with queue, cell, configuration, patience and time; one when the store is lost or back. Histograms of answers and commits are on the metrics address.

--- a/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -227,6 +228,14 @@
   CountPending,
 };
 
+inline constexpr auto kCallerRequestNames = std::array{
+  base::EnumName<CallerRequestKind>{ CallerRequestKind::Submit, "submit" },
+  base::EnumName<CallerRequestKind>{ CallerRequestKind::ShowState, "state" },
+  base::EnumName<CallerRequestKind>{ CallerRequestKind::Cancel, "cancel" },
+  base::EnumName<CallerRequestKind>{ CallerRequestKind::CountPending,
+                                     "pending" },
+};
+
 /** A caller's request, as far as it needs no configuration. */
 struct CallerRequest
 {
@@ -253,6 +262,19 @@
   Uncertain,
 };
 
+inline constexpr auto kCallerOutcomeNames = std::array{
+  base::EnumName<CallerOutcome>{ CallerOutcome::Accepted, "accepted" },
+  base::EnumName<CallerOutcome>{ CallerOutcome::State, "state" },
+  base::EnumName<CallerOutcome>{ CallerOutcome::Cancelled, "cancelled" },
+  base::EnumName<CallerOutcome>{ CallerOutcome::Pending, "pending" },
+  base::EnumName<CallerOutcome>{ CallerOutcome::UnknownQueue, "unknown_queue" },
+  base::EnumName<CallerOutcome>{ CallerOutcome::UnknownJob, "unknown_job" },
+  base::EnumName<CallerOutcome>{ CallerOutcome::BadRequest, "bad_request" },
+  base::EnumName<CallerOutcome>{ CallerOutcome::NotRun, "not_run" },
+  base::EnumName<CallerOutcome>{ CallerOutcome::Overloaded, "overloaded" },
+  base::EnumName<CallerOutcome>{ CallerOutcome::Uncertain, "uncertain" },
+};
+
 struct CallerAnswer
 {
   CallerOutcome mOutcome = CallerOutcome::NotRun;
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -54,7 +54,7 @@
   , mMessages(aPool.Size(), mSettings.mPeers.mIp)
   , mMessageServer(aPool)
   , mPeers(aPool, mSettings.mName)
-  , mStore(mPorts.mStore, mMessages, mPeers, mMetrics)
+  , mStore(mPorts.mStore, mMessages, mPeers, mMetrics, mLog)
   , mConfigurationWatch(mStore,
                         mPorts.mFormats.ConfigurationTable(),
                         kFeedWait,
@@ -68,6 +68,7 @@
       { mPorts.mFormats,
         mStore,
         mMetrics,
+        mLog,
         mParts,
         mSettings.mDomain,
         [this] { return mConfiguration; },
--- a/src/dispatch/internal/frontdoor.cpp
+++ b/src/dispatch/internal/frontdoor.cpp
@@ -4,6 +4,7 @@
 
 #include "claiming.h"
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
@@ -86,6 +87,7 @@
       mContext.mMetrics.FindCounter("submissions_total{outcome=\"accepted\"}"))
   , mRefused(
       mContext.mMetrics.FindCounter("submissions_total{outcome=\"refused\"}"))
+  , mAnswerTime(mContext.mMetrics.FindHistogram("request_time_us"))
   , mUncertain(
       mContext.mMetrics.FindCounter("submissions_total{outcome=\"uncertain\"}"))
 {
@@ -306,22 +308,57 @@
     out.mError = "no queue has this host and path";
     co_return out;
   }
-  const auto deadline = base::MonotonicClock::now() + request->mPatience;
+  const auto startedAt = base::MonotonicClock::now();
+  const auto deadline = startedAt + request->mPatience;
   switch (request->mKind) {
     case CallerRequestKind::Submit:
-      co_return co_await Submit(*request, aRequest.mBody, deadline);
+      out = co_await Submit(*request, aRequest.mBody, deadline);
+      break;
     case CallerRequestKind::ShowState:
-      co_return co_await ShowState(request->mJobId, deadline);
+      out = co_await ShowState(request->mJobId, deadline);
+      break;
     case CallerRequestKind::Cancel:
-      co_return co_await Cancel(request->mJobId, deadline);
+      out = co_await Cancel(request->mJobId, deadline);
+      break;
     case CallerRequestKind::CountPending:
       out.mOutcome = CallerOutcome::Pending;
       out.mPending = mContext.mPending(request->mQueue->mName);
       co_return out;
   }
+  LogAnswer(*request, *configuration, out, startedAt);
   co_return out;
 }
 
+auto FrontDoor::LogAnswer(const CallerRequest& aRequest,
+                          const Configuration& aConfiguration,
+                          const CallerAnswer& aAnswer,
+                          MonotonicTime aStartedAt) -> void
+{
+  const auto took = std::chrono::duration_cast<Milliseconds>(
+    base::MonotonicClock::now() - aStartedAt);
+  mAnswerTime.Record(static_cast<double>(
+    std::chrono::duration_cast<base::Microseconds>(took).count()));
+  if (aAnswer.mOutcome == CallerOutcome::State) {
+    // It changes nothing and is asked for often.
+    return;
+  }
+  const auto cell = mCellOfJob.find(aRequest.mJobId);
+  mContext.mLog.Record(
+    kJobAnswered,
+    { { "job", aRequest.mJobId },
+      { "request", base::NameOf(kCallerRequestNames, aRequest.mKind) },
+      { "outcome", base::NameOf(kCallerOutcomeNames, aAnswer.mOutcome) },
+      { "queue", aRequest.mQueue->mName },
+      { "cell",
+        cell == mCellOfJob.end() ? std::string_view()
+                                 : std::string_view(cell->second) },
+      { "configuration", static_cast<std::int64_t>(aConfiguration.mVersion) },
+      { "patience_ms", aRequest.mPatience.count() },
+      { "took_ms", took.count() },
+      { "retry_after_ms", aAnswer.mRetryAfter.count() },
+      { "reason", aAnswer.mError } });
+}
+
 auto FrontDoor::Answer(net::HttpRequest aRequest)
   -> net::Task<net::HttpResponse>
 {
--- a/src/dispatch/internal/frontdoor.h
+++ b/src/dispatch/internal/frontdoor.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "eelgrasspost/base/eventlog.h"
 #include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "eelgrasspost/net/http.h"
@@ -18,6 +19,7 @@
   const IFormats& mFormats;
   ISharedStore& mStore;
   base::Metrics& mMetrics;
+  base::EventLog& mLog;
   std::uint32_t mParts = 4;
   std::string mDomain;
   /** Null before the first configuration. */
@@ -59,12 +61,17 @@
   auto ReadIdRow(std::string aId, MonotonicTime aDeadline)
     -> net::Task<Location>;
   auto RankCells(const cell::JobSpec& aJob) const -> std::vector<std::string>;
+  auto LogAnswer(const CallerRequest& aRequest,
+                 const Configuration& aConfiguration,
+                 const CallerAnswer& aAnswer,
+                 MonotonicTime aStartedAt) -> void;
   auto Remember(const std::string& aId, const std::string& aCell) -> void;
 
   DoorContext mContext;
   std::unordered_map<std::string, std::string> mCellOfJob;
   base::Counter& mAccepted;
   base::Counter& mRefused;
+  base::Histogram& mAnswerTime;
   base::Counter& mUncertain;
 };
 
--- a/src/dispatch/internal/storeaccess.cpp
+++ b/src/dispatch/internal/storeaccess.cpp
@@ -1,6 +1,7 @@
 #include "storeaccess.h"
 
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/iopool.h"
 
 namespace eelgrasspost::dispatch {
@@ -23,14 +24,17 @@
 StoreAccess::StoreAccess(ISharedStore& aDirect,
                          net::MessageClient& aMessages,
                          const Peers& aPeers,
-                         base::Metrics& aMetrics)
+                         base::Metrics& aMetrics,
+                         base::EventLog& aLog)
   : mDirect(aDirect)
   , mMessages(aMessages)
   , mPeers(aPeers)
+  , mLog(aLog)
   , mCommits(aMetrics.FindCounter("store_calls_total{use=\"commit\"}"))
   , mReads(aMetrics.FindCounter("store_calls_total{use=\"read\"}"))
   , mFailures(aMetrics.FindCounter("store_failures_total"))
   , mRelayed(aMetrics.FindCounter("store_relayed_total"))
+  , mCommitTime(aMetrics.FindHistogram("store_commit_time_us"))
 {
 }
 
@@ -59,6 +63,7 @@
                                MonotonicTime aDeadline) -> net::Task<StoreReply>
 {
   mLastTry = base::MonotonicClock::now();
+  const auto sentAt = mLastTry;
   StoreReply reply;
   switch (aRelay.mKind) {
     case RelayKind::Commit:
@@ -74,13 +79,35 @@
       reply = co_await mDirect.ReadFeed(aRelay.mFeed, aDeadline);
       break;
   }
-  if (IsAnswer(reply.mOutcome)) {
+  if (aRelay.mKind == RelayKind::Commit) {
+    mCommitTime.Record(
+      static_cast<double>(std::chrono::duration_cast<base::Microseconds>(
+                            base::MonotonicClock::now() - sentAt)
+                            .count()));
+  }
+  NoteOutcome(reply, sentAt);
+  co_return reply;
+}
+
+auto StoreAccess::NoteOutcome(const StoreReply& aReply, MonotonicTime aSentAt)
+  -> void
+{
+  const auto wasReached = ReachesDirectly();
+  const auto took = std::chrono::duration_cast<Milliseconds>(
+    base::MonotonicClock::now() - aSentAt);
+  if (IsAnswer(aReply.mOutcome)) {
     mFailuresInRow = 0;
   } else {
     mFailures.Add();
     ++mFailuresInRow;
   }
-  co_return reply;
+  if (ReachesDirectly() != wasReached) {
+    mLog.Record(wasReached ? kStoreLost : kStoreBack,
+                { { "failures", static_cast<std::int64_t>(mFailuresInRow) },
+                  { "took_ms", took.count() },
+                  { "relay", FindRelay() ? "yes" : "no" },
+                  { "reason", aReply.mError } });
+  }
 }
 
 auto StoreAccess::CallThroughPeer(const StoreRelay& aRelay,
--- a/src/dispatch/internal/storeaccess.h
+++ b/src/dispatch/internal/storeaccess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "eelgrasspost/base/eventlog.h"
 #include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "eelgrasspost/net/messages.h"
@@ -21,7 +22,8 @@
   StoreAccess(ISharedStore& aDirect,
               net::MessageClient& aMessages,
               const Peers& aPeers,
-              base::Metrics& aMetrics);
+              base::Metrics& aMetrics,
+              base::EventLog& aLog);
 
   auto Commit(StoreTransaction aTransaction, MonotonicTime aDeadline)
     -> net::Task<StoreReply> override;
@@ -46,14 +48,17 @@
   auto CallThroughPeer(const StoreRelay& aRelay, MonotonicTime aDeadline)
     -> net::Task<StoreReply>;
   auto FindRelay() const -> const Peer*;
+  auto NoteOutcome(const StoreReply& aReply, MonotonicTime aSentAt) -> void;
 
   ISharedStore& mDirect;
   net::MessageClient& mMessages;
   const Peers& mPeers;
+  base::EventLog& mLog;
   base::Counter& mCommits;
   base::Counter& mReads;
   base::Counter& mFailures;
   base::Counter& mRelayed;
+  base::Histogram& mCommitTime;
   std::uint32_t mFailuresInRow = 0;
   MonotonicTime mLastTry{};
 };
