Settle doubt about a submission within the caller's patience

Change: the door asks again with the same id while patience is left; writes no longer find out whether the store is back, reads do.

--- a/src/dispatch/internal/frontdoor.cpp
+++ b/src/dispatch/internal/frontdoor.cpp
@@ -22,6 +22,8 @@
 /** A planned handover of a cell is over within this time; waiting for it is
  * shorter than coming back. */
 constexpr auto kHandOverTime = Milliseconds(400);
+/** Less patience than this is left to the caller's own next try. */
+constexpr std::int64_t kLastTryMs = 250;
 /** Locations of jobs that are remembered; about 100 bytes each. */
 constexpr std::size_t kMostLocations = 20000;
 
@@ -166,12 +168,17 @@
       if (reply.mOutcome == JobOutcome::Uncertain) {
         isInDoubt = true;
       }
-      isRefused = reply.mOutcome == JobOutcome::Refused;
-      if (isRefused || isInDoubt) {
+      isRefused = reply.mOutcome == JobOutcome::Refused && !isInDoubt;
+      if (isRefused || reply.mOutcome == JobOutcome::Uncertain) {
         break;
       }
     }
     if (isInDoubt) {
+      // The same id meets the same rows: asking again settles the doubt.
+      if (LeftMs(aDeadline) > kLastTryMs) {
+        co_await net::Sleep(kHolderPause);
+        continue;
+      }
       mUncertain.Add();
       co_return Uncertain();
     }
--- a/src/dispatch/internal/storeaccess.cpp
+++ b/src/dispatch/internal/storeaccess.cpp
@@ -143,7 +143,11 @@
   -> net::Task<StoreReply>
 {
   const auto now = base::MonotonicClock::now();
-  const auto isTried = ReachesDirectly() || now - mLastTry > kProbeInterval;
+  // Reads find out whether the store is back: a write without an answer would
+  // leave its caller in doubt.
+  const auto isProbe =
+    aRelay.mKind != RelayKind::Commit && now - mLastTry > kProbeInterval;
+  const auto isTried = ReachesDirectly() || isProbe;
   StoreReply reply;
   reply.mOutcome = StoreOutcome::Refused;
   if (isTried) {
