--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -31,9 +31,11 @@
              const std::vector<StepSpec>& aSteps,
              const std::vector<std::uint32_t>& aNumbers) -> bool
 {
-  return std::all_of(aNumbers.begin(), aNumbers.end(), [&](std::uint32_t i) {
-    return i < aSteps.size() && aOccurrence.mSteps[i].mDone == aSteps[i].mCount;
-  });
+  return std::all_of(
+    aNumbers.begin(), aNumbers.end(), [&](std::uint32_t aStep) {
+      return aStep < aSteps.size() &&
+             aOccurrence.mSteps[aStep].mDone == aSteps[aStep].mCount;
+    });
 }
 
 auto OccurrenceCount(const JobSpec& aSpec) -> std::uint32_t
