Restart lasting tasks of inherited jobs first; keep the age of jobs

Ages of jobs began anew too. Change: a lasting task of a job that has started counts as a restart; a job's age comes from its acceptance. Two tests that failed before.

--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -217,7 +217,12 @@
   slot = std::make_unique<Job>();
   auto& job = *slot;
   job.mStored = std::move(aJob);
-  job.mAddedAt = aNow;
+  // A job that another holder took in keeps its age.
+  const auto age =
+    job.mStored.mAcceptedMs > 0
+      ? std::max<std::int64_t>(0, aWallMs - job.mStored.mAcceptedMs)
+      : 0;
+  job.mAddedAt = aNow - Milliseconds(age);
   ApplyProgress(job, aProgress);
   const auto& spec = job.mStored.mSpec;
   const auto count = OccurrenceCount(spec);
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -241,10 +241,11 @@
   }
 }
 
-/** A lasting task that ran before: its users miss it. */
+/** A lasting task that ran before, here or under another holder: its users
+ * miss it. */
 auto IsRestart(const Task& aTask) -> bool
 {
-  return SpecOf(aTask).mIsLongRunning && aTask.mAttempt > 0;
+  return SpecOf(aTask).mIsLongRunning && aTask.mJob->mHasStarted;
 }
 
 /** Restarts of lasting tasks go first; else short work goes before lasting
--- a/src/cell/tests/takeover_tests.cpp
+++ b/src/cell/tests/takeover_tests.cpp
@@ -95,6 +95,34 @@
   BOOST_TEST(job.mOccurrences.at(0)->mSteps[0].mTasks[0].mAttempt == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(lastingtask_of_inherited_job_goes_before_new_ones)
+{
+  AddWorker("w1", 6000);
+  auto lasting = MakeStep(2, 3000);
+  lasting.mIsLongRunning = true;
+  // The new job was added first; one task of the inherited one runs.
+  Add(MakeJob("new", MakeStep(1, 3000)));
+  Add(MakeJob("old", lasting), {}, true);
+  Report("w1", { { "old.0.0.0", 5, "", 100, 0 } }, {});
+  for (auto& [number, it] : FindJob(mCell, "old")->mOccurrences) {
+    it->mSteps[0].mTasks[1].mMayRunUnseen = false;
+  }
+
+  const auto orders = Start();
+
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].mTask == "old.0.0.1");
+}
+
+BOOST_AUTO_TEST_CASE(inheritedjob_keeps_its_age)
+{
+  constexpr std::int64_t kNowMs = 100000;
+  auto stored = MakeJob("j", MakeStep(1));
+  stored.mAcceptedMs = kNowMs - 30000;
+  const auto& job = AddJob(mCell, stored, {}, true, mNow, kNowMs);
+  BOOST_TEST((mNow - job.mAddedAt == Milliseconds(30000)));
+}
+
 BOOST_AUTO_TEST_CASE(unknownrun_listed_is_stopped_and_keeps_its_room)
 {
   AddWorker("w1");
