Learn the disturbance of pairs of images by a filter

Change: a Kalman filter without covariances for each pair, one rise of the logarithm for each worker, one sample for each image and report. Serving images are kept apart by the number of other images, not of their runs.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -188,6 +188,9 @@
   std::vector<std::pair<std::size_t, std::uint32_t>> mServingImages;
   /** Processor millis that serving tasks have reserved. */
   std::int64_t mServingCpuMillis = 0;
+  /** What raises its tails besides filling tasks, and when it was learned. */
+  WorkerRise mTailRise;
+  MonotonicTime mTailRiseAt{};
   int mFillPace = 100;
   MonotonicTime mFillPaceChangedAt{};
   /** The serving image that was over its target last. */
--- a/src/cell/include/eelgrasspost/cell/interference.h
+++ b/src/cell/include/eelgrasspost/cell/interference.h
@@ -6,19 +6,29 @@
 
 namespace eelgrasspost::cell {
 
-/** How one filling image disturbs one serving image. */
+/** Belief about how one filling image disturbs one serving image. */
 struct PairPressure
 {
   /** Rise of the logarithm of the tail latency, for a worker whose processor
    * the filling image uses whole. */
   double mPressure = 0;
-  std::uint32_t mSamples = 0;
+  double mVariance = 0;
+  /** The pressure by which room is given: one standard deviation more. */
+  double mCautious = 0;
+};
+
+/** Rise of the logarithm of all tails of one worker that its filling tasks do
+ * not explain: the worker itself is slow, or its serving load swings. */
+struct WorkerRise
+{
+  double mRise = 0;
+  double mVariance = 0;
 };
 
 /**
  * How much filling tasks raise the tail latency of serving tasks beside them.
  * It differs from pair to pair of images by orders of magnitude, so each pair
- * is learned for itself.
+ * is learned for itself, by a Kalman filter without covariances.
  */
 struct Interference
 {
@@ -36,32 +46,41 @@
   double mUse = 0;
 };
 
+/** A belief with its cautious bound. */
+auto MakePair(double aPressure, double aVariance) -> PairPressure;
+
+/** Whether a pair is known better than a new one. */
+auto IsLearned(const PairPressure& aPair) -> bool;
+
 /** The index of an image; a new one gets cautious assumptions. */
 auto ImageIndex(Interference& aInterference, const std::string& aImage)
   -> std::size_t;
 
-/** Expected rise of the logarithm of the tail of a serving image. */
+/** Cautious rise of the logarithm of the tail of a serving image. */
 auto PressureOn(const Interference& aInterference,
                 std::size_t aServing,
                 const std::vector<ImageUse>& aUses) -> double;
 
-/** Expected tail of a serving image, as a share of its target. */
+/** Cautious tail of a serving image, as a share of its target. */
 auto ExpectedTail(const Interference& aInterference,
                   std::size_t aServing,
                   const std::vector<ImageUse>& aUses) -> double;
 
-/** Takes over what others have learned of a pair, if they saw more of it. */
+/** Takes over what others have learned of a pair, if they are surer of it. */
 auto AdoptPair(Interference& aInterference,
                std::size_t aFilling,
                std::size_t aServing,
                PairPressure aPair) -> void;
 
-/** Forgets slowly: disturbance changes, and what is believed harmful is not
- * tried again otherwise. */
+/** Beliefs become less certain with time: disturbance changes, and what is
+ * believed harmful is not tried again otherwise. */
 auto Forget(Interference& aInterference, double aSeconds) -> void;
+auto Forget(WorkerRise& aRise, double aSeconds) -> void;
 
-/** Learns from one tail latency, given as a share of its target. */
+/** Learns from the tail latency, as a share of its target, that a serving
+ * image has on a worker. */
 auto LearnTail(Interference& aInterference,
+               WorkerRise& aRise,
                std::size_t aServing,
                double aTail,
                const std::vector<ImageUse>& aUses) -> void;
--- a/src/cell/internal/filling.cpp
+++ b/src/cell/internal/filling.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 #include "cellsteps.h"
 #include "eelgrasspost/base/text.h"
@@ -95,7 +96,7 @@
   auto own = 0.0;
   for (const auto& it : aUses) {
     if (it.mImage == aFilling) {
-      own = table.mPairs[it.mImage][aServing].mPressure * it.mUse;
+      own = table.mPairs[it.mImage][aServing].mCautious * it.mUse;
     }
   }
   return all < kBlameShare || own > kBlameShare || own > kBlameShare * all;
@@ -117,15 +118,20 @@
   const auto& table = aCell.mInterference;
   auto out = 0.0;
   for (const auto& [image, count] : aWorker.mServingImages) {
-    const auto rise = PressureOn(table, image, aWorker.mFillingUses) +
-                      table.mPairs[aMore.mImage][image].mPressure * aMore.mUse;
+    const auto rise = aWorker.mTailRise.mRise +
+                      PressureOn(table, image, aWorker.mFillingUses) +
+                      table.mPairs[aMore.mImage][image].mCautious * aMore.mUse;
     out = std::max(out, table.mCalmTails[image] * std::exp(rise));
   }
   return out;
 }
 
-auto LearnFromReport(CellState& aCell, const Worker& aWorker) -> void
+auto LearnFromReport(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
+  -> void
 {
+  const auto since = std::chrono::duration<double>(aNow - aWorker.mTailRiseAt);
+  aWorker.mTailRiseAt = aNow;
+  Forget(aWorker.mTailRise, since.count());
   if (aWorker.mServingCpuMillis == 0) {
     return;
   }
@@ -135,11 +141,17 @@
       AddUse(uses, run.mImageIndex, run.mLoad / CapacityOf(aWorker));
     }
   }
+  // Runs of one image on one worker have the same tail: they count once.
+  std::map<std::size_t, double> tails;
   for (const auto& [name, run] : aWorker.mRuns) {
     if (IsServing(run)) {
-      LearnTail(aCell.mInterference, run.mImageIndex, TailOf(run), uses);
+      auto& tail = tails[run.mImageIndex];
+      tail = std::max(tail, TailOf(run));
     }
   }
+  for (const auto& [image, tail] : tails) {
+    LearnTail(aCell.mInterference, aWorker.mTailRise, image, tail, uses);
+  }
 }
 
 auto BalanceFilling(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
--- a/src/cell/internal/filling.h
+++ b/src/cell/internal/filling.h
@@ -14,6 +14,7 @@
                        const ImageUse& aMore) -> double;
 
 /** Learns from the tail latencies in a worker's last report. */
-auto LearnFromReport(CellState& aCell, const Worker& aWorker) -> void;
+auto LearnFromReport(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
+  -> void;
 
 } // namespace eelgrasspost::cell
--- a/src/cell/internal/interference.cpp
+++ b/src/cell/internal/interference.cpp
@@ -9,32 +9,47 @@
 
 /** Tail latency without filling tasks, before any was seen. */
 constexpr double kAssumedCalmTail = 0.45;
-/** A pair of which nothing is known: one task of a tenth of a worker may be
- * tried beside serving tasks, two may not. */
-constexpr double kAssumedPressure = 5.0;
-/** How fast belief rises after harm, and falls after work without harm. The
- * first is faster: harm costs more than room that is left unused. */
-constexpr double kRiseRate = 0.5;
-constexpr double kFallRate = 0.05;
+/** A pair of which nothing is known: regressions over the reports of four
+ * days put a third of the pairs between 2 and 10 and the others near 0. */
+constexpr double kAssumedPressure = 2.0;
+constexpr double kAssumedVariance = 9.0;
+/** Variance of the logarithm of one reported tail: the residuals of those
+ * regressions have a standard deviation of 0.4 to 0.5. */
+constexpr double kReportVariance = 0.25;
+/** The same for what concerns one worker only, before anything was seen. */
+constexpr double kRiseVariance = 0.4;
+/** Rise by serving load alone: what a small use may hide. A pair seen at a use
+ * is known no better than this, divided by the use. */
+constexpr double kHiddenRise = 0.08;
 constexpr double kCalmRate = 0.05;
-/** Tails above the first are harm; below the second they are none. Between
- * them the swing of the serving load explains them. */
-constexpr double kHarmfulTail = 0.9;
-constexpr double kHarmlessTail = 0.7;
-/** Belief falls until no more than this tail is expected of what was seen to
- * be harmless, so that several times as much may be tried next. */
-constexpr double kProvenTail = 0.5;
 /** Largest error of the logarithm that one sample may show. */
 constexpr double kMostMiss = 2.0;
-constexpr double kLeastPressure = 0.1;
-constexpr double kMostPressure = 40.0;
+constexpr double kLeastPressure = 0.2;
+constexpr double kMostPressure = 15.0;
+constexpr double kMostRise = 2.5;
 /** Tails far above the target say no more than that it was missed. */
 constexpr double kMostTail = 6.0;
 constexpr double kLeastTail = 0.05;
-constexpr std::uint32_t kMostSamples = 1000;
+
+/** Share of the way to the assumption that belief goes in a time. */
+auto ForgottenShare(double aSeconds, double aTimeConstantS) -> double
+{
+  return 1.0 - std::exp(-aSeconds / aTimeConstantS);
+}
 
 } // namespace
 
+auto MakePair(double aPressure, double aVariance) -> PairPressure
+{
+  return { aPressure, aVariance, aPressure + std::sqrt(aVariance) };
+}
+
+auto IsLearned(const PairPressure& aPair) -> bool
+{
+  constexpr double kWorthTelling = 0.9;
+  return aPair.mVariance < kWorthTelling * kAssumedVariance;
+}
+
 auto ImageIndex(Interference& aInterference, const std::string& aImage)
   -> std::size_t
 {
@@ -44,7 +59,7 @@
     return static_cast<std::size_t>(it - images.begin());
   }
   images.push_back(aImage);
-  const auto unknown = PairPressure{ kAssumedPressure, 0 };
+  const auto unknown = MakePair(kAssumedPressure, kAssumedVariance);
   for (auto& row : aInterference.mPairs) {
     row.push_back(unknown);
   }
@@ -59,7 +74,7 @@
 {
   auto out = 0.0;
   for (const auto& it : aUses) {
-    out += aInterference.mPairs[it.mImage][aServing].mPressure * it.mUse;
+    out += aInterference.mPairs[it.mImage][aServing].mCautious * it.mUse;
   }
   return out;
 }
@@ -78,27 +93,38 @@
                PairPressure aPair) -> void
 {
   auto& pair = aInterference.mPairs[aFilling][aServing];
-  if (aPair.mSamples > pair.mSamples) {
-    pair = aPair;
+  if (aPair.mVariance < pair.mVariance) {
+    pair = MakePair(aPair.mPressure, aPair.mVariance);
   }
 }
 
 auto Forget(Interference& aInterference, double aSeconds) -> void
 {
-  // Halves the distance to the assumption in about ten seconds.
-  constexpr double kForgetRate = 0.07;
-  const auto factor = std::exp(-kForgetRate * aSeconds);
+  // Most pairs keep their size over a day of 40 s, some change by half.
+  constexpr double kPressureTimeS = 30.0;
+  constexpr double kVarianceTimeS = 25.0;
+  const auto share = ForgottenShare(aSeconds, kPressureTimeS);
+  const auto varianceShare = ForgottenShare(aSeconds, kVarianceTimeS);
   for (auto& row : aInterference.mPairs) {
     for (auto& it : row) {
-      if (it.mPressure > kAssumedPressure) {
-        it.mPressure =
-          kAssumedPressure + (it.mPressure - kAssumedPressure) * factor;
-      }
+      it = MakePair(it.mPressure + share * (kAssumedPressure - it.mPressure),
+                    it.mVariance +
+                      varianceShare * (kAssumedVariance - it.mVariance));
     }
   }
 }
 
+auto Forget(WorkerRise& aRise, double aSeconds) -> void
+{
+  // A worker is slow, and a serving load high, for some seconds.
+  constexpr double kRiseTimeS = 4.0;
+  const auto share = ForgottenShare(aSeconds, kRiseTimeS);
+  aRise.mRise -= share * aRise.mRise;
+  aRise.mVariance += share * (kRiseVariance - aRise.mVariance);
+}
+
 auto LearnTail(Interference& aInterference,
+               WorkerRise& aRise,
                std::size_t aServing,
                double aTail,
                const std::vector<ImageUse>& aUses) -> void
@@ -108,28 +134,28 @@
   if (aUses.empty()) {
     constexpr double kHighestCalm = 0.8;
     calm += kCalmRate * (std::min(tail, kHighestCalm) - calm);
-    return;
   }
-  // Belief changes by factors: what is known to be harmless stays so when a
-  // harmful image comes beside it.
-  const auto expected = ExpectedTail(aInterference, aServing, aUses);
-  const auto isRise = tail > kHarmfulTail && tail > expected;
-  const auto proven = std::max(tail, kProvenTail);
-  const auto isFall = tail < kHarmlessTail && expected > proven;
-  if (!isRise && !isFall) {
-    return;
+  auto expected = std::log(calm) + aRise.mRise;
+  auto variance = kReportVariance + aRise.mVariance;
+  for (const auto& it : aUses) {
+    const auto& pair = aInterference.mPairs[it.mImage][aServing];
+    expected += pair.mPressure * it.mUse;
+    variance += pair.mVariance * it.mUse * it.mUse;
   }
-  const auto miss = std::clamp(
-    std::log((isRise ? tail : proven) / expected), -kMostMiss, kMostMiss);
-  const auto rate = isRise ? kRiseRate : kFallRate;
-  const auto whole = PressureOn(aInterference, aServing, aUses);
+  const auto miss =
+    std::clamp(std::log(tail) - expected, -kMostMiss, kMostMiss) / variance;
+  aRise.mRise =
+    std::clamp(aRise.mRise + aRise.mVariance * miss, 0.0, kMostRise);
+  aRise.mVariance -= aRise.mVariance * aRise.mVariance / variance;
   for (const auto& it : aUses) {
     auto& pair = aInterference.mPairs[it.mImage][aServing];
-    const auto share = pair.mPressure * it.mUse / std::max(whole, kLeastTail);
-    pair.mPressure = std::clamp(pair.mPressure * std::exp(rate * miss * share),
-                                kLeastPressure,
-                                kMostPressure);
-    pair.mSamples = std::min(kMostSamples, pair.mSamples + 1);
+    const auto gain = pair.mVariance * it.mUse;
+    const auto pressure = std::clamp(
+      pair.mPressure + gain * miss, kLeastPressure, kMostPressure);
+    const auto hidden = kHiddenRise / std::max(it.mUse, kLeastTail);
+    const auto least = std::min(pair.mVariance, hidden * hidden);
+    pair = MakePair(
+      pressure, std::max(least, pair.mVariance - gain * gain / variance));
   }
 }
 
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -16,7 +16,7 @@
 constexpr double kFreshWorkerPenalty = 1e4;
 /** Serving tasks of one image go together: fewer images on a worker leave
  * more filling images that do no harm there. */
-constexpr double kOtherImagePenalty = 3e3;
+constexpr double kOtherImagePenalty = 3e4;
 /** Filling tasks wait rather than slow each other down beyond this. */
 constexpr double kMostSlowdown = 1.7;
 /** Weight of the expected tail, as a share of its target, against a slowdown
@@ -104,7 +104,7 @@
   }
   const auto image = ImageIndex(aCell.mInterference, aSpec.mImage);
   for (const auto& [other, count] : aWorker.mServingImages) {
-    out += other != image ? kOtherImagePenalty * count : 0;
+    out += other != image ? kOtherImagePenalty : 0;
   }
   const auto pressure =
     PressureOn(aCell.mInterference, image, aWorker.mFillingUses);
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -373,7 +373,7 @@
               static_cast<double>(aWorker.mFailuresInRow) });
     aWorker.mFailuresInRow = aCell.mPolicy.mProbationFailures - 1;
   }
-  LearnFromReport(aCell, aWorker);
+  LearnFromReport(aCell, aWorker, aNow);
   BalanceFilling(aCell, aWorker, aNow);
 }
 
--- a/src/cell/tests/interference_tests.cpp
+++ b/src/cell/tests/interference_tests.cpp
@@ -14,6 +14,13 @@
   std::size_t mLight = ImageIndex(mTable, "light");
   std::size_t mServing = ImageIndex(mTable, "serving");
 
+  WorkerRise mRise{ 0, 0.4 };
+
+  auto Learn(double aTail, const std::vector<ImageUse>& aUses) -> void
+  {
+    LearnTail(mTable, mRise, mServing, aTail, aUses);
+  }
+
   auto Pressure(std::size_t aFilling) const -> double
   {
     return mTable.mPairs[aFilling][mServing].mPressure;
@@ -27,19 +34,19 @@
 BOOST_AUTO_TEST_CASE(pair_harm_seen_alone_is_blamed)
 {
   const auto before = Pressure(mHeavy);
-  LearnTail(mTable, mServing, 5.0, { { mHeavy, 0.1 } });
-  LearnTail(mTable, mServing, 5.0, { { mHeavy, 0.1 } });
+  Learn( 5.0, { { mHeavy, 0.1 } });
+  Learn( 5.0, { { mHeavy, 0.1 } });
   BOOST_TEST(Pressure(mHeavy) > 2 * before);
 }
 
 BOOST_AUTO_TEST_CASE(pair_known_harmless_stays_so_beside_a_heavy_one)
 {
   for (auto i = 0; i < 200; ++i) {
-    LearnTail(mTable, mServing, 0.4, { { mLight, 0.5 } });
+    Learn( 0.4, { { mLight, 0.5 } });
   }
   const auto light = Pressure(mLight);
   for (auto i = 0; i < 5; ++i) {
-    LearnTail(mTable, mServing, 5.0, { { mLight, 0.3 }, { mHeavy, 0.1 } });
+    Learn( 5.0, { { mLight, 0.3 }, { mHeavy, 0.1 } });
   }
   BOOST_TEST(Pressure(mLight) < 2 * light);
   BOOST_TEST(Pressure(mHeavy) > 8.0);
@@ -48,16 +55,42 @@
 BOOST_AUTO_TEST_CASE(pair_small_use_without_harm_proves_little)
 {
   for (auto i = 0; i < 200; ++i) {
-    LearnTail(mTable, mServing, 0.4, { { mLight, 0.05 } });
+    Learn( 0.4, { { mLight, 0.05 } });
   }
   const auto tail = ExpectedTail(mTable, mServing, { { mLight, 0.5 } });
   BOOST_TEST(tail > 0.9);
 }
 
-BOOST_AUTO_TEST_CASE(pair_learned_elsewhere_is_adopted_when_it_saw_more)
+BOOST_AUTO_TEST_CASE(worker_slow_by_itself_blames_no_image)
+{
+  const auto before = Pressure(mLight);
+  for (auto i = 0; i < 10; ++i) {
+    Forget(mRise, 0.5);
+    Learn(3.0, {});
+  }
+  for (auto i = 0; i < 4; ++i) {
+    Forget(mRise, 0.5);
+    Learn(3.0, { { mLight, 0.1 } });
+  }
+  BOOST_TEST(mRise.mRise > 1.0);
+  BOOST_TEST(Pressure(mLight) < 2 * before);
+}
+
+BOOST_AUTO_TEST_CASE(pair_without_harm_at_growing_use_gets_the_worker)
+{
+  for (const auto use : { 0.1, 0.2, 0.4 }) {
+    for (auto i = 0; i < 30; ++i) {
+      Forget(mTable, 0.1);
+      Learn(0.45, { { mLight, use } });
+    }
+    BOOST_TEST(ExpectedTail(mTable, mServing, { { mLight, 2 * use } }) < 0.85);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(pair_learned_elsewhere_is_adopted_when_it_is_surer)
 {
-  AdoptPair(mTable, mHeavy, mServing, { 12.0, 10 });
-  AdoptPair(mTable, mHeavy, mServing, { 1.0, 5 });
+  AdoptPair(mTable, mHeavy, mServing, MakePair(12.0, 0.5));
+  AdoptPair(mTable, mHeavy, mServing, MakePair(1.0, 1.0));
   BOOST_TEST(Pressure(mHeavy) == 12.0);
 }
 
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -72,12 +72,12 @@
   std::string mFilling;
   std::string mServing;
   float mPressure = 0;
-  std::uint32_t mSamples = 0;
+  float mVariance = 0;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mFilling, mServing, mPressure, mSamples);
+    archive(mFilling, mServing, mPressure, mVariance);
   }
 };
 
--- a/src/dispatch/internal/holdertending.cpp
+++ b/src/dispatch/internal/holdertending.cpp
@@ -321,11 +321,11 @@
        ++i) {
     const auto at = mNextTaught++ % (n * n);
     const auto& pair = table.mPairs[at / n][at % n];
-    if (pair.mSamples > 0) {
+    if (cell::IsLearned(pair)) {
       aPairs.push_back({ table.mImages[at / n],
                          table.mImages[at % n],
                          static_cast<float>(pair.mPressure),
-                         pair.mSamples });
+                         static_cast<float>(pair.mVariance) });
     }
   }
 }
@@ -336,7 +336,8 @@
   for (const auto& it : aPairs) {
     const auto filling = cell::ImageIndex(table, it.mFilling);
     const auto serving = cell::ImageIndex(table, it.mServing);
-    cell::AdoptPair(table, filling, serving, { it.mPressure, it.mSamples });
+    cell::AdoptPair(
+      table, filling, serving, cell::MakePair(it.mPressure, it.mVariance));
   }
 }
 
