Spread lasting jobs over cells, and start filling jobs that wait without a run

Change: lasting jobs go to the emptiest cell, with a spread by id; a holder tells its room at once when it has taken one. A filling job that had no run for 8 s, or for 1.5 s in a quiet cell, runs one task where it does the least harm.

--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <optional>
@@ -81,6 +82,15 @@
   }
 };
 
+/** Whether some tasks of a job run until it is cancelled. */
+inline auto IsLasting(const JobSpec& aJob) -> bool
+{
+  return std::any_of(
+    aJob.mSteps.begin(), aJob.mSteps.end(), [](const StepSpec& aStep) {
+      return aStep.mIsLongRunning;
+    });
+}
+
 /** How the placement adviser of a queue answers. */
 struct AdviceTerms
 {
--- a/src/cell/internal/cellsteps.h
+++ b/src/cell/internal/cellsteps.h
@@ -5,6 +5,8 @@
 namespace eelgrasspost::cell {
 
 /** The step that a task belongs to. */
+/** Whether a worker has, or may have, a run of a job. */
+auto HasRun(const Job& aJob) -> bool;
 auto SpecOf(const Task& aTask) -> const StepSpec&;
 
 /** Finds a task by the name that workers know it by. */
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -319,8 +319,6 @@
   return out;
 }
 
-namespace {
-
 auto HasRun(const Job& aJob) -> bool
 {
   for (const auto& [number, occurrence] : aJob.mOccurrences) {
@@ -335,8 +333,6 @@
   return false;
 }
 
-} // namespace
-
 auto FindMovable(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
   -> std::vector<MovableJob>
 {
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -22,11 +22,29 @@
 /** Weight of the expected tail, as a share of its target, against a slowdown
  * by one. */
 constexpr double kTailWeight = 2.0;
+/** Weight of a worker on which filling tasks are slowed already. */
+constexpr double kPacedWeight = 10.0;
 /** A task that waited so long may run where it is believed to do harm. */
 constexpr auto kTryAfter = Milliseconds(5000);
 /** Expected tail beyond which a filling task waits for another worker. */
 constexpr double kMostTail = 0.85;
 
+/** How much harm a filling task may be expected to do. */
+enum class Insistence : std::uint8_t
+{
+  Careful,
+  /** It may correct a belief, on an otherwise quiet worker. */
+  MayTry,
+  /** It runs where it does the least harm. */
+  Must,
+};
+
+auto InsistenceOf(const Task& aTask, MonotonicTime aNow) -> Insistence
+{
+  return aNow - aTask.mReadyAt > kTryAfter ? Insistence::MayTry
+                                           : Insistence::Careful;
+}
+
 auto HasLabel(const Worker& aWorker, const std::string& aLabel) -> bool
 {
   const auto& labels = aWorker.mRecord.mLabels;
@@ -66,7 +84,7 @@
 auto FillingCost(CellState& aCell,
                  const Worker& aWorker,
                  const StepSpec& aSpec,
-                 Milliseconds aWaited) -> std::optional<double>
+                 Insistence aInsistence) -> std::optional<double>
 {
   const auto left = std::max(1.0, LeftoverCpu(aWorker));
   const auto wanted =
@@ -80,15 +98,17 @@
     tail = WorstExpectedTail(
       aCell, aWorker, { ImageIndex(aCell.mInterference, aSpec.mImage), share });
   }
-  // Who has waited long may try what is believed harmful, on an otherwise
-  // quiet worker: else belief would never be corrected.
-  const auto mayTry = aWaited > kTryAfter && aWorker.mFillingCpuMillis == 0;
-  if (slowdown > kMostSlowdown || (tail > kMostTail && !mayTry) ||
-      (aWorker.mServingCpuMillis > 0 && aWorker.mFillPace < 100)) {
+  const auto mayTry =
+    aInsistence == Insistence::MayTry && aWorker.mFillingCpuMillis == 0;
+  const auto isUnfit =
+    slowdown > kMostSlowdown || (tail > kMostTail && !mayTry) ||
+    (aWorker.mServingCpuMillis > 0 && aWorker.mFillPace < 100);
+  if (isUnfit && aInsistence != Insistence::Must) {
     return std::nullopt;
   }
   constexpr double kSpread = 0.1;
-  return std::max(1.0, slowdown) + slowdown * kSpread + tail * kTailWeight;
+  const auto paced = aWorker.mFillPace < 100 ? kPacedWeight : 0.0;
+  return paced + std::max(1.0, slowdown) + slowdown * kSpread + tail * kTailWeight;
 }
 
 /** Lower is better: the worker with the least room that is left over. */
@@ -115,11 +135,9 @@
           const Worker& aWorker,
           const Task& aTask,
           const StepSpec& aSpec,
-          MonotonicTime aNow) -> std::optional<double>
+          Insistence aInsistence) -> std::optional<double>
 {
-  const auto waited =
-    std::chrono::duration_cast<Milliseconds>(aNow - aTask.mReadyAt);
-  auto out = aSpec.mIsFilling ? FillingCost(aCell, aWorker, aSpec, waited)
+  auto out = aSpec.mIsFilling ? FillingCost(aCell, aWorker, aSpec, aInsistence)
                               : ReservingCost(aCell, aWorker, aSpec);
   if (!out) {
     return out;
@@ -136,6 +154,7 @@
 auto FindWorker(CellState& aCell,
                 const Task& aTask,
                 const StepSpec& aSpec,
+                Insistence aInsistence,
                 MonotonicTime aNow) -> Worker*
 {
   const auto& service = aTask.mJob->mStored.mQueue.mService;
@@ -152,7 +171,7 @@
     if (isFull) {
       continue;
     }
-    const auto cost = Cost(aCell, *worker, aTask, aSpec, aNow);
+    const auto cost = Cost(aCell, *worker, aTask, aSpec, aInsistence);
     if (cost && *cost < bestCost) {
       bestCost = *cost;
       best = worker.get();
@@ -221,7 +240,8 @@
   std::vector<Order> orders;
   for (auto& it : tasks) {
     it.mCheckpoint = tasks.front().mCheckpoint;
-    auto* worker = FindWorker(aCell, it, spec, aNow);
+    auto* worker =
+      FindWorker(aCell, it, spec, InsistenceOf(it, aNow), aNow);
     if (!worker) {
       break;
     }
@@ -282,7 +302,9 @@
                     const Run& aRun,
                     MonotonicTime aNow) -> bool
 {
-  const auto* other = FindWorker(aCell, *aRun.mTask, SpecOf(*aRun.mTask), aNow);
+  const auto& task = *aRun.mTask;
+  const auto* other =
+    FindWorker(aCell, task, SpecOf(task), InsistenceOf(task, aNow), aNow);
   return other && other != &aWorker;
 }
 
@@ -307,14 +329,14 @@
 {
   const Task* mTask = nullptr;
   const StepSpec* mSpec = nullptr;
-  bool mMayTry = false;
+  Insistence mInsistence = Insistence::Careful;
 };
 
 /** Whether a task needs no less than one that found no room. */
 auto IsMisfit(const std::vector<Misfit>& aMisfits,
               const Task& aTask,
               const StepSpec& aSpec,
-              bool aMayTry) -> bool
+              Insistence aInsistence) -> bool
 {
   return std::any_of(
     aMisfits.begin(), aMisfits.end(), [&](const Misfit& aMisfit) {
@@ -331,10 +353,40 @@
                           aSpec.mNeed.mCpuMillis >= spec.mNeed.mCpuMillis &&
                           aSpec.mNeed.mMemoryMb >= spec.mNeed.mMemoryMb &&
                           aSpec.mNeed.mAccelerators >= spec.mNeed.mAccelerators;
-      return (isSameStep || isLike) && (aMisfit.mMayTry || !aMayTry);
+      return (isSameStep || isLike) && aMisfit.mInsistence >= aInsistence;
     });
 }
 
+/** A job without any run is not kept waiting for a harmless place beyond the
+ * first, and in a quiet cell beyond the second. Jobs have to be seen at work
+ * within 14 s of the end of all traffic. */
+constexpr auto kMostWait = Milliseconds(8000);
+constexpr auto kMostIdleWait = Milliseconds(1500);
+/** Share of the processors, reserved or wanted by filling tasks, below which
+ * the cell counts as quiet. */
+constexpr double kQuietShare = 0.6;
+
+auto IsQuiet(const CellState& aCell, MonotonicTime aNow) -> bool
+{
+  auto taken = 0.0;
+  auto capacity = 0.0;
+  for (const auto& [id, it] : aCell.mWorkers) {
+    if (IsUsable(aCell, *it, aNow)) {
+      taken +=
+        static_cast<double>(it->mUsed.mCpuMillis + it->mFillingCpuMillis);
+      capacity += static_cast<double>(it->mRecord.mCapacity.mCpuMillis);
+    }
+  }
+  return taken < kQuietShare * capacity;
+}
+
+auto MustRun(const Task& aTask, bool aIsQuiet, MonotonicTime aNow) -> bool
+{
+  const auto limit = aIsQuiet ? kMostIdleWait : kMostWait;
+  return aNow - aTask.mReadyAt > limit && SpecOf(aTask).mIsFilling &&
+         !HasRun(*aTask.mJob);
+}
+
 /** How long room is kept; longer than most short tasks run. */
 constexpr auto kKeepTime = Milliseconds(1500);
 
@@ -401,6 +453,7 @@
   }
   std::sort(ready.begin(), ready.end(), IsBefore);
   auto kept = CountKept(aCell, aNow);
+  const auto isQuiet = IsQuiet(aCell, aNow);
   for (auto* it : ready) {
     if (!MayStart(*it, aNow)) {
       continue;
@@ -410,18 +463,21 @@
       PlaceGang(aCell, *it, aNow, aOrders);
       continue;
     }
-    const auto mayTry = aNow - it->mReadyAt > kTryAfter;
-    if (IsMisfit(misfits, *it, spec, mayTry)) {
+    auto insistence = InsistenceOf(*it, aNow);
+    if (MustRun(*it, isQuiet, aNow)) {
+      insistence = Insistence::Must;
+    }
+    if (IsMisfit(misfits, *it, spec, insistence)) {
       continue;
     }
-    if (auto* worker = FindWorker(aCell, *it, spec, aNow)) {
+    if (auto* worker = FindWorker(aCell, *it, spec, insistence, aNow)) {
       aOrders.push_back(Place(aCell, *it, *worker, NextAttempt(aCell), aNow));
     } else if (spec.mIsLongRunning && kept < kMostKept) {
       KeepRoom(aCell, *it, aNow);
       ++kept;
-      misfits.push_back({ it, &spec, mayTry });
+      misfits.push_back({ it, &spec, insistence });
     } else {
-      misfits.push_back({ it, &spec, mayTry });
+      misfits.push_back({ it, &spec, insistence });
     }
   }
   std::erase_if(
--- a/src/cell/tests/interference_tests.cpp
+++ b/src/cell/tests/interference_tests.cpp
@@ -122,6 +122,54 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(fillingjob_believed_harmful_runs_in_a_quiet_cell)
+{
+  AddWorker("w1");
+  auto serving = MakeStep(1, 4000);
+  serving.mIsLongRunning = true;
+  serving.mTargetTailMs = 18;
+  serving.mImage = "serving";
+  Add(MakeJob("s", serving));
+  const auto first = Start();
+  const auto heavy = ImageIndex(mCell.mInterference, "heavy");
+  const auto other = ImageIndex(mCell.mInterference, "serving");
+  mCell.mInterference.mPairs[heavy][other] = MakePair(15.0, 0.1);
+  auto filling = MakeStep(3, 2000);
+  filling.mIsFilling = true;
+  filling.mImage = "heavy";
+  Add(MakeJob("f", filling));
+  BOOST_TEST(Start().empty());
+  Advance(Milliseconds(2000));
+  Report("w1", { { first[0].mTask, first[0].mAttempt, "", 100, 8 } }, {});
+  BOOST_TEST(Start().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(fillingjob_without_a_run_is_not_starved_in_a_busy_cell)
+{
+  AddWorker("w1");
+  auto serving = MakeStep(4, 4000);
+  serving.mIsLongRunning = true;
+  serving.mTargetTailMs = 18;
+  serving.mImage = "serving";
+  Add(MakeJob("s", serving));
+  BOOST_REQUIRE(Start().size() == 4U);
+  const auto heavy = ImageIndex(mCell.mInterference, "heavy");
+  const auto other = ImageIndex(mCell.mInterference, "serving");
+  mCell.mInterference.mPairs[heavy][other] = MakePair(15.0, 0.1);
+  auto filling = MakeStep(3, 2000);
+  filling.mIsFilling = true;
+  filling.mImage = "heavy";
+  Add(MakeJob("f", filling));
+  const auto wait = [&](Milliseconds aTime) {
+    Advance(aTime);
+    mCell.mWorkers.at("w1")->mLastContact = mNow;
+    return Start().size();
+  };
+  BOOST_TEST(wait(Milliseconds(4000)) == 0U);
+  BOOST_TEST(wait(Milliseconds(5000)) == 1U);
+  BOOST_TEST(wait(Milliseconds(100)) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(fillingtask_over_target_is_slowed)
 {
   AddWorker("w1");
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -103,13 +103,7 @@
   net::HandleTyped<JobCommand, JobReply>(
     mMessageServer,
     net::MessageKind::JobCommand,
-    [this](JobCommand aCommand) -> net::Task<JobReply> {
-      auto holder = FindHolder(aCommand.mCell);
-      if (!holder) {
-        co_return JobReply{ JobOutcome::NotHeld };
-      }
-      co_return co_await holder->Execute(std::move(aCommand));
-    });
+    [this](JobCommand aCommand) { return ExecuteHere(std::move(aCommand)); });
   net::HandleTyped<StoreRelay, StoreReply>(
     mMessageServer, net::MessageKind::StoreRelay, [this](StoreRelay aRelay) {
       return mStore.Serve(std::move(aRelay));
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -57,6 +57,8 @@
     -> std::shared_ptr<CellHolder>;
 
   auto Execute(JobCommand aCommand) -> net::Task<JobReply>;
+  /** Runs a command in a cell that this entry holds. */
+  auto ExecuteHere(JobCommand aCommand) -> net::Task<JobReply>;
   auto HolderAddress(const std::string& aCell) const
     -> std::optional<net::Address>;
   auto FindRoom(const std::string& aFrom, const cell::MovableJob& aJob) const
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -51,8 +51,8 @@
       aCommand.mKind == JobCommandKind::Import) {
     NoteSentWork(aCommand);
   }
-  if (const auto holder = FindHolder(aCommand.mCell)) {
-    co_return co_await holder->Execute(std::move(aCommand));
+  if (FindHolder(aCommand.mCell)) {
+    co_return co_await ExecuteHere(std::move(aCommand));
   }
   const auto address = HolderAddress(aCommand.mCell);
   if (!address) {
@@ -74,6 +74,23 @@
                         : JobOutcome::Uncertain };
 }
 
+auto DispatchEntry::ExecuteHere(JobCommand aCommand) -> net::Task<JobReply>
+{
+  const auto holder = FindHolder(aCommand.mCell);
+  if (!holder) {
+    co_return JobReply{ JobOutcome::NotHeld };
+  }
+  const auto isLasting = aCommand.mKind == JobCommandKind::Submit &&
+                         cell::IsLasting(aCommand.mJob.mSpec);
+  const auto reply = co_await holder->Execute(std::move(aCommand));
+  if (isLasting) {
+    // It takes its room for long: the other entries should know before they
+    // send the next one.
+    mPeers.SendSoon();
+  }
+  co_return reply;
+}
+
 /** Cells of the own domain first: a loan across domains costs latency. */
 auto DispatchEntry::FindLenders(const std::string& aDomain) const
   -> std::vector<std::string>
--- a/src/dispatch/internal/frontdoor.cpp
+++ b/src/dispatch/internal/frontdoor.cpp
@@ -75,6 +75,17 @@
          static_cast<double>(std::max<std::int64_t>(1, aWhole));
 }
 
+/** Difference in room that entries may not know of each other yet. */
+constexpr double kSpreadShare = 0.05;
+
+/** A number from 0 to 1 that differs by job and cell. */
+auto SpreadOf(const std::string& aJob, const std::string& aCell) -> double
+{
+  constexpr std::uint64_t kSteps = 1000;
+  return static_cast<double>(HashOf(base::Cat(aJob, "/", aCell)) % kSteps) /
+         static_cast<double>(kSteps);
+}
+
 auto IsOfDomain(const std::string& aCell, const std::string& aDomain) -> bool
 {
   return aCell.size() > aDomain.size() && aCell.starts_with(aDomain) &&
@@ -104,21 +115,28 @@
   mCellOfJob[aId] = aCell;
 }
 
-/** Cells of the own domain first while they have room, then the emptiest. */
+/** Cells of the own domain first while they have room, then the emptiest. A
+ * lasting job goes to the emptiest: what it disturbs and what it keeps others
+ * from lasts as long. */
 auto FrontDoor::RankCells(const cell::JobSpec& aJob) const
   -> std::vector<std::string>
 {
   const auto need = WidestCpu(aJob);
+  const auto isLasting = cell::IsLasting(aJob);
   auto cells = mContext.mCells();
   const auto rank = [&](const HeldCell& aCell) {
-    const auto isNear = IsOfDomain(aCell.mName, mContext.mDomain);
+    const auto isNear =
+      !isLasting && IsOfDomain(aCell.mName, mContext.mDomain);
+    // Jobs that come at one moment, before the room is told anew, spread.
+    const auto spread =
+      isLasting ? SpreadOf(aJob.mId, aCell.mName) * kSpreadShare : 0.0;
     // A near cell saves a message between domains for each request.
     constexpr double kNearBonus = 0.1;
     const auto share =
       need > 0
         ? ShareOf(aCell.mFreeCpuMillis - need, aCell.mCapacityCpuMillis)
         : 1.0 - ShareOf(aCell.mFillingCpuMillis, aCell.mLeftoverCpuMillis);
-    return -(share + (isNear && share > 0 ? kNearBonus : 0.0));
+    return -(share + spread + (isNear && share > 0 ? kNearBonus : 0.0));
   };
   std::sort(
     cells.begin(), cells.end(), [&](const auto& aLeft, const auto& aRight) {
--- a/src/dispatch/internal/peers.cpp
+++ b/src/dispatch/internal/peers.cpp
@@ -1,6 +1,10 @@
 #include "peers.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "eelgrasspost/net/codec.h"
+#include "eelgrasspost/net/iopool.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -15,6 +19,7 @@
 Peers::Peers(net::IoPool& aPool, std::string aName)
   : mSocket(aPool)
   , mName(std::move(aName))
+  , mTimer(aPool.Executor(0))
 {
 }
 
@@ -77,11 +82,17 @@
   return it == mPeers.end() ? nullptr : &it->second;
 }
 
+auto Peers::SendSoon() -> void
+{
+  mTimer.cancel();
+}
+
 auto Peers::Run(MakeHeartbeat aMake) -> net::Task<void>
 {
   for (std::uint64_t n = 0;; ++n) {
     const auto bytes = net::Encode(aMake());
     const auto now = base::MonotonicClock::now();
+    mSentAt = now;
     for (const auto& [name, it] : mPeers) {
       const auto isSilent =
         now - std::max(it.mSeenAt, it.mLearnedAt) > kLongSilence;
@@ -89,7 +100,16 @@
         mSocket.Send(it.mRow.mPeers, bytes);
       }
     }
-    co_await net::Sleep(kHeartbeatInterval);
+    mTimer.expires_at(now + kHeartbeatInterval);
+    boost::system::error_code ec;
+    // A wait that SendSoon has cut short ends with an error.
+    co_await mTimer.async_wait(
+      net::asio::redirect_error(net::asio::use_awaitable, ec));
+    if (const auto left = mSentAt + kLeastHeartbeatPause -
+                          base::MonotonicClock::now();
+        left > MonotonicTime::duration::zero()) {
+      co_await net::Sleep(std::chrono::ceil<Milliseconds>(left));
+    }
   }
 }
 
--- a/src/dispatch/internal/peers.h
+++ b/src/dispatch/internal/peers.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "eelgrasspost/net/datagram.h"
 
@@ -23,6 +25,8 @@
 /** An entry without a heartbeat for so long counts as dead: four intervals. */
 inline constexpr auto kPeerTimeout = Milliseconds(1200);
 inline constexpr auto kHeartbeatInterval = Milliseconds(300);
+/** Least time between two heartbeats: a burst of jobs is told in a few. */
+inline constexpr auto kLeastHeartbeatPause = Milliseconds(40);
 
 /** The other entries: found in the control table, followed by heartbeats. */
 class Peers
@@ -37,6 +41,8 @@
     -> absl::Status;
   /** Sends heartbeats until the process ends. */
   auto Run(MakeHeartbeat aMake) -> net::Task<void>;
+  /** Sends the next heartbeat soon: what it says has changed. */
+  auto SendSoon() -> void;
   /** Takes a row of the control table in. */
   auto Learn(const EntryRow& aRow) -> void;
   auto Forget(const std::string& aName) -> void;
@@ -51,6 +57,8 @@
   OnHeartbeat mOnHeartbeat;
   std::string mName;
   std::map<std::string, Peer> mPeers;
+  net::asio::steady_timer mTimer;
+  MonotonicTime mSentAt{};
 };
 
 } // namespace eelgrasspost::dispatch
