Store the progress of a cell one write at a time; gather new lasting jobs

Ruled out: the takeover (it read all jobs and waited for all workers); a second submission of the same id (it met the row of the id).

Change: one flush at a time; the test fails on the code before. New lasting jobs wait 0.5 s for their place, go to an emptier cell meanwhile, and are packed by image; filling tasks that must run share the workers that are slowed already.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -217,6 +217,9 @@
   Milliseconds mProbation{ 3000 };
   /** Decisions may be this early for scheduled occurrences. */
   std::int64_t mEarlyMs = 0;
+  /** New lasting tasks wait so long before they are placed: what comes with
+   * them is known then, and jobs can go to an emptier cell. */
+  Milliseconds mGatherTime{ 0 };
 };
 
 /** A group of workers of one failure domain and the jobs on them. */
@@ -337,6 +340,10 @@
 auto FindMovable(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
   -> std::vector<MovableJob>;
 
+/** Lasting jobs of which no task has been placed yet. */
+auto FindGathering(const CellState& aCell, MonotonicTime aNow)
+  -> std::vector<MovableJob>;
+
 /** Room of the usable workers of a cell. */
 struct CellRoom
 {
--- a/src/cell/internal/cellsteps.h
+++ b/src/cell/internal/cellsteps.h
@@ -5,6 +5,9 @@
 namespace eelgrasspost::cell {
 
 /** The step that a task belongs to. */
+/** Whether a task waits for other lasting tasks that may come with it. */
+auto IsGathering(const CellState& aCell, const Task& aTask, MonotonicTime aNow)
+  -> bool;
 /** Whether a worker has, or may have, a run of a job. */
 auto HasRun(const Job& aJob) -> bool;
 auto SpecOf(const Task& aTask) -> const StepSpec&;
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -369,6 +369,28 @@
   return out;
 }
 
+auto FindGathering(const CellState& aCell, MonotonicTime aNow)
+  -> std::vector<MovableJob>
+{
+  std::map<const Job*, MovableJob> found;
+  for (const auto* it : aCell.mReady) {
+    const auto* job = it->mJob;
+    if (job->mIsLeaving || job->mIsDirty || it->mMayRunUnseen ||
+        !IsGathering(aCell, *it, aNow)) {
+      continue;
+    }
+    auto& movable = found[job];
+    movable.mId = job->mStored.mSpec.mId;
+    movable.mReservingCpuMillis += SpecOf(*it).mNeed.mCpuMillis;
+  }
+  std::vector<MovableJob> out;
+  out.reserve(found.size());
+  for (auto& [job, it] : found) {
+    out.push_back(std::move(it));
+  }
+  return out;
+}
+
 auto RemoveJob(CellState& aCell, const std::string& aId) -> void
 {
   auto* job = FindJob(aCell, aId);
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -22,8 +22,9 @@
 /** Weight of the expected tail, as a share of its target, against a slowdown
  * by one. */
 constexpr double kTailWeight = 2.0;
-/** Weight of a worker on which filling tasks are slowed already. */
-constexpr double kPacedWeight = 10.0;
+/** Weight of a worker on which filling tasks are slowed already, above all
+ * that tails and slowdowns add up to. */
+constexpr double kSlowedBonus = 100.0;
 /** A task that waited so long may run where it is believed to do harm. */
 constexpr auto kTryAfter = Milliseconds(5000);
 /** Expected tail beyond which a filling task waits for another worker. */
@@ -107,8 +108,13 @@
     return std::nullopt;
   }
   constexpr double kSpread = 0.1;
-  const auto paced = aWorker.mFillPace < 100 ? kPacedWeight : 0.0;
-  return paced + std::max(1.0, slowdown) + slowdown * kSpread + tail * kTailWeight;
+  // What has to run although it does harm goes where filling tasks are slowed
+  // already, and leaves the other workers to harmless ones.
+  const auto slowed =
+    aInsistence == Insistence::Must && aWorker.mFillPace < 100 ? kSlowedBonus
+                                                               : 0.0;
+  return std::max(1.0, slowdown) + slowdown * kSpread + tail * kTailWeight -
+         slowed;
 }
 
 /** Lower is better: the worker with the least room that is left over. */
@@ -289,6 +295,18 @@
       aLeft->mJob->mRank != aRight->mJob->mRank) {
     return aLeft->mJob->mRank < aRight->mJob->mRank;
   }
+  if (leftLasts && !IsRestart(*aLeft)) {
+    // Tasks of one image go together, the largest first: less room is lost.
+    const auto key = [](const StepSpec& aSpec) {
+      return std::pair(std::string_view(aSpec.mImage),
+                       -aSpec.mNeed.mCpuMillis);
+    };
+    const auto leftKey = key(SpecOf(*aLeft));
+    const auto rightKey = key(SpecOf(*aRight));
+    if (leftKey != rightKey) {
+      return leftKey < rightKey;
+    }
+  }
   if (aLeft->mJob->mAddedAt != aRight->mJob->mAddedAt) {
     return aLeft->mJob->mAddedAt < aRight->mJob->mAddedAt;
   }
@@ -360,7 +378,7 @@
 /** A job without any run is not kept waiting for a harmless place beyond the
  * first, and in a quiet cell beyond the second. Jobs have to be seen at work
  * within 14 s of the end of all traffic. */
-constexpr auto kMostWait = Milliseconds(8000);
+constexpr auto kMostWait = Milliseconds(10000);
 constexpr auto kMostIdleWait = Milliseconds(1500);
 /** Share of the processors, reserved or wanted by filling tasks, below which
  * the cell counts as quiet. */
@@ -455,7 +473,7 @@
   auto kept = CountKept(aCell, aNow);
   const auto isQuiet = IsQuiet(aCell, aNow);
   for (auto* it : ready) {
-    if (!MayStart(*it, aNow)) {
+    if (!MayStart(*it, aNow) || IsGathering(aCell, *it, aNow)) {
       continue;
     }
     const auto& spec = SpecOf(*it);
--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -12,11 +12,20 @@
          !aTask.mJob->mIsLeaving;
 }
 
+auto IsGathering(const CellState& aCell, const Task& aTask, MonotonicTime aNow)
+  -> bool
+{
+  const auto& job = *aTask.mJob;
+  return SpecOf(aTask).mIsLongRunning && !job.mHasStarted &&
+         aNow - job.mAddedAt < aCell.mPolicy.mGatherTime;
+}
+
 auto FindStarved(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
   -> const Task*
 {
   for (const auto* it : aCell.mReady) {
     if (SpecOf(*it).mIsLongRunning && MayStart(*it, aNow) &&
+        !IsGathering(aCell, *it, aNow) &&
         aNow - it->mReadyAt > aWait) {
       return it;
     }
@@ -88,6 +97,9 @@
     out.mLeftoverCpuMillis += static_cast<std::int64_t>(LeftoverCpu(*it));
   }
   for (const auto* it : aCell.mReady) {
+    if (it->mJob->mIsLeaving) {
+      continue;
+    }
     const auto& spec = SpecOf(*it);
     (spec.mIsFilling ? out.mFillingCpuMillis : free.mCpuMillis) +=
       spec.mIsFilling ? spec.mNeed.mCpuMillis : -spec.mNeed.mCpuMillis;
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -30,6 +30,9 @@
   std::uint32_t mParts = 4;
   /** Finds another cell with room for a job; nothing when there is none. */
   std::function<std::optional<std::string>(const cell::MovableJob&)> mFindRoom;
+  /** Finds a cell that is emptier, also with a job that has not started. */
+  std::function<std::optional<std::string>(const cell::MovableJob&)>
+    mFindEmptier;
   /** Runs a command where its cell is held. */
   std::function<net::Task<JobReply>(JobCommand)> mExecute;
   /** Cells that may have a worker to lend, the best first. */
@@ -184,7 +187,7 @@
   std::size_t mNextTaught = 0;
   bool mIsKicked = false;
   bool mIsFlushUrgent = false;
-  std::size_t mFlushing = 0;
+  bool mIsFlushing = false;
   /** Smoothed time of a commit; grouping grows with it. */
   Milliseconds mCommitTime{ 10 };
   MonotonicTime mConfirmedAt{};
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -163,6 +163,9 @@
     mIncarnation,
     mParts,
     [this, cell](const cell::MovableJob& aJob) { return FindRoom(cell, aJob); },
+    [this, cell](const cell::MovableJob& aJob) {
+      return FindEmptier(cell, aJob);
+    },
     [this](JobCommand aCommand) { return Execute(std::move(aCommand)); },
     [this, domain = aRow.mDomain] { return FindLenders(domain); }
   };
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -139,6 +139,34 @@
   return out;
 }
 
+auto DispatchEntry::FindEmptier(const std::string& aFrom,
+                                const cell::MovableJob& aJob) const
+  -> std::optional<std::string>
+{
+  // A smaller difference is not worth a transaction.
+  constexpr double kLeastGain = 0.03;
+  const auto freeShare = [](const HeldCell& aCell, std::int64_t aLess) {
+    const auto capacity = std::max<std::int64_t>(1, aCell.mCapacityCpuMillis);
+    return static_cast<double>(aCell.mFreeCpuMillis - aLess) /
+           static_cast<double>(capacity);
+  };
+  std::optional<std::string> out;
+  auto own = 0.0;
+  auto best = 0.0;
+  for (const auto& it : ReachableCells()) {
+    if (it.mName == aFrom) {
+      own = freeShare(it, 0);
+    } else if (it.mIsActive) {
+      const auto share = freeShare(it, aJob.mReservingCpuMillis);
+      if (!out || share > best) {
+        out = it.mName;
+        best = share;
+      }
+    }
+  }
+  return out && best > own + kLeastGain ? out : std::nullopt;
+}
+
 auto DispatchEntry::ReachableCells() const -> std::vector<HeldCell>
 {
   std::vector<HeldCell> out;
--- a/src/dispatch/internal/holdermoves.cpp
+++ b/src/dispatch/internal/holdermoves.cpp
@@ -27,6 +27,15 @@
     return;
   }
   const auto now = base::MonotonicClock::now();
+  const auto move = [this](const std::string& aId, const std::string& aCell) {
+    cell::FindJob(mState, aId)->mIsLeaving = true;
+    net::SpawnTask(mContext.mExecutor, MoveJob(aId, aCell));
+  };
+  for (const auto& it : cell::FindGathering(mState, now)) {
+    if (const auto target = mContext.mFindEmptier(it)) {
+      move(it.mId, *target);
+    }
+  }
   std::size_t moves = 0;
   for (const auto& it : cell::FindMovable(mState, now, kMoveWait)) {
     if (moves >= kMovesPerTick) {
@@ -34,8 +43,7 @@
     }
     if (const auto target = mContext.mFindRoom(it)) {
       ++moves;
-      cell::FindJob(mState, it.mId)->mIsLeaving = true;
-      net::SpawnTask(mContext.mExecutor, MoveJob(it.mId, *target));
+      move(it.mId, *target);
     }
   }
 }
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -18,6 +18,7 @@
 
 /** Jobs of one transaction: each takes up to five of its 100 entries. */
 constexpr std::size_t kJobsPerTransaction = 18;
+constexpr auto kFlushWaitStep = Milliseconds(5);
 
 struct JobWrite
 {
@@ -61,7 +62,12 @@
 auto CellHolder::Flush() -> net::Task<bool>
 {
   const auto self = shared_from_this();
-  ++mFlushing;
+  // One at a time: the ends that a flush acknowledges must not belong to a
+  // write of another one that is still under way.
+  while (mIsFlushing) {
+    co_await net::Sleep(kFlushWaitStep);
+  }
+  mIsFlushing = true;
   std::map<std::string, std::uint64_t> seen;
   for (const auto& [id, it] : mState.mWorkers) {
     seen[id] = it->mSeenEnds;
@@ -79,7 +85,7 @@
   if (!tasks.empty()) {
     isOk = co_await JoinTasks(std::move(tasks));
   }
-  --mFlushing;
+  mIsFlushing = false;
   if (!isOk) {
     co_return false;
   }
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -37,6 +37,7 @@
   mState.mAttemptBase = mRow.mTerm * kAttemptsPerTerm;
   mState.mPolicy.mLeaseMs = mContext.mSettings.mLeaseMs;
   // Half of the bound leaves room for clocks that differ.
+  mState.mPolicy.mGatherTime = kGatherTime;
   mState.mPolicy.mEarlyMs = mContext.mSettings.mEarlyMs / 2;
 }
 
--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -30,6 +30,9 @@
 /** Ends of so long are stored together. */
 inline constexpr auto kFlushDelay = Milliseconds(80);
 inline constexpr auto kUrgentFlushDelay = Milliseconds(2);
+/** New lasting jobs wait so long for their place: two heartbeats that tell the
+ * cells' room, a tick and a transaction that moves a job. */
+inline constexpr auto kGatherTime = Milliseconds(500);
 inline constexpr auto kTickInterval = Milliseconds(200);
 
 /** Workers' clocks may run 2% slow: how long a span of theirs may take. */
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -31,6 +31,8 @@
   std::uint64_t mVersion = 0;
   /** Faults of the next commits, in order. */
   std::deque<FakeFault> mFaults;
+  /** Times that the next commits take, in order. */
+  std::deque<Milliseconds> mDelays;
 
   auto Find(const std::string& aTable,
             const std::string& aPart,
@@ -47,6 +49,11 @@
     if (!mFaults.empty()) {
       mFaults.pop_front();
     }
+    if (!mDelays.empty()) {
+      const auto delay = mDelays.front();
+      mDelays.pop_front();
+      co_await net::Sleep(delay);
+    }
     StoreReply out;
     if (fault == FakeFault::Refuse || fault == FakeFault::LoseCall) {
       out.mOutcome = fault == FakeFault::Refuse ? StoreOutcome::Refused
--- a/src/dispatch/tests/holder_tests.cpp
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -128,6 +128,9 @@
                            [](const cell::MovableJob&) {
                              return std::optional<std::string>();
                            },
+                           [](const cell::MovableJob&) {
+                             return std::optional<std::string>();
+                           },
                            [](JobCommand) -> net::Task<JobReply> {
                              co_return JobReply{ JobOutcome::NotHeld };
                            },
@@ -271,6 +274,38 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(stop_during_a_slow_write_acknowledges_what_is_stored)
+{
+  const auto holder = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 1; }));
+  for (const auto* id : { "0000000000000006", "0000000000000007" }) {
+    auto submission = MakeSubmission(id);
+    submission.mJob.mSpec.mSteps[0].mCount = 2;
+    Wait(holder->Execute(submission));
+  }
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 4; }));
+  Until([&] {
+    mStore.mDelays = { Milliseconds(600) };
+    mStore.mFaults = { FakeFault::LoseCall };
+    mWorkers.End("0000000000000006.0.0.0", cell::EndKind::Done);
+    return true;
+  });
+  BOOST_REQUIRE(Until([&] { return !holder->State().mDirty.empty(); }));
+
+  auto finish = [](std::shared_ptr<CellHolder> aHolder) -> net::Task<void> {
+    co_await aHolder->Finish();
+  };
+  mPool.Spawn(mPool.Executor(0), finish(holder));
+  BOOST_REQUIRE(Until([&] { return mStore.mDelays.empty(); }));
+  Until([&] {
+    mWorkers.End("0000000000000007.0.0.0", cell::EndKind::Done);
+    return true;
+  });
+
+  BOOST_TEST(Until([&] { return holder->Phase() == HolderPhase::Ended; }));
+  BOOST_TEST(mWorkers.mAcknowledged == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(job_cancelled_is_stored_before_it_is_answered)
 {
   const auto holder = MakeHolder(1);
