Probe a silent store beside the calls that peers relay

Ruled out: the peers (they were heard and served relayed commits).

Change: while the store does not answer, calls go to a peer at once; a short read of its own, for which nobody waits, finds out whether the store is back.

--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -15,8 +15,9 @@
 /** A worker without serving tasks is kept for filling ones. */
 constexpr double kFreshWorkerPenalty = 1e4;
 /** Serving tasks of one image go together: fewer images on a worker leave
- * more filling images that do no harm there. */
-constexpr double kOtherImagePenalty = 3e4;
+ * more filling images that do no harm there. More than an empty worker costs
+ * with all its processor millis. */
+constexpr double kOtherImagePenalty = 6e4;
 /** Filling tasks wait rather than slow each other down beyond this. */
 constexpr double kMostSlowdown = 1.7;
 /** Weight of the expected tail, as a share of its target, against a slowdown
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -112,9 +112,7 @@
        { mMessageServer.Listen(mSettings.mPeers).status(),
          mPeers.Bind(mSettings.mPeers,
                      [this](const Heartbeat& aHeartbeat) {
-                       for (const auto& [name, it] : mHolders) {
-                         it->Learn(aHeartbeat.mPairs);
-                       }
+                       SeeHeartbeat(aHeartbeat);
                      }),
          mDoorServer.Listen(mSettings.mHttp).status(),
          mReadinessServer.Listen(mSettings.mReadiness).status(),
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -69,7 +69,10 @@
     -> std::vector<std::string>;
   auto SeeLoan(const LentRow& aRow, std::uint64_t aVersion) -> void;
   auto ReachableCells() const -> std::vector<HeldCell>;
-  auto NoteSentWork(const JobCommand& aCommand) -> void;
+  auto NoteSentWork(const std::string& aCell,
+                    std::int64_t aReserving,
+                    std::int64_t aFilling) const -> void;
+  auto SeeHeartbeat(const Heartbeat& aHeartbeat) -> void;
   auto CountPending(const std::string& aQueue) const -> std::uint64_t;
   auto MakeHeartbeat() const -> Heartbeat;
   auto IsReady() const -> bool;
@@ -116,9 +119,10 @@
   {
     std::int64_t mReserving = 0;
     std::int64_t mFilling = 0;
-    MonotonicTime mSince{};
+    MonotonicTime mLastAt{};
   };
-  std::map<std::string, SentWork> mSentWork;
+  /** A cache of what heartbeats will tell; choosing a cell adds to it. */
+  mutable std::map<std::string, SentWork> mSentWork;
   std::set<std::string> mBusyCells;
   std::set<std::string> mBusyLayouts;
   bool mIsLeaving = false;
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-/** After two heartbeats a cell's room counts the jobs that were sent to it. */
-constexpr auto kSentWorkAge = 2 * kHeartbeatInterval;
+/** A heartbeat that comes so long after a job was sent counts it: the job is
+ * stored and told by then. */
+constexpr auto kSentWorkAge = Milliseconds(100);
 
 } // namespace
 
@@ -28,28 +29,43 @@
   return peer->mRow.mPeers;
 }
 
-auto DispatchEntry::NoteSentWork(const JobCommand& aCommand) -> void
+auto DispatchEntry::NoteSentWork(const std::string& aCell,
+                                 std::int64_t aReserving,
+                                 std::int64_t aFilling) const -> void
+{
+  auto& sent = mSentWork[aCell];
+  sent.mReserving += aReserving;
+  sent.mFilling += aFilling;
+  sent.mLastAt = base::MonotonicClock::now();
+}
+
+auto DispatchEntry::SeeHeartbeat(const Heartbeat& aHeartbeat) -> void
 {
   const auto now = base::MonotonicClock::now();
-  auto& sent = mSentWork[aCommand.mCell];
-  if (now - sent.mSince > kSentWorkAge) {
-    sent = { 0, 0, now };
-  }
-  // The first step tells what comes at once.
-  for (const auto& it : aCommand.mJob.mSpec.mSteps) {
-    if (!it.mAfter.empty()) {
-      continue;
+  for (const auto& it : aHeartbeat.mCells) {
+    const auto sent = mSentWork.find(it.mName);
+    if (sent != mSentWork.end() && now - sent->second.mLastAt > kSentWorkAge) {
+      mSentWork.erase(sent);
     }
-    const auto cpu = it.mNeed.mCpuMillis * it.mCount;
-    (it.mIsFilling ? sent.mFilling : sent.mReserving) += cpu;
+  }
+  for (const auto& [name, it] : mHolders) {
+    it->Learn(aHeartbeat.mPairs);
   }
 }
 
 auto DispatchEntry::Execute(JobCommand aCommand) -> net::Task<JobReply>
 {
-  if (aCommand.mKind == JobCommandKind::Submit ||
-      aCommand.mKind == JobCommandKind::Import) {
-    NoteSentWork(aCommand);
+  if (aCommand.mKind == JobCommandKind::Submit) {
+    // The first steps tell what comes at once.
+    std::int64_t reserving = 0;
+    std::int64_t filling = 0;
+    for (const auto& it : aCommand.mJob.mSpec.mSteps) {
+      if (it.mAfter.empty()) {
+        (it.mIsFilling ? filling : reserving) +=
+          it.mNeed.mCpuMillis * it.mCount;
+      }
+    }
+    NoteSentWork(aCommand.mCell, reserving, filling);
   }
   if (FindHolder(aCommand.mCell)) {
     co_return co_await ExecuteHere(std::move(aCommand));
@@ -136,6 +152,9 @@
       bestRoom = room;
     }
   }
+  if (out) {
+    NoteSentWork(*out, aJob.mReservingCpuMillis, aJob.mFillingCpuMillis);
+  }
   return out;
 }
 
@@ -164,7 +183,11 @@
       }
     }
   }
-  return out && best > own + kLeastGain ? out : std::nullopt;
+  if (!out || best <= own + kLeastGain) {
+    return std::nullopt;
+  }
+  NoteSentWork(*out, aJob.mReservingCpuMillis, aJob.mFillingCpuMillis);
+  return out;
 }
 
 auto DispatchEntry::ReachableCells() const -> std::vector<HeldCell>
@@ -188,8 +211,7 @@
   for (auto& it : out) {
     const auto sent = mSentWork.find(it.mName);
     // Work held here is part of the figures already.
-    if (sent != mSentWork.end() && !FindHolder(it.mName) &&
-        now - sent->second.mSince <= kSentWorkAge) {
+    if (sent != mSentWork.end() && !FindHolder(it.mName)) {
       it.mFreeCpuMillis -= sent->second.mReserving;
       it.mFillingCpuMillis += sent->second.mFilling;
     }
--- a/src/dispatch/internal/storeaccess.cpp
+++ b/src/dispatch/internal/storeaccess.cpp
@@ -1,5 +1,7 @@
 #include "storeaccess.h"
 
+#include <boost/asio/this_coro.hpp>
+
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/iopool.h"
@@ -12,6 +14,8 @@
 constexpr std::uint32_t kFailureLimit = 2;
 /** How often a store that turns this entry away is tried again. */
 constexpr auto kProbeInterval = Milliseconds(500);
+/** A slow store answers a read within about half of it. */
+constexpr auto kProbeTimeout = Milliseconds(800);
 
 auto IsAnswer(StoreOutcome aOutcome) -> bool
 {
@@ -139,31 +143,40 @@
   co_return out;
 }
 
+/** Finds out whether the store is back. No caller waits for it: through a
+ * partition it takes as long as its timeout. */
+auto StoreAccess::Probe() -> net::Task<void>
+{
+  StoreRelay probe;
+  probe.mKind = RelayKind::ReadRange;
+  probe.mRange.mTable = std::string(kControlTable);
+  probe.mRange.mLimit = 1;
+  co_await CallDirectly(probe, base::MonotonicClock::now() + kProbeTimeout);
+}
+
 auto StoreAccess::Call(StoreRelay aRelay, MonotonicTime aDeadline)
   -> net::Task<StoreReply>
 {
-  const auto now = base::MonotonicClock::now();
-  // Reads find out whether the store is back: a write without an answer would
-  // leave its caller in doubt.
-  const auto isProbe =
-    aRelay.mKind != RelayKind::Commit && now - mLastTry > kProbeInterval;
-  const auto isTried = ReachesDirectly() || isProbe;
-  StoreReply reply;
-  reply.mOutcome = StoreOutcome::Refused;
-  if (isTried) {
-    reply = co_await CallDirectly(aRelay, aDeadline);
+  if (ReachesDirectly()) {
+    auto reply = co_await CallDirectly(aRelay, aDeadline);
+    // A refused call has done nothing; another way may be tried.
+    if (reply.mOutcome != StoreOutcome::Refused || !FindRelay()) {
+      co_return reply;
+    }
+    co_return co_await CallThroughPeer(aRelay, aDeadline);
   }
-  // A refused call has done nothing; another way may be tried.
-  if (reply.mOutcome != StoreOutcome::Refused) {
-    co_return reply;
+  const auto now = base::MonotonicClock::now();
+  if (now - mLastTry > kProbeInterval) {
+    mLastTry = now;
+    net::SpawnTask(co_await net::asio::this_coro::executor, Probe());
   }
-  if (!FindRelay()) {
-    if (reply.mError.empty()) {
-      reply.mError = "the store turns this entry away";
-    }
-    co_return reply;
+  if (FindRelay()) {
+    co_return co_await CallThroughPeer(aRelay, aDeadline);
   }
-  co_return co_await CallThroughPeer(aRelay, aDeadline);
+  StoreReply out;
+  out.mOutcome = StoreOutcome::Refused;
+  out.mError = "the store turns this entry away";
+  co_return out;
 }
 
 auto StoreAccess::Commit(StoreTransaction aTransaction, MonotonicTime aDeadline)
--- a/src/dispatch/internal/storeaccess.h
+++ b/src/dispatch/internal/storeaccess.h
@@ -43,6 +43,7 @@
 private:
   auto CallDirectly(const StoreRelay& aRelay, MonotonicTime aDeadline)
     -> net::Task<StoreReply>;
+  auto Probe() -> net::Task<void>;
   auto Call(StoreRelay aRelay, MonotonicTime aDeadline)
     -> net::Task<StoreReply>;
   auto CallThroughPeer(const StoreRelay& aRelay, MonotonicTime aDeadline)
