Tell a submission that was under way at a stop as what it is; pace by belief

The test fails on the code before.

Change: the answer follows the store's outcome. Filling images get the pace at which the believed tails keep their target, from their start; a slowed worker still takes images that do no harm there.

--- a/src/cell/include/eelgrasspost/cell/interference.h
+++ b/src/cell/include/eelgrasspost/cell/interference.h
@@ -44,6 +44,8 @@
 {
   std::size_t mImage = 0;
   double mUse = 0;
+  /** Share of its speed that the image is let have. */
+  double mPace = 1;
 };
 
 /** A belief with its cautious bound. */
--- a/src/cell/internal/filling.cpp
+++ b/src/cell/internal/filling.cpp
@@ -24,8 +24,18 @@
 constexpr int kLowestPace = 10;
 /** Reports lag by half a second: one change is seen before the next. */
 constexpr auto kChangePause = Milliseconds(600);
-/** Tasks that were slowed for so long move to another worker. */
+/** Tasks that were slowed below this, in percent, for so long move to another
+ * worker. */
+constexpr int kMovePace = 40;
 constexpr auto kMoveAfter = Milliseconds(400);
+/** Expected tail, as a share of its target, that filling tasks may cause. */
+constexpr double kMostTail = 0.85;
+/** A rise of the logarithm of a tail for which an image is not slowed. */
+constexpr double kBlamedRise = 0.1;
+/** Shares of the speed below this are rounded to a standstill; smaller changes
+ * than the step are not worth an order. */
+constexpr double kLeastPace = 0.15;
+constexpr double kPaceStep = 0.2;
 /** A filling image is slowed when it causes this share of the rise, or a rise
  * of this size. */
 constexpr double kBlameShare = 0.3;
@@ -111,21 +121,93 @@
   return CapacityOf(aWorker) - (reserved - serving) - serving * kServingUse;
 }
 
-auto WorstExpectedTail(const CellState& aCell,
-                       const Worker& aWorker,
-                       const ImageUse& aMore) -> double
+namespace {
+
+/** Rise of the logarithm of a serving image's tail that filling tasks may
+ * cause on a worker. */
+auto RiseLeft(const CellState& aCell, const Worker& aWorker, std::size_t aImage)
+  -> double
+{
+  return std::log(kMostTail / aCell.mInterference.mCalmTails[aImage]) -
+         aWorker.mTailRise.mRise;
+}
+
+/** Lowers the paces of the images to blame until a serving image is expected
+ * to keep its target. */
+auto PaceForServing(const CellState& aCell,
+                    const Worker& aWorker,
+                    std::size_t aServing,
+                    std::vector<ImageUse>& aUses) -> void
+{
+  const auto& pairs = aCell.mInterference.mPairs;
+  auto blamed = 0.0;
+  auto others = 0.0;
+  const auto rise = [&](const ImageUse& aUse) {
+    return pairs[aUse.mImage][aServing].mPressure * aUse.mUse;
+  };
+  for (const auto& it : aUses) {
+    (rise(it) > kBlamedRise ? blamed : others) += rise(it);
+  }
+  const auto left = RiseLeft(aCell, aWorker, aServing);
+  if (blamed + others <= left || blamed <= 0) {
+    return;
+  }
+  const auto pace = std::clamp((left - others) / blamed, 0.0, 1.0);
+  for (auto& it : aUses) {
+    if (rise(it) > kBlamedRise) {
+      it.mPace = std::min(it.mPace, pace);
+    }
+  }
+}
+
+} // namespace
+
+auto AllowedPace(const CellState& aCell,
+                 const Worker& aWorker,
+                 const ImageUse& aMore) -> double
 {
   const auto& table = aCell.mInterference;
-  auto out = 0.0;
+  auto out = 1.0;
   for (const auto& [image, count] : aWorker.mServingImages) {
-    const auto rise = aWorker.mTailRise.mRise +
-                      PressureOn(table, image, aWorker.mFillingUses) +
-                      table.mPairs[aMore.mImage][image].mCautious * aMore.mUse;
-    out = std::max(out, table.mCalmTails[image] * std::exp(rise));
+    const auto own = table.mPairs[aMore.mImage][image].mCautious * aMore.mUse;
+    const auto left = RiseLeft(aCell, aWorker, image) -
+                      PressureOn(table, image, aWorker.mFillingUses);
+    if (own > left) {
+      out = std::min(out, std::max(0.0, left) / own);
+    }
   }
   return out;
 }
 
+auto PaceByBelief(const CellState& aCell, Worker& aWorker) -> void
+{
+  auto uses = aWorker.mFillingUses;
+  for (auto& it : uses) {
+    it.mPace = 1.0;
+  }
+  for (const auto& [image, count] : aWorker.mServingImages) {
+    PaceForServing(aCell, aWorker, image, uses);
+  }
+  for (std::size_t i = 0; i < uses.size(); ++i) {
+    auto& pace = aWorker.mFillingUses[i].mPace;
+    const auto wanted = uses[i].mPace < kLeastPace ? 0.0 : uses[i].mPace;
+    const auto isWorthIt = std::abs(wanted - pace) >= kPaceStep ||
+                           (wanted == 1.0) != (pace == 1.0);
+    pace = isWorthIt ? wanted : pace;
+  }
+}
+
+auto BelievedPace(const Worker& aWorker, std::size_t aImage) -> int
+{
+  const auto& uses = aWorker.mFillingUses;
+  const auto it =
+    std::find_if(uses.begin(), uses.end(), [&](const ImageUse& aItem) {
+      return aItem.mImage == aImage;
+    });
+  constexpr double kPercent = 100;
+  return it == uses.end() ? 100 : static_cast<int>(it->mPace * kPercent);
+}
+
 auto LearnFromReport(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
   -> void
 {
@@ -183,9 +265,14 @@
       aWorker.mPressedImage = worst->mImageIndex;
     }
   }
-  if (aWorker.mFillPace == 100) {
+  const auto isFree =
+    std::all_of(aWorker.mFillingUses.begin(),
+                aWorker.mFillingUses.end(),
+                [](const ImageUse& aUse) { return aUse.mPace >= 1.0; });
+  if (aWorker.mFillPace == 100 && isFree) {
     aWorker.mSlowedSince = aNow;
   }
+  PaceByBelief(aCell, aWorker);
   const auto isSlowedLong = aNow - aWorker.mSlowedSince > kMoveAfter;
   const auto& uses = aWorker.mFillingUses;
   for (auto& [name, run] : aWorker.mRuns) {
@@ -195,8 +282,12 @@
     const auto isSlowed =
       aWorker.mFillPace < 100 &&
       IsBlamed(aCell, aWorker.mPressedImage, run.mImageIndex, uses);
-    run.mWantedPace = isSlowed ? aWorker.mFillPace : 100;
-    if (isSlowed && isSlowedLong && HasBetterPlace(aCell, aWorker, run, aNow)) {
+    const auto believed = BelievedPace(aWorker, run.mImageIndex);
+    run.mWantedPace =
+      isSlowed ? std::min(believed, aWorker.mFillPace) : believed;
+    const auto isAlmostStopped = run.mWantedPace < kMovePace;
+    if (isAlmostStopped && isSlowedLong &&
+        HasBetterPlace(aCell, aWorker, run, aNow)) {
       run.mTask->mAvoid = aWorker.mRecord.mId;
       AddNote(aCell,
               { NoteKind::RunStopped,
--- a/src/cell/internal/filling.h
+++ b/src/cell/internal/filling.h
@@ -7,11 +7,18 @@
 /** Processor millis that are left for filling tasks. */
 auto LeftoverCpu(const Worker& aWorker) -> double;
 
-/** Highest expected tail on a worker with one more filling task, as a share of
- * the target; 0 when it has no serving tasks. */
-auto WorstExpectedTail(const CellState& aCell,
-                       const Worker& aWorker,
-                       const ImageUse& aMore) -> double;
+/** Share of its speed at which one more filling task keeps all expected tails
+ * of the worker within their targets, from 0 to 1. */
+auto AllowedPace(const CellState& aCell,
+                 const Worker& aWorker,
+                 const ImageUse& aMore) -> double;
+
+/** Sets the pace of each filling image on a worker by what is believed of
+ * it. */
+auto PaceByBelief(const CellState& aCell, Worker& aWorker) -> void;
+
+/** The pace of an image on a worker, in percent. */
+auto BelievedPace(const Worker& aWorker, std::size_t aImage) -> int;
 
 /** Learns from the tail latencies in a worker's last report. */
 auto LearnFromReport(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
--- a/src/cell/internal/interference.cpp
+++ b/src/cell/internal/interference.cpp
@@ -74,7 +74,8 @@
 {
   auto out = 0.0;
   for (const auto& it : aUses) {
-    out += aInterference.mPairs[it.mImage][aServing].mCautious * it.mUse;
+    out +=
+      aInterference.mPairs[it.mImage][aServing].mCautious * it.mUse * it.mPace;
   }
   return out;
 }
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -20,16 +20,18 @@
 constexpr double kOtherImagePenalty = 6e4;
 /** Filling tasks wait rather than slow each other down beyond this. */
 constexpr double kMostSlowdown = 1.7;
-/** Weight of the expected tail, as a share of its target, against a slowdown
- * by one. */
-constexpr double kTailWeight = 2.0;
+/** Weight of the rise of serving tasks' tails against a slowdown by one. */
+constexpr double kPressureWeight = 1.0;
+/** Share of its speed at which a filling task is started rather than waits. */
+constexpr double kLeastPace = 0.5;
 /** Weight of a worker on which filling tasks are slowed already, above all
  * that tails and slowdowns add up to. */
 constexpr double kSlowedBonus = 100.0;
 /** A task that waited so long may run where it is believed to do harm. */
 constexpr auto kTryAfter = Milliseconds(5000);
-/** Expected tail beyond which a filling task waits for another worker. */
-constexpr double kMostTail = 0.85;
+/** Rise of the logarithm of a tail that is not worth keeping a task away from
+ * a worker whose filling tasks are slowed. */
+constexpr double kSlightRise = 0.15;
 
 /** How much harm a filling task may be expected to do. */
 enum class Insistence : std::uint8_t
@@ -82,6 +84,16 @@
   return out;
 }
 
+/** Whether a filling task adds to the tail that is over its target now. */
+auto WouldPress(const CellState& aCell,
+                const Worker& aWorker,
+                const ImageUse& aMore) -> bool
+{
+  const auto& pair =
+    aCell.mInterference.mPairs[aMore.mImage][aWorker.mPressedImage];
+  return pair.mCautious * aMore.mUse > kSlightRise;
+}
+
 /** Lower is better; nothing when a filling task should rather wait. */
 auto FillingCost(CellState& aCell,
                  const Worker& aWorker,
@@ -92,30 +104,34 @@
   const auto wanted =
     static_cast<double>(aWorker.mFillingCpuMillis + aSpec.mNeed.mCpuMillis);
   const auto slowdown = wanted / left;
-  auto tail = 0.0;
-  if (aWorker.mServingCpuMillis > 0) {
-    const auto share = static_cast<double>(aSpec.mNeed.mCpuMillis) /
-                       static_cast<double>(std::max<std::int64_t>(
-                         1, aWorker.mRecord.mCapacity.mCpuMillis));
-    tail = WorstExpectedTail(
-      aCell, aWorker, { ImageIndex(aCell.mInterference, aSpec.mImage), share });
+  const auto image = ImageIndex(aCell.mInterference, aSpec.mImage);
+  const auto share = static_cast<double>(aSpec.mNeed.mCpuMillis) /
+                     static_cast<double>(std::max<std::int64_t>(
+                       1, aWorker.mRecord.mCapacity.mCpuMillis));
+  auto pressure = 0.0;
+  for (const auto& [serving, count] : aWorker.mServingImages) {
+    pressure += aCell.mInterference.mPairs[image][serving].mCautious * share;
   }
+  const auto pace = AllowedPace(aCell, aWorker, { image, share });
   const auto mayTry =
     aInsistence == Insistence::MayTry && aWorker.mFillingCpuMillis == 0;
-  const auto isUnfit =
-    slowdown > kMostSlowdown || (tail > kMostTail && !mayTry) ||
-    (aWorker.mServingCpuMillis > 0 && aWorker.mFillPace < 100);
+  const auto isPressed = aWorker.mServingCpuMillis > 0 &&
+                         aWorker.mFillPace < 100 &&
+                         WouldPress(aCell, aWorker, { image, share });
+  const auto isUnfit = slowdown > kMostSlowdown ||
+                       (pace < kLeastPace && !mayTry) || isPressed;
   if (isUnfit && aInsistence != Insistence::Must) {
     return std::nullopt;
   }
   constexpr double kSpread = 0.1;
+  constexpr double kPaceFloor = 0.05;
   // What has to run although it does harm goes where filling tasks are slowed
   // already, and leaves the other workers to harmless ones.
   const auto slowed =
     aInsistence == Insistence::Must && aWorker.mFillPace < 100 ? kSlowedBonus
                                                                : 0.0;
-  return std::max(1.0, slowdown) + slowdown * kSpread + tail * kTailWeight -
-         slowed;
+  return std::max(1.0, slowdown) / std::max(kPaceFloor, pace) +
+         slowdown * kSpread + pressure * kPressureWeight - slowed;
 }
 
 /** Lower is better: the worker with the least room that is left over. */
@@ -209,7 +225,12 @@
   order.mAttempt = aAttempt;
   order.mPayload = job.mStored.mSpec.mPayload;
   order.mCheckpoint = aTask.mCheckpoint;
-  InsertRun(aWorker, order.mTask, MakeRun(aCell, aTask, aAttempt, aNow));
+  auto& run =
+    InsertRun(aWorker, order.mTask, MakeRun(aCell, aTask, aAttempt, aNow));
+  if (run.mIsFilling) {
+    PaceByBelief(aCell, aWorker);
+    run.mWantedPace = BelievedPace(aWorker, run.mImageIndex);
+  }
   const auto waited =
     std::chrono::duration_cast<Milliseconds>(aNow - aTask.mReadyAt);
   AddNote(aCell,
--- a/src/cell/tests/interference_tests.cpp
+++ b/src/cell/tests/interference_tests.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "cellfixture.h"
@@ -163,11 +165,38 @@
   const auto wait = [&](Milliseconds aTime) {
     Advance(aTime);
     mCell.mWorkers.at("w1")->mLastContact = mNow;
-    return Start().size();
+    const auto orders = Start();
+    return std::count_if(orders.begin(), orders.end(), [](const Order& aOrder) {
+      return aOrder.mKind == OrderKind::Start;
+    });
   };
-  BOOST_TEST(wait(Milliseconds(4000)) == 0U);
-  BOOST_TEST(wait(Milliseconds(7000)) == 1U);
-  BOOST_TEST(wait(Milliseconds(100)) == 0U);
+  BOOST_TEST(wait(Milliseconds(4000)) == 0);
+  BOOST_TEST(wait(Milliseconds(7000)) == 1);
+  BOOST_TEST(wait(Milliseconds(100)) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(fillingtask_known_to_harm_is_paced_from_its_start)
+{
+  AddWorker("w1");
+  auto serving = MakeStep(1, 4000);
+  serving.mIsLongRunning = true;
+  serving.mTargetTailMs = 18;
+  serving.mImage = "serving";
+  Add(MakeJob("s", serving));
+  BOOST_REQUIRE(Start().size() == 1U);
+  const auto heavy = ImageIndex(mCell.mInterference, "heavy");
+  const auto other = ImageIndex(mCell.mInterference, "serving");
+  mCell.mInterference.mPairs[heavy][other] = MakePair(8.0, 0.01);
+  auto filling = MakeStep(1, 2000);
+  filling.mIsFilling = true;
+  filling.mImage = "heavy";
+  Add(MakeJob("f", filling));
+  BOOST_REQUIRE(Start().size() == 1U);
+  const auto orders = Start();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST((orders[0].mKind == OrderKind::Pace));
+  BOOST_TEST(orders[0].mPercent < 80);
+  BOOST_TEST(orders[0].mPercent > 40);
 }
 
 BOOST_AUTO_TEST_CASE(fillingtask_over_target_is_slowed)
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -107,9 +107,15 @@
     const auto now = base::MonotonicClock::now();
     const auto reply = co_await mContext.mStore.Commit(
       transaction, std::min(aDeadline, now + kStoreTimeout));
+    isInDoubt = isInDoubt || reply.mOutcome == StoreOutcome::Unknown;
     if (mPhase == HolderPhase::Ended) {
-      co_return JobReply{ isInDoubt ? JobOutcome::Uncertain
-                                    : JobOutcome::NotHeld };
+      // What was stored is the next holder's to run.
+      co_return JobReply{ reply.mOutcome == StoreOutcome::Done
+                            ? JobOutcome::Done
+                          : isInDoubt ? JobOutcome::Uncertain
+                                      : JobOutcome::NotHeld,
+                          cell::JobState::Queued,
+                          mRow.mName };
     }
     if (reply.mOutcome == StoreOutcome::Done) {
       mRows[id].mJobVersion = reply.mVersion;
@@ -152,7 +158,6 @@
       co_return JobReply{ isInDoubt ? JobOutcome::Uncertain
                                     : JobOutcome::NotHeld };
     }
-    isInDoubt = isInDoubt || reply.mOutcome == StoreOutcome::Unknown;
     if (!isInDoubt) {
       co_return JobReply{ JobOutcome::Refused };
     }
--- a/src/dispatch/tests/holder_tests.cpp
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -306,6 +306,31 @@
   BOOST_TEST(mWorkers.mAcknowledged == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(stop_during_a_submission_is_not_told_as_not_run)
+{
+  const auto submit = [&](const std::string& aId, FakeFault aFault) {
+    const auto holder = MakeHolder(1);
+    Until([&] { return holder->Phase() == HolderPhase::Active; });
+    Until([&] { return CountRows(kMemberTable) == 1; });
+    Until([&] {
+      mStore.mDelays = { Milliseconds(100) };
+      mStore.mFaults = { aFault };
+      return true;
+    });
+    auto end = [](std::shared_ptr<CellHolder> aHolder) -> net::Task<void> {
+      co_await net::Sleep(Milliseconds(50));
+      co_await aHolder->Finish();
+    };
+    mPool.Spawn(mPool.Executor(0), end(holder));
+    return Wait(holder->Execute(MakeSubmission(aId))).mOutcome;
+  };
+  BOOST_TEST((submit("0000000000000008", FakeFault::None) == JobOutcome::Done));
+  BOOST_TEST((submit("0000000000000009", FakeFault::LoseAnswer) ==
+              JobOutcome::Uncertain));
+  BOOST_TEST(
+    (submit("000000000000000a", FakeFault::Refuse) == JobOutcome::NotHeld));
+}
+
 BOOST_AUTO_TEST_CASE(job_cancelled_is_stored_before_it_is_answered)
 {
   const auto holder = MakeHolder(1);
