Share transactions of a part while one is under way; forget beliefs slowly

Change: transactions of one part that come while another is under way are joined; a conflict splits them.

--- a/src/cell/internal/interference.cpp
+++ b/src/cell/internal/interference.cpp
@@ -15,12 +15,12 @@
 constexpr double kAssumedVariance = 9.0;
 /** Variance of the logarithm of one reported tail: the residuals of those
  * regressions have a standard deviation of 0.4 to 0.5. */
-constexpr double kReportVariance = 0.25;
+constexpr double kReportVariance = 0.15;
 /** The same for what concerns one worker only, before anything was seen. */
 constexpr double kRiseVariance = 0.4;
 /** Rise by serving load alone: what a small use may hide. A pair seen at a use
  * is known no better than this, divided by the use. */
-constexpr double kHiddenRise = 0.08;
+constexpr double kHiddenRise = 0.07;
 constexpr double kCalmRate = 0.05;
 /** Largest error of the logarithm that one sample may show. */
 constexpr double kMostMiss = 2.0;
@@ -102,8 +102,8 @@
 auto Forget(Interference& aInterference, double aSeconds) -> void
 {
   // Most pairs keep their size over a day of 40 s, some change by half.
-  constexpr double kPressureTimeS = 30.0;
-  constexpr double kVarianceTimeS = 25.0;
+  constexpr double kPressureTimeS = 90.0;
+  constexpr double kVarianceTimeS = 60.0;
   const auto share = ForgottenShare(aSeconds, kPressureTimeS);
   const auto varianceShare = ForgottenShare(aSeconds, kVarianceTimeS);
   for (auto& row : aInterference.mPairs) {
--- /dev/null
+++ b/src/dispatch/internal/groupedcommits.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "eelgrasspost/dispatch/iplatform.h"
+
+namespace eelgrasspost::dispatch {
+
+/**
+ * Joins transactions of one part of the store while another one of that part is
+ * under way. A part carries out one after the other: a slow store would answer
+ * each caller later than the one before.
+ */
+class GroupedCommits
+{
+public:
+  using Send =
+    std::function<net::Task<StoreReply>(StoreTransaction, MonotonicTime)>;
+
+  explicit GroupedCommits(Send aSend);
+
+  /** As ISharedStore::Commit. A transaction whose deadline passes before it is
+   * sent is refused. */
+  auto Commit(StoreTransaction aTransaction, MonotonicTime aDeadline)
+    -> net::Task<StoreReply>;
+
+private:
+  struct Waiting;
+  using Group = std::vector<std::shared_ptr<Waiting>>;
+  struct Part
+  {
+    std::deque<std::shared_ptr<Waiting>> mQueue;
+    bool mIsBusy = false;
+  };
+
+  auto Drain(std::string aPart) -> net::Task<void>;
+  auto TakeGroup(Part& aPart) -> Group;
+  auto SendGroup(Group aGroup) -> net::Task<void>;
+
+  Send mSend;
+  std::map<std::string, Part> mParts;
+};
+
+} // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/storeaccess.cpp
+++ b/src/dispatch/internal/storeaccess.cpp
@@ -39,6 +39,13 @@
   , mFailures(aMetrics.FindCounter("store_failures_total"))
   , mRelayed(aMetrics.FindCounter("store_relayed_total"))
   , mCommitTime(aMetrics.FindHistogram("store_commit_time_us"))
+  , mCommitGroups([this](StoreTransaction aTransaction,
+                         MonotonicTime aDeadline) -> net::Task<StoreReply> {
+    StoreRelay relay;
+    relay.mKind = RelayKind::Commit;
+    relay.mTransaction = std::move(aTransaction);
+    co_return co_await Call(std::move(relay), aDeadline);
+  })
 {
 }
 
@@ -182,10 +189,7 @@
 auto StoreAccess::Commit(StoreTransaction aTransaction, MonotonicTime aDeadline)
   -> net::Task<StoreReply>
 {
-  StoreRelay relay;
-  relay.mKind = RelayKind::Commit;
-  relay.mTransaction = std::move(aTransaction);
-  co_return co_await Call(std::move(relay), aDeadline);
+  co_return co_await mCommitGroups.Commit(std::move(aTransaction), aDeadline);
 }
 
 auto StoreAccess::ReadRange(RangeQuery aQuery, MonotonicTime aDeadline)
--- a/src/dispatch/internal/storeaccess.h
+++ b/src/dispatch/internal/storeaccess.h
@@ -6,6 +6,8 @@
 #include "eelgrasspost/net/messages.h"
 #include "peers.h"
 
+#include "groupedcommits.h"
+
 namespace eelgrasspost::dispatch {
 
 /** Longest wait for an answer of the store; slow answers take up to half a
@@ -60,6 +62,7 @@
   base::Counter& mFailures;
   base::Counter& mRelayed;
   base::Histogram& mCommitTime;
+  GroupedCommits mCommitGroups;
   std::uint32_t mFailuresInRow = 0;
   MonotonicTime mLastTry{};
 };
--- /dev/null
+++ b/src/dispatch/tests/groupedcommits_tests.cpp
@@ -0,0 +1,123 @@
+#include <boost/test/unit_test.hpp>
+
+#include "eelgrasspost/base/text.h"
+#include "fakestore.h"
+#include "internal/groupedcommits.h"
+#include "poolfixture.h"
+
+namespace {
+
+using namespace eelgrasspost;
+using namespace eelgrasspost::dispatch;
+using dispatch::testing::FakeFault;
+using dispatch::testing::FakeStore;
+using dispatch::testing::PoolFixture;
+
+/** A store that is slow, and callers that come while it works. */
+struct SlowStoreFixture : PoolFixture
+{
+  FakeStore mStore;
+  std::size_t mCalls = 0;
+  std::size_t mUnderWay = 0;
+  std::size_t mMostUnderWay = 0;
+  GroupedCommits mCommits{ [this](StoreTransaction aTransaction,
+                                  MonotonicTime aDeadline)
+                             -> net::Task<StoreReply> {
+    ++mCalls;
+    mMostUnderWay = std::max(mMostUnderWay, ++mUnderWay);
+    co_await net::Sleep(Milliseconds(40));
+    auto reply = co_await mStore.Commit(std::move(aTransaction), aDeadline);
+    --mUnderWay;
+    co_return reply;
+  } };
+  std::map<std::string, StoreReply> mReplies;
+
+  ~SlowStoreFixture() { mPool.Stop(); }
+
+  /** Creates a row, unless it exists. */
+  auto Create(const std::string& aKey, Milliseconds aPatience) -> void
+  {
+    auto run = [](SlowStoreFixture& aThis,
+                  std::string aName,
+                  Milliseconds aTime) -> net::Task<void> {
+      StoreTransaction transaction;
+      transaction.mPart = "p";
+      transaction.mExpected = { { { "fences", "cell" }, 0 },
+                                { { "ids", aName }, 0 } };
+      transaction.mWrites = { { { "ids", aName }, "value" } };
+      aThis.mReplies[aName] = co_await aThis.mCommits.Commit(
+        std::move(transaction), base::MonotonicClock::now() + aTime);
+    };
+    mPool.Spawn(mPool.Executor(0), run(*this, aKey, aPatience));
+  }
+
+  auto OutcomeOf(const std::string& aKey) -> StoreOutcome
+  {
+    BOOST_REQUIRE(Until([&] { return mReplies.contains(aKey); }));
+    return mReplies.at(aKey).mOutcome;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(burst_of_submissions_at_a_slow_store, SlowStoreFixture)
+
+BOOST_AUTO_TEST_CASE(submissions_that_come_meanwhile_share_a_transaction)
+{
+  for (auto i = 0; i < 12; ++i) {
+    Create(base::Cat("job", i), Milliseconds(2000));
+  }
+  for (auto i = 0; i < 12; ++i) {
+    BOOST_TEST((OutcomeOf(base::Cat("job", i)) == StoreOutcome::Done));
+  }
+  BOOST_TEST(mCalls <= 3U);
+  BOOST_TEST(mMostUnderWay == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(submission_that_conflicts_fails_alone)
+{
+  mStore.mRows[{ "ids", "p", "job1" }] = { "ids", "p", "job1", "old", 7 };
+  for (auto i = 0; i < 5; ++i) {
+    Create(base::Cat("job", i), Milliseconds(2000));
+  }
+  for (auto i = 0; i < 5; ++i) {
+    const auto expected =
+      i == 1 ? StoreOutcome::Conflict : StoreOutcome::Done;
+    BOOST_TEST((OutcomeOf(base::Cat("job", i)) == expected));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(same_row_twice_is_written_once)
+{
+  Create("first", Milliseconds(2000));
+  Create("same", Milliseconds(2000));
+  BOOST_TEST((OutcomeOf("same") == StoreOutcome::Done));
+  mReplies.clear();
+  Create("same", Milliseconds(2000));
+  BOOST_TEST((OutcomeOf("same") == StoreOutcome::Conflict));
+}
+
+BOOST_AUTO_TEST_CASE(submission_that_waits_beyond_its_time_is_not_sent)
+{
+  Create("first", Milliseconds(2000));
+  Create("late", Milliseconds(10));
+  BOOST_TEST((OutcomeOf("late") == StoreOutcome::Refused));
+  BOOST_TEST((OutcomeOf("first") == StoreOutcome::Done));
+  BOOST_TEST(mStore.Find("ids", "p", "late") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(lost_answer_leaves_all_of_the_group_in_doubt)
+{
+  Until([&] {
+    mStore.mFaults = { FakeFault::None, FakeFault::LoseAnswer };
+    return true;
+  });
+  for (const auto* it : { "first", "a", "b" }) {
+    Create(it, Milliseconds(2000));
+  }
+  BOOST_TEST((OutcomeOf("first") == StoreOutcome::Done));
+  BOOST_TEST((OutcomeOf("a") == StoreOutcome::Unknown));
+  BOOST_TEST((OutcomeOf("b") == StoreOutcome::Unknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/holder_tests.cpp
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -1,11 +1,10 @@
 #include <boost/test/unit_test.hpp>
 
-#include <future>
-
 #include "eelgrasspost/net/codec.h"
 #include "fakestore.h"
 #include "internal/cellholder.h"
 #include "internal/claiming.h"
+#include "poolfixture.h"
 
 namespace {
 
@@ -13,6 +12,7 @@
 using namespace eelgrasspost::dispatch;
 using dispatch::testing::FakeFault;
 using dispatch::testing::FakeStore;
+using dispatch::testing::PoolFixture;
 
 /** Workers that carry out each start and end it with success when told. */
 class FakeWorkers final : public IWorkerOrders
@@ -76,45 +76,17 @@
   std::uint64_t mLastEnd = 0;
 };
 
-struct HolderFixture
+struct HolderFixture : PoolFixture
 {
-  net::IoPool mPool{ 1 };
   DispatchSettings mSettings;
   FakeStore mStore;
   FakeWorkers mWorkers;
   base::Metrics mMetrics;
   base::EventLog mLog{ "test" };
 
-  HolderFixture() { mPool.Start(); }
+  // The pool stops before what its tasks use is gone.
   ~HolderFixture() { mPool.Stop(); }
 
-  template<typename T>
-  auto Wait(net::Task<T> aTask) -> T
-  {
-    std::promise<T> promise;
-    auto run = [](net::Task<T> aInner,
-                  std::promise<T>& aPromise) -> net::Task<void> {
-      aPromise.set_value(co_await std::move(aInner));
-    };
-    mPool.Spawn(mPool.Executor(0), run(std::move(aTask), promise));
-    return promise.get_future().get();
-  }
-
-  /** Waits on the pool's thread until a condition holds; false after 5 s. */
-  auto Until(std::function<bool()> aCondition) -> bool
-  {
-    auto poll = [](std::function<bool()> aHolds) -> net::Task<bool> {
-      for (auto i = 0; i < 1000; ++i) {
-        if (aHolds()) {
-          co_return true;
-        }
-        co_await net::Sleep(Milliseconds(5));
-      }
-      co_return false;
-    };
-    return Wait(poll(std::move(aCondition)));
-  }
-
   auto MakeHolder(std::uint64_t aTerm) -> std::shared_ptr<CellHolder>
   {
     HolderContext context{ mSettings,
--- /dev/null
+++ b/src/dispatch/tests/poolfixture.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <functional>
+#include <future>
+
+#include "eelgrasspost/net/iopool.h"
+
+namespace eelgrasspost::dispatch::testing {
+
+/** A pool of one thread, and waiting for what runs on it. */
+struct PoolFixture
+{
+  net::IoPool mPool{ 1 };
+
+  PoolFixture() { mPool.Start(); }
+  ~PoolFixture() { mPool.Stop(); }
+
+  template<typename T>
+  auto Wait(net::Task<T> aTask) -> T
+  {
+    std::promise<T> promise;
+    auto run = [](net::Task<T> aInner,
+                  std::promise<T>& aPromise) -> net::Task<void> {
+      aPromise.set_value(co_await std::move(aInner));
+    };
+    mPool.Spawn(mPool.Executor(0), run(std::move(aTask), promise));
+    return promise.get_future().get();
+  }
+
+  /** Waits on the pool's thread until a condition holds; false after 5 s. */
+  auto Until(std::function<bool()> aCondition) -> bool
+  {
+    auto poll = [](std::function<bool()> aHolds) -> net::Task<bool> {
+      for (auto i = 0; i < 1000; ++i) {
+        if (aHolds()) {
+          co_return true;
+        }
+        co_await net::Sleep(std::chrono::milliseconds(5));
+      }
+      co_return false;
+    };
+    return Wait(poll(std::move(aCondition)));
+  }
+};
+
+} // namespace eelgrasspost::dispatch::testing
