--- a/src/cell/internal/interference.cpp
+++ b/src/cell/internal/interference.cpp
@@ -11,8 +11,8 @@
 constexpr double kAssumedCalmTail = 0.45;
 /** A pair of which nothing is known: regressions over the reports of four
  * days put a third of the pairs between 2 and 10 and the others near 0. */
-constexpr double kAssumedPressure = 2.0;
-constexpr double kAssumedVariance = 9.0;
+constexpr double kAssumedPressure = 1.5;
+constexpr double kAssumedVariance = 4.0;
 /** Variance of the logarithm of one reported tail: the residuals of those
  * regressions have a standard deviation of 0.4 to 0.5. */
 constexpr double kReportVariance = 0.15;
@@ -20,7 +20,7 @@
 constexpr double kRiseVariance = 0.4;
 /** Rise by serving load alone: what a small use may hide. A pair seen at a use
  * is known no better than this, divided by the use. */
-constexpr double kHiddenRise = 0.07;
+constexpr double kHiddenRise = 0.06;
 constexpr double kCalmRate = 0.05;
 /** Largest error of the logarithm that one sample may show. */
 constexpr double kMostMiss = 2.0;
@@ -102,8 +102,8 @@
 auto Forget(Interference& aInterference, double aSeconds) -> void
 {
   // Most pairs keep their size over a day of 40 s, some change by half.
-  constexpr double kPressureTimeS = 90.0;
-  constexpr double kVarianceTimeS = 60.0;
+  constexpr double kPressureTimeS = 300.0;
+  constexpr double kVarianceTimeS = 200.0;
   const auto share = ForgottenShare(aSeconds, kPressureTimeS);
   const auto varianceShare = ForgottenShare(aSeconds, kVarianceTimeS);
   for (auto& row : aInterference.mPairs) {
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -23,7 +23,7 @@
 /** Weight of the rise of serving tasks' tails against a slowdown by one. */
 constexpr double kPressureWeight = 1.0;
 /** Share of its speed at which a filling task is started rather than waits. */
-constexpr double kLeastPace = 0.5;
+constexpr double kLeastPace = 0.8;
 /** Weight of a worker on which filling tasks are slowed already, above all
  * that tails and slowdowns add up to. */
 constexpr double kSlowedBonus = 100.0;
--- a/src/dispatch/internal/groupedcommits.cpp
+++ b/src/dispatch/internal/groupedcommits.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "eelgrasspost/net/iopool.h"
-#include "storeaccess.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -20,6 +19,12 @@
  * room for the encoding. */
 constexpr std::size_t kMostEntries = 100;
 constexpr std::size_t kMostBytes = 500'000;
+/** A transaction counts as lost after so many times the usual time, within
+ * these bounds: several entries wait for one part, and to send it again while
+ * it waits there makes a slow store slower. */
+constexpr int kLostFactor = 4;
+constexpr auto kLeastTimeout = Milliseconds(1500);
+constexpr auto kMostTimeout = Milliseconds(4000);
 
 using Key = std::pair<std::string, std::string>;
 
@@ -81,6 +86,14 @@
                      isFree);
 }
 
+auto TooSlow() -> StoreReply
+{
+  StoreReply out;
+  out.mOutcome = StoreOutcome::Refused;
+  out.mError = "the store is too slow to answer in time; try again later";
+  return out;
+}
+
 auto Join(Joined& aJoined, const StoreTransaction& aTransaction) -> void
 {
   for (const auto& it : aTransaction.mExpected) {
@@ -134,6 +147,11 @@
   const auto executor = co_await net::asio::this_coro::executor;
   auto name = aTransaction.mPart;
   auto& part = mParts[name];
+  // Behind the one under way it takes about the time of two.
+  if (part.mIsBusy &&
+      base::MonotonicClock::now() + 2 * part.mTook > aDeadline) {
+    co_return TooSlow();
+  }
   const auto waiting =
     std::make_shared<Waiting>(std::move(aTransaction), aDeadline, executor);
   part.mQueue.push_back(waiting);
@@ -156,7 +174,7 @@
   while (!part.mQueue.empty()) {
     auto group = TakeGroup(part);
     if (!group.empty()) {
-      co_await SendGroup(std::move(group));
+      co_await SendGroup(part, std::move(group));
     }
   }
   part.mIsBusy = false;
@@ -174,10 +192,7 @@
   for (auto& it : aPart.mQueue) {
     const auto& transaction = it->mTransaction;
     if (it->mDeadline <= now) {
-      StoreReply late;
-      late.mOutcome = StoreOutcome::Refused;
-      late.mError = "the store was too slow to be asked in time; try again";
-      it->Answer(std::move(late));
+      it->Answer(TooSlow());
     } else if (out.empty() ||
                (Fits(joined, transaction) && Fits(passed, transaction))) {
       Join(joined, transaction);
@@ -191,7 +206,7 @@
   return out;
 }
 
-auto GroupedCommits::SendGroup(Group aGroup) -> net::Task<void>
+auto GroupedCommits::SendGroup(Part& aPart, Group aGroup) -> net::Task<void>
 {
   auto whole = aGroup.front()->mTransaction;
   auto deadline = aGroup.front()->mDeadline;
@@ -212,8 +227,13 @@
       whole.mRemovals.end(), more.mRemovals.begin(), more.mRemovals.end());
     deadline = std::max(deadline, aGroup[i]->mDeadline);
   }
-  const auto limit = base::MonotonicClock::now() + kStoreTimeout;
+  const auto sentAt = base::MonotonicClock::now();
+  const auto limit =
+    sentAt + std::clamp(kLostFactor * aPart.mTook, kLeastTimeout, kMostTimeout);
   auto reply = co_await mSend(std::move(whole), std::min(deadline, limit));
+  const auto took = std::chrono::duration_cast<Milliseconds>(
+    base::MonotonicClock::now() - sentAt);
+  aPart.mTook = (aPart.mTook * 3 + took) / 4;
   if (aGroup.size() == 1 || reply.mOutcome != StoreOutcome::Conflict) {
     for (const auto& it : aGroup) {
       it->Answer(reply);
@@ -224,8 +244,8 @@
   const auto middle = static_cast<std::ptrdiff_t>(aGroup.size() / 2);
   auto second = Group(aGroup.begin() + middle, aGroup.end());
   aGroup.resize(aGroup.size() / 2);
-  co_await SendGroup(std::move(aGroup));
-  co_await SendGroup(std::move(second));
+  co_await SendGroup(aPart, std::move(aGroup));
+  co_await SendGroup(aPart, std::move(second));
 }
 
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/groupedcommits.h
+++ b/src/dispatch/internal/groupedcommits.h
@@ -7,10 +7,13 @@
 #include <string>
 #include <vector>
 
+#include "eelgrasspost/base/clock.h"
 #include "eelgrasspost/dispatch/iplatform.h"
 
 namespace eelgrasspost::dispatch {
 
+using base::Milliseconds;
+
 /**
  * Joins transactions of one part of the store while another one of that part is
  * under way. A part carries out one after the other: a slow store would answer
@@ -24,8 +27,8 @@
 
   explicit GroupedCommits(Send aSend);
 
-  /** As ISharedStore::Commit. A transaction whose deadline passes before it is
-   * sent is refused. */
+  /** As ISharedStore::Commit. A transaction that cannot be answered before its
+   * deadline, as far as the last ones tell, is refused and not sent. */
   auto Commit(StoreTransaction aTransaction, MonotonicTime aDeadline)
     -> net::Task<StoreReply>;
 
@@ -36,11 +39,13 @@
   {
     std::deque<std::shared_ptr<Waiting>> mQueue;
     bool mIsBusy = false;
+    /** Smoothed time of a transaction. */
+    Milliseconds mTook{ 10 };
   };
 
   auto Drain(std::string aPart) -> net::Task<void>;
   auto TakeGroup(Part& aPart) -> Group;
-  auto SendGroup(Group aGroup) -> net::Task<void>;
+  auto SendGroup(Part& aPart, Group aGroup) -> net::Task<void>;
 
   Send mSend;
   std::map<std::string, Part> mParts;
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -104,9 +104,8 @@
                             net::Encode(aJob) } };
   auto isInDoubt = false;
   while (true) {
-    const auto now = base::MonotonicClock::now();
-    const auto reply = co_await mContext.mStore.Commit(
-      transaction, std::min(aDeadline, now + kStoreTimeout));
+    const auto reply =
+      co_await mContext.mStore.Commit(transaction, aDeadline);
     isInDoubt = isInDoubt || reply.mOutcome == StoreOutcome::Unknown;
     if (mPhase == HolderPhase::Ended) {
       // What was stored is the next holder's to run.
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -19,6 +19,8 @@
 /** Jobs of one transaction: each takes up to five of its 100 entries. */
 constexpr std::size_t kJobsPerTransaction = 18;
 constexpr auto kFlushWaitStep = Milliseconds(5);
+/** Nobody waits for progress; a slow store should not get it twice. */
+constexpr auto kFlushTimeout = Milliseconds(6000);
 
 struct JobWrite
 {
@@ -143,7 +145,7 @@
     }
     const auto sentAt = base::MonotonicClock::now();
     const auto reply =
-      co_await mContext.mStore.Commit(transaction, sentAt + kStoreTimeout);
+      co_await mContext.mStore.Commit(transaction, sentAt + kFlushTimeout);
     NoteCommitTime(sentAt);
     if (mPhase == HolderPhase::Ended) {
       co_return false;
--- a/src/dispatch/tests/groupedcommits_tests.cpp
+++ b/src/dispatch/tests/groupedcommits_tests.cpp
@@ -106,6 +106,20 @@
   BOOST_TEST(mStore.Find("ids", "p", "late") == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(submission_that_cannot_be_answered_in_time_is_refused_at_once)
+{
+  for (const auto* it : { "one", "two", "three", "four", "five" }) {
+    Create(it, Milliseconds(2000));
+    BOOST_REQUIRE((OutcomeOf(it) == StoreOutcome::Done));
+  }
+  Create("first", Milliseconds(2000));
+  BOOST_REQUIRE(Until([&] { return mUnderWay == 1; }));
+  Create("late", Milliseconds(45));
+  BOOST_TEST((OutcomeOf("late") == StoreOutcome::Refused));
+  BOOST_TEST(mReplies.count("first") == 0U);
+  BOOST_TEST((OutcomeOf("first") == StoreOutcome::Done));
+}
+
 BOOST_AUTO_TEST_CASE(lost_answer_leaves_all_of_the_group_in_doubt)
 {
   Until([&] {
