Stop renewing the lease of a worker that is silent

A renewal without an answer may still be carried out, so each one that was sent moved the time at which the worker's runs count as lapsed, for ever.

Ruled out: full cells, which had been supposed: a dump of the cells shows no lasting task waiting in the cells of these jobs, and two to four of their workers silent for 30 s.

Change: a worker that was not heard for a second is looked at, but not renewed. The new test fails on the code before. A test shows that feeds go through a peer while the store is silent (11 checks fail when reads wait for the probe).

--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -113,7 +113,8 @@
          mPeers.Bind(mSettings.mPeers,
                      [this](const Heartbeat& aHeartbeat) {
                        SeeHeartbeat(aHeartbeat);
-                     }),
+                     })
+           .status(),
          mDoorServer.Listen(mSettings.mHttp).status(),
          mReadinessServer.Listen(mSettings.mReadiness).status(),
          mMetricsServer.Listen(mSettings.mMetrics).status() }) {
--- a/src/dispatch/internal/holdertending.cpp
+++ b/src/dispatch/internal/holdertending.cpp
@@ -99,7 +99,10 @@
   Renewal renewal;
   renewal.mWaitMs = aWaitMs;
   renewal.mStoredEnds = found->second->mStoredEnds;
-  if (MayOrder()) {
+  // A renewal without an answer may still be carried out. A worker that is
+  // silent gets no further one, so that its lease is known to lapse.
+  const auto isSilent = sentAt - found->second->mLastContact > kRenewalSilence;
+  if (MayOrder() && !isSilent) {
     renewal.mLeaseEndMs = LeaseEnd(aWorker, sentAt);
     auto& clock = mClocks[aWorker];
     clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, renewal.mLeaseEndMs);
--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -20,6 +20,9 @@
 inline constexpr auto kOrderTimeout = Milliseconds(500);
 /** Longest wait of a renewal for an end. */
 inline constexpr std::int64_t kRenewalWaitMs = 1500;
+/** A worker that was not heard for so long is not renewed: a renewal is sent
+ * again as soon as the one before is answered. */
+inline constexpr auto kRenewalSilence = Milliseconds(1000);
 /** Serving tasks beside filling ones are looked at twice a second, as their
  * figures are of the last half second. */
 inline constexpr std::int64_t kWatchfulWaitMs = 500;
--- a/src/dispatch/internal/peers.cpp
+++ b/src/dispatch/internal/peers.cpp
@@ -24,12 +24,11 @@
 }
 
 auto Peers::Bind(const net::Address& aAddress, OnHeartbeat aOnHeartbeat)
-  -> absl::Status
+  -> absl::StatusOr<net::Address>
 {
   mOnHeartbeat = std::move(aOnHeartbeat);
-  return mSocket
-    .Bind(aAddress, [this](std::string_view aBytes) { Receive(aBytes); })
-    .status();
+  return mSocket.Bind(aAddress,
+                      [this](std::string_view aBytes) { Receive(aBytes); });
 }
 
 auto Peers::Receive(std::string_view aBytes) -> void
--- a/src/dispatch/internal/peers.h
+++ b/src/dispatch/internal/peers.h
@@ -37,8 +37,9 @@
 
   Peers(net::IoPool& aPool, std::string aName);
 
+  /** Returns the address that heartbeats are taken at. */
   auto Bind(const net::Address& aAddress, OnHeartbeat aOnHeartbeat)
-    -> absl::Status;
+    -> absl::StatusOr<net::Address>;
   /** Sends heartbeats until the process ends. */
   auto Run(MakeHeartbeat aMake) -> net::Task<void>;
   /** Sends the next heartbeat soon: what it says has changed. */
--- a/src/dispatch/tests/holder_tests.cpp
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -24,6 +24,7 @@
   std::uint64_t mAcknowledged = 0;
   std::uint64_t mHighestToken = 0;
   std::int64_t mClockMs = 1000;
+  bool mIsSilent = false;
 
   auto End(const std::string& aTask, cell::EndKind aKind) -> void
   {
@@ -51,6 +52,9 @@
   {
     co_await net::Sleep(Milliseconds(5));
     RenewalReply out;
+    if (mIsSilent) {
+      co_return out;
+    }
     if (aCall.mToken < mHighestToken) {
       out.mOutcome = cell::OrderOutcome::Superseded;
       co_return out;
@@ -278,6 +282,27 @@
   BOOST_TEST(mWorkers.mAcknowledged == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(worker_that_fell_silent_loses_its_runs_with_its_lease)
+{
+  mSettings.mLeaseMs = 400;
+  const auto holder = MakeHolder(1);
+  Wait(holder->Execute(MakeSubmission("000000000000000b")));
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 1; }));
+  const auto runs = [&] {
+    return holder->State().mWorkers.at("w1")->mRuns.size();
+  };
+  BOOST_REQUIRE(Until([&] { return runs() == 1; }));
+  Until([&] {
+    mWorkers.mIsSilent = true;
+    return true;
+  });
+  BOOST_TEST(Until([&] { return runs() == 0; }));
+  Until([&] {
+    holder->End();
+    return true;
+  });
+}
+
 BOOST_AUTO_TEST_CASE(stop_during_a_submission_is_not_told_as_not_run)
 {
   const auto submit = [&](const std::string& aId, FakeFault aFault) {
--- /dev/null
+++ b/src/dispatch/tests/storeaccess_tests.cpp
@@ -0,0 +1,102 @@
+#include <boost/test/unit_test.hpp>
+
+#include "eelgrasspost/net/codec.h"
+#include "eelgrasspost/net/datagram.h"
+#include "fakestore.h"
+#include "internal/peers.h"
+#include "internal/storeaccess.h"
+#include "poolfixture.h"
+
+namespace {
+
+using namespace eelgrasspost;
+using namespace eelgrasspost::dispatch;
+using dispatch::testing::FakeStore;
+using dispatch::testing::PoolFixture;
+
+/** A store behind a partition: no call is answered before its deadline. */
+class SilentStore final : public ISharedStore
+{
+public:
+  auto Commit(StoreTransaction, MonotonicTime aDeadline)
+    -> net::Task<StoreReply> override
+  {
+    return Wait(aDeadline);
+  }
+  auto ReadRange(RangeQuery, MonotonicTime aDeadline)
+    -> net::Task<StoreReply> override
+  {
+    return Wait(aDeadline);
+  }
+  auto ReadFeed(FeedQuery, MonotonicTime aDeadline)
+    -> net::Task<StoreReply> override
+  {
+    return Wait(aDeadline);
+  }
+
+private:
+  static auto Wait(MonotonicTime aDeadline) -> net::Task<StoreReply>
+  {
+    co_await net::Sleep(
+      std::max(Milliseconds(0), Milliseconds(base::RemainingMs(aDeadline))));
+    co_return StoreReply{};
+  }
+};
+
+struct CutOffEntryFixture : PoolFixture
+{
+  SilentStore mSilent;
+  FakeStore mServed;
+  base::Metrics mMetrics;
+  base::EventLog mLog{ "cut-off" };
+  net::MessageServer mServer{ mPool };
+  net::MessageClient mMessages{ 1, "127.0.0.1" };
+  Peers mPeers{ mPool, "cut-off" };
+  net::DatagramSocket mPeerSocket{ mPool };
+  StoreAccess mAccess{ mSilent, mMessages, mPeers, mMetrics, mLog };
+
+  CutOffEntryFixture()
+  {
+    net::HandleTyped<StoreRelay, StoreReply>(
+      mServer, net::MessageKind::StoreRelay, [this](StoreRelay aRelay) {
+        return mServed.ReadFeed(aRelay.mFeed, {});
+      });
+    Heartbeat heartbeat;
+    heartbeat.mName = "peer";
+    heartbeat.mIncarnation = 1;
+    heartbeat.mReachesStore = true;
+    heartbeat.mPeers = mServer.Listen({ "127.0.0.1", 0 }).value();
+    const auto address = mPeers.Bind({ "127.0.0.1", 0 }, [](const Heartbeat&) {}).value();
+    mPeerSocket.Bind({ "127.0.0.1", 0 }, [](std::string_view) {}).value();
+    BOOST_REQUIRE(Until([&, bytes = net::Encode(heartbeat)] {
+      mPeerSocket.Send(address, bytes);
+      const auto* peer = mPeers.Find("peer");
+      return peer && mPeers.IsAlive(*peer, base::MonotonicClock::now());
+    }));
+  }
+  // The pool stops before what its tasks use is gone.
+  ~CutOffEntryFixture() { mPool.Stop(); }
+
+  auto Read() -> StoreReply
+  {
+    return Wait(mAccess.ReadFeed(
+      {}, base::MonotonicClock::now() + Milliseconds(120)));
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(entry_cut_off_from_the_store, CutOffEntryFixture)
+
+BOOST_AUTO_TEST_CASE(feed_goes_through_a_peer_while_the_store_is_probed)
+{
+  while (mAccess.ReachesDirectly()) {
+    BOOST_TEST((Read().mOutcome == StoreOutcome::Unknown));
+  }
+  // Longer than the pause between two probes.
+  for (auto i = 0; i < 30; ++i) {
+    BOOST_TEST((Read().mOutcome == StoreOutcome::Done));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
