Run a lasting task that finds no room in another cell, as a guest

Loans need a worker without lasting tasks; there is none.

Change: the cell asks another one to keep room, then writes in one transaction that the task runs elsewhere and the row by which the host starts it. The host reads what it is to run from the store only, and once a second whether the job still exists. Tests: two holders, their takeovers and a cancellation; progress.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -52,6 +52,7 @@
   dispatch::kJobEnded,
   dispatch::kJobMoved,
   dispatch::kWorkerBorrowed,
+  dispatch::kTaskHosted,
   idempotency::kRecordFailed,
   idempotency::kBadRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -24,6 +24,8 @@
   /** A worker has, or may have, a run of it. */
   Placed,
   Done,
+  /** Another cell runs it. */
+  Elsewhere,
 };
 
 struct Task
@@ -43,6 +45,8 @@
   Worker* mWorker = nullptr;
   /** The worker on which its last run failed or stood still. */
   std::string mAvoid;
+  /** The cell that runs it, in the phase Elsewhere of an own job. */
+  std::string mHostCell;
   MonotonicTime mReadyAt{};
   /** Not before this time; set after a refusal. */
   MonotonicTime mNotBefore{};
@@ -266,9 +270,35 @@
             bool aInherited,
             MonotonicTime aNow,
             std::int64_t aWallMs) -> Job&;
+/** Whether a job is another cell's, of which some tasks run here. */
+inline auto IsGuest(const Job& aJob) -> bool
+{
+  return !aJob.mStored.mGuestTasks.empty();
+}
+
+/** Hands a task that waits here to another cell for good. */
+auto SendElsewhere(CellState& aCell, Task& aTask, const std::string& aHost)
+  -> void;
+/** The cells that run tasks of a job as guests, and which. */
+auto GuestsOf(const Job& aJob)
+  -> std::map<std::string, std::vector<TaskPlace>>;
+/** Takes in which tasks of another cell's job are to run here. */
+auto SetGuestTasks(CellState& aCell,
+                   Job& aJob,
+                   std::vector<TaskPlace> aTasks,
+                   MonotonicTime aNow) -> void;
+
+/** Whether a usable worker has room for a lasting task; keeps it for a while. */
+auto KeepRoomFor(CellState& aCell,
+                 const std::string& aService,
+                 const Resources& aNeed,
+                 MonotonicTime aNow) -> bool;
+
 /** Forgets a job; what runs of it is stopped. */
 auto RemoveJob(CellState& aCell, const std::string& aId) -> void;
 auto FindJob(CellState& aCell, const std::string& aId) -> Job*;
+/** Finds a task by its name; null when it is not known here. */
+auto FindTask(CellState& aCell, std::string_view aName) -> Task*;
 
 /** Ranks a job among those that wait for room. */
 auto RankJob(const Job& aJob, MonotonicTime aNow) -> JobRank;
@@ -315,9 +345,9 @@
 auto CountPending(const CellState& aCell, std::string_view aQueue)
   -> std::size_t;
 
-/** A lasting task that has waited for room so long; null when there is none. */
+/** Lasting tasks that have waited for room so long. */
 auto FindStarved(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
-  -> const Task*;
+  -> std::vector<const Task*>;
 
 /** A worker that can be given away: nothing lasting runs on it, and it holds
  * aNeed; null when there is none. */
@@ -350,6 +380,8 @@
 struct CellRoom
 {
   Resources mFree;
+  /** Most processor millis that are free on one worker. */
+  std::int64_t mLargestCpuMillis = 0;
   std::int64_t mCapacityCpuMillis = 0;
   /** Processor millis that filling tasks want, placed or not. */
   std::int64_t mFillingCpuMillis = 0;
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -153,6 +153,22 @@
          aState == JobState::Cancelled;
 }
 
+/** Place of a task in its job. */
+struct TaskPlace
+{
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::uint32_t mIndex = 0;
+
+  auto operator<=>(const TaskPlace&) const = default;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mOccurrence, mStep, mIndex);
+  }
+};
+
 /** An accepted job as it is stored. */
 struct StoredJob
 {
@@ -160,11 +176,14 @@
   Queue mQueue;
   /** Wall-clock time of the acceptance, in ms since the Unix epoch. */
   std::int64_t mAcceptedMs = 0;
+  /** The job is another cell's, and this one runs only these lasting tasks of
+   * it. Empty for a cell's own jobs. */
+  std::vector<TaskPlace> mGuestTasks;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mSpec, mQueue, mAcceptedMs);
+    archive(mSpec, mQueue, mAcceptedMs, mGuestTasks);
   }
 };
 
@@ -179,12 +198,14 @@
    * acknowledged, also to the next holder, and in any order. */
   std::vector<std::uint64_t> mFailedAttempts;
   std::string mCheckpoint;
+  /** The cell that runs it as a guest; empty when it is the job's own. */
+  std::string mHostCell;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mOccurrence, mStep, mIndex, mIsDone, mFailedAttempts);
-    archive(mCheckpoint);
+    archive(mCheckpoint, mHostCell);
   }
 };
 
--- a/src/cell/internal/cellsteps.h
+++ b/src/cell/internal/cellsteps.h
@@ -4,17 +4,14 @@
 
 namespace eelgrasspost::cell {
 
-/** The step that a task belongs to. */
 /** Whether a task waits for other lasting tasks that may come with it. */
 auto IsGathering(const CellState& aCell, const Task& aTask, MonotonicTime aNow)
   -> bool;
 /** Whether a worker has, or may have, a run of a job. */
 auto HasRun(const Job& aJob) -> bool;
+/** The step that a task belongs to. */
 auto SpecOf(const Task& aTask) -> const StepSpec&;
 
-/** Finds a task by the name that workers know it by. */
-auto FindTask(CellState& aCell, std::string_view aName) -> Task*;
-
 /** Notes that a job's progress has to be stored. */
 auto MarkDirty(CellState& aCell, Job& aJob) -> void;
 
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -80,6 +80,10 @@
     task.mFailedAttempts = it.mFailedAttempts;
     task.mCheckpoint = it.mCheckpoint;
     aJob.mHasStarted = true;
+    if (!it.mHostCell.empty()) {
+      task.mPhase = TaskPhase::Elsewhere;
+      task.mHostCell = it.mHostCell;
+    }
     if (it.mIsDone) {
       task.mPhase = TaskPhase::Done;
       ++step.mDone;
@@ -205,6 +209,60 @@
   CheckOccurrence(aCell, job, occurrence);
 }
 
+namespace {
+
+auto IsGuestTask(const Job& aJob, const Task& aTask) -> bool
+{
+  const auto& tasks = aJob.mStored.mGuestTasks;
+  const auto place =
+    TaskPlace{ aTask.mOccurrence, aTask.mStep, aTask.mIndex };
+  return std::find(tasks.begin(), tasks.end(), place) != tasks.end();
+}
+
+} // namespace
+
+auto SendElsewhere(CellState& aCell, Task& aTask, const std::string& aHost)
+  -> void
+{
+  std::erase(aCell.mReady, &aTask);
+  aTask.mPhase = TaskPhase::Elsewhere;
+  aTask.mHostCell = aHost;
+  MarkDirty(aCell, *aTask.mJob);
+}
+
+auto GuestsOf(const Job& aJob)
+  -> std::map<std::string, std::vector<TaskPlace>>
+{
+  std::map<std::string, std::vector<TaskPlace>> out;
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (const auto& step : occurrence->mSteps) {
+      for (const auto& it : step.mTasks) {
+        if (!it.mHostCell.empty()) {
+          out[it.mHostCell].push_back({ it.mOccurrence, it.mStep, it.mIndex });
+        }
+      }
+    }
+  }
+  return out;
+}
+
+auto SetGuestTasks(CellState& aCell,
+                   Job& aJob,
+                   std::vector<TaskPlace> aTasks,
+                   MonotonicTime aNow) -> void
+{
+  aJob.mStored.mGuestTasks = std::move(aTasks);
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
+    for (auto& step : occurrence->mSteps) {
+      for (auto& it : step.mTasks) {
+        if (it.mPhase == TaskPhase::Elsewhere && IsGuestTask(aJob, it)) {
+          MakeReady(aCell, it, aNow);
+        }
+      }
+    }
+  }
+}
+
 auto AddJob(CellState& aCell,
             StoredJob aJob,
             const JobProgress& aProgress,
@@ -227,6 +285,7 @@
     aCell.mLastNewJobAt = aNow;
   }
   ApplyProgress(job, aProgress);
+  job.mHasStarted = job.mHasStarted || IsGuest(job);
   const auto& spec = job.mStored.mSpec;
   const auto count = OccurrenceCount(spec);
   for (std::uint32_t i = 0; i < count && IsDue(aCell, spec, i, aWallMs); ++i) {
@@ -238,7 +297,10 @@
   for (auto& [number, occurrence] : job.mOccurrences) {
     for (auto& step : occurrence->mSteps) {
       for (auto& it : step.mTasks) {
-        it.mMayRunUnseen = aInherited && it.mPhase != TaskPhase::Done;
+        if (IsGuest(job) && !IsGuestTask(job, it)) {
+          it.mPhase = TaskPhase::Elsewhere;
+        }
+        it.mMayRunUnseen = aInherited && it.mPhase == TaskPhase::Waiting;
       }
     }
     OpenSteps(aCell, job, *occurrence, aNow);
@@ -327,7 +389,8 @@
   for (const auto& [number, occurrence] : aJob.mOccurrences) {
     for (const auto& step : occurrence->mSteps) {
       for (const auto& it : step.mTasks) {
-        if (it.mPhase == TaskPhase::Placed || it.mMayRunUnseen) {
+        if (it.mPhase == TaskPhase::Placed ||
+            it.mPhase == TaskPhase::Elsewhere || it.mMayRunUnseen) {
           return true;
         }
       }
@@ -343,7 +406,8 @@
   std::map<const Job*, MonotonicTime> since;
   for (const auto* it : aCell.mReady) {
     const auto* job = it->mJob;
-    if (job->mIsLeaving || job->mIsDirty || IsFinal(job->mState)) {
+    if (job->mIsLeaving || job->mIsDirty || IsFinal(job->mState) ||
+        IsGuest(*job)) {
       continue;
     }
     auto& movable = found[job];
@@ -420,13 +484,15 @@
     for (const auto& step : occurrence->mSteps) {
       for (const auto& it : step.mTasks) {
         const auto isDone = it.mPhase == TaskPhase::Done;
-        if (isDone || !it.mFailedAttempts.empty() || !it.mCheckpoint.empty()) {
+        if (isDone || !it.mFailedAttempts.empty() || !it.mCheckpoint.empty() ||
+            !it.mHostCell.empty()) {
           out.mTasks.push_back({ it.mOccurrence,
                                  it.mStep,
                                  it.mIndex,
                                  isDone,
                                  it.mFailedAttempts,
-                                 it.mCheckpoint });
+                                 it.mCheckpoint,
+                                 it.mHostCell });
         }
       }
     }
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -466,6 +466,29 @@
   }
 }
 
+} // namespace
+
+auto KeepRoomFor(CellState& aCell,
+                 const std::string& aService,
+                 const Resources& aNeed,
+                 MonotonicTime aNow) -> bool
+{
+  StepSpec spec;
+  spec.mNeed = aNeed;
+  spec.mIsLongRunning = true;
+  for (auto& [id, worker] : aCell.mWorkers) {
+    if (worker->mRecord.mService == aService && aNow >= worker->mKeptUntil &&
+        HasRoom(*worker, spec, aNow) && IsUsable(aCell, *worker, aNow)) {
+      worker->mKeptCpuMillis = aNeed.mCpuMillis;
+      worker->mKeptUntil = aNow + kKeepTime;
+      return true;
+    }
+  }
+  return false;
+}
+
+namespace {
+
 /** Workers with kept room at one time; more would block short work. */
 constexpr std::size_t kMostKept = 2;
 
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -182,6 +182,7 @@
 {
   auto* task = FindTask(aCell, aRow.mTask);
   if (!task || task->mPhase == TaskPhase::Done ||
+      task->mPhase == TaskPhase::Elsewhere ||
       (task->mPhase == TaskPhase::Placed && task->mWorker != &aWorker)) {
     Run run;
     run.mAttempt = aRow.mAttempt;
--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -21,16 +21,17 @@
 }
 
 auto FindStarved(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
-  -> const Task*
+  -> std::vector<const Task*>
 {
+  std::vector<const Task*> out;
   for (const auto* it : aCell.mReady) {
     if (SpecOf(*it).mIsLongRunning && MayStart(*it, aNow) &&
-        !IsGathering(aCell, *it, aNow) &&
+        !IsGuest(*it->mJob) && !IsGathering(aCell, *it, aNow) &&
         aNow - it->mReadyAt > aWait) {
-      return it;
+      out.push_back(it);
     }
   }
-  return nullptr;
+  return out;
 }
 
 namespace {
@@ -92,6 +93,8 @@
     free.mCpuMillis += capacity.mCpuMillis - it->mUsed.mCpuMillis;
     free.mMemoryMb += capacity.mMemoryMb - it->mUsed.mMemoryMb;
     free.mAccelerators += capacity.mAccelerators - it->mUsed.mAccelerators;
+    out.mLargestCpuMillis = std::max(
+      out.mLargestCpuMillis, capacity.mCpuMillis - it->mUsed.mCpuMillis);
     out.mCapacityCpuMillis += capacity.mCpuMillis;
     out.mFillingCpuMillis += it->mFillingCpuMillis;
     out.mLeftoverCpuMillis += static_cast<std::int64_t>(LeftoverCpu(*it));
--- a/src/cell/tests/interference_tests.cpp
+++ b/src/cell/tests/interference_tests.cpp
@@ -306,9 +306,9 @@
   lasting.mIsLongRunning = true;
   Add(MakeJob("j", lasting));
   BOOST_REQUIRE(Start().size() == 1U);
-  BOOST_TEST(FindStarved(mCell, mNow, Milliseconds(500)) == nullptr);
+  BOOST_TEST(FindStarved(mCell, mNow, Milliseconds(500)).empty());
   Advance(Milliseconds(600));
-  BOOST_TEST(FindStarved(mCell, mNow, Milliseconds(500)) != nullptr);
+  BOOST_TEST(FindStarved(mCell, mNow, Milliseconds(500)).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(worker_with_lasting_run_is_not_lent)
--- a/src/cell/tests/takeover_tests.cpp
+++ b/src/cell/tests/takeover_tests.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #define BOOST_TEST_MODULE cell
 #include <boost/test/unit_test.hpp>
 
@@ -136,6 +138,49 @@
   BOOST_TEST(orders[0].mTask == "other.0.0.0");
 }
 
+BOOST_AUTO_TEST_CASE(lastingtask_sent_elsewhere_is_not_started_again)
+{
+  AddWorker("w1", 4000);
+  auto lasting = MakeStep(2, 3000);
+  lasting.mIsLongRunning = true;
+  auto& job = Add(MakeJob("j", lasting));
+  BOOST_REQUIRE(Start().size() == 1U);
+  Advance(Milliseconds(1000));
+  const auto starved = FindStarved(mCell, mNow, Milliseconds(500));
+  BOOST_REQUIRE(starved.size() == 1U);
+  SendElsewhere(mCell, *FindTask(mCell, TaskName(*starved[0])), "b/0");
+  const auto progress = ProgressOf(job);
+  RemoveJob(mCell, "j");
+
+  AddWorker("w2");
+  auto& again = Add(MakeJob("j", lasting), progress);
+  const auto orders = Start();
+  BOOST_TEST(std::count_if(orders.begin(), orders.end(), [](const Order& aOrder) {
+    return aOrder.mKind == OrderKind::Start;
+  }) == 1);
+  const auto guests = GuestsOf(again);
+  BOOST_REQUIRE(guests.size() == 1U);
+  BOOST_TEST((guests.at("b/0") == std::vector<TaskPlace>{ { 0, 0, 1 } }));
+}
+
+BOOST_AUTO_TEST_CASE(guest_job_runs_only_what_it_was_given)
+{
+  AddWorker("w1");
+  auto lasting = MakeStep(3, 3000);
+  lasting.mIsLongRunning = true;
+  auto stored = MakeJob("j", lasting);
+  stored.mGuestTasks = { { 0, 0, 1 } };
+  auto& job = Add(stored);
+  const auto first = Start();
+  BOOST_REQUIRE(first.size() == 1U);
+  BOOST_TEST(first[0].mTask == "j.0.0.1");
+  SetGuestTasks(mCell, job, { { 0, 0, 1 }, { 0, 0, 2 } }, mNow);
+  const auto second = Start();
+  BOOST_REQUIRE(second.size() == 1U);
+  BOOST_TEST(second[0].mTask == "j.0.0.2");
+  BOOST_TEST(FindMovable(mCell, mNow, Milliseconds(0)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(orders, CellFixture)
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -147,12 +147,20 @@
   "none; add workers if it goes on",
 };
 
+inline constexpr auto kTaskHosted = base::LogEvent{
+  940,
+  base::LogLevel::Info,
+  "a lasting task that found no room runs in another cell from now on",
+  "none; add workers if it goes on",
+};
+
 inline constexpr auto kDispatchLogEvents =
   std::array{ kEntryStarted, kStopAsked,   kReloadAsked, kConfigurationInForce,
               kCellClaimed,  kCellActive,  kCellLost,    kStoreLost,
               kStoreBack,    kJobAnswered, kTaskPlaced,  kOrderFailed,
               kRunEnded,     kRunStopped,  kRunsLost,    kWorkerOnProbation,
-              kPaceChanged,  kJobEnded,    kJobMoved,    kWorkerBorrowed };
+              kPaceChanged,  kJobEnded,    kJobMoved,    kWorkerBorrowed,
+              kTaskHosted };
 
 /** The event that stands for a kind of a cell's decisions. */
 inline auto FindNoteEvent(cell::NoteKind aKind) -> const base::LogEvent*
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -43,11 +43,13 @@
   std::int64_t mLeftoverCpuMillis = 0;
   /** What tasks want that wait for room. */
   std::int64_t mWaitingCpuMillis = 0;
+  /** Most processor millis that are free on one worker. */
+  std::int64_t mLargestCpuMillis = 0;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mName, mToken, mIsActive);
+    archive(mName, mToken, mIsActive, mLargestCpuMillis);
     archive(mFreeCpuMillis, mFreeMemoryMb, mCapacityCpuMillis);
     archive(mFillingCpuMillis, mLeftoverCpuMillis, mWaitingCpuMillis);
   }
@@ -172,6 +174,10 @@
   Import,
   /** Hands a worker without reserving runs to another cell. */
   Lend,
+  /** Keeps room for a lasting task of another cell's job. */
+  KeepRoom,
+  /** Reads again which tasks of another cell's job are to run here. */
+  Host,
 };
 
 /** Row of a worker in the control table that is not in the cell of its hash. */
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -35,6 +35,8 @@
     mFindEmptier;
   /** Runs a command where its cell is held. */
   std::function<net::Task<JobReply>(JobCommand)> mExecute;
+  /** Finds another cell of which a worker holds so much. */
+  std::function<std::optional<std::string>(const cell::Resources&)> mFindHost;
   /** Cells that may have a worker to lend, the best first. */
   std::function<std::vector<std::string>()> mFindLenders;
 };
@@ -142,6 +144,13 @@
   auto BorrowWorkers() -> void;
   auto Borrow(WorkerRequest aRequest) -> net::Task<void>;
   auto Lend(JobCommand aCommand) -> net::Task<JobReply>;
+  auto FindHosts() -> void;
+  auto SendTask(std::string aTask, std::string aHost) -> net::Task<void>;
+  auto AskHost(std::string aId, std::string aHost) -> net::Task<void>;
+  auto KeepRoom(const WorkerRequest& aRequest) -> JobReply;
+  auto Host(std::string aId) -> net::Task<JobReply>;
+  auto WatchGuest(std::string aId) -> net::Task<void>;
+  auto FindOwnJob(const std::string& aId) -> cell::Job*;
   auto TokenFor(const std::string& aWorker) const -> std::uint64_t;
   auto MoveJobs() -> void;
   auto MoveJob(std::string aId, std::string aCell) -> net::Task<void>;
@@ -182,6 +191,7 @@
   std::deque<std::pair<MonotonicTime, std::string>> mFinishedOrder;
   std::set<std::string> mSettling;
   std::map<std::string, std::uint64_t> mLeastTokens;
+  bool mIsSendingTask = false;
   bool mIsBorrowing = false;
   MonotonicTime mBorrowedAt{};
   std::size_t mNextTaught = 0;
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -65,6 +65,8 @@
     -> std::optional<std::string>;
   auto FindEmptier(const std::string& aFrom, const cell::MovableJob& aJob) const
     -> std::optional<std::string>;
+  auto FindHost(const std::string& aFrom, const cell::Resources& aNeed) const
+    -> std::optional<std::string>;
   auto FindLenders(const std::string& aDomain) const
     -> std::vector<std::string>;
   auto SeeLoan(const LentRow& aRow, std::uint64_t aVersion) -> void;
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -167,6 +167,9 @@
       return FindEmptier(cell, aJob);
     },
     [this](JobCommand aCommand) { return Execute(std::move(aCommand)); },
+    [this, cell](const cell::Resources& aNeed) {
+      return FindHost(cell, aNeed);
+    },
     [this, domain = aRow.mDomain] { return FindLenders(domain); }
   };
   mLog.Record(kCellClaimed,
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -190,6 +190,26 @@
   return out;
 }
 
+/** The cell with the most room, of those with a worker that holds a task. */
+auto DispatchEntry::FindHost(const std::string& aFrom,
+                             const cell::Resources& aNeed) const
+  -> std::optional<std::string>
+{
+  std::optional<std::string> out;
+  std::int64_t most = 0;
+  for (const auto& it : ReachableCells()) {
+    const auto canHold =
+      it.mName != aFrom && it.mIsActive &&
+      it.mLargestCpuMillis >= aNeed.mCpuMillis &&
+      it.mFreeCpuMillis >= aNeed.mCpuMillis;
+    if (canHold && it.mFreeCpuMillis > most) {
+      out = it.mName;
+      most = it.mFreeCpuMillis;
+    }
+  }
+  return out;
+}
+
 auto DispatchEntry::ReachableCells() const -> std::vector<HeldCell>
 {
   std::vector<HeldCell> out;
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -41,6 +41,10 @@
       co_return co_await Import(std::move(aCommand));
     case JobCommandKind::Lend:
       co_return co_await Lend(std::move(aCommand));
+    case JobCommandKind::KeepRoom:
+      co_return KeepRoom(aCommand.mRequest);
+    case JobCommandKind::Host:
+      co_return co_await Host(std::move(aCommand.mJobId));
   }
   co_return JobReply{ JobOutcome::NotHere };
 }
@@ -50,7 +54,7 @@
   if (const auto it = mFinished.find(aId); it != mFinished.end()) {
     return { JobOutcome::Done, it->second, mRow.mName };
   }
-  const auto* job = cell::FindJob(mState, aId);
+  const auto* job = FindOwnJob(aId);
   if (!job) {
     return { JobOutcome::NotHere };
   }
@@ -71,7 +75,7 @@
   if (mSettling.contains(id)) {
     co_return JobReply{ JobOutcome::Uncertain };
   }
-  if (mFinished.contains(id) || cell::FindJob(mState, id)) {
+  if (mFinished.contains(id) || FindOwnJob(id)) {
     co_return JobReply{ JobOutcome::Done, cell::JobState::Queued, mRow.mName };
   }
   if (mIsFinishing || !MayOrder()) {
@@ -185,7 +189,7 @@
   -> net::Task<JobReply>
 {
   const auto isBusy = [&] {
-    const auto* job = cell::FindJob(mState, aId);
+    const auto* job = FindOwnJob(aId);
     return mSettling.contains(aId) || (job && job->mIsLeaving);
   };
   while (isBusy() && base::MonotonicClock::now() < aDeadline) {
@@ -194,7 +198,7 @@
   if (isBusy()) {
     co_return JobReply{ JobOutcome::Uncertain };
   }
-  if (auto* job = cell::FindJob(mState, aId); job && !mIsFinishing) {
+  if (auto* job = FindOwnJob(aId); job && !mIsFinishing) {
     if (!cell::IsFinal(job->mState)) {
       job->mState = cell::JobState::Cancelled;
     }
@@ -207,7 +211,7 @@
     if (const auto it = mFinished.find(aId); it != mFinished.end()) {
       co_return JobReply{ JobOutcome::Done, it->second, mRow.mName };
     }
-    if (!cell::FindJob(mState, aId)) {
+    if (!FindOwnJob(aId)) {
       co_return JobReply{ JobOutcome::NotHere };
     }
     co_await net::Sleep(kWaitStep);
--- a/src/dispatch/internal/holderloans.cpp
+++ b/src/dispatch/internal/holderloans.cpp
@@ -41,7 +41,9 @@
       now - mBorrowedAt < kBorrowPause) {
     return;
   }
-  if (const auto* task = cell::FindStarved(mState, now, kBorrowAfter)) {
+  const auto starved = cell::FindStarved(mState, now, kBorrowAfter);
+  if (!starved.empty()) {
+    const auto* task = starved.front();
     const auto& stored = task->mJob->mStored;
     mIsBorrowing = true;
     mBorrowedAt = now;
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -16,8 +16,9 @@
 
 namespace {
 
-/** Jobs of one transaction: each takes up to five of its 100 entries. */
-constexpr std::size_t kJobsPerTransaction = 18;
+/** Jobs of one transaction: each takes up to five of its 100 entries, and one
+ * more for each cell that hosts tasks of it. */
+constexpr std::size_t kJobsPerTransaction = 14;
 constexpr auto kFlushWaitStep = Milliseconds(5);
 /** Nobody waits for progress; a slow store should not get it twice. */
 constexpr auto kFlushTimeout = Milliseconds(6000);
@@ -117,6 +118,12 @@
       if (!job || !mRows.contains(id)) {
         continue;
       }
+      if (cell::IsGuest(*job)) {
+        // The cell that owns the job keeps what there is to keep of it.
+        mState.mDirty.erase(id);
+        job->mIsDirty = false;
+        continue;
+      }
       const auto& rows = mRows[id];
       const auto key = JobKey(id);
       const auto progressKey = RowKey{ std::string(kProgressTable), key };
@@ -136,6 +143,17 @@
         transaction.mWrites.push_back(
           { progressKey, net::Encode(cell::ProgressOf(*job)) });
       }
+      for (const auto& [host, tasks] : cell::GuestsOf(*job)) {
+        const auto guestKey =
+          RowKey{ std::string(kJobTable), base::Cat(host, "/", id) };
+        if (isFinal) {
+          transaction.mRemovals.push_back(guestKey);
+          continue;
+        }
+        auto guest = job->mStored;
+        guest.mGuestTasks = tasks;
+        transaction.mWrites.push_back({ guestKey, net::Encode(guest) });
+      }
       mState.mDirty.erase(id);
       job->mIsDirty = false;
       writes.push_back({ id, job->mState, isFinal });
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -269,6 +269,15 @@
   for (const auto& it : ids) {
     StartTending(it);
   }
+  for (const auto& [id, job] : mState.mJobs) {
+    if (cell::IsGuest(*job)) {
+      net::SpawnTask(mContext.mExecutor, WatchGuest(id));
+    }
+    // The last holder may have ended before it told the hosts.
+    for (const auto& [host, tasks] : cell::GuestsOf(*job)) {
+      net::SpawnTask(mContext.mExecutor, AskHost(id, host));
+    }
+  }
   net::SpawnTask(mContext.mExecutor, FlushLoop());
   Kick();
   co_await Tick();
--- a/src/dispatch/internal/holdertending.cpp
+++ b/src/dispatch/internal/holdertending.cpp
@@ -303,6 +303,7 @@
                  std::chrono::duration<double>(kTickInterval).count());
     MoveJobs();
     BorrowWorkers();
+    FindHosts();
     const auto keep = Milliseconds(mContext.mSettings.mStatusMs) + kKeepMargin;
     while (!mFinishedOrder.empty() &&
            now - mFinishedOrder.front().first > keep) {
@@ -358,6 +359,7 @@
   out.mFillingCpuMillis = room.mFillingCpuMillis;
   out.mLeftoverCpuMillis = room.mLeftoverCpuMillis;
   out.mWaitingCpuMillis = room.mWaitingCpuMillis;
+  out.mLargestCpuMillis = room.mLargestCpuMillis;
   return out;
 }
 
--- a/src/dispatch/tests/holder_tests.cpp
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -19,6 +19,8 @@
 {
 public:
   std::vector<cell::Order> mStarts;
+  std::vector<cell::Order> mStops;
+  std::map<std::string, std::string> mWorkerOf;
   std::map<std::string, cell::RunningRow> mRunning;
   std::vector<cell::EndRow> mEnds;
   std::uint64_t mAcknowledged = 0;
@@ -42,8 +44,12 @@
     mHighestToken = aCall.mToken;
     if (aOrder.mKind == cell::OrderKind::Start) {
       mStarts.push_back(aOrder);
+      mWorkerOf[aOrder.mTask] = aCall.mWorker;
       mRunning[aOrder.mTask] = { aOrder.mTask, aOrder.mAttempt, "", 1, 0 };
     }
+    if (aOrder.mKind == cell::OrderKind::Stop) {
+      mStops.push_back(aOrder);
+    }
     co_return OrderReply{ cell::OrderOutcome::Done, ++mClockMs };
   }
 
@@ -69,10 +75,16 @@
     mClockMs += 10;
     out.mReport.mClockMs = mClockMs;
     for (auto& [name, it] : mRunning) {
-      it.mPercent += 1;
-      out.mReport.mRunning.push_back(it);
+      if (mWorkerOf.at(name) == aCall.mWorker) {
+        it.mPercent += 1;
+        out.mReport.mRunning.push_back(it);
+      }
+    }
+    for (const auto& it : mEnds) {
+      if (mWorkerOf.at(it.mTask) == aCall.mWorker) {
+        out.mReport.mEnds.push_back(it);
+      }
     }
-    out.mReport.mEnds = mEnds;
     co_return out;
   }
 
@@ -91,7 +103,15 @@
   // The pool stops before what its tasks use is gone.
   ~HolderFixture() { mPool.Stop(); }
 
-  auto MakeHolder(std::uint64_t aTerm) -> std::shared_ptr<CellHolder>
+  /** Cells by name, for commands from one to another. */
+  std::map<std::string, std::shared_ptr<CellHolder>> mCells;
+  /** The cell that has room for lasting tasks. */
+  std::optional<std::string> mHost;
+
+  auto MakeHolder(std::uint64_t aTerm,
+                  const std::string& aCell = "a/0",
+                  const std::string& aWorker = "w1")
+    -> std::shared_ptr<CellHolder>
   {
     HolderContext context{ mSettings,
                            mStore,
@@ -107,17 +127,23 @@
                            [](const cell::MovableJob&) {
                              return std::optional<std::string>();
                            },
-                           [](JobCommand) -> net::Task<JobReply> {
-                             co_return JobReply{ JobOutcome::NotHeld };
+                           [this](JobCommand aCommand) -> net::Task<JobReply> {
+                             const auto it = mCells.find(aCommand.mCell);
+                             if (it == mCells.end()) {
+                               co_return JobReply{ JobOutcome::NotHeld };
+                             }
+                             co_return co_await it->second->Execute(
+                               std::move(aCommand));
                            },
+                           [this](const cell::Resources&) { return mHost; },
                            [] { return std::vector<std::string>(); } };
     CellRow row;
-    row.mName = "a/0";
+    row.mName = aCell;
     row.mDomain = "a";
     row.mTerm = aTerm;
     auto out = std::make_shared<CellHolder>(context, row, aTerm * 1000);
     cell::WorkerRecord worker;
-    worker.mId = "w1";
+    worker.mId = aWorker;
     worker.mService = "service";
     worker.mCapacity = { 16000, 64000, 0 };
     mPool.Spawn(mPool.Executor(0), out->Run({ worker }, true));
@@ -303,6 +329,57 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(lastingtask_without_room_runs_in_another_cell_until_cancelled)
+{
+  const auto full = MakeHolder(1);
+  auto host = MakeHolder(1, "b/0", "w2");
+  BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
+  Until([&] {
+    mCells = { { "a/0", full }, { "b/0", host } };
+    mHost = "b/0";
+    return true;
+  });
+  const auto* id = "000000000000000c";
+  auto submission = MakeSubmission(id);
+  auto& step = submission.mJob.mSpec.mSteps[0];
+  step.mCount = 2;
+  step.mNeed.mCpuMillis = 10000;
+  step.mIsLongRunning = true;
+  Wait(full->Execute(submission));
+
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 2; }));
+  BOOST_TEST(mWorkers.mWorkerOf.at("000000000000000c.0.0.0") == "w1");
+  BOOST_TEST(mWorkers.mWorkerOf.at("000000000000000c.0.0.1") == "w2");
+
+  // The next holders know who runs what, and start nothing twice.
+  const auto nextFull = MakeHolder(2);
+  const auto nextHost = MakeHolder(2, "b/0", "w2");
+  Until([&] {
+    mCells = { { "a/0", nextFull }, { "b/0", nextHost } };
+    return true;
+  });
+  for (const auto& it : { nextFull, nextHost }) {
+    BOOST_REQUIRE(Until([&] { return it->Phase() == HolderPhase::Active; }));
+    BOOST_REQUIRE(Until([&] { return it->State().mUnsettled.empty(); }));
+  }
+  Wait(net::Sleep(Milliseconds(1500)), 0);
+  BOOST_TEST(mWorkers.mStarts.size() == 2U);
+
+  auto cancel = submission;
+  cancel.mKind = JobCommandKind::Cancel;
+  cancel.mCell = "b/0";
+  BOOST_TEST(
+    (Wait(nextHost->Execute(cancel)).mOutcome == JobOutcome::NotHere));
+  BOOST_TEST((Wait(nextFull->Execute(cancel)).mOutcome == JobOutcome::Done));
+  BOOST_TEST(Until([&] { return mWorkers.mStops.size() == 2; }));
+  BOOST_TEST(CountRows(kJobTable) == 0U);
+  Until([&] {
+    nextFull->End();
+    nextHost->End();
+    return true;
+  });
+}
+
 BOOST_AUTO_TEST_CASE(stop_during_a_submission_is_not_told_as_not_run)
 {
   const auto submit = [&](const std::string& aId, FakeFault aFault) {
--- a/src/dispatch/tests/poolfixture.h
+++ b/src/dispatch/tests/poolfixture.h
@@ -27,6 +27,17 @@
     return promise.get_future().get();
   }
 
+  /** Runs a task without a result and returns the given one. */
+  template<typename T>
+  auto Wait(net::Task<void> aTask, T aResult) -> T
+  {
+    auto run = [](net::Task<void> aInner, T aValue) -> net::Task<T> {
+      co_await std::move(aInner);
+      co_return aValue;
+    };
+    return Wait(run(std::move(aTask), std::move(aResult)));
+  }
+
   /** Waits on the pool's thread until a condition holds; false after 5 s. */
   auto Until(std::function<bool()> aCondition) -> bool
   {
