--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -280,15 +280,15 @@
 auto SendElsewhere(CellState& aCell, Task& aTask, const std::string& aHost)
   -> void;
 /** The cells that run tasks of a job as guests, and which. */
-auto GuestsOf(const Job& aJob)
-  -> std::map<std::string, std::vector<TaskPlace>>;
+auto GuestsOf(const Job& aJob) -> std::map<std::string, std::vector<TaskPlace>>;
 /** Takes in which tasks of another cell's job are to run here. */
 auto SetGuestTasks(CellState& aCell,
                    Job& aJob,
                    std::vector<TaskPlace> aTasks,
                    MonotonicTime aNow) -> void;
 
-/** Whether a usable worker has room for a lasting task; keeps it for a while. */
+/** Whether a usable worker has room for a lasting task; keeps it for a while.
+ */
 auto KeepRoomFor(CellState& aCell,
                  const std::string& aService,
                  const Resources& aNeed,
--- a/src/cell/internal/filling.cpp
+++ b/src/cell/internal/filling.cpp
@@ -191,8 +191,8 @@
   for (std::size_t i = 0; i < uses.size(); ++i) {
     auto& pace = aWorker.mFillingUses[i].mPace;
     const auto wanted = uses[i].mPace < kLeastPace ? 0.0 : uses[i].mPace;
-    const auto isWorthIt = std::abs(wanted - pace) >= kPaceStep ||
-                           (wanted == 1.0) != (pace == 1.0);
+    const auto isWorthIt =
+      std::abs(wanted - pace) >= kPaceStep || (wanted == 1.0) != (pace == 1.0);
     pace = isWorthIt ? wanted : pace;
   }
 }
--- a/src/cell/internal/interference.cpp
+++ b/src/cell/internal/interference.cpp
@@ -151,12 +151,12 @@
   for (const auto& it : aUses) {
     auto& pair = aInterference.mPairs[it.mImage][aServing];
     const auto gain = pair.mVariance * it.mUse;
-    const auto pressure = std::clamp(
-      pair.mPressure + gain * miss, kLeastPressure, kMostPressure);
+    const auto pressure =
+      std::clamp(pair.mPressure + gain * miss, kLeastPressure, kMostPressure);
     const auto hidden = kHiddenRise / std::max(it.mUse, kLeastTail);
     const auto least = std::min(pair.mVariance, hidden * hidden);
-    pair = MakePair(
-      pressure, std::max(least, pair.mVariance - gain * gain / variance));
+    pair = MakePair(pressure,
+                    std::max(least, pair.mVariance - gain * gain / variance));
   }
 }
 
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -209,60 +209,6 @@
   CheckOccurrence(aCell, job, occurrence);
 }
 
-namespace {
-
-auto IsGuestTask(const Job& aJob, const Task& aTask) -> bool
-{
-  const auto& tasks = aJob.mStored.mGuestTasks;
-  const auto place =
-    TaskPlace{ aTask.mOccurrence, aTask.mStep, aTask.mIndex };
-  return std::find(tasks.begin(), tasks.end(), place) != tasks.end();
-}
-
-} // namespace
-
-auto SendElsewhere(CellState& aCell, Task& aTask, const std::string& aHost)
-  -> void
-{
-  std::erase(aCell.mReady, &aTask);
-  aTask.mPhase = TaskPhase::Elsewhere;
-  aTask.mHostCell = aHost;
-  MarkDirty(aCell, *aTask.mJob);
-}
-
-auto GuestsOf(const Job& aJob)
-  -> std::map<std::string, std::vector<TaskPlace>>
-{
-  std::map<std::string, std::vector<TaskPlace>> out;
-  for (const auto& [number, occurrence] : aJob.mOccurrences) {
-    for (const auto& step : occurrence->mSteps) {
-      for (const auto& it : step.mTasks) {
-        if (!it.mHostCell.empty()) {
-          out[it.mHostCell].push_back({ it.mOccurrence, it.mStep, it.mIndex });
-        }
-      }
-    }
-  }
-  return out;
-}
-
-auto SetGuestTasks(CellState& aCell,
-                   Job& aJob,
-                   std::vector<TaskPlace> aTasks,
-                   MonotonicTime aNow) -> void
-{
-  aJob.mStored.mGuestTasks = std::move(aTasks);
-  for (auto& [number, occurrence] : aJob.mOccurrences) {
-    for (auto& step : occurrence->mSteps) {
-      for (auto& it : step.mTasks) {
-        if (it.mPhase == TaskPhase::Elsewhere && IsGuestTask(aJob, it)) {
-          MakeReady(aCell, it, aNow);
-        }
-      }
-    }
-  }
-}
-
 auto AddJob(CellState& aCell,
             StoredJob aJob,
             const JobProgress& aProgress,
--- a/src/cell/tests/interference_tests.cpp
+++ b/src/cell/tests/interference_tests.cpp
@@ -36,19 +36,19 @@
 BOOST_AUTO_TEST_CASE(pair_harm_seen_alone_is_blamed)
 {
   const auto before = Pressure(mHeavy);
-  Learn( 5.0, { { mHeavy, 0.1 } });
-  Learn( 5.0, { { mHeavy, 0.1 } });
+  Learn(5.0, { { mHeavy, 0.1 } });
+  Learn(5.0, { { mHeavy, 0.1 } });
   BOOST_TEST(Pressure(mHeavy) > 2 * before);
 }
 
 BOOST_AUTO_TEST_CASE(pair_known_harmless_stays_so_beside_a_heavy_one)
 {
   for (auto i = 0; i < 200; ++i) {
-    Learn( 0.4, { { mLight, 0.5 } });
+    Learn(0.4, { { mLight, 0.5 } });
   }
   const auto light = Pressure(mLight);
   for (auto i = 0; i < 5; ++i) {
-    Learn( 5.0, { { mLight, 0.3 }, { mHeavy, 0.1 } });
+    Learn(5.0, { { mLight, 0.3 }, { mHeavy, 0.1 } });
   }
   BOOST_TEST(Pressure(mLight) < 2 * light);
   BOOST_TEST(Pressure(mHeavy) > 8.0);
@@ -57,7 +57,7 @@
 BOOST_AUTO_TEST_CASE(pair_small_use_without_harm_proves_little)
 {
   for (auto i = 0; i < 200; ++i) {
-    Learn( 0.4, { { mLight, 0.05 } });
+    Learn(0.4, { { mLight, 0.05 } });
   }
   const auto tail = ExpectedTail(mTable, mServing, { { mLight, 0.5 } });
   BOOST_TEST(tail > 0.9);
@@ -213,7 +213,8 @@
   BOOST_TEST(Start().size() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(fillingtask_seen_to_harm_elsewhere_is_paced_before_it_harms)
+BOOST_AUTO_TEST_CASE(
+  fillingtask_seen_to_harm_elsewhere_is_paced_before_it_harms)
 {
   AddWorker("w1");
   auto serving = MakeStep(1, 4000);
--- a/src/cell/tests/takeover_tests.cpp
+++ b/src/cell/tests/takeover_tests.cpp
@@ -155,9 +155,10 @@
   AddWorker("w2");
   auto& again = Add(MakeJob("j", lasting), progress);
   const auto orders = Start();
-  BOOST_TEST(std::count_if(orders.begin(), orders.end(), [](const Order& aOrder) {
-    return aOrder.mKind == OrderKind::Start;
-  }) == 1);
+  BOOST_TEST(
+    std::count_if(orders.begin(), orders.end(), [](const Order& aOrder) {
+      return aOrder.mKind == OrderKind::Start;
+    }) == 1);
   const auto guests = GuestsOf(again);
   BOOST_REQUIRE(guests.size() == 1U);
   BOOST_TEST((guests.at("b/0") == std::vector<TaskPlace>{ { 0, 0, 1 } }));
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -101,19 +101,19 @@
 auto DispatchEntry::Start() -> absl::Status
 {
   net::HandleTyped<JobCommand, JobReply>(
-    mMessageServer,
-    net::MessageKind::JobCommand,
-    [this](JobCommand aCommand) { return ExecuteHere(std::move(aCommand)); });
+    mMessageServer, net::MessageKind::JobCommand, [this](JobCommand aCommand) {
+      return ExecuteHere(std::move(aCommand));
+    });
   net::HandleTyped<StoreRelay, StoreReply>(
     mMessageServer, net::MessageKind::StoreRelay, [this](StoreRelay aRelay) {
       return mStore.Serve(std::move(aRelay));
     });
   for (const auto& status :
        { mMessageServer.Listen(mSettings.mPeers).status(),
-         mPeers.Bind(mSettings.mPeers,
-                     [this](const Heartbeat& aHeartbeat) {
-                       SeeHeartbeat(aHeartbeat);
-                     })
+         mPeers
+           .Bind(
+             mSettings.mPeers,
+             [this](const Heartbeat& aHeartbeat) { SeeHeartbeat(aHeartbeat); })
            .status(),
          mDoorServer.Listen(mSettings.mHttp).status(),
          mReadinessServer.Listen(mSettings.mReadiness).status(),
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -198,10 +198,9 @@
   std::optional<std::string> out;
   std::int64_t most = 0;
   for (const auto& it : ReachableCells()) {
-    const auto canHold =
-      it.mName != aFrom && it.mIsActive &&
-      it.mLargestCpuMillis >= aNeed.mCpuMillis &&
-      it.mFreeCpuMillis >= aNeed.mCpuMillis;
+    const auto canHold = it.mName != aFrom && it.mIsActive &&
+                         it.mLargestCpuMillis >= aNeed.mCpuMillis &&
+                         it.mFreeCpuMillis >= aNeed.mCpuMillis;
     if (canHold && it.mFreeCpuMillis > most) {
       out = it.mName;
       most = it.mFreeCpuMillis;
--- a/src/dispatch/internal/frontdoor.cpp
+++ b/src/dispatch/internal/frontdoor.cpp
@@ -125,8 +125,7 @@
   const auto isLasting = cell::IsLasting(aJob);
   auto cells = mContext.mCells();
   const auto rank = [&](const HeldCell& aCell) {
-    const auto isNear =
-      !isLasting && IsOfDomain(aCell.mName, mContext.mDomain);
+    const auto isNear = !isLasting && IsOfDomain(aCell.mName, mContext.mDomain);
     // Jobs that come at one moment, before the room is told anew, spread.
     const auto spread =
       isLasting ? SpreadOf(aJob.mId, aCell.mName) * kSpreadShare : 0.0;
--- a/src/dispatch/internal/groupedcommits.cpp
+++ b/src/dispatch/internal/groupedcommits.cpp
@@ -76,11 +76,10 @@
          std::all_of(aTransaction.mExpected.begin(),
                      aTransaction.mExpected.end(),
                      isSame) &&
-         std::all_of(aTransaction.mWrites.begin(),
-                     aTransaction.mWrites.end(),
-                     [&](const RowWrite& aWrite) {
-                       return isFree(aWrite.mRow);
-                     }) &&
+         std::all_of(
+           aTransaction.mWrites.begin(),
+           aTransaction.mWrites.end(),
+           [&](const RowWrite& aWrite) { return isFree(aWrite.mRow); }) &&
          std::all_of(aTransaction.mRemovals.begin(),
                      aTransaction.mRemovals.end(),
                      isFree);
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -108,8 +108,7 @@
                             net::Encode(aJob) } };
   auto isInDoubt = false;
   while (true) {
-    const auto reply =
-      co_await mContext.mStore.Commit(transaction, aDeadline);
+    const auto reply = co_await mContext.mStore.Commit(transaction, aDeadline);
     isInDoubt = isInDoubt || reply.mOutcome == StoreOutcome::Unknown;
     if (mPhase == HolderPhase::Ended) {
       // What was stored is the next holder's to run.
--- a/src/dispatch/internal/peers.cpp
+++ b/src/dispatch/internal/peers.cpp
@@ -104,8 +104,8 @@
     // A wait that SendSoon has cut short ends with an error.
     co_await mTimer.async_wait(
       net::asio::redirect_error(net::asio::use_awaitable, ec));
-    if (const auto left = mSentAt + kLeastHeartbeatPause -
-                          base::MonotonicClock::now();
+    if (const auto left =
+          mSentAt + kLeastHeartbeatPause - base::MonotonicClock::now();
         left > MonotonicTime::duration::zero()) {
       co_await net::Sleep(std::chrono::ceil<Milliseconds>(left));
     }
--- a/src/dispatch/tests/groupedcommits_tests.cpp
+++ b/src/dispatch/tests/groupedcommits_tests.cpp
@@ -20,9 +20,9 @@
   std::size_t mCalls = 0;
   std::size_t mUnderWay = 0;
   std::size_t mMostUnderWay = 0;
-  GroupedCommits mCommits{ [this](StoreTransaction aTransaction,
-                                  MonotonicTime aDeadline)
-                             -> net::Task<StoreReply> {
+  GroupedCommits mCommits{ [this](
+                             StoreTransaction aTransaction,
+                             MonotonicTime aDeadline) -> net::Task<StoreReply> {
     ++mCalls;
     mMostUnderWay = std::max(mMostUnderWay, ++mUnderWay);
     co_await net::Sleep(Milliseconds(40));
@@ -81,8 +81,7 @@
     Create(base::Cat("job", i), Milliseconds(2000));
   }
   for (auto i = 0; i < 5; ++i) {
-    const auto expected =
-      i == 1 ? StoreOutcome::Conflict : StoreOutcome::Done;
+    const auto expected = i == 1 ? StoreOutcome::Conflict : StoreOutcome::Done;
     BOOST_TEST((OutcomeOf(base::Cat("job", i)) == expected));
   }
 }
@@ -106,7 +105,8 @@
   BOOST_TEST(mStore.Find("ids", "p", "late") == nullptr);
 }
 
-BOOST_AUTO_TEST_CASE(submission_that_cannot_be_answered_in_time_is_refused_at_once)
+BOOST_AUTO_TEST_CASE(
+  submission_that_cannot_be_answered_in_time_is_refused_at_once)
 {
   for (const auto* it : { "one", "two", "three", "four", "five" }) {
     Create(it, Milliseconds(2000));
--- a/src/dispatch/tests/holder_tests.cpp
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -113,30 +113,27 @@
                   const std::string& aWorker = "w1")
     -> std::shared_ptr<CellHolder>
   {
-    HolderContext context{ mSettings,
-                           mStore,
-                           mWorkers,
-                           mMetrics,
-                           mLog,
-                           mPool.Executor(0),
-                           1,
-                           2,
-                           [](const cell::MovableJob&) {
-                             return std::optional<std::string>();
-                           },
-                           [](const cell::MovableJob&) {
-                             return std::optional<std::string>();
-                           },
-                           [this](JobCommand aCommand) -> net::Task<JobReply> {
-                             const auto it = mCells.find(aCommand.mCell);
-                             if (it == mCells.end()) {
-                               co_return JobReply{ JobOutcome::NotHeld };
-                             }
-                             co_return co_await it->second->Execute(
-                               std::move(aCommand));
-                           },
-                           [this](const cell::Resources&) { return mHost; },
-                           [] { return std::vector<std::string>(); } };
+    HolderContext context{
+      mSettings,
+      mStore,
+      mWorkers,
+      mMetrics,
+      mLog,
+      mPool.Executor(0),
+      1,
+      2,
+      [](const cell::MovableJob&) { return std::optional<std::string>(); },
+      [](const cell::MovableJob&) { return std::optional<std::string>(); },
+      [this](JobCommand aCommand) -> net::Task<JobReply> {
+        const auto it = mCells.find(aCommand.mCell);
+        if (it == mCells.end()) {
+          co_return JobReply{ JobOutcome::NotHeld };
+        }
+        co_return co_await it->second->Execute(std::move(aCommand));
+      },
+      [this](const cell::Resources&) { return mHost; },
+      [] { return std::vector<std::string>(); }
+    };
     CellRow row;
     row.mName = aCell;
     row.mDomain = "a";
@@ -329,7 +326,8 @@
   });
 }
 
-BOOST_AUTO_TEST_CASE(lastingtask_without_room_runs_in_another_cell_until_cancelled)
+BOOST_AUTO_TEST_CASE(
+  lastingtask_without_room_runs_in_another_cell_until_cancelled)
 {
   const auto full = MakeHolder(1);
   auto host = MakeHolder(1, "b/0", "w2");
@@ -368,8 +366,7 @@
   auto cancel = submission;
   cancel.mKind = JobCommandKind::Cancel;
   cancel.mCell = "b/0";
-  BOOST_TEST(
-    (Wait(nextHost->Execute(cancel)).mOutcome == JobOutcome::NotHere));
+  BOOST_TEST((Wait(nextHost->Execute(cancel)).mOutcome == JobOutcome::NotHere));
   BOOST_TEST((Wait(nextFull->Execute(cancel)).mOutcome == JobOutcome::Done));
   BOOST_TEST(Until([&] { return mWorkers.mStops.size() == 2; }));
   BOOST_TEST(CountRows(kJobTable) == 0U);
--- a/src/dispatch/tests/storeaccess_tests.cpp
+++ b/src/dispatch/tests/storeaccess_tests.cpp
@@ -66,7 +66,8 @@
     heartbeat.mIncarnation = 1;
     heartbeat.mReachesStore = true;
     heartbeat.mPeers = mServer.Listen({ "127.0.0.1", 0 }).value();
-    const auto address = mPeers.Bind({ "127.0.0.1", 0 }, [](const Heartbeat&) {}).value();
+    const auto address =
+      mPeers.Bind({ "127.0.0.1", 0 }, [](const Heartbeat&) {}).value();
     mPeerSocket.Bind({ "127.0.0.1", 0 }, [](std::string_view) {}).value();
     BOOST_REQUIRE(Until([&, bytes = net::Encode(heartbeat)] {
       mPeerSocket.Send(address, bytes);
@@ -79,8 +80,8 @@
 
   auto Read() -> StoreReply
   {
-    return Wait(mAccess.ReadFeed(
-      {}, base::MonotonicClock::now() + Milliseconds(120)));
+    return Wait(
+      mAccess.ReadFeed({}, base::MonotonicClock::now() + Milliseconds(120)));
   }
 };
 
