--- a/src/dispatch/tests/storeaccess_tests.cpp
+++ b/src/dispatch/tests/storeaccess_tests.cpp
@@ -58,7 +58,7 @@
   CutOffEntryFixture()
   {
     net::HandleTyped<StoreRelay, StoreReply>(
-      mServer, net::MessageKind::StoreRelay, [this](StoreRelay aRelay) {
+      mServer, net::MessageKind::StoreRelay, [this](const StoreRelay& aRelay) {
         return mServed.ReadFeed(aRelay.mFeed, {});
       });
     Heartbeat heartbeat;
