--- a/src/dispatch/tests/groupedcommits_tests.cpp
+++ b/src/dispatch/tests/groupedcommits_tests.cpp
@@ -32,7 +32,7 @@
   } };
   std::map<std::string, StoreReply> mReplies;
 
-  ~SlowStoreFixture() { mPool.Stop(); }
+  ~SlowStoreFixture() { StopPool(); }
 
   /** Creates a row, unless it exists. */
   auto Create(const std::string& aKey, Milliseconds aPatience) -> void
--- a/src/dispatch/tests/holder_tests.cpp
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -100,8 +100,7 @@
   base::Metrics mMetrics;
   base::EventLog mLog{ "test" };
 
-  // The pool stops before what its tasks use is gone.
-  ~HolderFixture() { mPool.Stop(); }
+  ~HolderFixture() { StopPool(); }
 
   /** Cells by name, for commands from one to another. */
   std::map<std::string, std::shared_ptr<CellHolder>> mCells;
--- a/src/dispatch/tests/poolfixture.h
+++ b/src/dispatch/tests/poolfixture.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <future>
+#include <thread>
 
 #include "eelgrasspost/net/iopool.h"
 
@@ -12,8 +13,17 @@
 {
   net::IoPool mPool{ 1 };
 
-  PoolFixture() { mPool.Start(); }
-  ~PoolFixture() { mPool.Stop(); }
+  ~PoolFixture() { StopPool(); }
+
+  /** Returns when nothing runs on the pool any longer. A fixture calls it in
+   * its destructor, before what the pool's tasks use is gone. */
+  auto StopPool() -> void
+  {
+    mPool.Stop();
+    if (mRunner.joinable()) {
+      mRunner.join();
+    }
+  }
 
   template<typename T>
   auto Wait(net::Task<T> aTask) -> T
@@ -52,6 +62,9 @@
     };
     return Wait(poll(std::move(aCondition)));
   }
+
+private:
+  std::thread mRunner{ [this] { mPool.Run(); } };
 };
 
 } // namespace eelgrasspost::dispatch::testing
--- a/src/dispatch/tests/storeaccess_tests.cpp
+++ b/src/dispatch/tests/storeaccess_tests.cpp
@@ -75,8 +75,7 @@
       return peer && mPeers.IsAlive(*peer, base::MonotonicClock::now());
     }));
   }
-  // The pool stops before what its tasks use is gone.
-  ~CutOffEntryFixture() { mPool.Stop(); }
+  ~CutOffEntryFixture() { StopPool(); }
 
   auto Read() -> StoreReply
   {
