Share the making of serving and filling steps among the cell's tests

The same lines stood in seven tests each. Moved into the fixture without a change of any check; the 30 and more cases of the binary pass, format and linter are clean. The whole checks were not run again after this change of test files.

--- a/src/cell/tests/cellfixture.h
+++ b/src/cell/tests/cellfixture.h
@@ -66,6 +66,35 @@
     return out;
   }
 
+  static auto MakeServing(std::uint32_t aCount,
+                          std::int64_t aCpu,
+                          std::string aImage) -> StepSpec
+  {
+    auto out = MakeStep(aCount, aCpu);
+    out.mIsLongRunning = true;
+    out.mTargetTailMs = 18;
+    out.mImage = std::move(aImage);
+    return out;
+  }
+
+  static auto MakeFilling(std::uint32_t aCount,
+                          std::int64_t aCpu,
+                          std::string aImage) -> StepSpec
+  {
+    auto out = MakeStep(aCount, aCpu);
+    out.mIsFilling = true;
+    out.mImage = std::move(aImage);
+    return out;
+  }
+
+  /** Sets what the cell believes of a filling image beside "serving". */
+  auto Believe(const std::string& aFilling, PairPressure aPair) -> void
+  {
+    const auto filling = ImageIndex(mCell.mInterference, aFilling);
+    const auto serving = ImageIndex(mCell.mInterference, "serving");
+    mCell.mInterference.mPairs[filling][serving] = aPair;
+  }
+
   auto Add(StoredJob aJob,
            const JobProgress& aProgress = {},
            bool aInherited = false) -> Job&
--- a/src/cell/tests/interference_tests.cpp
+++ b/src/cell/tests/interference_tests.cpp
@@ -104,10 +104,7 @@
 {
   AddWorker("w1");
   AddWorker("w2");
-  auto serving = MakeStep(4, 4000);
-  serving.mIsLongRunning = true;
-  serving.mTargetTailMs = 18;
-  serving.mImage = "serving";
+  const auto serving = MakeServing(4, 4000, "serving");
   Add(MakeJob("s", serving));
   const auto starts = Start();
   BOOST_REQUIRE(starts.size() == 4U);
@@ -115,9 +112,7 @@
     BOOST_TEST(it.mWorker == starts[0].mWorker);
   }
 
-  auto filling = MakeStep(4, 2000);
-  filling.mIsFilling = true;
-  filling.mImage = "heavy";
+  const auto filling = MakeFilling(4, 2000, "heavy");
   Add(MakeJob("f", filling));
   for (const auto& it : Start()) {
     BOOST_TEST(it.mWorker != starts[0].mWorker);
@@ -127,18 +122,11 @@
 BOOST_AUTO_TEST_CASE(fillingjob_believed_harmful_runs_in_a_quiet_cell)
 {
   AddWorker("w1");
-  auto serving = MakeStep(1, 4000);
-  serving.mIsLongRunning = true;
-  serving.mTargetTailMs = 18;
-  serving.mImage = "serving";
+  const auto serving = MakeServing(1, 4000, "serving");
   Add(MakeJob("s", serving));
   const auto first = Start();
-  const auto heavy = ImageIndex(mCell.mInterference, "heavy");
-  const auto other = ImageIndex(mCell.mInterference, "serving");
-  mCell.mInterference.mPairs[heavy][other] = MakePair(15.0, 0.1);
-  auto filling = MakeStep(3, 2000);
-  filling.mIsFilling = true;
-  filling.mImage = "heavy";
+  Believe("heavy", MakePair(15.0, 0.1));
+  const auto filling = MakeFilling(3, 2000, "heavy");
   Add(MakeJob("f", filling));
   BOOST_TEST(Start().empty());
   Advance(Milliseconds(2000));
@@ -149,25 +137,15 @@
 BOOST_AUTO_TEST_CASE(fillingjob_without_a_run_is_not_starved_in_a_busy_cell)
 {
   AddWorker("w1");
-  auto serving = MakeStep(4, 4000);
-  serving.mIsLongRunning = true;
-  serving.mTargetTailMs = 18;
-  serving.mImage = "serving";
+  const auto serving = MakeServing(4, 4000, "serving");
   Add(MakeJob("s", serving));
   BOOST_REQUIRE(Start().size() == 4U);
-  const auto heavy = ImageIndex(mCell.mInterference, "heavy");
-  const auto other = ImageIndex(mCell.mInterference, "serving");
-  mCell.mInterference.mPairs[heavy][other] = MakePair(15.0, 0.1);
-  const auto light = ImageIndex(mCell.mInterference, "light");
-  mCell.mInterference.mPairs[light][other] = MakePair(0.2, 0.1);
-  auto harmless = MakeStep(1, 1000);
-  harmless.mIsFilling = true;
-  harmless.mImage = "light";
+  Believe("heavy", MakePair(15.0, 0.1));
+  Believe("light", MakePair(0.2, 0.1));
+  const auto harmless = MakeFilling(1, 1000, "light");
   Add(MakeJob("l", harmless));
   BOOST_REQUIRE(Start().size() == 1U);
-  auto filling = MakeStep(3, 2000);
-  filling.mIsFilling = true;
-  filling.mImage = "heavy";
+  const auto filling = MakeFilling(3, 2000, "heavy");
   Add(MakeJob("f", filling));
   const auto wait = [&](Milliseconds aTime) {
     Advance(aTime);
@@ -194,18 +172,11 @@
 BOOST_AUTO_TEST_CASE(fillingjob_without_a_run_starts_after_the_end_of_traffic)
 {
   AddWorker("w1");
-  auto serving = MakeStep(4, 4000);
-  serving.mIsLongRunning = true;
-  serving.mTargetTailMs = 18;
-  serving.mImage = "serving";
+  const auto serving = MakeServing(4, 4000, "serving");
   Add(MakeJob("s", serving));
   BOOST_REQUIRE(Start().size() == 4U);
-  const auto heavy = ImageIndex(mCell.mInterference, "heavy");
-  const auto other = ImageIndex(mCell.mInterference, "serving");
-  mCell.mInterference.mPairs[heavy][other] = MakePair(15.0, 0.1);
-  auto filling = MakeStep(3, 2000);
-  filling.mIsFilling = true;
-  filling.mImage = "heavy";
+  Believe("heavy", MakePair(15.0, 0.1));
+  const auto filling = MakeFilling(3, 2000, "heavy");
   Add(MakeJob("f", filling));
   BOOST_TEST(Start().empty());
   Advance(Milliseconds(3500));
@@ -217,16 +188,11 @@
   fillingtask_seen_to_harm_elsewhere_is_paced_before_it_harms)
 {
   AddWorker("w1");
-  auto serving = MakeStep(1, 4000);
-  serving.mIsLongRunning = true;
-  serving.mTargetTailMs = 18;
-  serving.mImage = "serving";
+  const auto serving = MakeServing(1, 4000, "serving");
   Add(MakeJob("s", serving));
   const auto first = Start();
   BOOST_REQUIRE(first.size() == 1U);
-  auto filling = MakeStep(1, 2000);
-  filling.mIsFilling = true;
-  filling.mImage = "heavy";
+  const auto filling = MakeFilling(1, 2000, "heavy");
   Add(MakeJob("f", filling));
   const auto second = Start();
   BOOST_REQUIRE(second.size() == 1U);
@@ -249,15 +215,10 @@
 BOOST_AUTO_TEST_CASE(fillingtask_over_target_is_slowed)
 {
   AddWorker("w1");
-  auto serving = MakeStep(1, 4000);
-  serving.mIsLongRunning = true;
-  serving.mTargetTailMs = 18;
-  serving.mImage = "serving";
+  const auto serving = MakeServing(1, 4000, "serving");
   Add(MakeJob("s", serving));
   const auto first = Start();
-  auto filling = MakeStep(1, 1000);
-  filling.mIsFilling = true;
-  filling.mImage = "heavy";
+  const auto filling = MakeFilling(1, 1000, "heavy");
   Add(MakeJob("f", filling));
   const auto second = Start();
   BOOST_REQUIRE(second.size() == 1U);
@@ -280,10 +241,7 @@
   AddWorker("w1");
   AddWorker("w2");
   for (const auto* id : { "a1", "b1", "a2", "b2" }) {
-    auto serving = MakeStep(2, 4000);
-    serving.mIsLongRunning = true;
-    serving.mTargetTailMs = 18;
-    serving.mImage = std::string(id, 1);
+    const auto serving = MakeServing(2, 4000, std::string(id, 1));
     Add(MakeJob(id, serving));
     BOOST_TEST(Start().empty());
   }
