Throttle best-effort runs by how far a tail is over its target

Change: a tail up to 1.1 of its target may pass; above, the share falls by the inverse of the tail. A tail that stays over its target for half of the platform's limit (new setting bounds.harm_ms) less the delay of the reports pauses all best-effort runs beside it, whatever the estimates say. Runs move after 2 s of throttling. Best-effort tasks are packed up to a slowdown of 1.4 in place of 1.7. A job's rank counts the estimated rest of its critical path, so that a job that surely misses its objective yields to one that can meet it.

Tests: tail_just_over_target_*, besteffort_throttled_for_*, job_that_surely_misses_its_objective_yields_to_one_in_time, job_with_its_longest_step_done_is_still_in_time.

--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -72,6 +72,11 @@
          "250",
          kDayMs,
          "how early a timed task may start"),
+  Number("bounds",
+         "harm_ms",
+         "4000",
+         kDayMs,
+         "how long best-effort tasks may keep a serving task over its target"),
   Number("bounds",
          "grace_s",
          "6",
@@ -122,6 +127,7 @@
     static_cast<double>(values->Integer("platform", "store_part_writes_per_s"));
   out.mLeaseMs = values->Integer("bounds", "lease_ms");
   out.mEarlyMs = values->Integer("bounds", "early_ms");
+  out.mHarmMs = values->Integer("bounds", "harm_ms");
   out.mGracePeriodMs = values->Integer("bounds", "grace_s") * kMsPerSecond;
   out.mDrainMs = values->Integer("bounds", "drain_ms");
   out.mStatusRetentionMs = values->Integer("bounds", "status_s") * kMsPerSecond;
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -53,14 +54,15 @@
   MonotonicTime mNotBefore{};
 };
 
-/** Age of a job, compared with its completion objective. */
+/** Earliest time at which a job can be complete, compared with its objective.
+ */
 enum class Lateness : std::uint8_t
 {
   /** The objective can still be met. */
   InTime,
-  /** The objective is missed, but the result still has value. */
+  /** The objective will be missed, but the result still has value. */
   Late,
-  /** The job is older than three times the objective. */
+  /** The job will take more than three times the objective. */
   Worthless,
 };
 
@@ -207,6 +209,9 @@
   MonotonicTime mBestEffortCpuShareChangedAt{};
   /** The serving image that was last over its target. */
   std::size_t mOverTargetImage = 0;
+  /** Since when a serving tail has been over its target without a pause, while
+   * best-effort tasks run. */
+  std::optional<MonotonicTime> mOverTargetSince;
   /** Start of the current period in which best-effort tasks are throttled. */
   MonotonicTime mThrottledSince{};
 };
@@ -236,6 +241,9 @@
    * can then be placed together, and a job can move to a cell with more free
    * capacity first. */
   Milliseconds mPlacementDelay{ 0 };
+  /** Best-effort tasks are paused when a serving tail beside them has been over
+   * its target for this time. */
+  Milliseconds mMaxOverTarget{ 1500 };
 };
 
 /** A group of workers of one failure domain and the jobs on them. */
--- a/src/cell/internal/besteffort.cpp
+++ b/src/cell/internal/besteffort.cpp
@@ -14,12 +14,15 @@
 /** Share of its reserved CPU that a serving task is expected to use. */
 constexpr double kServingUseShare = 0.5;
 /** Tail latency, as a share of its target, above which best-effort tasks are
- * throttled, and below which their CPU share rises again. */
-constexpr double kThrottleAbove = 0.95;
-constexpr double kUnthrottleBelow = 0.7;
-/** Factor by which the CPU share falls, and percentage points by which it
- * rises. */
-constexpr double kThrottleFactor = 0.2;
+ * throttled at once, and below which their CPU share rises again. A tail
+ * between the target and kThrottleAbove is often over it for one report only;
+ * CellPolicy::mMaxOverTarget limits how long it may stay there. */
+constexpr double kThrottleAbove = 1.1;
+constexpr double kUnthrottleBelow = 0.9;
+/** Bounds of the factor by which the CPU share falls, and percentage points by
+ * which it rises. */
+constexpr double kMinThrottleFactor = 0.2;
+constexpr double kMaxThrottleFactor = 0.5;
 constexpr int kUnthrottleStepPercent = 40;
 /** Lower shares are rounded down to 0. */
 constexpr int kMinCpuSharePercent = 10;
@@ -27,14 +30,15 @@
  * the next change. */
 constexpr auto kCpuShareChangeInterval = Milliseconds(600);
 /** On a worker that has been throttled for kMoveAfter, tasks with a lower CPU
- * share move to another worker. */
+ * share move to another worker. A move discards the work since the last
+ * checkpoint, and most throttling ends sooner. */
 constexpr int kMoveBelowPercent = 40;
-constexpr auto kMoveAfter = Milliseconds(400);
+constexpr auto kMoveAfter = Milliseconds(2000);
 /** Maximum expected tail with best-effort tasks, as a share of its target. */
 constexpr double kMaxTail = 0.85;
 /** An image that raises the logarithm of a tail by no more than this is not
  * throttled for it. */
-constexpr double kMinThrottledLogRise = 0.1;
+constexpr double kMinThrottledLogRise = 0.2;
 /** Lower shares are rounded down to 0. Changes smaller than kMinCpuShareChange
  * are not worth an order to the worker. */
 constexpr double kMinCpuShare = 0.15;
@@ -87,10 +91,29 @@
   return out;
 }
 
+/** Updates since when a serving tail of the worker has been over its target
+ * without a pause, and returns whether that is longer than the policy allows.
+ */
+auto IsOverTargetTooLong(const CellState& aCell,
+                         Worker& aWorker,
+                         double aTail,
+                         MonotonicTime aNow) -> bool
+{
+  if (aTail <= 1.0) {
+    aWorker.mOverTargetSince.reset();
+    return false;
+  }
+  const auto since = aWorker.mOverTargetSince.value_or(aNow);
+  aWorker.mOverTargetSince = since;
+  return aNow - since >= aCell.mPolicy.mMaxOverTarget;
+}
+
 auto NextCpuShare(int aCpuShare, double aTail) -> int
 {
   if (aTail > kThrottleAbove) {
-    const auto slower = static_cast<int>(aCpuShare * kThrottleFactor);
+    const auto factor =
+      std::clamp(1.0 / aTail, kMinThrottleFactor, kMaxThrottleFactor);
+    const auto slower = static_cast<int>(aCpuShare * factor);
     return slower < kMinCpuSharePercent ? 0 : slower;
   }
   if (aTail < kUnthrottleBelow) {
@@ -258,11 +281,15 @@
     aWorker.mThrottledSince = aNow;
   }
   if (aWorker.mBestEffortCpuMillis == 0) {
+    aWorker.mOverTargetSince.reset();
     return;
   }
   const auto tail = worst ? TailOf(*worst) : 0.0;
-  if (aNow - aWorker.mBestEffortCpuShareChangedAt >= kCpuShareChangeInterval) {
-    const auto cpuShare = NextCpuShare(aWorker.mBestEffortCpuShare, tail);
+  const auto mustPause = IsOverTargetTooLong(aCell, aWorker, tail, aNow);
+  if (mustPause ||
+      aNow - aWorker.mBestEffortCpuShareChangedAt >= kCpuShareChangeInterval) {
+    const auto cpuShare =
+      mustPause ? 0 : NextCpuShare(aWorker.mBestEffortCpuShare, tail);
     if (cpuShare != aWorker.mBestEffortCpuShare) {
       aWorker.mBestEffortCpuShare = cpuShare;
       aWorker.mBestEffortCpuShareChangedAt = aNow;
@@ -274,7 +301,7 @@
                  "share_of_target",
                  tail });
     }
-    if (worst && tail > kThrottleAbove) {
+    if (worst && (mustPause || tail > kThrottleAbove)) {
       aWorker.mOverTargetImage = worst->mImageIndex;
     }
   }
@@ -292,9 +319,12 @@
     if (!run.mIsBestEffort || run.mPhase != RunPhase::Running || !run.mTask) {
       continue;
     }
+    // The estimates may blame the wrong image, so a tail that stays over its
+    // target pauses all of them.
     const auto isThrottled =
-      aWorker.mBestEffortCpuShare < 100 &&
-      ContributesToTail(aCell, aWorker.mOverTargetImage, run.mImageIndex, uses);
+      mustPause || (aWorker.mBestEffortCpuShare < 100 &&
+                    ContributesToTail(
+                      aCell, aWorker.mOverTargetImage, run.mImageIndex, uses));
     const auto estimated = EstimatedCpuShare(aWorker, run.mImageIndex);
     run.mWantedCpuShare = isThrottled
                             ? std::min(estimated, aWorker.mBestEffortCpuShare)
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -282,8 +282,27 @@
 
 namespace {
 
-/** Length of the critical path through the steps, by estimated run times. */
-auto CriticalPathMs(const JobSpec& aSpec) -> double
+/** Number of tasks of each step that are not done, over all occurrences. */
+auto RemainingTasks(const Job& aJob) -> std::vector<std::uint32_t>
+{
+  const auto& spec = aJob.mStored.mSpec;
+  std::vector<std::uint32_t> out;
+  out.reserve(spec.mSteps.size());
+  for (std::size_t i = 0; i < spec.mSteps.size(); ++i) {
+    std::uint32_t done = 0;
+    for (const auto& [number, occurrence] : aJob.mOccurrences) {
+      done += occurrence->mSteps[i].mDone;
+    }
+    const auto total = spec.mSteps[i].mCount * OccurrenceCount(spec);
+    out.push_back(total - std::min(total, done));
+  }
+  return out;
+}
+
+/** Length of the critical path through the steps that have tasks left, by
+ * estimated run times. */
+auto CriticalPathMs(const JobSpec& aSpec,
+                    const std::vector<std::uint32_t>& aTasks) -> double
 {
   std::vector<double> ends(aSpec.mSteps.size(), 0.0);
   auto out = 0.0;
@@ -292,24 +311,35 @@
     for (const auto before : aSpec.mSteps[i].mAfter) {
       start = before < i ? std::max(start, ends[before]) : start;
     }
-    ends[i] = start + static_cast<double>(aSpec.mSteps[i].mEstimatedMs);
+    const auto estimated =
+      aTasks[i] > 0 ? static_cast<double>(aSpec.mSteps[i].mEstimatedMs) : 0.0;
+    ends[i] = start + estimated;
     out = std::max(out, ends[i]);
   }
   return out;
 }
 
-auto RemainingWork(const Job& aJob) -> double
+auto ObjectiveMs(const Job& aJob) -> double
+{
+  const auto& spec = aJob.mStored.mSpec;
+  const auto& queue = aJob.mStored.mQueue;
+  std::vector<std::uint32_t> all;
+  all.reserve(spec.mSteps.size());
+  for (const auto& it : spec.mSteps) {
+    all.push_back(it.mCount);
+  }
+  return queue.mStretch * CriticalPathMs(spec, all) +
+         static_cast<double>(queue.mExtraMs);
+}
+
+auto RemainingWork(const Job& aJob, const std::vector<std::uint32_t>& aTasks)
+  -> double
 {
   constexpr double kMillisMsPerCpuSecond = 1e6;
   const auto& steps = aJob.mStored.mSpec.mSteps;
   auto out = 0.0;
   for (std::size_t i = 0; i < steps.size(); ++i) {
-    std::uint32_t done = 0;
-    for (const auto& [number, occurrence] : aJob.mOccurrences) {
-      done += occurrence->mSteps[i].mDone;
-    }
-    const auto total = steps[i].mCount * OccurrenceCount(aJob.mStored.mSpec);
-    out += static_cast<double>(total - std::min(total, done)) *
+    out += static_cast<double>(aTasks[i]) *
            static_cast<double>(steps[i].mNeed.mCpuMillis) *
            static_cast<double>(steps[i].mEstimatedMs) / kMillisMsPerCpuSecond;
   }
@@ -321,15 +351,19 @@
 auto RankJob(const Job& aJob, MonotonicTime aNow) -> JobRank
 {
   constexpr double kWorthlessFactor = 3.0;
-  const auto& queue = aJob.mStored.mQueue;
-  const auto objective = queue.mStretch * CriticalPathMs(aJob.mStored.mSpec) +
-                         static_cast<double>(queue.mExtraMs);
+  // Run times are estimated roughly; a job is late only when it misses its
+  // objective even if the rest takes this share of the estimate.
+  constexpr double kOptimisticShare = 0.7;
+  const auto remaining = RemainingTasks(aJob);
+  const auto objective = ObjectiveMs(aJob);
   const auto age = static_cast<double>(
     std::chrono::duration_cast<Milliseconds>(aNow - aJob.mAddedAt).count());
+  const auto end =
+    age + kOptimisticShare * CriticalPathMs(aJob.mStored.mSpec, remaining);
   JobRank out;
-  out.mRemainingWork = RemainingWork(aJob);
-  out.mLateness = age < objective                      ? Lateness::InTime
-                  : age < kWorthlessFactor * objective ? Lateness::Late
+  out.mRemainingWork = RemainingWork(aJob, remaining);
+  out.mLateness = end < objective                      ? Lateness::InTime
+                  : end < kWorthlessFactor * objective ? Lateness::Late
                                                        : Lateness::Worthless;
   return out;
 }
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -24,7 +24,7 @@
 constexpr double kOtherImagePenalty = 6e4;
 /** Best-effort tasks wait when they would slow each other down by a larger
  * factor. */
-constexpr double kMaxSlowdown = 1.7;
+constexpr double kMaxSlowdown = 1.4;
 /** Cost of a rise by 1 of the logarithm of the serving tasks' tail latencies,
  * relative to a slowdown of 1. */
 constexpr double kPressureWeight = 1.0;
--- a/src/cell/tests/interference_tests.cpp
+++ b/src/cell/tests/interference_tests.cpp
@@ -236,6 +236,94 @@
   BOOST_TEST(orders[0].mPercent < 50);
 }
 
+/** A best-effort run beside a serving one, reported twice a second. */
+struct HarmFixture : CellFixture
+{
+  std::vector<Order> mServing;
+  std::vector<Order> mBestEffort;
+
+  HarmFixture()
+  {
+    AddWorker("w1");
+    Add(MakeJob("s", MakeServing(1, 4000, "serving")));
+    mServing = Start();
+    SetEstimate("fill", MakePairEstimate(0.2, 0.1));
+    Add(MakeJob("f", MakeBestEffort(1, 1000, "fill")));
+    mBestEffort = Start();
+  }
+
+  /** Reports a tail for aTime and returns the orders that it causes. */
+  auto ReportTail(double aTail, Milliseconds aTime) -> std::vector<Order>
+  {
+    constexpr auto kInterval = Milliseconds(500);
+    std::vector<Order> out;
+    for (auto it = Milliseconds(0); it < aTime; it += kInterval) {
+      Advance(kInterval);
+      ++mBestEffortPercent;
+      Report("w1",
+             { { mServing.at(0).mTask, mServing[0].mAttempt, "", 100, aTail },
+               { mBestEffort.at(0).mTask,
+                 mBestEffort[0].mAttempt,
+                 "",
+                 mBestEffortPercent,
+                 1000 } },
+             {});
+      const auto orders = Start();
+      out.insert(out.end(), orders.begin(), orders.end());
+    }
+    return out;
+  }
+
+  double mBestEffortPercent = 1;
+};
+
+/** Tails in ms; MakeServing sets a target of 18 ms. */
+constexpr double kTailJustOverTarget = 19;
+constexpr double kTailFarOverTarget = 60;
+constexpr double kTailBelowTarget = 9;
+
+auto HasKind(const std::vector<Order>& aOrders, OrderKind aKind) -> bool
+{
+  return std::any_of(aOrders.begin(), aOrders.end(), [&](const Order& aOrder) {
+    return aOrder.mKind == aKind;
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(tail_just_over_target_for_a_moment_throttles_nothing,
+                        HarmFixture)
+{
+  BOOST_TEST(ReportTail(kTailJustOverTarget, Milliseconds(1000)).empty());
+  BOOST_TEST(ReportTail(kTailBelowTarget, Milliseconds(1000)).empty());
+  BOOST_TEST(ReportTail(kTailJustOverTarget, Milliseconds(1000)).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(tail_just_over_target_that_persists_pauses_besteffort,
+                        HarmFixture)
+{
+  const auto orders = ReportTail(kTailJustOverTarget, Milliseconds(2500));
+  BOOST_REQUIRE(HasKind(orders, OrderKind::SetCpuShare));
+  BOOST_TEST(orders.back().mPercent == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(besteffort_throttled_for_a_moment_keeps_its_worker,
+                        HarmFixture)
+{
+  AddWorker("w2");
+  auto orders = ReportTail(kTailFarOverTarget, Milliseconds(1000));
+  const auto after = ReportTail(kTailBelowTarget, Milliseconds(500));
+  orders.insert(orders.end(), after.begin(), after.end());
+  BOOST_TEST(HasKind(orders, OrderKind::SetCpuShare));
+  BOOST_TEST(!HasKind(orders, OrderKind::Stop));
+}
+
+BOOST_FIXTURE_TEST_CASE(besteffort_throttled_for_long_moves_to_a_free_worker,
+                        HarmFixture)
+{
+  AddWorker("w2");
+  const auto orders = ReportTail(kTailFarOverTarget, Milliseconds(3500));
+  BOOST_TEST(HasKind(orders, OrderKind::Stop));
+}
+
 BOOST_AUTO_TEST_CASE(longrunningjobs_arriving_together_are_packed_by_image)
 {
   mCell.mPolicy.mPlacementDelay = Milliseconds(500);
@@ -303,3 +391,40 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(besteffort_order, CellFixture)
+
+BOOST_AUTO_TEST_CASE(job_that_surely_misses_its_objective_yields_to_one_in_time)
+{
+  // Both have the same work left. The older one is still younger than its
+  // objective, but its estimated run time no longer fits.
+  auto step = MakeBestEffort(1, 1000, "fill");
+  step.mEstimatedMs = 4000;
+  auto stored = MakeJob("old", step);
+  stored.mQueue.mStretch = 2.0;
+  auto& old = Add(stored);
+  Advance(Milliseconds(6000));
+  stored.mSpec.mId = "new";
+  auto& recent = Add(stored);
+  BOOST_TEST((RankJob(old, mNow).mLateness == Lateness::Late));
+  BOOST_TEST((RankJob(recent, mNow) < RankJob(old, mNow)));
+}
+
+BOOST_AUTO_TEST_CASE(job_with_its_longest_step_done_is_still_in_time)
+{
+  auto first = MakeBestEffort(1, 1000, "fill");
+  first.mEstimatedMs = 6000;
+  auto second = MakeBestEffort(1, 1000, "fill");
+  second.mEstimatedMs = 1000;
+  second.mAfter = { 0 };
+  auto stored = MakeJob("j", first);
+  stored.mSpec.mSteps.push_back(second);
+  stored.mQueue.mStretch = 1.5;
+  JobProgress progress;
+  progress.mTasks.push_back({ 0, 0, 0, true, {}, "", "" });
+  auto& job = Add(stored, progress);
+  Advance(Milliseconds(9000));
+  BOOST_TEST((RankJob(job, mNow).mLateness == Lateness::InTime));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -32,6 +32,9 @@
   std::int64_t mLeaseMs = 6000;
   /** How long before its due time a scheduled occurrence may start. */
   std::int64_t mEarlyMs = 250;
+  /** How long best-effort tasks may keep a serving task's tail over its target.
+   */
+  std::int64_t mHarmMs = 4000;
   /** Time between the stop signal to this entry and its kill. */
   std::int64_t mGracePeriodMs = 6000;
   /** Time after which no more tasks start on a draining worker. */
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -39,6 +39,9 @@
   mState.mPolicy.mPlacementDelay = kPlacementDelay;
   // Half of the limit leaves a margin for clock differences.
   mState.mPolicy.mEarlyMs = mContext.mSettings.mEarlyMs / 2;
+  mState.mPolicy.mMaxOverTarget =
+    std::max(Milliseconds(0),
+             Milliseconds(mContext.mSettings.mHarmMs / 2) - kTailReportDelay);
 }
 
 auto CellHolder::PartitionOf(std::string_view aId) const -> std::uint32_t
--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -25,6 +25,8 @@
 /** Workers with best-effort tasks are polled twice a second, as the load
  * figures of serving tasks cover the last half second. */
 inline constexpr std::int64_t kBestEffortPollWaitMs = 500;
+/** Tails are reported for the last half second. */
+inline constexpr auto kTailReportDelay = Milliseconds(500);
 /** A worker replies at once while it lists unacknowledged ends; the interval is
  * about half of the time until they are stored. */
 inline constexpr auto kUnstoredEndsPollInterval = Milliseconds(45);
