Hold cells by processor share, and limit heartbeats and worker watches

Cause (large deployment, 147 entries, 132 of them with 0.069 of a core): each entry sent its whole heartbeat to all others each 300 ms (490 datagrams a second in and out of each), each entry followed the table of all workers, whose rows change with every heartbeat of a worker, and cells went to the entry with the fewest, whatever its share of a core.

Change: cells go to the entry with the fewest per core (new setting entry.cpu_share; a new kind of setting for decimal numbers). An entry that holds cells sends heartbeats to all, the others to their own domain, and to holders elsewhere every eighth time. The workers' table is followed only by entries that hold or claim cells, or create their domain's layout. The minimum time between two heartbeats grows with the number of recipients. Shortly after its start a small entry waits for a larger one of its domain that it knows but has not heard from.

Ruled out: one reader of the workers' table per domain that passes changes on; it would save two of three readers, and is left for later.

--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -27,6 +27,7 @@
 }
 
 constexpr std::int64_t kDayMs = 86'400'000;
+constexpr std::int64_t kMaxCores = 1024;
 constexpr std::int64_t kMaxPerSecond = 1'000'000;
 
 constexpr auto kFields = std::array{
@@ -35,6 +36,15 @@
            "failure_domain",
            SettingKind::Text,
            "failure domain of this entry"),
+  SettingField{
+    "entry",
+    "cpu_share",
+    SettingKind::Decimal,
+    "1",
+    0,
+    kMaxCores,
+    "processor cores that this entry may use; entries with more hold more "
+    "cells" },
   Required("listen", "http", SettingKind::Address, "address for callers"),
   Required("listen",
            "readiness",
@@ -116,6 +126,7 @@
   dispatch::DispatchSettings out;
   out.mName = values->Text("entry", "name");
   out.mDomain = values->Text("entry", "failure_domain");
+  out.mCpuShare = values->Decimal("entry", "cpu_share");
   out.mHttp = address("listen", "http");
   out.mReadiness = address("listen", "readiness");
   out.mPeers = address("listen", "peers");
--- a/src/app/internal/pages.cpp
+++ b/src/app/internal/pages.cpp
@@ -15,6 +15,7 @@
 constexpr auto kSettingKindNames = std::array{
   base::EnumName<SettingKind>{ SettingKind::Text, "text" },
   base::EnumName<SettingKind>{ SettingKind::Integer, "number" },
+  base::EnumName<SettingKind>{ SettingKind::Decimal, "decimal" },
   base::EnumName<SettingKind>{ SettingKind::Milliseconds, "milliseconds" },
   base::EnumName<SettingKind>{ SettingKind::Address, "IP:PORT" },
   base::EnumName<SettingKind>{ SettingKind::AddressList, "IP:PORT,..." },
@@ -30,6 +31,7 @@
 auto RangeOf(const base::SettingField& aField) -> std::string
 {
   const auto isNumber = aField.mKind == SettingKind::Integer ||
+                        aField.mKind == SettingKind::Decimal ||
                         aField.mKind == SettingKind::Milliseconds;
   return isNumber ? base::Cat(aField.mMin, " to ", aField.mMax) : "";
 }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -15,6 +15,8 @@
   std::string mName;
   /** Failure domain of the entry. */
   std::string mDomain;
+  /** Processor cores that the entry may use. */
+  double mCpuShare = 1;
   /** Address for callers. */
   net::Address mHttp;
   /** Address that the load balancer probes. */
@@ -104,6 +106,7 @@
   std::uint64_t mIncarnation = 0;
   std::string mDomain;
   net::Address mPeers;
+  double mCpuShare = 1;
   bool mIsLeaving = false;
   bool mReachesStore = false;
   std::vector<CellStatus> mCells;
@@ -114,7 +117,8 @@
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mName, mIncarnation, mDomain, mPeers, mIsLeaving, mReachesStore);
+    archive(mName, mIncarnation, mDomain, mPeers, mCpuShare);
+    archive(mIsLeaving, mReachesStore);
     archive(mCells, mPending, mEstimates);
   }
 };
@@ -126,11 +130,13 @@
   std::uint64_t mIncarnation = 0;
   std::string mDomain;
   net::Address mPeers;
+  /** Processor cores that the entry may use. */
+  double mCpuShare = 1;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mName, mIncarnation, mDomain, mPeers);
+    archive(mName, mIncarnation, mDomain, mPeers, mCpuShare);
   }
 };
 
--- a/src/dispatch/internal/claiming.cpp
+++ b/src/dispatch/internal/claiming.cpp
@@ -32,12 +32,21 @@
   return aView.mSinceStart < kClaimDelay;
 }
 
+/** Number of cells per processor core that an entry would hold with one cell
+ * more. */
+auto LoadWithOneMore(const ClaimCandidate& aCandidate) -> double
+{
+  constexpr double kMinCpuShare = 0.001;
+  return static_cast<double>(aCandidate.mHeldCells + 1) /
+         std::max(kMinCpuShare, aCandidate.mCpuShare);
+}
+
 auto ChooseHolder(const ClaimView& aView, const CellRow& aCell, bool aInDomain)
   -> const ClaimCandidate*
 {
   const ClaimCandidate* best = nullptr;
   const auto rank = [&](const ClaimCandidate& aCandidate) {
-    return std::tuple(aCandidate.mHeldCells,
+    return std::tuple(LoadWithOneMore(aCandidate),
                       HashOf(aCell.mName + aCandidate.mName),
                       aCandidate.mName);
   };
@@ -68,6 +77,9 @@
 auto CellsToClaim(const ClaimView& aView) -> std::vector<std::string>
 {
   std::vector<std::string> out;
+  if (aView.mAwaitsLargerEntry && aView.mSinceStart < kClaimDelay) {
+    return out;
+  }
   auto view = aView;
   for (const auto& it : aView.mCells) {
     if (IsHeld(view, it)) {
@@ -91,6 +103,14 @@
   return out;
 }
 
+auto IsFirstClaimant(const ClaimView& aView) -> bool
+{
+  const auto* me = FindLive(aView, aView.mMyName);
+  CellRow any;
+  any.mDomain = me ? me->mDomain : std::string();
+  return me && ChooseHolder(aView, any, true) == me;
+}
+
 auto CellsToRelease(const ClaimView& aView) -> std::vector<std::string>
 {
   std::vector<std::string> out;
--- a/src/dispatch/internal/claiming.h
+++ b/src/dispatch/internal/claiming.h
@@ -17,6 +17,8 @@
   bool mIsLeaving = false;
   /** Number of cells that it holds. */
   std::size_t mHeldCells = 0;
+  /** Processor cores that it may use. */
+  double mCpuShare = 1;
 };
 
 /** Cluster state from which an entry decides which cells to claim. */
@@ -31,6 +33,9 @@
    * other domain. */
   Milliseconds mSinceStart{ 0 };
   std::map<std::string, Milliseconds> mSinceLastHeartbeat;
+  /** Its own domain has an entry with a larger processor share from which it
+   * has not received a heartbeat. */
+  bool mAwaitsLargerEntry = false;
 };
 
 /** All live entries have sent a heartbeat by this time after the start. */
@@ -42,6 +47,9 @@
 /** Returns the cells that this entry should claim now. */
 auto CellsToClaim(const ClaimView& aView) -> std::vector<std::string>;
 
+/** Whether this entry is the first choice for a cell of its own domain. */
+auto IsFirstClaimant(const ClaimView& aView) -> bool;
+
 /** Returns the cells held by this entry that an entry of their own domain
  * should hold. */
 auto CellsToRelease(const ClaimView& aView) -> std::vector<std::string>;
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -53,17 +53,20 @@
   , mLog(mSettings.mName)
   , mMessages(aPool.Size(), mSettings.mPeers.mIp)
   , mMessageServer(aPool)
-  , mPeers(aPool, mSettings.mName)
+  , mPeers(aPool, mSettings.mName, mSettings.mDomain)
   , mStore(mPlatform.mStore, mMessages, mPeers, mMetrics, mLog)
-  , mConfigurationWatch(mStore,
+  , mConfigurationWatch(aPool,
+                        mStore,
                         mPlatform.mFormats.ConfigurationTable(),
                         kFeedTimeout,
                         Milliseconds(0))
-  , mControlWatch(mStore,
+  , mControlWatch(aPool,
+                  mStore,
                   std::string(kControlTable),
                   kFeedTimeout,
                   Milliseconds(0))
-  , mWorkerWatch(mStore,
+  , mWorkerWatch(aPool,
+                 mStore,
                  mPlatform.mFormats.WorkerTable(),
                  kFeedTimeout,
                  kWorkerFeedInterval)
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -40,7 +40,8 @@
                         mIncarnation,
                         mSettings.mDomain,
                         mIsLeaving,
-                        mHolders.size() });
+                        mHolders.size(),
+                        mSettings.mCpuShare });
   for (const auto& [name, it] : mPeers.All()) {
     if (it.mLastHeartbeatAt != MonotonicTime{}) {
       const auto sinceHeartbeat =
@@ -54,7 +55,12 @@
                             it.mRow.mIncarnation,
                             it.mRow.mDomain,
                             it.mLastHeartbeat.mIsLeaving,
-                            it.mLastHeartbeat.mCells.size() });
+                            it.mLastHeartbeat.mCells.size(),
+                            it.mRow.mCpuShare });
+    } else if (it.mLastHeartbeatAt == MonotonicTime{} &&
+               it.mRow.mDomain == mSettings.mDomain &&
+               it.mRow.mCpuShare > mSettings.mCpuShare) {
+      out.mAwaitsLargerEntry = true;
     }
   }
   for (const auto& [name, it] : mCells) {
@@ -68,17 +74,25 @@
   while (true) {
     co_await net::Sleep(kManageInterval);
     const auto now = base::MonotonicClock::now();
-    if (!mControlWatch.IsLoaded() || !mWorkerWatch.IsLoaded()) {
+    if (!mControlWatch.IsLoaded()) {
       continue;
     }
     std::erase_if(mHolders, [](const auto& aItem) {
       return aItem.second->Phase() == HolderPhase::Ended;
     });
-    ManageLayouts(now);
     const auto view = MakeClaimView(now);
-    for (const auto& it : CellsToClaim(view)) {
-      if (!mIsLeaving && mCellsInTransition.insert(it).second) {
-        net::SpawnTask(mPool.Executor(0), ClaimCell(it));
+    const auto claims =
+      mIsLeaving ? std::vector<std::string>() : CellsToClaim(view);
+    const auto mustCreateLayout =
+      !mLayouts.contains(mSettings.mDomain) && IsFirstClaimant(view);
+    mWorkerWatch.SetActive(!mHolders.empty() || !claims.empty() ||
+                           mustCreateLayout);
+    if (mWorkerWatch.IsLoaded()) {
+      ManageLayouts(now);
+      for (const auto& it : claims) {
+        if (mCellsInTransition.insert(it).second) {
+          net::SpawnTask(mPool.Executor(0), ClaimCell(it));
+        }
       }
     }
     for (const auto& it : CellsToRelease(view)) {
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -270,6 +270,7 @@
   out.mIncarnation = mIncarnation;
   out.mDomain = mSettings.mDomain;
   out.mPeers = mSettings.mPeers;
+  out.mCpuShare = mSettings.mCpuShare;
   out.mIsLeaving = mIsLeaving;
   out.mReachesStore = mStore.IsDirectlyReachable();
   std::map<std::uint64_t, std::uint32_t> pending;
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -148,9 +148,11 @@
 
 auto DispatchEntry::WriteEntryRow() -> net::Task<void>
 {
-  const auto row = EntryRow{
-    mSettings.mName, mIncarnation, mSettings.mDomain, mSettings.mPeers
-  };
+  const auto row = EntryRow{ mSettings.mName,
+                             mIncarnation,
+                             mSettings.mDomain,
+                             mSettings.mPeers,
+                             mSettings.mCpuShare };
   while (true) {
     StoreTransaction transaction;
     transaction.mWrites.push_back(
--- a/src/dispatch/internal/peers.cpp
+++ b/src/dispatch/internal/peers.cpp
@@ -10,15 +10,29 @@
 
 namespace {
 
-/** Entries without heartbeats for this time get only every eighth one. */
+/** Entries without heartbeats for this time get only the infrequent ones. */
 constexpr auto kUnresponsivePeerTimeout = Milliseconds(10000);
-constexpr std::uint64_t kUnresponsivePeerInterval = 8;
+/** Every eighth heartbeat is an infrequent one. */
+constexpr std::uint64_t kInfrequentInterval = 8;
 
 } // namespace
 
-Peers::Peers(net::IoPool& aPool, std::string aName)
+auto MustSendHeartbeat(const HeartbeatTarget& aTarget,
+                       bool aHoldsCells,
+                       std::uint64_t aNumber) -> bool
+{
+  const auto isInfrequent = aNumber % kInfrequentInterval == 0;
+  if (aTarget.mSilence > kUnresponsivePeerTimeout) {
+    return isInfrequent;
+  }
+  return aTarget.mIsInOwnDomain || aHoldsCells ||
+         (isInfrequent && aTarget.mHoldsCells);
+}
+
+Peers::Peers(net::IoPool& aPool, std::string aName, std::string aDomain)
   : mSocket(aPool)
   , mName(std::move(aName))
+  , mDomain(std::move(aDomain))
   , mTimer(aPool.Executor(0))
 {
 }
@@ -44,7 +58,8 @@
   peer.mRow = { heartbeat->mName,
                 heartbeat->mIncarnation,
                 heartbeat->mDomain,
-                heartbeat->mPeers };
+                heartbeat->mPeers,
+                heartbeat->mCpuShare };
   peer.mLastHeartbeat = *std::move(heartbeat);
   peer.mLastHeartbeatAt = base::MonotonicClock::now();
   mOnHeartbeat(peer.mLastHeartbeat);
@@ -86,27 +101,51 @@
   mTimer.cancel();
 }
 
+auto Peers::Send(const Heartbeat& aHeartbeat, std::uint64_t aNumber)
+  -> std::size_t
+{
+  const auto bytes = net::Encode(aHeartbeat);
+  const auto holdsCells = !aHeartbeat.mCells.empty();
+  mSentAt = base::MonotonicClock::now();
+  if (!holdsCells) {
+    mHoldsCellsSince = {};
+  } else if (mHoldsCellsSince == MonotonicTime{}) {
+    mHoldsCellsSince = mSentAt;
+  }
+  std::size_t out = 0;
+  for (const auto& [name, it] : mPeers) {
+    // Other domains send heartbeats only to entries that hold cells.
+    const auto isInOwnDomain = it.mRow.mDomain == mDomain;
+    const auto heardAt =
+      std::max({ it.mLastHeartbeatAt,
+                 it.mRowReadAt,
+                 isInOwnDomain ? MonotonicTime{} : mHoldsCellsSince });
+    const auto target = HeartbeatTarget{
+      isInOwnDomain,
+      !it.mLastHeartbeat.mCells.empty(),
+      std::chrono::duration_cast<Milliseconds>(mSentAt - heardAt)
+    };
+    if (MustSendHeartbeat(target, holdsCells, aNumber)) {
+      mSocket.Send(it.mRow.mPeers, bytes);
+      ++out;
+    }
+  }
+  return out;
+}
+
 auto Peers::Run(MakeHeartbeat aMake) -> net::Task<void>
 {
   for (std::uint64_t n = 0;; ++n) {
-    const auto bytes = net::Encode(aMake());
-    const auto now = base::MonotonicClock::now();
-    mSentAt = now;
-    for (const auto& [name, it] : mPeers) {
-      const auto isUnresponsive =
-        now - std::max(it.mLastHeartbeatAt, it.mRowReadAt) >
-        kUnresponsivePeerTimeout;
-      if (!isUnresponsive || n % kUnresponsivePeerInterval == 0) {
-        mSocket.Send(it.mRow.mPeers, bytes);
-      }
-    }
-    mTimer.expires_at(now + kHeartbeatInterval);
+    const auto recipients = Send(aMake(), n);
+    const auto minInterval = std::max(kMinHeartbeatInterval,
+                                      kMinIntervalPerRecipient *
+                                        static_cast<std::int64_t>(recipients));
+    mTimer.expires_at(mSentAt + kHeartbeatInterval);
     boost::system::error_code ec;
     // A wait that SendSoon cancels ends with an error.
     co_await mTimer.async_wait(
       net::asio::redirect_error(net::asio::use_awaitable, ec));
-    if (const auto left =
-          mSentAt + kMinHeartbeatInterval - base::MonotonicClock::now();
+    if (const auto left = mSentAt + minInterval - base::MonotonicClock::now();
         left > MonotonicTime::duration::zero()) {
       co_await net::Sleep(std::chrono::ceil<Milliseconds>(left));
     }
--- a/src/dispatch/internal/peers.h
+++ b/src/dispatch/internal/peers.h
@@ -25,8 +25,25 @@
 /** An entry is considered dead after four missed heartbeats. */
 inline constexpr auto kPeerTimeout = Milliseconds(1200);
 inline constexpr auto kHeartbeatInterval = Milliseconds(300);
-/** Minimum time between two heartbeats; a burst of jobs causes only a few. */
+/** Minimum time between two heartbeats, and the part of it for each recipient;
+ * a burst of jobs causes only a few, in large deployments as well. */
 inline constexpr auto kMinHeartbeatInterval = Milliseconds(40);
+inline constexpr auto kMinIntervalPerRecipient = Milliseconds(1);
+
+/** An entry sends each heartbeat to its own domain, and an entry that holds
+ * cells to all entries, which route jobs by its content. Other domains learn
+ * from every eighth heartbeat that an entry without cells is there; only
+ * entries that hold cells need this, so that they keep sending to it. */
+struct HeartbeatTarget
+{
+  bool mIsInOwnDomain = false;
+  bool mHoldsCells = false;
+  /** Time since its last heartbeat, or since its row was read. */
+  Milliseconds mSilence{ 0 };
+};
+auto MustSendHeartbeat(const HeartbeatTarget& aTarget,
+                       bool aHoldsCells,
+                       std::uint64_t aNumber) -> bool;
 
 /** Discovers the other entries from the control table and monitors them by
  * heartbeats. */
@@ -36,7 +53,7 @@
   using MakeHeartbeat = std::function<Heartbeat()>;
   using OnHeartbeat = std::function<void(const Heartbeat&)>;
 
-  Peers(net::IoPool& aPool, std::string aName);
+  Peers(net::IoPool& aPool, std::string aName, std::string aDomain);
 
   /** Returns the address on which heartbeats are received. */
   auto Bind(const net::Address& aAddress, OnHeartbeat aOnHeartbeat)
@@ -54,13 +71,18 @@
 
 private:
   auto Receive(std::string_view aBytes) -> void;
+  /** Returns the number of recipients. */
+  auto Send(const Heartbeat& aHeartbeat, std::uint64_t aNumber) -> std::size_t;
 
   net::DatagramSocket mSocket;
   OnHeartbeat mOnHeartbeat;
   std::string mName;
+  std::string mDomain;
   std::map<std::string, Peer> mPeers;
   net::asio::steady_timer mTimer;
   MonotonicTime mSentAt{};
+  /** Since when this entry has held cells; the epoch if it holds none. */
+  MonotonicTime mHoldsCellsSince{};
 };
 
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/tablewatch.cpp
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -2,6 +2,9 @@
 
 #include <set>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "eelgrasspost/net/iopool.h"
 #include "storeaccess.h"
 
@@ -16,7 +19,8 @@
 
 } // namespace
 
-TableWatch::TableWatch(ISharedStore& aStore,
+TableWatch::TableWatch(net::IoPool& aPool,
+                       ISharedStore& aStore,
                        std::string aTable,
                        Milliseconds aWait,
                        Milliseconds aPause)
@@ -24,6 +28,7 @@
   , mTable(std::move(aTable))
   , mWait(aWait)
   , mPause(aPause)
+  , mResumed(aPool.Executor(0))
 {
 }
 
@@ -79,47 +84,70 @@
   }
   mAfter = version;
   mIsLoaded = true;
+  mIsCurrent = true;
   co_return true;
 }
 
+auto TableWatch::SetActive(bool aIsActive) -> void
+{
+  if (aIsActive == mIsActive) {
+    return;
+  }
+  mIsActive = aIsActive;
+  if (mIsActive) {
+    mIsLoaded = false;
+    mIsCurrent = false;
+    mResumed.cancel();
+  }
+}
+
 auto TableWatch::Run(OnRow aOnRow, OnRemoved aOnRemoved, OnAnswer aOnAnswer)
   -> net::Task<void>
 {
   mOnRow = std::move(aOnRow);
   mOnRemoved = std::move(aOnRemoved);
-  auto isCurrent = false;
+  mOnAnswer = std::move(aOnAnswer);
   while (true) {
-    if (!isCurrent) {
-      isCurrent = co_await ReadTable();
-      if (!isCurrent) {
-        co_await net::Sleep(kRetryInterval);
-        continue;
-      }
-      aOnAnswer();
-    }
-    FeedQuery query;
-    query.mTable = mTable;
-    query.mAfter = mAfter;
-    query.mWaitMs = mWait.count();
-    const auto sentAt = base::MonotonicClock::now();
-    const auto reply =
-      co_await mStore.ReadFeed(query, sentAt + mWait + kStoreTimeout);
-    if (reply.mOutcome == StoreOutcome::Done) {
-      mConfirmedAt = sentAt;
-      for (const auto& it : reply.mRows) {
-        Apply(it);
-      }
-      mAfter = std::max(mAfter, reply.mVersion);
-      aOnAnswer();
-      if (mPause.count() > 0) {
-        co_await net::Sleep(mPause);
-      }
-    } else if (reply.mOutcome == StoreOutcome::HistoryTruncated) {
-      isCurrent = false;
+    if (!mIsActive) {
+      mResumed.expires_at(MonotonicTime::max());
+      boost::system::error_code ec;
+      // SetActive cancels the wait, which then ends with an error.
+      co_await mResumed.async_wait(
+        net::asio::redirect_error(net::asio::use_awaitable, ec));
+    } else if (mIsCurrent) {
+      co_await FollowFeed();
+    } else if (co_await ReadTable()) {
+      mOnAnswer();
     } else {
       co_await net::Sleep(kRetryInterval);
     }
   }
 }
 
+auto TableWatch::FollowFeed() -> net::Task<void>
+{
+  FeedQuery query;
+  query.mTable = mTable;
+  query.mAfter = mAfter;
+  query.mWaitMs = mWait.count();
+  const auto sentAt = base::MonotonicClock::now();
+  const auto reply =
+    co_await mStore.ReadFeed(query, sentAt + mWait + kStoreTimeout);
+  if (reply.mOutcome == StoreOutcome::Done) {
+    mConfirmedAt = sentAt;
+    for (const auto& it : reply.mRows) {
+      Apply(it);
+    }
+    mAfter = std::max(mAfter, reply.mVersion);
+    mOnAnswer();
+    if (mPause.count() > 0) {
+      co_await net::Sleep(mPause);
+    }
+  } else if (reply.mOutcome == StoreOutcome::HistoryTruncated) {
+    mIsCurrent = false;
+  } else {
+    co_await net::Sleep(kRetryInterval);
+  }
+}
+
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/tablewatch.h
+++ b/src/dispatch/internal/tablewatch.h
@@ -4,7 +4,10 @@
 #include <map>
 #include <string>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "eelgrasspost/dispatch/iplatform.h"
+#include "eelgrasspost/net/iopool.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -24,20 +27,25 @@
   using OnAnswer = std::function<void()>;
 
   /** aPause: delay before each call, so that it returns several changes. */
-  TableWatch(ISharedStore& aStore,
+  TableWatch(net::IoPool& aPool,
+             ISharedStore& aStore,
              std::string aTable,
              Milliseconds aWait,
              Milliseconds aPause);
 
   auto Run(OnRow aOnRow, OnRemoved aOnRemoved, OnAnswer aOnAnswer)
     -> net::Task<void>;
-  /** Whether the table has been read at least once. */
-  auto IsLoaded() const -> bool { return mIsLoaded; }
+  /** Suspends or resumes the watch; it is active at first. After a suspension
+   * the table is read again before it counts as loaded. */
+  auto SetActive(bool aIsActive) -> void;
+  /** Whether the table has been read since the watch was last resumed. */
+  auto IsLoaded() const -> bool { return mIsActive && mIsLoaded; }
   /** Time at which the last successful call was sent. */
   auto ConfirmedAt() const -> MonotonicTime { return mConfirmedAt; }
 
 private:
   auto ReadTable() -> net::Task<bool>;
+  auto FollowFeed() -> net::Task<void>;
   auto Apply(const StoreRow& aRow) -> void;
 
   ISharedStore& mStore;
@@ -46,9 +54,14 @@
   Milliseconds mPause;
   OnRow mOnRow;
   OnRemoved mOnRemoved;
+  OnAnswer mOnAnswer;
+  net::asio::steady_timer mResumed;
+  bool mIsActive = true;
   std::map<std::string, std::uint64_t> mVersions;
   std::uint64_t mAfter = 0;
   bool mIsLoaded = false;
+  /** The feed continues from the rows that are known. */
+  bool mIsCurrent = false;
   MonotonicTime mConfirmedAt{};
 };
 
--- a/src/dispatch/tests/claiming_tests.cpp
+++ b/src/dispatch/tests/claiming_tests.cpp
@@ -108,4 +108,32 @@
   BOOST_TEST(CellCountFor(25) == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(cells_released_go_to_entries_by_their_processor_share)
+{
+  // A domain of one entry with half a core and one with a fourteenth.
+  mView.mLive = { { "a1", 10, "a", false, 0, 0.07 },
+                  { "a2", 10, "a", false, 0, 0.5 } };
+  mView.mCells.clear();
+  for (auto i = 0; i < 8; ++i) {
+    mView.mCells.push_back({ "a/" + std::to_string(i), "a", "", 0, 1 });
+  }
+  BOOST_TEST(CellsToClaim(mView).size() == 1U);
+  mView.mMyName = "a2";
+  BOOST_TEST(CellsToClaim(mView).size() == 7U);
+  BOOST_TEST(IsFirstClaimant(mView));
+  mView.mMyName = "a1";
+  BOOST_TEST(!IsFirstClaimant(mView));
+}
+
+BOOST_AUTO_TEST_CASE(small_entry_soon_after_its_start_waits_for_a_larger_one)
+{
+  mView.mCells[0].mHolder.clear();
+  RemoveLive("a2");
+  mView.mAwaitsLargerEntry = true;
+  mView.mSinceStart = Milliseconds(500);
+  BOOST_TEST(CellsToClaim(mView).empty());
+  mView.mSinceStart = Milliseconds(1500);
+  BOOST_TEST(CellsToClaim(mView) == std::vector<std::string>{ "a/0" });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/storeaccess_tests.cpp
+++ b/src/dispatch/tests/storeaccess_tests.cpp
@@ -52,7 +52,7 @@
   base::EventLog mLog{ "cut-off" };
   net::MessageServer mServer{ mPool };
   net::MessageClient mMessages{ 1, "127.0.0.1" };
-  Peers mPeers{ mPool, "cut-off" };
+  Peers mPeers{ mPool, "cut-off", "a" };
   net::DatagramSocket mPeerSocket{ mPool };
   StoreAccess mAccess{ mUnreachableStore, mMessages, mPeers, mMetrics, mLog };
 
--- a/src/framework/base/include/eelgrasspost/base/settings.h
+++ b/src/framework/base/include/eelgrasspost/base/settings.h
@@ -15,6 +15,7 @@
 {
   Text,
   Integer,
+  Decimal,
   Milliseconds,
   Address,
   AddressList,
@@ -46,6 +47,8 @@
     -> std::string;
   auto Integer(std::string_view aSection, std::string_view aKey) const
     -> std::int64_t;
+  auto Decimal(std::string_view aSection, std::string_view aKey) const
+    -> double;
   /** Splits a comma-separated list; an empty text is an empty list. */
   auto List(std::string_view aSection, std::string_view aKey) const
     -> std::vector<std::string>;
--- a/src/framework/base/internal/settings.cpp
+++ b/src/framework/base/internal/settings.cpp
@@ -50,6 +50,21 @@
   return std::nullopt;
 }
 
+auto CheckDecimal(const SettingField& aField, std::string_view aText)
+  -> std::optional<std::string>
+{
+  const auto n = ParseNumber<double>(aText);
+  if (!n || *n < static_cast<double>(aField.mMin) ||
+      *n > static_cast<double>(aField.mMax)) {
+    return Cat("write a decimal number from ",
+               aField.mMin,
+               " to ",
+               aField.mMax,
+               ", such as 0.5");
+  }
+  return std::nullopt;
+}
+
 auto CheckAddressList(std::string_view aText) -> std::optional<std::string>
 {
   for (const auto& it : Split(aText, ',')) {
@@ -70,6 +85,8 @@
     case SettingKind::Integer:
     case SettingKind::Milliseconds:
       return CheckNumber(aField, aText);
+    case SettingKind::Decimal:
+      return CheckDecimal(aField, aText);
     case SettingKind::Address:
       return CheckAddress(aText);
     case SettingKind::AddressList:
@@ -123,6 +140,12 @@
   return ParseNumber(Text(aSection, aKey)).value_or(0);
 }
 
+auto SettingValues::Decimal(std::string_view aSection,
+                            std::string_view aKey) const -> double
+{
+  return ParseNumber<double>(Text(aSection, aKey)).value_or(0);
+}
+
 auto SettingValues::List(std::string_view aSection, std::string_view aKey) const
   -> std::vector<std::string>
 {
--- a/src/framework/base/tests/settings_tests.cpp
+++ b/src/framework/base/tests/settings_tests.cpp
@@ -23,6 +23,7 @@
                 100,
                 60000,
                 "" },
+  SettingField{ "entry", "share", SettingKind::Decimal, "0.5", 0, 8, "" },
   SettingField{ "peers", "seeds", SettingKind::AddressList, "", 0, 0, "" },
 };
 
@@ -45,6 +46,7 @@
   BOOST_TEST_REQUIRE(values.ok());
   BOOST_TEST(values->Text("entry", "id") == "a");
   BOOST_TEST(values->Integer("lease", "ttl_ms") == 1000);
+  BOOST_TEST(values->Decimal("entry", "share") == 0.5);
   BOOST_TEST(values->List("peers", "seeds").size() == 2U);
 }
 
@@ -56,6 +58,8 @@
     InvalidCase{ "[entry]\nid=a\nhttp=here\n", "http = here: write IP:PORT" },
     InvalidCase{ "[entry]\nid=a\n[lease]\nttl_ms=5\n", "from 100 to 60000" },
     InvalidCase{ "[entry]\nid=a\nid=b\n", "line 3" },
+    InvalidCase{ "[entry]\nid=a\nshare=9.5\n", "decimal number from 0 to 8" },
+    InvalidCase{ "[entry]\nid=a\nshare=half\n", "write a decimal number" },
     InvalidCase{ "[entry]\nid=a\n[peers]\nseeds=x\n", "write IP:PORT" },
   };
   for (const auto& it : cases) {
