Add up what all cells learn about pairs of images

Each cell learned all pairs by itself: of another cell's estimate it adopted only a more certain one, so that ten cells with few reports each knew as little as one. Of an entry's cells, only the first sent its estimates.

Change: a cell records what each report adds to an estimate, as precision and weighted pressure, and sends that once with the pair's estimate; other cells add it to theirs. The variance stays above what the observed uses can show. All cells of an entry take part, among each other as well. A new holder still adopts an estimate that is more certain than its own.

Tests: pair_seen_by_many_cells_is_learned_by_each_of_them (variance of ten cells with three reports each), pair_information_is_sent_once, pair_information_received_is_not_sent_on.

--- a/src/cell/include/eelgrasspost/cell/interference.h
+++ b/src/cell/include/eelgrasspost/cell/interference.h
@@ -6,6 +6,17 @@
 
 namespace eelgrasspost::cell {
 
+/** Information about a pair, in the form in which independent sources can be
+ * added up. */
+struct PairInformation
+{
+  /** Inverse of the variance, and the pressure times that. */
+  double mPrecision = 0;
+  double mWeightedPressure = 0;
+  /** Smallest variance that the observations can justify. */
+  double mMinVariance = 0;
+};
+
 /** Estimate of how much one best-effort image raises the tail latency of one
  * serving image. */
 struct PairEstimate
@@ -16,6 +27,8 @@
   double mVariance = 0;
   /** The pressure plus one standard deviation, by which tasks are placed. */
   double mUpperBound = 0;
+  /** Learned from reports here, and not yet sent to other cells. */
+  PairInformation mUnsent{};
 };
 
 /** Rise of the logarithm of all tail latencies of one worker that its
@@ -76,6 +89,17 @@
                        std::size_t aServing,
                        PairEstimate aPair) -> void;
 
+/** Returns what was learned about a pair since the last call. */
+auto TakeUnsent(Interference& aInterference,
+                std::size_t aBestEffort,
+                std::size_t aServing) -> PairInformation;
+
+/** Adds what another cell has learned about a pair from its own reports. */
+auto AddInformation(Interference& aInterference,
+                    std::size_t aBestEffort,
+                    std::size_t aServing,
+                    const PairInformation& aInformation) -> void;
+
 /** Moves the estimates towards their priors as time passes. Interference
  * changes, and a pair that is estimated as harmful would never be tried
  * again. */
--- a/src/cell/internal/interference.cpp
+++ b/src/cell/internal/interference.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace eelgrasspost::cell {
 
@@ -34,6 +35,33 @@
 constexpr double kMaxTail = 6.0;
 constexpr double kMinTail = 0.05;
 
+/** Replaces an estimate and keeps its unsent information. */
+auto SetEstimate(PairEstimate& aPair, double aPressure, double aVariance)
+  -> void
+{
+  const auto unsent = aPair.mUnsent;
+  aPair = MakePairEstimate(aPressure, aVariance);
+  aPair.mUnsent = unsent;
+}
+
+/** Adds the difference between two estimates to what is unsent. */
+auto RecordLearned(PairEstimate& aPair,
+                   const PairEstimate& aBefore,
+                   double aMinVariance) -> void
+{
+  auto& unsent = aPair.mUnsent;
+  const auto gained = 1.0 / aPair.mVariance - 1.0 / aBefore.mVariance;
+  if (gained <= 0) {
+    return;
+  }
+  unsent.mMinVariance = unsent.mPrecision > 0
+                          ? std::min(unsent.mMinVariance, aMinVariance)
+                          : aMinVariance;
+  unsent.mPrecision += gained;
+  unsent.mWeightedPressure +=
+    aPair.mPressure / aPair.mVariance - aBefore.mPressure / aBefore.mVariance;
+}
+
 /** Share of the distance to its prior that an estimate moves in aSeconds. */
 auto DecayShare(double aSeconds, double aTimeConstantS) -> double
 {
@@ -98,10 +126,36 @@
 {
   auto& pair = aInterference.mPairs[aBestEffort][aServing];
   if (aPair.mVariance < pair.mVariance) {
-    pair = MakePairEstimate(aPair.mPressure, aPair.mVariance);
+    SetEstimate(pair, aPair.mPressure, aPair.mVariance);
   }
 }
 
+auto TakeUnsent(Interference& aInterference,
+                std::size_t aBestEffort,
+                std::size_t aServing) -> PairInformation
+{
+  return std::exchange(aInterference.mPairs[aBestEffort][aServing].mUnsent, {});
+}
+
+auto AddInformation(Interference& aInterference,
+                    std::size_t aBestEffort,
+                    std::size_t aServing,
+                    const PairInformation& aInformation) -> void
+{
+  if (aInformation.mPrecision <= 0) {
+    return;
+  }
+  auto& pair = aInterference.mPairs[aBestEffort][aServing];
+  const auto precision = 1.0 / pair.mVariance + aInformation.mPrecision;
+  const auto pressure =
+    (pair.mPressure / pair.mVariance + aInformation.mWeightedPressure) /
+    precision;
+  const auto minVariance = std::min(pair.mVariance, aInformation.mMinVariance);
+  SetEstimate(pair,
+              std::clamp(pressure, kMinPressure, kMaxPressure),
+              std::max(minVariance, 1.0 / precision));
+}
+
 auto Decay(Interference& aInterference, double aSeconds) -> void
 {
   // In benchmark runs with 40 s of traffic most pairs keep their pressure; some
@@ -112,9 +166,10 @@
   const auto varianceShare = DecayShare(aSeconds, kVarianceTimeConstantS);
   for (auto& row : aInterference.mPairs) {
     for (auto& it : row) {
-      it = MakePairEstimate(
-        it.mPressure + share * (kPriorPressure - it.mPressure),
-        it.mVariance + varianceShare * (kPriorVariance - it.mVariance));
+      SetEstimate(it,
+                  it.mPressure + share * (kPriorPressure - it.mPressure),
+                  it.mVariance +
+                    varianceShare * (kPriorVariance - it.mVariance));
     }
   }
 }
@@ -164,8 +219,11 @@
       kUndetectableLogRise / std::max(it.mUse, kMinTail);
     const auto minVariance =
       std::min(pair.mVariance, undetectable * undetectable);
-    pair = MakePairEstimate(
-      pressure, std::max(minVariance, pair.mVariance - gain * gain / variance));
+    const auto before = pair;
+    SetEstimate(pair,
+                pressure,
+                std::max(minVariance, pair.mVariance - gain * gain / variance));
+    RecordLearned(pair, before, undetectable * undetectable);
   }
 }
 
--- a/src/cell/tests/interference_tests.cpp
+++ b/src/cell/tests/interference_tests.cpp
@@ -96,6 +96,46 @@
   BOOST_TEST(Pressure(mHeavy) == 12.0);
 }
 
+BOOST_AUTO_TEST_CASE(pair_seen_by_many_cells_is_learned_by_each_of_them)
+{
+  // Each of ten cells gets few reports of a harmful pair.
+  constexpr auto kCells = 10;
+  constexpr auto kReports = 3;
+  std::vector<Interference> cells(kCells, mTable);
+  for (auto& it : cells) {
+    auto offset = mOffset;
+    for (auto i = 0; i < kReports; ++i) {
+      LearnTail(it, offset, mServing, 0.9, { { mHeavy, 0.1 } });
+    }
+  }
+  const auto alone = cells[0].mPairs[mHeavy][mServing];
+  std::vector<PairInformation> sent;
+  for (auto& it : cells) {
+    sent.push_back(TakeUnsent(it, mHeavy, mServing));
+  }
+  for (auto i = 1; i < kCells; ++i) {
+    AddInformation(cells[0], mHeavy, mServing, sent[i]);
+  }
+  const auto together = cells[0].mPairs[mHeavy][mServing];
+  BOOST_TEST(together.mVariance < 0.5 * alone.mVariance);
+  // ln(0.9 / 0.45) at a use of 0.1 is a pressure of 6.9.
+  BOOST_TEST(together.mPressure > alone.mPressure);
+  BOOST_TEST(together.mPressure < 8.0);
+}
+
+BOOST_AUTO_TEST_CASE(pair_information_is_sent_once)
+{
+  Learn(2.0, { { mHeavy, 0.1 } });
+  BOOST_TEST(TakeUnsent(mTable, mHeavy, mServing).mPrecision > 0);
+  BOOST_TEST(TakeUnsent(mTable, mHeavy, mServing).mPrecision == 0);
+}
+
+BOOST_AUTO_TEST_CASE(pair_information_received_is_not_sent_on)
+{
+  AddInformation(mTable, mHeavy, mServing, { 2.0, 10.0, 0.1 });
+  BOOST_TEST(TakeUnsent(mTable, mHeavy, mServing).mPrecision == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(besteffort_beside_serving, CellFixture)
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -84,18 +84,23 @@
   }
 };
 
-/** Estimated interference of one best-effort image with one serving image. */
+/** Estimated interference of one best-effort image with one serving image, and
+ * what its sender has learned about it since it last sent the pair. */
 struct InterferenceEstimate
 {
   std::string mBestEffortImage;
   std::string mServingImage;
   float mPressure = 0;
   float mVariance = 0;
+  float mLearnedPrecision = 0;
+  float mLearnedWeightedPressure = 0;
+  float mLearnedMinVariance = 0;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mBestEffortImage, mServingImage, mPressure, mVariance);
+    archive(mLearnedPrecision, mLearnedWeightedPressure, mLearnedMinVariance);
   }
 };
 
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -92,8 +92,9 @@
   auto Execute(JobCommand aCommand) -> net::Task<JobReply>;
 
   auto GetStatus() const -> CellStatus;
-  /** Appends some estimates; successive calls cycle through all of them. */
-  auto ExportEstimates(std::vector<InterferenceEstimate>& aEstimates) -> void;
+  /** Returns some estimates for other cells; successive calls cycle through all
+   * of them. */
+  auto ExportEstimates(std::size_t aMax) -> std::vector<InterferenceEstimate>;
   auto ImportEstimates(const std::vector<InterferenceEstimate>& aEstimates)
     -> void;
   auto Name() const -> const std::string& { return mRow.mName; }
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -11,6 +11,8 @@
 /** A heartbeat that arrives this long after a job was sent includes the job,
  * which is stored and reported by then. */
 constexpr auto kUnreportedWorkTimeout = Milliseconds(100);
+/** Keeps heartbeats well below the packet size. */
+constexpr std::size_t kMaxEstimates = 16;
 
 } // namespace
 
@@ -279,7 +281,15 @@
       continue;
     }
     out.mCells.push_back(it->GetStatus());
-    it->ExportEstimates(out.mEstimates);
+    const auto estimates = it->ExportEstimates(
+      std::max<std::size_t>(1, kMaxEstimates / mHolders.size()));
+    for (const auto& [other, holder] : mHolders) {
+      if (holder != it) {
+        holder->ImportEstimates(estimates);
+      }
+    }
+    out.mEstimates.insert(
+      out.mEstimates.end(), estimates.begin(), estimates.end());
     for (const auto& [id, job] : it->State().mJobs) {
       if (!job->mHasStarted && !cell::IsFinal(job->mState)) {
         ++pending[HashOf(job->mStored.mQueue.mName)];
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -321,25 +321,27 @@
   }
 }
 
-auto CellHolder::ExportEstimates(std::vector<InterferenceEstimate>& aEstimates)
-  -> void
+auto CellHolder::ExportEstimates(std::size_t aMax)
+  -> std::vector<InterferenceEstimate>
 {
-  // Keeps heartbeats well below the packet size.
-  constexpr std::size_t kEstimatesPerHeartbeat = 16;
-  const auto& table = mState.mInterference;
+  std::vector<InterferenceEstimate> out;
+  auto& table = mState.mInterference;
   const auto n = table.mImages.size();
-  for (std::size_t i = 0;
-       i < n * n && aEstimates.size() < kEstimatesPerHeartbeat;
-       ++i) {
+  for (std::size_t i = 0; i < n * n && out.size() < aMax; ++i) {
     const auto at = mNextExportedEstimate++ % (n * n);
     const auto& pair = table.mPairs[at / n][at % n];
     if (cell::IsLearned(pair)) {
-      aEstimates.push_back({ table.mImages[at / n],
-                             table.mImages[at % n],
-                             static_cast<float>(pair.mPressure),
-                             static_cast<float>(pair.mVariance) });
+      const auto learned = cell::TakeUnsent(table, at / n, at % n);
+      out.push_back({ table.mImages[at / n],
+                      table.mImages[at % n],
+                      static_cast<float>(pair.mPressure),
+                      static_cast<float>(pair.mVariance),
+                      static_cast<float>(learned.mPrecision),
+                      static_cast<float>(learned.mWeightedPressure),
+                      static_cast<float>(learned.mMinVariance) });
     }
   }
+  return out;
 }
 
 auto CellHolder::ImportEstimates(
@@ -349,6 +351,12 @@
   for (const auto& it : aEstimates) {
     const auto bestEffort = cell::ImageIndex(table, it.mBestEffortImage);
     const auto serving = cell::ImageIndex(table, it.mServingImage);
+    cell::AddInformation(table,
+                         bestEffort,
+                         serving,
+                         { it.mLearnedPrecision,
+                           it.mLearnedWeightedPressure,
+                           it.mLearnedMinVariance });
     cell::AdoptPairEstimate(table,
                             bestEffort,
                             serving,
