Judge a holder's claim by a clock that counts suspensions

Cause: a holder may act while its claim was confirmed within the last 10 s. That age came from the steady clock, which stops while the VM is suspended, so a process that woke after half a minute still took its claim for fresh, accepted jobs and placed tasks until its next store call. Workers' fencing tokens and the fence rows would have refused the orders and writes; the callers' time was lost.

Change: base::BootClock (CLOCK_BOOTTIME), with a type of its own, for the time of a confirmation.

Ruled out: replacing MonotonicClock everywhere; Asio's timers use the steady clock, and lease ends are computed on the workers' clocks.

Test: holder_suspended_longer_than_its_claim_lasts_waits_for_a_confirmation; with the steady clock in its place two of its checks fail."

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "eelgrasspost/base/bootclock.h"
 #include "eelgrasspost/base/eventlog.h"
 #include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/cell/cellstate.h"
@@ -42,6 +43,8 @@
     mFindHostCell;
   /** Cells that may transfer a worker to this one, in order of preference. */
   std::function<std::vector<std::string>()> mFindTransferSources;
+  /** Clock by which the claim of the cell expires. */
+  std::function<base::BootTime()> mBootNow = base::BootClock::now;
 };
 
 enum class HolderPhase : std::uint8_t
@@ -87,7 +90,7 @@
   auto RaiseMinToken(const std::string& aWorker, std::uint64_t aToken) -> void;
   auto UnlistWorker(const std::string& aId) -> void;
   /** Confirms that no other entry had claimed the cell at the given time. */
-  auto ConfirmClaim(MonotonicTime aAt) -> void;
+  auto ConfirmClaim(base::BootTime aAt) -> void;
 
   auto Execute(JobCommand aCommand) -> net::Task<JobReply>;
 
@@ -207,7 +210,7 @@
   bool mIsFlushing = false;
   /** Smoothed duration of a commit; the flush delay grows with it. */
   Milliseconds mCommitTime{ 10 };
-  MonotonicTime mConfirmedAt{};
+  base::BootTime mConfirmedAt{};
   std::unique_ptr<net::asio::steady_timer> mFlushTimer;
 };
 
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -29,7 +29,7 @@
   : mContext(std::move(aContext))
   , mRow(std::move(aRow))
   , mRowVersion(aRowVersion)
-  , mConfirmedAt(base::MonotonicClock::now())
+  , mConfirmedAt(mContext.mBootNow())
   , mFlushTimer(std::make_unique<net::asio::steady_timer>(mContext.mExecutor,
                                                           MonotonicTime::max()))
 {
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -10,11 +10,11 @@
 
 auto CellHolder::CanSendOrders() const -> bool
 {
-  const auto age = base::MonotonicClock::now() - mConfirmedAt;
+  const auto age = mContext.mBootNow() - mConfirmedAt;
   return mPhase == HolderPhase::Active && age < kConfirmationTimeout;
 }
 
-auto CellHolder::ConfirmClaim(MonotonicTime aAt) -> void
+auto CellHolder::ConfirmClaim(base::BootTime aAt) -> void
 {
   mConfirmedAt = std::max(mConfirmedAt, aAt);
 }
--- a/src/dispatch/internal/tablewatch.cpp
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -55,8 +55,9 @@
   query.mLimit = kPageRows;
   std::uint64_t version = 0;
   for (auto hasMore = true; hasMore;) {
-    const auto sentAt = base::MonotonicClock::now();
-    const auto reply = co_await mStore.ReadRange(query, sentAt + kStoreTimeout);
+    const auto sentAt = base::BootClock::now();
+    const auto reply = co_await mStore.ReadRange(
+      query, base::MonotonicClock::now() + kStoreTimeout);
     if (reply.mOutcome != StoreOutcome::Done) {
       co_return false;
     }
@@ -130,9 +131,9 @@
   query.mTable = mTable;
   query.mAfter = mAfter;
   query.mWaitMs = mWait.count();
-  const auto sentAt = base::MonotonicClock::now();
-  const auto reply =
-    co_await mStore.ReadFeed(query, sentAt + mWait + kStoreTimeout);
+  const auto sentAt = base::BootClock::now();
+  const auto reply = co_await mStore.ReadFeed(
+    query, base::MonotonicClock::now() + mWait + kStoreTimeout);
   if (reply.mOutcome == StoreOutcome::Done) {
     mConfirmedAt = sentAt;
     for (const auto& it : reply.mRows) {
--- a/src/dispatch/internal/tablewatch.h
+++ b/src/dispatch/internal/tablewatch.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "eelgrasspost/base/bootclock.h"
 #include "eelgrasspost/dispatch/iplatform.h"
 #include "eelgrasspost/net/iopool.h"
 
@@ -41,7 +42,7 @@
   /** Whether the table has been read since the watch was last resumed. */
   auto IsLoaded() const -> bool { return mIsActive && mIsLoaded; }
   /** Time at which the last successful call was sent. */
-  auto ConfirmedAt() const -> MonotonicTime { return mConfirmedAt; }
+  auto ConfirmedAt() const -> base::BootTime { return mConfirmedAt; }
 
 private:
   auto ReadTable() -> net::Task<bool>;
@@ -62,7 +63,7 @@
   bool mIsLoaded = false;
   /** The feed continues from the rows that are known. */
   bool mIsCurrent = false;
-  MonotonicTime mConfirmedAt{};
+  base::BootTime mConfirmedAt{};
 };
 
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/tests/holder_tests.cpp
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -106,6 +106,8 @@
   std::map<std::string, std::shared_ptr<CellHolder>> mCells;
   /** The cell with capacity for long-running tasks. */
   std::optional<std::string> mHostCell;
+  /** Time for which the VM of the holders was suspended. */
+  Milliseconds mSuspended{ 0 };
 
   auto MakeHolder(std::uint64_t aTerm,
                   const std::string& aCell = "a/0",
@@ -131,7 +133,8 @@
         co_return co_await it->second->Execute(std::move(aCommand));
       },
       [this](const cell::Resources&) { return mHostCell; },
-      [] { return std::vector<std::string>(); }
+      [] { return std::vector<std::string>(); },
+      [this] { return base::BootClock::now() + mSuspended; }
     };
     CellRow row;
     row.mName = aCell;
@@ -404,6 +407,32 @@
     (submit("000000000000000a", FakeFault::Refuse) == JobOutcome::CellNotHeld));
 }
 
+BOOST_AUTO_TEST_CASE(
+  holder_suspended_longer_than_its_claim_lasts_waits_for_a_confirmation)
+{
+  const auto holder = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] { return holder->Phase() == HolderPhase::Active; }));
+  BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 1; }));
+  mSuspended = Milliseconds(30000);
+  const auto refused =
+    Wait(holder->Execute(MakeSubmission("0000000000000001")));
+  BOOST_TEST((refused.mOutcome == JobOutcome::CellNotHeld));
+  BOOST_TEST(mWorkers.mStarts.empty());
+  BOOST_TEST(!holder->GetStatus().mIsActive);
+
+  Until([&] {
+    holder->ConfirmClaim(base::BootClock::now() + mSuspended);
+    return true;
+  });
+  const auto reply = Wait(holder->Execute(MakeSubmission("0000000000000001")));
+  BOOST_TEST((reply.mOutcome == JobOutcome::Done));
+  BOOST_TEST(Until([&] { return mWorkers.mStarts.size() == 1; }));
+  Until([&] {
+    holder->End();
+    return true;
+  });
+}
+
 BOOST_AUTO_TEST_CASE(job_cancelled_is_stored_before_the_reply)
 {
   const auto holder = MakeHolder(1);
