Ignore malformed interference estimates of other entries

Cause: a heartbeat's estimates were taken over unchecked. A negative variance or a value that is not a number became the cell's own estimate of the pair, so that no best-effort task of that image was placed beside that serving image again, and the cell passed it on.

Change: values that are not finite, or out of an estimate's range, are ignored.

Test: pair_malformed_values_from_another_cell_are_ignored; on the code before, the estimate became a variance of -1.

--- a/src/cell/internal/interference.cpp
+++ b/src/cell/internal/interference.cpp
@@ -125,7 +125,10 @@
                        PairEstimate aPair) -> void
 {
   auto& pair = aInterference.mPairs[aBestEffort][aServing];
-  if (aPair.mVariance < pair.mVariance) {
+  // The comparison is false for values that are not numbers.
+  const auto isValid = aPair.mPressure >= kMinPressure &&
+                       aPair.mPressure <= kMaxPressure && aPair.mVariance > 0;
+  if (isValid && aPair.mVariance < pair.mVariance) {
     SetEstimate(pair, aPair.mPressure, aPair.mVariance);
   }
 }
@@ -142,7 +145,11 @@
                     std::size_t aServing,
                     const PairInformation& aInformation) -> void
 {
-  if (aInformation.mPrecision <= 0) {
+  const auto isValid = aInformation.mPrecision > 0 &&
+                       std::isfinite(aInformation.mPrecision) &&
+                       std::isfinite(aInformation.mWeightedPressure) &&
+                       aInformation.mMinVariance > 0;
+  if (!isValid) {
     return;
   }
   auto& pair = aInterference.mPairs[aBestEffort][aServing];
--- a/src/cell/tests/interference_tests.cpp
+++ b/src/cell/tests/interference_tests.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 
 #include <boost/test/unit_test.hpp>
 
@@ -123,6 +124,26 @@
   BOOST_TEST(together.mPressure < 8.0);
 }
 
+BOOST_AUTO_TEST_CASE(pair_malformed_values_from_another_cell_are_ignored)
+{
+  const auto before = mTable.mPairs[mHeavy][mServing];
+  const auto nan = std::numeric_limits<double>::quiet_NaN();
+  const auto infinite = std::numeric_limits<double>::infinity();
+  for (const auto bad : { nan, infinite, -infinite, -1.0 }) {
+    AddInformation(mTable, mHeavy, mServing, { bad, 1.0, 0.1 });
+    AddInformation(mTable, mHeavy, mServing, { 1.0, 1.0, -0.1 });
+    AdoptPairEstimate(mTable, mHeavy, mServing, MakePairEstimate(bad, 0.1));
+  }
+  for (const auto bad : { nan, infinite }) {
+    AddInformation(mTable, mHeavy, mServing, { 1.0, bad, 0.1 });
+    AdoptPairEstimate(mTable, mHeavy, mServing, MakePairEstimate(3.0, nan));
+  }
+  AdoptPairEstimate(mTable, mHeavy, mServing, MakePairEstimate(3.0, -1.0));
+  const auto& after = mTable.mPairs[mHeavy][mServing];
+  BOOST_TEST(after.mPressure == before.mPressure);
+  BOOST_TEST(after.mVariance == before.mVariance);
+}
+
 BOOST_AUTO_TEST_CASE(pair_information_is_sent_once)
 {
   Learn(2.0, { { mHeavy, 0.1 } });
