Let an exception end one request in place of the process

Cause: an exception of a handler of the HTTP server, of the message server or of a datagram passed through the event loop and terminated the process, so one request with an unexpected error ended all the others, and took the entry's cells down with it.

Change: the three servers run each handler isolated. The exception is logged as the new event E100. A caller gets status 500, which says nothing about the outcome; a peer's call gets no reply, which counts as an unknown outcome; a datagram is dropped. Loops of the entry itself still end the process with their exceptions, as a process without them would serve nothing.

Tests: httphandler_throws_ends_that_request_alone, messagehandler_throws_ends_that_call_alone, datagramhandler_throws_ends_that_datagram_alone; on the code before, each of them aborts the test program.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -3,6 +3,7 @@
 #include "eelgrasspost/batch/batchlogevents.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/idempotency/idempotencylogevents.h"
+#include "eelgrasspost/net/netlogevents.h"
 #include "eelgrasspost/ownership/ownershiplogevents.h"
 #include "eelgrasspost/releasenote/releasenotelogevents.h"
 #include "pages.h"
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr auto kEvents = std::array{
+  net::kHandlerFailed,
   releasenote::kNoteAccepted,
   releasenote::kRevisionApplied,
   releasenote::kStateRejected,
--- a/src/framework/net/internal/datagram.cpp
+++ b/src/framework/net/internal/datagram.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "isolation.h"
+
 namespace eelgrasspost::net {
 
 using Udp = asio::ip::udp;
@@ -25,6 +27,15 @@
   Udp::socket mSocket;
   Handler mHandler;
 
+  auto HandleDatagram(std::string_view aBytes) -> void
+  {
+    try {
+      mHandler(aBytes);
+    } catch (...) {
+      LogHandlerError("datagram");
+    }
+  }
+
   auto Receive() -> Task<void>
   {
     const auto self = shared_from_this();
@@ -38,7 +49,7 @@
         co_return;
       }
       if (!ec) {
-        mHandler(std::string_view(buf.data(), n));
+        HandleDatagram(std::string_view(buf.data(), n));
       }
     }
   }
--- a/src/framework/net/internal/httpserver.cpp
+++ b/src/framework/net/internal/httpserver.cpp
@@ -9,6 +9,7 @@
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/net/http.h"
 #include "eelgrasspost/net/iopool.h"
+#include "isolation.h"
 #include "listen.h"
 
 namespace eelgrasspost::net {
@@ -78,6 +79,14 @@
                      "); check the client\n") };
 }
 
+/** The request may or may not have taken effect. */
+auto InternalErrorResponse() -> HttpResponse
+{
+  return { 500,
+           {},
+           "an unexpected error ended the request; its outcome is unknown\n" };
+}
+
 auto IsParseError(const error_code& aError) -> bool
 {
   return aError.category() ==
@@ -229,7 +238,10 @@
 {
   ++mInFlight;
   const auto isHead = aRequest.mMethod == "HEAD";
-  auto response = co_await mHandler(std::move(aRequest));
+  const auto target = aRequest.mTarget;
+  auto handled = co_await RunIsolated<HttpResponse>(
+    target, [&] { return mHandler(std::move(aRequest)); });
+  auto response = std::move(handled).value_or(InternalErrorResponse());
   const auto keepAlive = aKeepAlive && !mIsStopping;
   auto message = ToBeast(std::move(response), keepAlive, isHead);
   error_code ec;
--- a/src/framework/net/internal/messageserver.cpp
+++ b/src/framework/net/internal/messageserver.cpp
@@ -3,6 +3,7 @@
 
 #include "eelgrasspost/base/text.h"
 #include "frame.h"
+#include "isolation.h"
 #include "listen.h"
 
 namespace eelgrasspost::net {
@@ -91,8 +92,15 @@
     const auto& handler = mHandlers.at(aFrame.mKind);
     ++mReceived;
     ++mInFlight;
-    auto bytes = co_await handler(std::move(aFrame.mBytes));
+    auto handled = co_await RunIsolated<std::string>(
+      "message", [&] { return handler(std::move(aFrame.mBytes)); });
     --mInFlight;
+    if (!handled) {
+      // Other calls use the connection. This one ends at its deadline, with an
+      // unknown outcome.
+      co_return;
+    }
+    auto& bytes = *handled;
     if (bytes.empty()) {
       error_code ec;
       aConnection->mSocket.close(ec);
--- a/src/framework/net/tests/net_tests.cpp
+++ b/src/framework/net/tests/net_tests.cpp
@@ -2,7 +2,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <stdexcept>
 
+#include "eelgrasspost/net/datagram.h"
 #include "eelgrasspost/net/http.h"
 #include "eelgrasspost/net/messages.h"
 
@@ -122,6 +124,75 @@
   server.Stop();
 }
 
+BOOST_AUTO_TEST_CASE(httphandler_throws_ends_that_request_alone)
+{
+  auto handler = [](HttpRequest aRequest) -> Task<HttpResponse> {
+    if (aRequest.mTarget == "/bad") {
+      throw std::out_of_range("no such key");
+    }
+    co_return HttpResponse{ 200, {}, "ok" };
+  };
+  HttpServer server(mPool, {}, handler);
+  const auto address = server.Listen(kAnyPort).value();
+  HttpClient client(mPool.Size(), {});
+  const auto get = [&](const std::string& aTarget) {
+    HttpRequest request;
+    request.mTarget = aTarget;
+    return Await(
+      client.Exchange(address, request, MonotonicClock::now() + kTimeout));
+  };
+  BOOST_TEST(get("/bad").mResponse.mStatus == 500U);
+  BOOST_TEST(get("/good").mResponse.mStatus == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(messagehandler_throws_ends_that_call_alone)
+{
+  MessageServer server(mPool);
+  RegisterTypedHandler<Echo, Echo>(
+    server, MessageKind::JobCommand, [](Echo aEcho) -> Task<Echo> {
+      if (aEcho.mText == "bad") {
+        throw std::out_of_range("no such key");
+      }
+      co_return aEcho;
+    });
+  const auto address = server.Listen(kAnyPort).value();
+  MessageClient client(mPool.Size(), "127.0.0.1");
+  const auto call = [&](const std::string& aText,
+                        std::chrono::milliseconds aTimeout) {
+    return Await(CallTyped<Echo>(client,
+                                 address,
+                                 MessageKind::JobCommand,
+                                 Echo{ aText },
+                                 MonotonicClock::now() + aTimeout));
+  };
+  BOOST_TEST(!call("bad", std::chrono::milliseconds(200)).mStatus.ok());
+  const auto good = call("good", kTimeout);
+  BOOST_TEST_REQUIRE(good.mStatus.ok());
+  BOOST_TEST(good.mReply.mText == "good");
+}
+
+BOOST_AUTO_TEST_CASE(datagramhandler_throws_ends_that_datagram_alone)
+{
+  std::promise<std::string> received;
+  DatagramSocket receiver(mPool);
+  const auto address = receiver
+                         .Bind(kAnyPort,
+                               [&](std::string_view aBytes) {
+                                 if (aBytes == "bad") {
+                                   throw std::out_of_range("no such key");
+                                 }
+                                 received.set_value(std::string(aBytes));
+                               })
+                         .value();
+  DatagramSocket sender(mPool);
+  BOOST_REQUIRE(sender.Bind(kAnyPort, [](std::string_view) {}).ok());
+  sender.Send(address, "bad");
+  sender.Send(address, "good");
+  auto future = received.get_future();
+  BOOST_REQUIRE(future.wait_for(kTimeout) == std::future_status::ready);
+  BOOST_TEST(future.get() == "good");
+}
+
 BOOST_AUTO_TEST_CASE(decode_truncated_bytes_gives_error)
 {
   const auto bytes = Encode(Echo{ "hello" });
