Ask another cell when one refuses to host a long-running task

Cause: a cell without capacity for a long-running task asked the cell with the most free CPU to host it. When that cell refused, since its free CPU was scattered or its memory full, it remained the first choice of every following attempt, and one task blocked all others of the cell, which were moved one at a time.

Change: a cell that refused is left out for 1 s, and up to four tasks are moved at one time.

Test: longrunningtask_refused_by_the_freest_cell_is_hosted_by_another; without the exclusion it fails.

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -38,8 +38,10 @@
     mFindEmptierCell;
   /** Executes a command at the holder of its cell. */
   std::function<net::Task<JobReply>(JobCommand)> mExecute;
-  /** Finds another cell with a worker that has the given free capacity. */
-  std::function<std::optional<std::string>(const cell::Resources&)>
+  /** Finds another cell with a worker that has the given free capacity, other
+   * than the given ones. */
+  std::function<std::optional<std::string>(const cell::Resources&,
+                                           const std::set<std::string>&)>
     mFindHostCell;
   /** Cells that may transfer a worker to this one, in order of preference. */
   std::function<std::vector<std::string>()> mFindTransferSources;
@@ -201,7 +203,10 @@
   std::deque<std::pair<MonotonicTime, std::string>> mFinishedOrder;
   std::set<std::string> mUnresolvedJobs;
   std::map<std::string, std::uint64_t> mMinTokens;
-  bool mIsMovingTask = false;
+  /** Names of the tasks that are being moved to another cell. */
+  std::set<std::string> mMovingTasks;
+  /** Cells that refused to host a task, each until it is asked again. */
+  std::map<std::string, MonotonicTime> mRefusingHosts;
   bool mIsRequestingWorker = false;
   MonotonicTime mWorkerRequestedAt{};
   std::size_t mNextExportedEstimate = 0;
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -69,7 +69,8 @@
                        const cell::MigratableJob& aJob) const
     -> std::optional<std::string>;
   auto FindHostCell(const std::string& aFrom,
-                    const cell::Resources& aNeed) const
+                    const cell::Resources& aNeed,
+                    const std::set<std::string>& aExcluded) const
     -> std::optional<std::string>;
   auto FindTransferSources(const std::string& aDomain) const
     -> std::vector<std::string>;
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -185,8 +185,9 @@
       return FindEmptierCell(cell, aJob);
     },
     [this](JobCommand aCommand) { return Execute(std::move(aCommand)); },
-    [this, cell](const cell::Resources& aNeed) {
-      return FindHostCell(cell, aNeed);
+    [this, cell](const cell::Resources& aNeed,
+                 const std::set<std::string>& aExcluded) {
+      return FindHostCell(cell, aNeed, aExcluded);
     },
     [this, domain = aRow.mDomain] { return FindTransferSources(domain); }
   };
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -199,13 +199,15 @@
 /** Among the cells with a worker that can run the task, returns the one with
  * the most free capacity. */
 auto DispatchEntry::FindHostCell(const std::string& aFrom,
-                                 const cell::Resources& aNeed) const
+                                 const cell::Resources& aNeed,
+                                 const std::set<std::string>& aExcluded) const
   -> std::optional<std::string>
 {
   std::optional<std::string> out;
   std::int64_t most = 0;
   for (const auto& it : ReachableCells()) {
     const auto canHold = it.mName != aFrom && it.mIsActive &&
+                         !aExcluded.contains(it.mName) &&
                          it.mLargestCpuMillis >= aNeed.mCpuMillis &&
                          it.mFreeCpuMillis >= aNeed.mCpuMillis;
     if (canHold && it.mFreeCpuMillis > most) {
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -13,6 +13,11 @@
 /** A long-running task that has waited for this time is moved to another cell
  * with capacity, as its users should have it back within 6 s. */
 constexpr auto kHostingDelay = Milliseconds(1000);
+/** A cell that refused is not asked again for this time. Its status lags, and
+ * counts capacity that is scattered over workers. */
+constexpr auto kRefusingHostDelay = Milliseconds(1000);
+/** Maximum number of tasks that are moved at one time. */
+constexpr std::size_t kMaxMovingTasks = 4;
 constexpr auto kStoredPollInterval = Milliseconds(20);
 /** How often a host cell checks whether a hosted job still exists; well below
  * the 3 s within which a cancelled job has to end. */
@@ -31,16 +36,28 @@
 auto CellHolder::MoveStarvedTasks() -> void
 {
   const auto now = base::MonotonicClock::now();
-  if (mIsMovingTask || mIsShuttingDown || !CanSendOrders()) {
+  if (mIsShuttingDown || !CanSendOrders()) {
     return;
   }
+  std::erase_if(mRefusingHosts,
+                [&](const auto& aItem) { return aItem.second <= now; });
+  std::set<std::string> excluded;
+  for (const auto& [cell, until] : mRefusingHosts) {
+    excluded.insert(cell);
+  }
   for (const auto* it : cell::FindStarved(mState, now, kHostingDelay)) {
-    const auto& need = it->mJob->mStored.mSpec.mSteps[it->mStep].mNeed;
-    if (const auto host = mContext.mFindHostCell(need)) {
-      mIsMovingTask = true;
-      net::SpawnTask(mContext.mExecutor, MoveTask(cell::TaskName(*it), *host));
+    if (mMovingTasks.size() >= kMaxMovingTasks) {
       return;
     }
+    const auto& need = it->mJob->mStored.mSpec.mSteps[it->mStep].mNeed;
+    auto name = cell::TaskName(*it);
+    if (mMovingTasks.contains(name)) {
+      continue;
+    }
+    if (const auto host = mContext.mFindHostCell(need, excluded)) {
+      mMovingTasks.insert(name);
+      net::SpawnTask(mContext.mExecutor, MoveTask(std::move(name), *host));
+    }
   }
 }
 
@@ -60,7 +77,10 @@
                        task->mJob->mStored.mSpec.mSteps[task->mStep].mNeed };
   command.mTimeoutMs = kStoreTimeout.count();
   const auto reply = co_await mContext.mExecute(std::move(command));
-  mIsMovingTask = false;
+  mMovingTasks.erase(aTask);
+  if (reply.mOutcome != JobOutcome::Done) {
+    mRefusingHosts[aHost] = base::MonotonicClock::now() + kRefusingHostDelay;
+  }
   task = cell::FindTask(mState, aTask);
   const auto mayMove = reply.mOutcome == JobOutcome::Done && task &&
                        task->mPhase == cell::TaskPhase::Ready &&
--- a/src/dispatch/tests/holder_tests.cpp
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -104,8 +104,9 @@
 
   /** Holders by cell name, for commands between cells. */
   std::map<std::string, std::shared_ptr<CellHolder>> mCells;
-  /** The cell with capacity for long-running tasks. */
-  std::optional<std::string> mHostCell;
+  /** The cells that report capacity for long-running tasks, the one with the
+   * most first. */
+  std::vector<std::string> mHostCells;
   /** Time for which the VM of the holders was suspended. */
   Milliseconds mSuspended{ 0 };
 
@@ -132,7 +133,14 @@
         }
         co_return co_await it->second->Execute(std::move(aCommand));
       },
-      [this](const cell::Resources&) { return mHostCell; },
+      [this](const cell::Resources&, const std::set<std::string>& aExcluded) {
+        for (const auto& it : mHostCells) {
+          if (!aExcluded.contains(it)) {
+            return std::optional(it);
+          }
+        }
+        return std::optional<std::string>();
+      },
       [] { return std::vector<std::string>(); },
       [this] { return base::BootClock::now() + mSuspended; }
     };
@@ -337,7 +345,7 @@
   BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
   Until([&] {
     mCells = { { "a/0", full }, { "b/0", host } };
-    mHostCell = "b/0";
+    mHostCells = { "b/0" };
     return true;
   });
   const auto* id = "000000000000000c";
@@ -382,6 +390,34 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(
+  longrunningtask_refused_by_the_freest_cell_is_hosted_by_another)
+{
+  const auto full = MakeHolder(1);
+  const auto host = MakeHolder(1, "b/0", "w2");
+  BOOST_REQUIRE(Until([&] { return full->Phase() == HolderPhase::Active; }));
+  BOOST_REQUIRE(Until([&] { return host->Phase() == HolderPhase::Active; }));
+  BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
+  Until([&] {
+    // Nobody holds "c/0", so it refuses.
+    mCells = { { "a/0", full }, { "b/0", host } };
+    mHostCells = { "c/0", "b/0" };
+    return true;
+  });
+  auto submission = MakeSubmission("000000000000000d");
+  auto& step = submission.mJob.mSpec.mSteps[0];
+  step.mCount = 2;
+  step.mNeed.mCpuMillis = 10000;
+  step.mIsLongRunning = true;
+  Wait(full->Execute(submission));
+  BOOST_TEST(Until([&] { return mWorkers.mStarts.size() == 2; }));
+  Until([&] {
+    full->End();
+    host->End();
+    return true;
+  });
+}
+
 BOOST_AUTO_TEST_CASE(shutdown_during_a_submission_is_not_reported_as_not_run)
 {
   const auto submit = [&](const std::string& aId, FakeFault aFault) {
