--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -13,6 +13,7 @@
 #include "eelgrasspost/base/logging.h"
 #include "eelgrasspost/base/text.h"
 #include "entry.h"
+#include "explaincommand.h"
 #include "jobsview.h"
 #include "loadcommand.h"
 #include "pages.h"
@@ -47,7 +48,10 @@
   "  load --entry IP:PORT,... --service NAME --steps RATE:SECONDS,...\n"
   "       --deadline-ms N [--path /PATH]\n"
   "                                   send requests and report their outcomes\n"
-  "  status --entry IP:PORT           show the state of an entry\n";
+  "  status --entry IP:PORT           show the state of an entry\n"
+  "  explain ID [FILE...]             show a job's history from log lines\n"
+  "  explain --summary [FILE...]      add up where tasks spent their time\n"
+  "  (explain reads standard input if no FILE is given)\n";
 
 struct Arguments
 {
@@ -60,6 +64,7 @@
   std::string mActor;
   std::string mObject;
   bool mJson = false;
+  bool mSummary = false;
   LoadArguments mLoad;
 };
 
@@ -73,7 +78,7 @@
     "since", "oldest change to list", cxxopts::value<std::string>())(
     "actor", "who made the change", cxxopts::value<std::string>())(
     "object", "what was changed", cxxopts::value<std::string>())(
-    "json", "print the entry's JSON")(
+    "json", "print the entry's JSON")("summary", "add up all tasks")(
     "service", "name of a service", cxxopts::value<std::string>())(
     "path", "path below the service", cxxopts::value<std::string>())(
     "steps", "RATE:SECONDS,...", cxxopts::value<std::string>())(
@@ -98,6 +103,7 @@
     out.mActor = text("actor");
     out.mObject = text("object");
     out.mJson = parsed.count("json") > 0;
+    out.mSummary = parsed.count("summary") > 0;
     out.mLoad.mEntries = out.mEntry;
     out.mLoad.mService = text("service");
     out.mLoad.mPath = parsed.count("path") > 0 ? text("path") : "/";
@@ -309,6 +315,13 @@
     std::cout << RenderLogEvents(AllLogEvents());
     return ExitCode::Done;
   }
+  const auto isExplain = !words.empty() && words[0] == "explain";
+  if (isExplain && arguments->mSummary) {
+    return ExplainTimes({ words.begin() + 1, words.end() });
+  }
+  if (isExplain && words.size() > 1) {
+    return ExplainJob(words[1], { words.begin() + 2, words.end() });
+  }
   if (command == "status") {
     return SendRequest(*arguments, { "GET", "/status", {}, "" });
   }
