Name the boot clock's function by the style

The linter rejects the names of a standard clock (now, is_steady). BootClock is only the type of the time points now, and BootNow() reads it. A test reserves its vector.

--- a/src/cell/tests/interference_tests.cpp
+++ b/src/cell/tests/interference_tests.cpp
@@ -111,6 +111,7 @@
   }
   const auto alone = cells[0].mPairs[mHeavy][mServing];
   std::vector<PairInformation> sent;
+  sent.reserve(kCells);
   for (auto& it : cells) {
     sent.push_back(TakeUnsent(it, mHeavy, mServing));
   }
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -46,7 +46,7 @@
   /** Cells that may transfer a worker to this one, in order of preference. */
   std::function<std::vector<std::string>()> mFindTransferSources;
   /** Clock by which the claim of the cell expires. */
-  std::function<base::BootTime()> mBootNow = base::BootClock::now;
+  std::function<base::BootTime()> mBootNow = base::BootNow;
 };
 
 enum class HolderPhase : std::uint8_t
--- a/src/dispatch/internal/tablewatch.cpp
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -55,7 +55,7 @@
   query.mLimit = kPageRows;
   std::uint64_t version = 0;
   for (auto hasMore = true; hasMore;) {
-    const auto sentAt = base::BootClock::now();
+    const auto sentAt = base::BootNow();
     const auto reply = co_await mStore.ReadRange(
       query, base::MonotonicClock::now() + kStoreTimeout);
     if (reply.mOutcome != StoreOutcome::Done) {
@@ -131,7 +131,7 @@
   query.mTable = mTable;
   query.mAfter = mAfter;
   query.mWaitMs = mWait.count();
-  const auto sentAt = base::BootClock::now();
+  const auto sentAt = base::BootNow();
   const auto reply = co_await mStore.ReadFeed(
     query, base::MonotonicClock::now() + mWait + kStoreTimeout);
   if (reply.mOutcome == StoreOutcome::Done) {
--- a/src/dispatch/tests/holder_tests.cpp
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -142,7 +142,7 @@
         return std::optional<std::string>();
       },
       [] { return std::vector<std::string>(); },
-      [this] { return base::BootClock::now() + mSuspended; }
+      [this] { return base::BootNow() + mSuspended; }
     };
     CellRow row;
     row.mName = aCell;
@@ -457,7 +457,7 @@
   BOOST_TEST(!holder->GetStatus().mIsActive);
 
   Until([&] {
-    holder->ConfirmClaim(base::BootClock::now() + mSuspended);
+    holder->ConfirmClaim(base::BootNow() + mSuspended);
     return true;
   });
   const auto reply = Wait(holder->Execute(MakeSubmission("0000000000000001")));
