Log by which evidence runs are considered ended and a takeover settled

The report of a task run twice could not be told apart from others: a new incarnation of a worker and an expired lease had one reason in event 934, and neither the runs that a takeover finds nor the evidence that settles a worker were logged. Event 934 names the evidence, 941 is written for each settled worker, 942 for each run that this holder did not start. No decision changes.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -55,6 +55,8 @@
   dispatch::kJobMigrated,
   dispatch::kWorkerTransferred,
   dispatch::kTaskHosted,
+  dispatch::kWorkerReconciled,
+  dispatch::kForeignRunFound,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -339,8 +339,10 @@
 auto UnlistWorker(CellState& aCell, const std::string& aId) -> void;
 /** Removes all runs of a worker whose incarnation ended or whose leases
  * expired, and makes their tasks ready again. */
-auto DropWorkerRuns(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
-  -> void;
+auto DropWorkerRuns(CellState& aCell,
+                    Worker& aWorker,
+                    RunsLostReason aReason,
+                    MonotonicTime aNow) -> void;
 
 /** Applies a worker's report. aSentAt: when the poll was sent. */
 auto ApplyReport(CellState& aCell,
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -326,6 +326,31 @@
   WorkerOnProbation,
   CpuShareChanged,
   JobEnded,
+  WorkerReconciled,
+  ForeignRunFound,
+};
+
+/** Why the runs on a worker are considered ended. */
+enum class RunsLostReason : std::uint8_t
+{
+  /** The platform lists a new incarnation of the worker. */
+  NewIncarnationListed,
+  /** A new incarnation of the worker has replied. */
+  NewIncarnationReplied,
+  /** Another worker has replied at its address. */
+  AddressReused,
+  LeaseExpired,
+};
+
+inline constexpr auto kRunsLostReasonNames = std::array{
+  base::EnumName<RunsLostReason>{ RunsLostReason::NewIncarnationListed,
+                                  "new_incarnation_listed" },
+  base::EnumName<RunsLostReason>{ RunsLostReason::NewIncarnationReplied,
+                                  "new_incarnation_replied" },
+  base::EnumName<RunsLostReason>{ RunsLostReason::AddressReused,
+                                  "address_reused" },
+  base::EnumName<RunsLostReason>{ RunsLostReason::LeaseExpired,
+                                  "lease_expired" },
 };
 
 /** A decision of a cell or a change that it observed, for the log. */
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -68,7 +68,7 @@
       WithdrawStart(aCell, aWorker, aOrder, aRun, aNow);
       return;
     case OrderOutcome::OtherIncarnation:
-      DropWorkerRuns(aCell, aWorker, aNow);
+      DropWorkerRuns(aCell, aWorker, RunsLostReason::AddressReused, aNow);
       aWorker.mIsKnown = false;
       return;
     case OrderOutcome::Refused:
@@ -93,7 +93,7 @@
     aRun.mStopAnsweredAt = aNow;
     aWorker.mNeedsPoll = true;
   } else if (aOutcome == OrderOutcome::OtherIncarnation) {
-    DropWorkerRuns(aCell, aWorker, aNow);
+    DropWorkerRuns(aCell, aWorker, RunsLostReason::AddressReused, aNow);
     aWorker.mIsKnown = false;
   }
 }
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -184,9 +184,21 @@
               MonotonicTime aNow) -> void
 {
   auto* task = FindTask(aCell, aRow.mTask);
-  if (!task || task->mPhase == TaskPhase::Done ||
-      task->mPhase == TaskPhase::Remote ||
-      (task->mPhase == TaskPhase::Placed && task->mWorker != &aWorker)) {
+  const auto isPlacedElsewhere =
+    task && task->mPhase == TaskPhase::Placed && task->mWorker != &aWorker;
+  const auto isAdopted = task && task->mPhase != TaskPhase::Done &&
+                         task->mPhase != TaskPhase::Remote &&
+                         !isPlacedElsewhere;
+  AddEvent(aCell,
+           { CellEventKind::ForeignRunFound,
+             aRow.mTask,
+             aWorker.mRecord.mId,
+             aRow.mAttempt,
+             isAdopted           ? "adopted"
+             : isPlacedElsewhere ? "placed_elsewhere"
+                                 : "untracked",
+             aRow.mPercent });
+  if (!isAdopted) {
     Run run;
     run.mAttempt = aRow.mAttempt;
     run.mStartedAt = aNow;
@@ -243,10 +255,21 @@
   }
 }
 
-auto MarkReconciled(CellState& aCell, const std::string& aId) -> void
+auto MarkReconciled(CellState& aCell,
+                    const std::string& aId,
+                    std::string_view aEvidence) -> void
 {
-  if (aCell.mUnreconciledWorkers.erase(aId) == 0 ||
-      !aCell.mUnreconciledWorkers.empty()) {
+  if (aCell.mUnreconciledWorkers.erase(aId) == 0) {
+    return;
+  }
+  AddEvent(aCell,
+           { CellEventKind::WorkerReconciled,
+             {},
+             aId,
+             0,
+             aEvidence,
+             static_cast<double>(aCell.mUnreconciledWorkers.size()) });
+  if (!aCell.mUnreconciledWorkers.empty()) {
     return;
   }
   for (auto& [id, job] : aCell.mJobs) {
@@ -262,8 +285,10 @@
 
 } // namespace
 
-auto DropWorkerRuns(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
-  -> void
+auto DropWorkerRuns(CellState& aCell,
+                    Worker& aWorker,
+                    RunsLostReason aReason,
+                    MonotonicTime aNow) -> void
 {
   auto runs = std::move(aWorker.mRuns);
   if (!runs.empty()) {
@@ -272,7 +297,7 @@
                {},
                aWorker.mRecord.mId,
                0,
-               "life_over_or_lease_lapsed",
+               base::NameOf(kRunsLostReasonNames, aReason),
                static_cast<double>(runs.size()) });
   }
   aWorker.mRuns.clear();
@@ -294,7 +319,8 @@
   aWorker.mSeenEnds = 0;
   aWorker.mStoredEnds = 0;
   aWorker.mLastClockMs = 0;
-  MarkReconciled(aCell, aWorker.mRecord.mId);
+  MarkReconciled(
+    aCell, aWorker.mRecord.mId, base::NameOf(kRunsLostReasonNames, aReason));
 }
 
 auto UpdateWorker(CellState& aCell,
@@ -315,7 +341,7 @@
   }
   if (aRecord.mIncarnationStartMs != 0 && slot->mIncarnationStartMs != 0 &&
       aRecord.mIncarnationStartMs > slot->mIncarnationStartMs) {
-    DropWorkerRuns(aCell, *slot, aNow);
+    DropWorkerRuns(aCell, *slot, RunsLostReason::NewIncarnationListed, aNow);
     slot->mIncarnationStartMs = aRecord.mIncarnationStartMs;
     slot->mIsKnown = false;
   }
@@ -338,7 +364,7 @@
 {
   if (aReport.mIncarnationStartMs != 0 && aWorker.mIncarnationStartMs != 0 &&
       aReport.mIncarnationStartMs != aWorker.mIncarnationStartMs) {
-    DropWorkerRuns(aCell, aWorker, aNow);
+    DropWorkerRuns(aCell, aWorker, RunsLostReason::NewIncarnationReplied, aNow);
   }
   aWorker.mIncarnationStartMs = aReport.mIncarnationStartMs;
   if (aReport.mClockMs < aWorker.mLastClockMs) {
@@ -366,7 +392,7 @@
     }
   }
   DropVanishedRuns(aCell, aWorker, listed, aSentAt, aNow);
-  MarkReconciled(aCell, aWorker.mRecord.mId);
+  MarkReconciled(aCell, aWorker.mRecord.mId, "reported");
   if (aWorker.mConsecutiveFailures >= aCell.mPolicy.mProbationFailures) {
     aWorker.mProbationUntil = aNow + aCell.mPolicy.mProbation;
     AddEvent(aCell,
@@ -392,7 +418,7 @@
       continue;
     }
     if (isPending) {
-      DropWorkerRuns(aCell, *it, aNow);
+      DropWorkerRuns(aCell, *it, RunsLostReason::LeaseExpired, aNow);
       it->mIsKnown = false;
     }
     if (!it->mIsListed) {
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -156,6 +156,20 @@
   "none; add workers if this persists",
 };
 
+inline constexpr auto kWorkerReconciled = base::LogEvent{
+  941,
+  base::LogLevel::Info,
+  "what a previous holder started on a worker is known or has ended",
+  "none; the reason is the evidence",
+};
+
+inline constexpr auto kForeignRunFound = base::LogEvent{
+  942,
+  base::LogLevel::Info,
+  "a worker lists a run that this holder did not start",
+  "none after a takeover; 'placed_elsewhere' means that a task has two runs",
+};
+
 inline constexpr auto kDispatchLogEvents =
   std::array{ kEntryStarted,    kStopRequested,
               kReloadRequested, kConfigurationApplied,
@@ -167,7 +181,8 @@
               kRunsLost,        kWorkerOnProbation,
               kCpuShareChanged, kJobEnded,
               kJobMigrated,     kWorkerTransferred,
-              kTaskHosted };
+              kTaskHosted,      kWorkerReconciled,
+              kForeignRunFound };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
@@ -189,6 +204,10 @@
       return &kCpuShareChanged;
     case cell::CellEventKind::JobEnded:
       return &kJobEnded;
+    case cell::CellEventKind::WorkerReconciled:
+      return &kWorkerReconciled;
+    case cell::CellEventKind::ForeignRunFound:
+      return &kForeignRunFound;
   }
   return &kJobEnded;
 }
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -201,7 +201,8 @@
     if (!isNew &&
         worker.mRecord.mIncarnationStartMs > record->mIncarnationStartMs) {
       // The worker has restarted: its earlier runs are gone.
-      cell::DropWorkerRuns(mState, worker, now);
+      cell::DropWorkerRuns(
+        mState, worker, cell::RunsLostReason::NewIncarnationListed, now);
     }
     if (isNew) {
       worker.mIncarnationStartMs = record->mIncarnationStartMs;
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -130,7 +130,8 @@
       End();
       co_return false;
     case cell::OrderOutcome::OtherIncarnation:
-      cell::DropWorkerRuns(mState, worker, now);
+      cell::DropWorkerRuns(
+        mState, worker, cell::RunsLostReason::AddressReused, now);
       worker.mIsKnown = false;
       mClocks.erase(aWorker);
       ScheduleDecision();
