Show that a restarted worker makes the next holder start running tasks again

A cell with two workers, of which one restarted since it joined: the next holder starts the tasks of the worker that has not replied to it on the other one, so that a task runs on two workers. The same happens with the tasks of the restarted worker itself.

The holder's fixture moves to a header; its workers now have tokens and incarnations of their own.

--- a/src/dispatch/tests/holder_tests.cpp
+++ b/src/dispatch/tests/holder_tests.cpp
@@ -1,198 +1,14 @@
 #include <boost/test/unit_test.hpp>
 
-#include "eelgrasspost/net/codec.h"
-#include "fakestore.h"
-#include "internal/cellholder.h"
+#include "holderfixture.h"
 #include "internal/claiming.h"
-#include "poolfixture.h"
 
 namespace {
 
 using namespace eelgrasspost;
 using namespace eelgrasspost::dispatch;
 using dispatch::testing::FakeFault;
-using dispatch::testing::FakeStore;
-using dispatch::testing::PoolFixture;
-
-/** Workers that execute all orders; the test ends their runs. */
-class FakeWorkers final : public IWorkerOrders
-{
-public:
-  std::vector<cell::Order> mStarts;
-  std::vector<cell::Order> mStops;
-  std::map<std::string, std::string> mWorkerOf;
-  std::map<std::string, cell::RunningRow> mRunning;
-  std::vector<cell::EndRow> mEnds;
-  std::uint64_t mAcknowledged = 0;
-  std::uint64_t mHighestToken = 0;
-  std::int64_t mClockMs = 1000;
-  bool mIsUnresponsive = false;
-
-  auto End(const std::string& aTask, cell::EndKind aKind) -> void
-  {
-    const auto attempt = mRunning.at(aTask).mAttempt;
-    mRunning.erase(aTask);
-    mEnds.push_back({ ++mLastEnd, aTask, attempt, aKind, "" });
-  }
-
-  auto Send(WorkerCall aCall, const cell::Order& aOrder, std::int64_t)
-    -> net::Task<OrderReply> override
-  {
-    if (aCall.mToken < mHighestToken) {
-      co_return OrderReply{ cell::OrderOutcome::Superseded, ++mClockMs };
-    }
-    mHighestToken = aCall.mToken;
-    if (aOrder.mKind == cell::OrderKind::Start) {
-      mStarts.push_back(aOrder);
-      mWorkerOf[aOrder.mTask] = aCall.mWorker;
-      mRunning[aOrder.mTask] = { aOrder.mTask, aOrder.mAttempt, "", 1, 0 };
-    }
-    if (aOrder.mKind == cell::OrderKind::Stop) {
-      mStops.push_back(aOrder);
-    }
-    co_return OrderReply{ cell::OrderOutcome::Done, ++mClockMs };
-  }
-
-  auto Renew(WorkerCall aCall, LeaseRenewal aRenewal)
-    -> net::Task<LeaseRenewalReply> override
-  {
-    co_await net::Sleep(Milliseconds(5));
-    LeaseRenewalReply out;
-    if (mIsUnresponsive) {
-      co_return out;
-    }
-    if (aCall.mToken < mHighestToken) {
-      out.mOutcome = cell::OrderOutcome::Superseded;
-      co_return out;
-    }
-    mHighestToken = aCall.mToken;
-    mAcknowledged = std::max(mAcknowledged, aRenewal.mStoredEnds);
-    std::erase_if(mEnds, [&](const cell::EndRow& aEnd) {
-      return aEnd.mNumber <= mAcknowledged;
-    });
-    out.mOutcome = cell::OrderOutcome::Done;
-    out.mReport.mIncarnationStartMs = 1;
-    mClockMs += 10;
-    out.mReport.mClockMs = mClockMs;
-    for (auto& [name, it] : mRunning) {
-      if (mWorkerOf.at(name) == aCall.mWorker) {
-        it.mPercent += 1;
-        out.mReport.mRunning.push_back(it);
-      }
-    }
-    for (const auto& it : mEnds) {
-      if (mWorkerOf.at(it.mTask) == aCall.mWorker) {
-        out.mReport.mEnds.push_back(it);
-      }
-    }
-    co_return out;
-  }
-
-private:
-  std::uint64_t mLastEnd = 0;
-};
-
-struct HolderFixture : PoolFixture
-{
-  DispatchSettings mSettings;
-  FakeStore mStore;
-  FakeWorkers mWorkers;
-  base::Metrics mMetrics;
-  base::EventLog mLog{ "test" };
-
-  ~HolderFixture() { StopPool(); }
-
-  /** Holders by cell name, for commands between cells. */
-  std::map<std::string, std::shared_ptr<CellHolder>> mCells;
-  /** The cells that report capacity for long-running tasks, the one with the
-   * most first. */
-  std::vector<std::string> mHostCells;
-  /** Time for which the VM of the holders was suspended. */
-  Milliseconds mSuspended{ 0 };
-
-  auto MakeHolder(std::uint64_t aTerm,
-                  const std::string& aCell = "a/0",
-                  const std::string& aWorker = "w1")
-    -> std::shared_ptr<CellHolder>
-  {
-    HolderContext context{
-      mSettings,
-      mStore,
-      mWorkers,
-      mMetrics,
-      mLog,
-      mPool.Executor(0),
-      1,
-      2,
-      [](const cell::MigratableJob&) { return std::optional<std::string>(); },
-      [](const cell::MigratableJob&) { return std::optional<std::string>(); },
-      [this](JobCommand aCommand) -> net::Task<JobReply> {
-        const auto it = mCells.find(aCommand.mCell);
-        if (it == mCells.end()) {
-          co_return JobReply{ JobOutcome::CellNotHeld };
-        }
-        co_return co_await it->second->Execute(std::move(aCommand));
-      },
-      [this](const cell::Resources&, const std::set<std::string>& aExcluded) {
-        for (const auto& it : mHostCells) {
-          if (!aExcluded.contains(it)) {
-            return std::optional(it);
-          }
-        }
-        return std::optional<std::string>();
-      },
-      [] { return std::vector<std::string>(); },
-      [this] { return base::BootNow() + mSuspended; }
-    };
-    CellRow row;
-    row.mName = aCell;
-    row.mDomain = "a";
-    row.mTerm = aTerm;
-    auto out = std::make_shared<CellHolder>(context, row, aTerm * 1000);
-    cell::WorkerRecord worker;
-    worker.mId = aWorker;
-    worker.mService = "service";
-    worker.mCapacity = { 16000, 64000, 0 };
-    mPool.Spawn(mPool.Executor(0), out->Run({ worker }, true));
-    return out;
-  }
-
-  static auto MakeSubmission(const std::string& aId) -> JobCommand
-  {
-    JobCommand out;
-    out.mCell = "a/0";
-    out.mJobId = aId;
-    out.mTimeoutMs = 3000;
-    out.mJob.mSpec.mId = aId;
-    cell::StepSpec step;
-    step.mCount = 1;
-    step.mNeed = { 1000, 1000, 0 };
-    out.mJob.mSpec.mSteps = { step };
-    out.mJob.mQueue.mName = "queue";
-    out.mJob.mQueue.mService = "service";
-    out.mJob.mQueue.mMaxAttempts = 3;
-    return out;
-  }
-
-  auto IdState(const std::string& aId) -> std::optional<cell::JobState>
-  {
-    for (const auto& [key, it] : mStore.mRows) {
-      if (it.mTable == kIdTable && it.mKey == aId) {
-        return net::Decode<JobIdRow>(it.mValue)->mState;
-      }
-    }
-    return std::nullopt;
-  }
-
-  auto CountRows(std::string_view aTable) -> std::size_t
-  {
-    std::size_t out = 0;
-    for (const auto& [key, it] : mStore.mRows) {
-      out += it.mTable == aTable ? 1 : 0;
-    }
-    return out;
-  }
-};
+using dispatch::testing::HolderFixture;
 
 } // namespace
 
@@ -327,7 +143,7 @@
   };
   BOOST_REQUIRE(Until([&] { return runs() == 1; }));
   Until([&] {
-    mWorkers.mIsUnresponsive = true;
+    mWorkers.mUnresponsive = { "w1" };
     return true;
   });
   BOOST_TEST(Until([&] { return runs() == 0; }));
@@ -341,7 +157,7 @@
   longrunningtask_without_capacity_runs_in_another_cell_until_cancelled)
 {
   const auto full = MakeHolder(1);
-  auto host = MakeHolder(1, "b/0", "w2");
+  auto host = MakeHolder(1, "b/0", { "w2" });
   BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
   Until([&] {
     mCells = { { "a/0", full }, { "b/0", host } };
@@ -362,7 +178,7 @@
 
   // The next holders know which cell runs which task, and start none twice.
   const auto nextFull = MakeHolder(2);
-  const auto nextHost = MakeHolder(2, "b/0", "w2");
+  const auto nextHost = MakeHolder(2, "b/0", { "w2" });
   Until([&] {
     mCells = { { "a/0", nextFull }, { "b/0", nextHost } };
     return true;
@@ -394,7 +210,7 @@
   longrunningtask_refused_by_the_freest_cell_is_hosted_by_another)
 {
   const auto full = MakeHolder(1);
-  const auto host = MakeHolder(1, "b/0", "w2");
+  const auto host = MakeHolder(1, "b/0", { "w2" });
   BOOST_REQUIRE(Until([&] { return full->Phase() == HolderPhase::Active; }));
   BOOST_REQUIRE(Until([&] { return host->Phase() == HolderPhase::Active; }));
   BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
--- /dev/null
+++ b/src/dispatch/tests/holderfixture.h
@@ -0,0 +1,251 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "eelgrasspost/net/codec.h"
+#include "fakestore.h"
+#include "internal/cellholder.h"
+#include "poolfixture.h"
+
+namespace eelgrasspost::dispatch::testing {
+
+/** Workers that execute all orders; the test ends their runs. */
+class FakeWorkers final : public IWorkerOrders
+{
+public:
+  std::vector<cell::Order> mStarts;
+  std::vector<cell::Order> mStops;
+  std::map<std::string, std::string> mWorkerOf;
+  std::map<std::string, cell::RunningRow> mRunning;
+  std::vector<cell::EndRow> mEnds;
+  std::uint64_t mAcknowledged = 0;
+  /** Starts of tasks that were running on another worker. */
+  std::size_t mOverlaps = 0;
+  /** Highest fencing token that each worker has seen. */
+  std::map<std::string, std::uint64_t> mTokens;
+  /** Start times of the workers' incarnations; 1 where none is given. */
+  std::map<std::string, std::int64_t> mIncarnations;
+  std::int64_t mClockMs = 1000;
+  /** Workers that do not reply to renewals. */
+  std::set<std::string> mUnresponsive;
+
+  auto End(const std::string& aTask, cell::EndKind aKind) -> void
+  {
+    const auto attempt = mRunning.at(aTask).mAttempt;
+    mRunning.erase(aTask);
+    mEnds.push_back({ ++mLastEnd, aTask, attempt, aKind, "" });
+  }
+
+  auto Send(WorkerCall aCall, const cell::Order& aOrder, std::int64_t)
+    -> net::Task<OrderReply> override
+  {
+    if (!AcceptToken(aCall)) {
+      co_return OrderReply{ cell::OrderOutcome::Superseded, ++mClockMs };
+    }
+    if (aOrder.mKind == cell::OrderKind::Start) {
+      mStarts.push_back(aOrder);
+      mOverlaps += mRunning.contains(aOrder.mTask) &&
+                       mWorkerOf.at(aOrder.mTask) != aCall.mWorker
+                     ? 1
+                     : 0;
+      mWorkerOf[aOrder.mTask] = aCall.mWorker;
+      mRunning[aOrder.mTask] = { aOrder.mTask, aOrder.mAttempt, "", 1, 0 };
+    }
+    if (aOrder.mKind == cell::OrderKind::Stop) {
+      mStops.push_back(aOrder);
+    }
+    co_return OrderReply{ cell::OrderOutcome::Done, ++mClockMs };
+  }
+
+  auto Renew(WorkerCall aCall, LeaseRenewal aRenewal)
+    -> net::Task<LeaseRenewalReply> override
+  {
+    co_await net::Sleep(Milliseconds(5));
+    LeaseRenewalReply out;
+    if (mUnresponsive.contains(aCall.mWorker)) {
+      co_return out;
+    }
+    if (!AcceptToken(aCall)) {
+      out.mOutcome = cell::OrderOutcome::Superseded;
+      co_return out;
+    }
+    mAcknowledged = std::max(mAcknowledged, aRenewal.mStoredEnds);
+    std::erase_if(mEnds, [&](const cell::EndRow& aEnd) {
+      return aEnd.mNumber <= mAcknowledged;
+    });
+    out.mOutcome = cell::OrderOutcome::Done;
+    out.mReport.mIncarnationStartMs = IncarnationOf(aCall.mWorker);
+    mClockMs += 10;
+    out.mReport.mClockMs = mClockMs;
+    for (auto& [name, it] : mRunning) {
+      if (mWorkerOf.at(name) == aCall.mWorker) {
+        it.mPercent += 1;
+        out.mReport.mRunning.push_back(it);
+      }
+    }
+    for (const auto& it : mEnds) {
+      if (mWorkerOf.at(it.mTask) == aCall.mWorker) {
+        out.mReport.mEnds.push_back(it);
+      }
+    }
+    co_return out;
+  }
+
+  /** Ends a worker's incarnation and its runs and starts the next one. */
+  auto Restart(const std::string& aWorker) -> void
+  {
+    mIncarnations[aWorker] = IncarnationOf(aWorker) + 1;
+    mTokens.erase(aWorker);
+    std::erase_if(mRunning, [&](const auto& aItem) {
+      return mWorkerOf.at(aItem.first) == aWorker;
+    });
+  }
+
+  auto IncarnationOf(const std::string& aWorker) const -> std::int64_t
+  {
+    const auto it = mIncarnations.find(aWorker);
+    return it == mIncarnations.end() ? 1 : it->second;
+  }
+
+private:
+  auto AcceptToken(const WorkerCall& aCall) -> bool
+  {
+    auto& token = mTokens[aCall.mWorker];
+    if (aCall.mToken < token) {
+      return false;
+    }
+    token = aCall.mToken;
+    return true;
+  }
+
+  std::uint64_t mLastEnd = 0;
+};
+
+struct HolderFixture : PoolFixture
+{
+  DispatchSettings mSettings;
+  FakeStore mStore;
+  FakeWorkers mWorkers;
+  base::Metrics mMetrics;
+  base::EventLog mLog{ "test" };
+
+  ~HolderFixture() { StopPool(); }
+
+  /** Holders by cell name, for commands between cells. */
+  std::map<std::string, std::shared_ptr<CellHolder>> mCells;
+  /** The cells that report capacity for long-running tasks, the one with the
+   * most first. */
+  std::vector<std::string> mHostCells;
+  /** Time for which the VM of the holders was suspended. */
+  Milliseconds mSuspended{ 0 };
+
+  auto MakeHolder(std::uint64_t aTerm,
+                  const std::string& aCell = "a/0",
+                  const std::vector<std::string>& aWorkers = { "w1" })
+    -> std::shared_ptr<CellHolder>
+  {
+    HolderContext context{
+      mSettings,
+      mStore,
+      mWorkers,
+      mMetrics,
+      mLog,
+      mPool.Executor(0),
+      1,
+      2,
+      [](const cell::MigratableJob&) { return std::optional<std::string>(); },
+      [](const cell::MigratableJob&) { return std::optional<std::string>(); },
+      [this](JobCommand aCommand) -> net::Task<JobReply> {
+        const auto it = mCells.find(aCommand.mCell);
+        if (it == mCells.end()) {
+          co_return JobReply{ JobOutcome::CellNotHeld };
+        }
+        co_return co_await it->second->Execute(std::move(aCommand));
+      },
+      [this](const cell::Resources&, const std::set<std::string>& aExcluded) {
+        for (const auto& it : mHostCells) {
+          if (!aExcluded.contains(it)) {
+            return std::optional(it);
+          }
+        }
+        return std::optional<std::string>();
+      },
+      [] { return std::vector<std::string>(); },
+      [this] { return base::BootNow() + mSuspended; }
+    };
+    CellRow row;
+    row.mName = aCell;
+    row.mDomain = "a";
+    row.mTerm = aTerm;
+    auto out = std::make_shared<CellHolder>(context, row, aTerm * 1000);
+    std::vector<cell::WorkerRecord> workers;
+    workers.reserve(aWorkers.size());
+    for (const auto& it : aWorkers) {
+      workers.push_back(MakeRecord(it));
+    }
+    mPool.Spawn(mPool.Executor(0), out->Run(std::move(workers), true));
+    return out;
+  }
+
+  /** A worker as the platform lists it. */
+  auto MakeRecord(const std::string& aId) -> cell::WorkerRecord
+  {
+    cell::WorkerRecord out;
+    out.mId = aId;
+    out.mIncarnationStartMs = mWorkers.IncarnationOf(aId);
+    out.mService = "service";
+    out.mCapacity = { 16000, 64000, 0 };
+    return out;
+  }
+
+  /** Executes a function on the pool's thread. */
+  auto Do(std::function<void()> aFunction) -> void
+  {
+    Until([&] {
+      aFunction();
+      return true;
+    });
+  }
+
+  static auto MakeSubmission(const std::string& aId) -> JobCommand
+  {
+    JobCommand out;
+    out.mCell = "a/0";
+    out.mJobId = aId;
+    out.mTimeoutMs = 3000;
+    out.mJob.mSpec.mId = aId;
+    cell::StepSpec step;
+    step.mCount = 1;
+    step.mNeed = { 1000, 1000, 0 };
+    out.mJob.mSpec.mSteps = { step };
+    out.mJob.mQueue.mName = "queue";
+    out.mJob.mQueue.mService = "service";
+    out.mJob.mQueue.mMaxAttempts = 3;
+    return out;
+  }
+
+  auto IdState(const std::string& aId) -> std::optional<cell::JobState>
+  {
+    for (const auto& [key, it] : mStore.mRows) {
+      if (it.mTable == kIdTable && it.mKey == aId) {
+        return net::Decode<JobIdRow>(it.mValue)->mState;
+      }
+    }
+    return std::nullopt;
+  }
+
+  auto CountRows(std::string_view aTable) -> std::size_t
+  {
+    std::size_t out = 0;
+    for (const auto& [key, it] : mStore.mRows) {
+      out += it.mTable == aTable ? 1 : 0;
+    }
+    return out;
+  }
+};
+
+} // namespace eelgrasspost::dispatch::testing
--- /dev/null
+++ b/src/dispatch/tests/takeover_tests.cpp
@@ -0,0 +1,108 @@
+#define BOOST_TEST_MODULE dispatch_takeover
+#include <boost/test/unit_test.hpp>
+
+#include "holderfixture.h"
+
+namespace {
+
+using namespace eelgrasspost;
+using namespace eelgrasspost::dispatch;
+using dispatch::testing::HolderFixture;
+
+/** Long enough for a holder to start each task that it considers startable. */
+constexpr auto kSettlingTime = Milliseconds(300);
+
+/** A cell with the workers w1 and w2, of which w1 has restarted since it joined
+ * the cell. Each of two tasks uses more than half of a worker. */
+struct RestartedWorker : HolderFixture
+{
+  std::shared_ptr<CellHolder> mFirst = MakeHolder(1, "a/0", { "w1", "w2" });
+  std::string mTaskOnFirst;
+  std::string mTaskOnSecond;
+
+  RestartedWorker()
+  {
+    BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
+    Do([&] {
+      mWorkers.Restart("w1");
+      mFirst->UpdateWorker(MakeRecord("w1"));
+    });
+    BOOST_REQUIRE(Until([&] {
+      const auto& worker = *mFirst->State().mWorkers.at("w1");
+      return worker.mIsKnown && worker.mIncarnationStartMs == 2;
+    }));
+    for (const auto* id : { "0000000000000001", "0000000000000002" }) {
+      auto submission = MakeSubmission(id);
+      submission.mJob.mSpec.mSteps[0].mNeed.mCpuMillis = 9000;
+      Wait(mFirst->Execute(submission));
+    }
+    BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 2; }));
+    for (const auto& [task, worker] : mWorkers.mWorkerOf) {
+      (worker == "w1" ? mTaskOnFirst : mTaskOnSecond) = task;
+    }
+  }
+
+  ~RestartedWorker() { StopPool(); }
+
+  /** The next holder takes over while a worker does not reply. */
+  auto TakeOverWithout(const std::string& aSilent)
+    -> std::shared_ptr<CellHolder>
+  {
+    Do([&] { mWorkers.mUnresponsive = { aSilent }; });
+    const auto out = MakeHolder(2, "a/0", { "w1", "w2" });
+    BOOST_REQUIRE(Until([&] { return out->Phase() == HolderPhase::Active; }));
+    Wait(net::Sleep(kSettlingTime), true);
+    return out;
+  }
+};
+
+} // namespace
+
+// Guards against a second run of a task whose worker has not replied to the
+// next holder.
+BOOST_FIXTURE_TEST_SUITE(restarted_worker, RestartedWorker)
+
+BOOST_AUTO_TEST_CASE(nextholder_other_worker_silent_starts_none_of_its_tasks)
+{
+  Do([&] { mWorkers.End(mTaskOnFirst, cell::EndKind::Done); });
+
+  const auto next = TakeOverWithout("w2");
+
+  BOOST_TEST(mWorkers.mStarts.size() == 2U);
+  Do([&] { mWorkers.mUnresponsive.clear(); });
+  BOOST_TEST(Until([&] { return next->State().mUnreconciledWorkers.empty(); }));
+  BOOST_TEST(mWorkers.mOverlaps == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(
+  nextholder_restarted_worker_silent_starts_none_of_its_tasks)
+{
+  Do([&] { mWorkers.End(mTaskOnSecond, cell::EndKind::Done); });
+
+  const auto next = TakeOverWithout("w1");
+
+  BOOST_TEST(mWorkers.mStarts.size() == 2U);
+  Do([&] { mWorkers.mUnresponsive.clear(); });
+  BOOST_TEST(Until([&] { return next->State().mUnreconciledWorkers.empty(); }));
+  BOOST_TEST(mWorkers.mOverlaps == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(worker_listed_as_restarted_keeps_its_runs_until_it_replies)
+{
+  Do([&] {
+    mWorkers.End(mTaskOnSecond, cell::EndKind::Done);
+    mWorkers.Restart("w1");
+    mWorkers.mUnresponsive = { "w1" };
+    mFirst->UpdateWorker(MakeRecord("w1"));
+  });
+  Wait(net::Sleep(kSettlingTime), true);
+
+  // A holder that was suspended may still start tasks on the new incarnation,
+  // which has not seen this holder's token.
+  BOOST_TEST(mWorkers.mStarts.size() == 2U);
+
+  Do([&] { mWorkers.mUnresponsive.clear(); });
+  BOOST_TEST(Until([&] { return mWorkers.mStarts.size() == 3; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
