Settle a restarted worker only by its own reply or by its lease

What callers saw: a task ran on two workers at one time (TWICE).

Cause: the next holder of a cell waits for each worker on which the previous one may have started tasks. A worker whose listed incarnation was newer than its member's row counted as settled without a reply. The row is written when the worker joins the cell, so each worker that restarted since was newer, though its current incarnation had run tasks for the previous holder. Being the first of the cell's rows, it was also the only one in the set at that moment, so the set became empty and all tasks of the cell counted as not running. In the same way a listed restart ended the runs at once, although the new incarnation knows no token and accepts starts of a holder that was suspended.

Change: a listed incarnation only makes the worker's state unknown. Runs end by a reply of the worker under this holder's token, by a reply of another worker at its address, or with the lease. While a worker is unknown, the end of its leases only moves later.

Ruled out: writing a member's row again at each restart. It costs a transaction before the first order and leaves a window between the list and the write.

--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -333,8 +333,6 @@
 /** Why the runs on a worker are considered ended. */
 enum class RunsLostReason : std::uint8_t
 {
-  /** The platform lists a new incarnation of the worker. */
-  NewIncarnationListed,
   /** A new incarnation of the worker has replied. */
   NewIncarnationReplied,
   /** Another worker has replied at its address. */
@@ -343,8 +341,6 @@
 };
 
 inline constexpr auto kRunsLostReasonNames = std::array{
-  base::EnumName<RunsLostReason>{ RunsLostReason::NewIncarnationListed,
-                                  "new_incarnation_listed" },
   base::EnumName<RunsLostReason>{ RunsLostReason::NewIncarnationReplied,
                                   "new_incarnation_replied" },
   base::EnumName<RunsLostReason>{ RunsLostReason::AddressReused,
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -341,8 +341,8 @@
   }
   if (aRecord.mIncarnationStartMs != 0 && slot->mIncarnationStartMs != 0 &&
       aRecord.mIncarnationStartMs > slot->mIncarnationStartMs) {
-    DropWorkerRuns(aCell, *slot, RunsLostReason::NewIncarnationListed, aNow);
-    slot->mIncarnationStartMs = aRecord.mIncarnationStartMs;
+    // The list does not tell what runs on the new incarnation, which may have
+    // accepted a lower token. Its runs are settled by its own reply.
     slot->mIsKnown = false;
   }
   return *slot;
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -198,12 +198,6 @@
                          : *mState.mWorkers.at(record->mId);
     worker.mIsListed = !isNew;
     worker.mLeasesExpiredAt = leasesExpiredAt;
-    if (!isNew &&
-        worker.mRecord.mIncarnationStartMs > record->mIncarnationStartMs) {
-      // The worker has restarted: its earlier runs are gone.
-      cell::DropWorkerRuns(
-        mState, worker, cell::RunsLostReason::NewIncarnationListed, now);
-    }
     if (isNew) {
       worker.mIncarnationStartMs = record->mIncarnationStartMs;
     }
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -80,13 +80,16 @@
     clock.mClockMs = aClockMs;
     clock.mAt = aNow;
   }
-  if (clock.mClockMs == 0 || !found->second->mIsKnown) {
+  if (clock.mClockMs == 0) {
     return;
   }
   const auto left =
     Milliseconds(std::max<std::int64_t>(0, clock.mLeaseEndMs - clock.mClockMs));
-  found->second->mLeasesExpiredAt =
-    clock.mAt + MaxLocalDuration(left) + kLeaseMargin;
+  const auto expiredAt = clock.mAt + MaxLocalDuration(left) + kLeaseMargin;
+  auto& worker = *found->second;
+  // Earlier leases of a worker whose runs are not known may last longer.
+  worker.mLeasesExpiredAt =
+    worker.mIsKnown ? expiredAt : std::max(worker.mLeasesExpiredAt, expiredAt);
 }
 
 auto CellHolder::PollWorker(const std::string& aWorker, std::int64_t aWaitMs)
