Count the lease that a previous holder may have granted

What callers saw: possibly a task on two workers at one time; only a test shows it.

Cause: the first poll of a worker after a takeover renews nothing, as the worker's clock is not known yet. Its reply set the end of the worker's leases to the reply's time plus the margin of 150 ms, though the lease of the previous holder may last for all of its term. The next poll hides this by renewing at once, unless the holder may not renew: a takeover that took longer than the claim is valid, or a VM that was suspended. Its runs were then dropped after 150 ms and could be started elsewhere beside the live ones.

Change: the first clock of a worker that a holder sees stands for a full lease.

--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -76,6 +76,11 @@
     return;
   }
   auto& clock = mClocks[aWorker];
+  if (clock.mClockMs == 0 && aClockMs > 0) {
+    // A previous holder may have granted a lease until then.
+    clock.mLeaseEndMs =
+      std::max(clock.mLeaseEndMs, aClockMs + mContext.mSettings.mLeaseMs);
+  }
   if (aClockMs > 0 && aClockMs >= clock.mClockMs) {
     clock.mClockMs = aClockMs;
     clock.mAt = aNow;
--- a/src/dispatch/tests/takeover_tests.cpp
+++ b/src/dispatch/tests/takeover_tests.cpp
@@ -106,3 +106,29 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a second run of a task whose worker still has the lease of the
+// previous holder.
+BOOST_FIXTURE_TEST_SUITE(inherited_lease, HolderFixture)
+
+BOOST_AUTO_TEST_CASE(nextholder_unable_to_renew_keeps_the_runs_of_the_lease)
+{
+  const auto first = MakeHolder(1);
+  Wait(first->Execute(MakeSubmission("0000000000000001")));
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 1; }));
+  Do([&] { mStore.mDelays = { Milliseconds(100) }; });
+  const auto next = MakeHolder(2);
+  Do([&] { mSuspended = Milliseconds(30000); });
+  BOOST_REQUIRE(Until([&] {
+    const auto it = next->State().mWorkers.find("w1");
+    return it != next->State().mWorkers.end() && it->second->mIsKnown;
+  }));
+
+  Do([&] { mWorkers.mUnresponsive = { "w1" }; });
+  Wait(net::Sleep(2 * kSettlingTime), true);
+
+  BOOST_TEST(next->State().mWorkers.at("w1")->mRuns.size() == 1U);
+  Do([&] { next->End(); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
