Raise the fencing token for each new incarnation of a worker

Cause: an order names its worker by id, and a worker that restarts may keep it. The new incarnation knows no token, and its clock starts anew, so the end of the lease in an order means nothing to it. A start that got no reply and arrives seconds later was executed by the new incarnation, while the holder had dropped the run with the previous one and started the task elsewhere. Replies of the previous incarnation that came after one of the next also dropped the live runs and set the worker's clock back to the old one.

Change: a holder's token is the version of its claim times 65,536, plus a step for each worker. The first reply of a new incarnation raises the step and makes the worker unknown; its runs are settled by a reply to the raised token. Replies to orders of an earlier step are ignored.

Ruled out: a token from the store for each restart, which would need the store for every restart; waiting for the longest delay of an order, which would leave tasks of crashed workers waiting for 12 s.

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -164,6 +164,11 @@
   auto WatchHostedJob(std::string aId) -> net::Task<void>;
   auto FindOwnJob(const std::string& aId) -> cell::Job*;
   auto TokenFor(const std::string& aWorker) const -> std::uint64_t;
+  auto TokenStepOf(const std::string& aWorker) const -> std::uint64_t;
+  /** Whether a report is the first one of a new incarnation. Raises the token
+   * then, so that the worker refuses what was sent to earlier incarnations. */
+  auto RaiseTokenForIncarnation(cell::Worker& aWorker,
+                                std::int64_t aIncarnationStartMs) -> bool;
   auto MigrateJobs() -> void;
   auto MigrateJob(std::string aId, std::string aCell) -> net::Task<void>;
   auto DropJob(const std::string& aId) -> void;
@@ -186,6 +191,14 @@
     std::int64_t mLeaseEndMs = 0;
   };
 
+  /** Position of a worker's fencing token among those of this holder. */
+  struct TokenStep
+  {
+    std::uint64_t mStep = 0;
+    /** The new incarnation for which the token was last raised. */
+    std::int64_t mIncarnationStartMs = 0;
+  };
+
   HolderContext mContext;
   CellRow mRow;
   std::uint64_t mRowVersion = 0;
@@ -203,6 +216,7 @@
   std::deque<std::pair<MonotonicTime, std::string>> mFinishedOrder;
   std::set<std::string> mUnresolvedJobs;
   std::map<std::string, std::uint64_t> mMinTokens;
+  std::map<std::string, TokenStep> mTokenSteps;
   /** Names of the tasks that are being moved to another cell. */
   std::set<std::string> mMovingTasks;
   /** Cells that refused to host a task, each until it is asked again. */
--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -39,6 +39,11 @@
 inline constexpr auto kPlacementDelay = Milliseconds(500);
 inline constexpr auto kTickInterval = Milliseconds(200);
 
+/** Fencing tokens of one claim. Each new incarnation of a worker gets the next
+ * one, as it has seen no token and would execute late orders to its
+ * predecessor. */
+inline constexpr std::uint64_t kTokensPerVersion = 65536;
+
 /** Upper bound of the local duration of a time span on a worker's clock, which
  * may run up to 2% slow. */
 inline auto MaxLocalDuration(Milliseconds aSpan) -> Milliseconds
--- a/src/dispatch/internal/holdertransfers.cpp
+++ b/src/dispatch/internal/holdertransfers.cpp
@@ -30,8 +30,34 @@
 auto CellHolder::TokenFor(const std::string& aWorker) const -> std::uint64_t
 {
   const auto it = mMinTokens.find(aWorker);
-  return it == mMinTokens.end() ? mRowVersion
-                                : std::max(mRowVersion, it->second);
+  const auto version =
+    it == mMinTokens.end() ? mRowVersion : std::max(mRowVersion, it->second);
+  return version * kTokensPerVersion +
+         std::min(TokenStepOf(aWorker), kTokensPerVersion - 1);
+}
+
+auto CellHolder::TokenStepOf(const std::string& aWorker) const -> std::uint64_t
+{
+  const auto it = mTokenSteps.find(aWorker);
+  return it == mTokenSteps.end() ? 0 : it->second.mStep;
+}
+
+auto CellHolder::RaiseTokenForIncarnation(cell::Worker& aWorker,
+                                          std::int64_t aIncarnationStartMs)
+  -> bool
+{
+  auto& step = mTokenSteps[aWorker.mRecord.mId];
+  const auto isNew = aWorker.mIncarnationStartMs != 0 &&
+                     aIncarnationStartMs != 0 &&
+                     aIncarnationStartMs != aWorker.mIncarnationStartMs &&
+                     aIncarnationStartMs != step.mIncarnationStartMs;
+  if (isNew) {
+    ++step.mStep;
+    step.mIncarnationStartMs = aIncarnationStartMs;
+    aWorker.mIsKnown = false;
+    mClocks.erase(aWorker.mRecord.mId);
+  }
+  return isNew;
 }
 
 auto CellHolder::RequestWorkers() -> void
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -36,6 +36,11 @@
       it->mLeasesExpiredAt = now;
     }
   }
+  if (!mState.mWorkers.contains(aRecord.mId) &&
+      mTokenSteps.contains(aRecord.mId)) {
+    // It was removed; it may have restarted unnoticed.
+    ++mTokenSteps[aRecord.mId].mStep;
+  }
   cell::UpdateWorker(mState, aRecord, now);
   if (mPhase == HolderPhase::Active) {
     StartPolling(aRecord.mId);
@@ -118,7 +123,7 @@
     clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, renewal.mLeaseEndMs);
     UpdateClock(aWorker, 0, sentAt);
   }
-  const auto incarnationStartMs = found->second->mIncarnationStartMs;
+  const auto step = TokenStepOf(aWorker);
   WorkerCall call;
   call.mAddress = found->second->mRecord.mAddress;
   call.mWorker = aWorker;
@@ -129,6 +134,10 @@
   if (mPhase == HolderPhase::Ended || it == mState.mWorkers.end()) {
     co_return false;
   }
+  if (step != TokenStepOf(aWorker)) {
+    // The reply may come from an earlier incarnation.
+    co_return true;
+  }
   auto& worker = *it->second;
   const auto now = base::MonotonicClock::now();
   switch (reply.mOutcome) {
@@ -147,9 +156,9 @@
     default:
       co_return false;
   }
-  if (incarnationStartMs != 0 &&
-      reply.mReport.mIncarnationStartMs != incarnationStartMs) {
-    mClocks.erase(aWorker);
+  if (RaiseTokenForIncarnation(worker, reply.mReport.mIncarnationStartMs)) {
+    // What runs there is known once it has accepted the new token.
+    co_return true;
   }
   const auto seen = worker.mSeenEnds;
   cell::ApplyReport(mState, worker, reply.mReport, sentAt, now);
@@ -214,6 +223,7 @@
   call.mWorker = aOrder.mWorker;
   call.mToken = TokenFor(aOrder.mWorker);
   call.mDeadline = now + kOrderTimeout;
+  const auto step = TokenStepOf(aOrder.mWorker);
   const auto leaseEnd = LeaseEnd(aOrder.mWorker, now);
   if (aOrder.mKind == cell::OrderKind::Start) {
     auto& clock = mClocks[aOrder.mWorker];
@@ -221,7 +231,7 @@
     UpdateClock(aOrder.mWorker, 0, now);
   }
   const auto reply = co_await mContext.mWorkers.Send(call, aOrder, leaseEnd);
-  if (mPhase == HolderPhase::Ended) {
+  if (mPhase == HolderPhase::Ended || step != TokenStepOf(aOrder.mWorker)) {
     co_return;
   }
   if (reply.mOutcome == cell::OrderOutcome::Superseded) {
--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -30,6 +30,9 @@
   /** Start times of the workers' incarnations; 1 where none is given. */
   std::map<std::string, std::int64_t> mIncarnations;
   std::int64_t mClockMs = 1000;
+  /** Orders get no reply and are kept. */
+  bool mHoldsOrders = false;
+  std::vector<std::pair<WorkerCall, cell::Order>> mHeldOrders;
   /** Workers that do not reply to renewals. */
   std::set<std::string> mUnresponsive;
 
@@ -42,9 +45,28 @@
 
   auto Send(WorkerCall aCall, const cell::Order& aOrder, std::int64_t)
     -> net::Task<OrderReply> override
+  {
+    if (mHoldsOrders) {
+      mHeldOrders.emplace_back(aCall, aOrder);
+      co_return OrderReply{ cell::OrderOutcome::Unknown };
+    }
+    co_return Execute(aCall, aOrder);
+  }
+
+  /** Executes the held orders, which were not answered. */
+  auto ExecuteHeldOrders() -> void
+  {
+    mHoldsOrders = false;
+    for (const auto& [call, order] : mHeldOrders) {
+      Execute(call, order);
+    }
+    mHeldOrders.clear();
+  }
+
+  auto Execute(const WorkerCall& aCall, const cell::Order& aOrder) -> OrderReply
   {
     if (!AcceptToken(aCall)) {
-      co_return OrderReply{ cell::OrderOutcome::Superseded, ++mClockMs };
+      return OrderReply{ cell::OrderOutcome::Superseded, ++mClockMs };
     }
     if (aOrder.mKind == cell::OrderKind::Start) {
       mStarts.push_back(aOrder);
@@ -58,7 +80,7 @@
     if (aOrder.mKind == cell::OrderKind::Stop) {
       mStops.push_back(aOrder);
     }
-    co_return OrderReply{ cell::OrderOutcome::Done, ++mClockMs };
+    return OrderReply{ cell::OrderOutcome::Done, ++mClockMs };
   }
 
   auto Renew(WorkerCall aCall, LeaseRenewal aRenewal)
--- a/src/dispatch/tests/takeover_tests.cpp
+++ b/src/dispatch/tests/takeover_tests.cpp
@@ -132,3 +132,35 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a second run of a task whose start was sent to the previous
+// incarnation of a worker and is executed by the next one.
+BOOST_FIXTURE_TEST_SUITE(next_incarnation, HolderFixture)
+
+BOOST_AUTO_TEST_CASE(start_sent_to_the_previous_incarnation_is_refused)
+{
+  const auto holder = MakeHolder(1, "a/0", { "w1", "w2" });
+  BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
+  Do([&] { mWorkers.mHoldsOrders = true; });
+  Wait(holder->Execute(MakeSubmission("0000000000000001")));
+  BOOST_REQUIRE(Until([&] { return !mWorkers.mHeldOrders.empty(); }));
+  const auto worker = mWorkers.mHeldOrders.front().first.mWorker;
+
+  Do([&] {
+    auto held = std::move(mWorkers.mHeldOrders);
+    mWorkers.mHoldsOrders = false;
+    mWorkers.Restart(worker);
+    auto record = MakeRecord(worker);
+    record.mState = cell::WorkerState::Draining;
+    holder->UpdateWorker(record);
+    mWorkers.mHeldOrders = std::move(held);
+  });
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 1; }));
+  Do([&] { mWorkers.ExecuteHeldOrders(); });
+
+  BOOST_TEST(mWorkers.mOverlaps == 0U);
+  BOOST_TEST((holder->Phase() == HolderPhase::Active));
+  Do([&] { holder->End(); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
