Acknowledge only ends of the incarnation whose ends were stored

What callers saw: possibly a task that was done and started again (TWICE) after an entry was lost; only a test shows it.

Cause: a flush acknowledges, for each worker, the ends that it had listed when the flush began. A worker that restarted during the flush numbers its ends from 1, so with a slow store ends of the next incarnation with the same numbers were acknowledged though they were not stored. The worker forgets an acknowledged end; if the entry ends before the next flush, the next holder starts the task again.

Change: the numbers are kept with the incarnation and apply only to it.

--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -31,6 +31,13 @@
   bool mIsFinal = false;
 };
 
+/** The last end that a worker's incarnation had listed when a flush began. */
+struct SeenEnds
+{
+  std::int64_t mIncarnationStartMs = 0;
+  std::uint64_t mNumber = 0;
+};
+
 auto FindReplyRow(const StoreReply& aReply, const RowKey& aKey)
   -> const StoreRow*
 {
@@ -72,9 +79,9 @@
     co_await net::Sleep(kFlushPollInterval);
   }
   mIsFlushing = true;
-  std::map<std::string, std::uint64_t> seen;
+  std::map<std::string, SeenEnds> seen;
   for (const auto& [id, it] : mState.mWorkers) {
-    seen[id] = it->mSeenEnds;
+    seen[id] = { it->mIncarnationStartMs, it->mSeenEnds };
   }
   std::map<std::uint32_t, std::vector<std::string>> byPartition;
   for (const auto& it : mState.mDirty) {
@@ -93,11 +100,13 @@
   if (!isOk) {
     co_return false;
   }
-  for (const auto& [id, number] : seen) {
+  for (const auto& [id, ends] : seen) {
     const auto it = mState.mWorkers.find(id);
     // A worker that restarted meanwhile numbers its ends from the start.
-    if (it != mState.mWorkers.end() && it->second->mSeenEnds >= number) {
-      it->second->mStoredEnds = std::max(it->second->mStoredEnds, number);
+    if (it != mState.mWorkers.end() &&
+        it->second->mIncarnationStartMs == ends.mIncarnationStartMs &&
+        it->second->mSeenEnds >= ends.mNumber) {
+      it->second->mStoredEnds = std::max(it->second->mStoredEnds, ends.mNumber);
     }
   }
   co_return true;
--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -122,6 +122,10 @@
   {
     mIncarnations[aWorker] = IncarnationOf(aWorker) + 1;
     mTokens.erase(aWorker);
+    mLastEnd = 0;
+    std::erase_if(mEnds, [&](const cell::EndRow& aEnd) {
+      return mWorkerOf.at(aEnd.mTask) == aWorker;
+    });
     std::erase_if(mRunning, [&](const auto& aItem) {
       return mWorkerOf.at(aItem.first) == aWorker;
     });
--- a/src/dispatch/tests/takeover_tests.cpp
+++ b/src/dispatch/tests/takeover_tests.cpp
@@ -163,4 +163,34 @@
   Do([&] { holder->End(); });
 }
 
+// Guards against ends that are acknowledged before they are stored, so that the
+// next holder starts their tasks again.
+BOOST_AUTO_TEST_CASE(
+  ends_of_the_next_incarnation_are_not_acknowledged_with_older)
+{
+  const auto holder = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 1; }));
+  Wait(holder->Execute(MakeSubmission("0000000000000001")));
+  Wait(holder->Execute(MakeSubmission("0000000000000002")));
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 2; }));
+  Do([&] {
+    mStore.mDelays = { Milliseconds(400), Milliseconds(400) };
+    mWorkers.End("0000000000000001.0.0.0", cell::EndKind::Done);
+  });
+  BOOST_REQUIRE(Until([&] { return mStore.mDelays.size() == 1; }));
+
+  Do([&] { mWorkers.Restart("w1"); });
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 3; }));
+  Do([&] { mWorkers.End("0000000000000002.0.0.0", cell::EndKind::Done); });
+  BOOST_REQUIRE(
+    Until([&] { return IdState("0000000000000001") == cell::JobState::Done; }));
+  Wait(net::Sleep(Milliseconds(150)), true);
+
+  BOOST_REQUIRE(IdState("0000000000000002") != cell::JobState::Done);
+  BOOST_TEST(mWorkers.mAcknowledged == 0U);
+  BOOST_TEST(
+    Until([&] { return IdState("0000000000000002") == cell::JobState::Done; }));
+  Do([&] { holder->End(); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
