Treat a hosted job as inherited while a takeover is not settled

What callers saw: possibly a long-running task on two workers at one time; only a test shows it.

Cause: the row of a hosted job is written under the fence of the cell that owns the job, so it may appear after the next holder of the host cell has read the cell's jobs, and the previous holder may still read it and start the task. The next holder added the job as a new one and started the task beside it.

Change: while workers are not reconciled, hosted tasks that are read count as possibly running.

Test: nexthost_worker_silent_starts_no_hosted_task failed before in three runs of three (an overlap) and passes in three of three.

--- a/src/cell/internal/hostedtasks.cpp
+++ b/src/cell/internal/hostedtasks.cpp
@@ -47,6 +47,7 @@
     for (auto& step : occurrence->mSteps) {
       for (auto& it : step.mTasks) {
         if (it.mPhase == TaskPhase::Remote && IsHostedTask(aJob, it)) {
+          it.mMayBeRunning = !aCell.mUnreconciledWorkers.empty();
           MakeReady(aCell, it, aNow);
         }
       }
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -166,8 +166,10 @@
   if (known) {
     cell::SetHostedTasks(mState, *known, std::move(stored->mHostedTasks), now);
   } else {
+    // The previous holder may have read the row first and started its tasks.
+    const auto isInherited = !mState.mUnreconciledWorkers.empty();
     cell::AddJob(
-      mState, *std::move(stored), {}, false, now, base::WallClockMs());
+      mState, *std::move(stored), {}, isInherited, now, base::WallClockMs());
     net::SpawnTask(mContext.mExecutor, WatchHostedJob(aId));
   }
   ScheduleDecision();
--- a/src/dispatch/tests/takeover_tests.cpp
+++ b/src/dispatch/tests/takeover_tests.cpp
@@ -2,6 +2,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "holderfixture.h"
+#include "internal/claiming.h"
+#include "internal/holdertimes.h"
 
 namespace {
 
@@ -194,3 +196,49 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a second run of a hosted task that the previous holder of the
+// host cell started after the next one had read the cell's jobs.
+BOOST_FIXTURE_TEST_SUITE(hosted_tasks, HolderFixture)
+
+BOOST_AUTO_TEST_CASE(nexthost_worker_silent_starts_no_hosted_task)
+{
+  const std::string id = "0000000000000001";
+  const auto first = MakeHolder(1, "b/0", { "w1", "w2" });
+  BOOST_REQUIRE(Until([&] {
+    const auto& workers = first->State().mWorkers;
+    return workers.size() == 2 && workers.at("w1")->mIsKnown &&
+           workers.at("w2")->mIsKnown;
+  }));
+  auto sync = MakeSubmission(id);
+  sync.mKind = JobCommandKind::SyncHostedJob;
+  auto hosted = sync.mJob;
+  hosted.mSpec.mSteps[0].mIsLongRunning = true;
+  hosted.mHostedTasks = { { 0, 0, 0 } };
+  Do([&] { mWorkers.mUnresponsive = { "w1", "w2" }; });
+  const auto next = MakeHolder(2, "b/0", { "w1", "w2" });
+  BOOST_REQUIRE(Until([&] { return next->Phase() == HolderPhase::Active; }));
+  StoreTransaction transaction;
+  transaction.mPartition = PartitionName(HashOf(id) % 2);
+  transaction.mWrites.push_back(
+    { { std::string(kJobTable), "b/0/" + id }, net::Encode(hosted) });
+  Wait(mStore.Commit(std::move(transaction), {}));
+  Wait(first->Execute(sync));
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 1; }));
+
+  const auto used = mWorkers.mStarts.front().mWorker;
+  Do([&] { mWorkers.mUnresponsive = { used }; });
+  Wait(next->Execute(sync));
+  Wait(net::Sleep(3 * kSettlingTime), true);
+
+  BOOST_TEST(mWorkers.mStarts.size() == 1U);
+  Do([&] { mWorkers.mUnresponsive.clear(); });
+  BOOST_TEST(Until([&] { return next->State().mUnreconciledWorkers.empty(); }));
+  BOOST_TEST(mWorkers.mOverlaps == 0U);
+  Do([&] {
+    first->End();
+    next->End();
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
