Start no task while a worker of the cell has an untracked run of it

What callers saw: possibly a task on two workers at one time; only a test shows it.

Cause: a run whose job the holder does not know is stopped. When the job was read before that run had ended, as with a hosted job or an import, its task started beside the run.

Change: a start is only sent when no worker of the cell has a run of the task's name. This is checked where all starts are made, so it also covers runs that are found in any other way.

--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -48,6 +48,17 @@
   return order;
 }
 
+/** Whether a worker has a run of a task that has no run of its own, which is
+ * one that a previous holder started and that is being stopped. */
+auto HasUntrackedRun(const CellState& aCell, const Task& aTask) -> bool
+{
+  const auto name = TaskName(aTask);
+  return std::any_of(
+    aCell.mWorkers.begin(), aCell.mWorkers.end(), [&](const auto& aItem) {
+      return aItem.second->mRuns.contains(name);
+    });
+}
+
 auto NextAttempt(CellState& aCell) -> std::uint64_t
 {
   return aCell.mAttemptBase + aCell.mNextAttempt++;
@@ -63,7 +74,7 @@
     aTask.mJob->mOccurrences.at(aTask.mOccurrence)->mSteps[aTask.mStep].mTasks;
   const auto areReady =
     std::all_of(tasks.begin(), tasks.end(), [&](const Task& aMember) {
-      return MayStart(aMember, aNow);
+      return MayStart(aMember, aNow) && !HasUntrackedRun(aCell, aMember);
     });
   if (!areReady) {
     return;
@@ -246,7 +257,11 @@
     if (NeedsAtLeastUnplaced(unplaced, *it, spec, tolerance)) {
       continue;
     }
-    if (auto* worker = FindWorker(aCell, *it, spec, tolerance, aNow)) {
+    auto* worker = FindWorker(aCell, *it, spec, tolerance, aNow);
+    if (worker && HasUntrackedRun(aCell, *it)) {
+      continue;
+    }
+    if (worker) {
       aOrders.push_back(
         PlaceTask(aCell, *it, *worker, NextAttempt(aCell), aNow));
     } else if (spec.mIsLongRunning && reservations < kMaxReservations) {
