Confirm a claim as of the first page of a table

Cause: while the control table is read in several pages, the time of the last page confirmed the claims, though the row of a claim may be in the first one and have changed since. A holder could act on its claim for longer than the time after which others consider it expired, by the time of the later pages.

Change: the time at which the first page was requested confirms the claims.

--- a/src/dispatch/internal/tablewatch.cpp
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -54,8 +54,8 @@
   query.mTable = mTable;
   query.mLimit = kPageRows;
   std::uint64_t version = 0;
+  const auto sentAt = base::BootNow();
   for (auto hasMore = true; hasMore;) {
-    const auto sentAt = base::BootNow();
     const auto reply = co_await mStore.ReadRange(
       query, base::MonotonicClock::now() + kStoreTimeout);
     if (reply.mOutcome != StoreOutcome::Done) {
@@ -71,8 +71,9 @@
     if (hasMore) {
       query.mFrom = reply.mRows.back().mKey + '\x01';
     }
-    mConfirmedAt = sentAt;
   }
+  // A row of the first page may have changed since.
+  mConfirmedAt = sentAt;
   std::vector<std::string> removed;
   for (const auto& [key, it] : mVersions) {
     if (!seen.contains(key)) {
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -33,6 +33,8 @@
   std::deque<FakeFault> mFaults;
   /** Durations of the next commits, in order. */
   std::deque<Milliseconds> mDelays;
+  /** Durations of the next range reads, in order. */
+  std::deque<Milliseconds> mReadDelays;
 
   auto Find(const std::string& aTable,
             const std::string& aPartition,
@@ -70,6 +72,11 @@
   auto ReadRange(RangeQuery aQuery, MonotonicTime)
     -> net::Task<StoreReply> override
   {
+    if (!mReadDelays.empty()) {
+      const auto delay = mReadDelays.front();
+      mReadDelays.pop_front();
+      co_await net::Sleep(delay);
+    }
     StoreReply out;
     out.mOutcome = StoreOutcome::Done;
     out.mVersion = mVersion;
--- a/src/dispatch/tests/tablewatch_tests.cpp
+++ b/src/dispatch/tests/tablewatch_tests.cpp
@@ -1,4 +1,6 @@
+#include <optional>
 #include <set>
+#include <string>
 
 #include <boost/test/unit_test.hpp>
 
@@ -83,4 +85,27 @@
   BOOST_TEST(Until([&] { return mKeys == std::set<std::string>{ "b", "c" }; }));
 }
 
+// Guards against a claim that counts as confirmed by a page that does not
+// contain its row.
+BOOST_AUTO_TEST_CASE(watch_of_several_pages_is_confirmed_as_of_the_first)
+{
+  constexpr auto kPageTime = Milliseconds(200);
+  StoreTransaction transaction;
+  for (auto i = 0; i < 501; ++i) {
+    transaction.mWrites.push_back({ { "members", std::to_string(i) }, "" });
+  }
+  Wait(mStore.Commit(std::move(transaction), {}));
+  mStore.mReadDelays = { kPageTime, kPageTime };
+  const auto startedAt = eelgrasspost::base::BootNow();
+  Run();
+  std::optional<eelgrasspost::base::BootTime> confirmedAt;
+  BOOST_REQUIRE(Until([&] {
+    if (mWatch.IsLoaded() && !confirmedAt) {
+      confirmedAt = mWatch.ConfirmedAt();
+    }
+    return confirmedAt.has_value();
+  }));
+  BOOST_TEST((*confirmedAt - startedAt < kPageTime));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
