Start nothing and acknowledge nothing on a worker that may have restarted

Cause: until a holder polls the next incarnation of a worker, its starts are executed there, and its polls carry the number of the last end of the previous incarnation. The next one forgets its own ends up to that number, so the holder finds the run gone without an end and starts the task again.

Change: a call without a reply, a refused order, and a reply whose clock does not continue the known one make it possible that the worker has restarted. It is polled at once, and gets neither starts nor acknowledgements until it has replied. A new incarnation is polled again at once under its raised token.

The fake workers now have clocks that start anew, and forget ends by the number of each renewal, as the contract says.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -193,6 +193,10 @@
   MonotonicTime mReservedUntil{};
   /** A new report is needed to find out what became of a run. */
   bool mNeedsPoll = false;
+  /** Since when a call without a reply, or a reply that does not fit its clock,
+   * suggests that it has restarted. It gets no starts, and no acknowledgements
+   * of ends, until it replies to a later poll. */
+  std::optional<MonotonicTime> mMayHaveRestartedSince;
   /** What the best-effort runs would use at full speed, by image. */
   std::vector<ImageUse> mBestEffortUses;
   /** Images of the serving runs, each with the number of its runs. */
@@ -344,6 +348,9 @@
                     RunsLostReason aReason,
                     MonotonicTime aNow) -> void;
 
+/** Notes that a worker may have restarted and has to be polled. */
+auto SuspectRestart(Worker& aWorker, MonotonicTime aNow) -> void;
+
 /** Applies a worker's report. aSentAt: when the poll was sent. */
 auto ApplyReport(CellState& aCell,
                  Worker& aWorker,
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -204,6 +204,10 @@
                aOrder.mAttempt,
                base::NameOf(kOrderOutcomeNames, aOutcome),
                static_cast<double>(aOrder.mKind) });
+    if (aOutcome == OrderOutcome::Unknown ||
+        aOutcome == OrderOutcome::Refused) {
+      SuspectRestart(*worker, aNow);
+    }
   }
   if (!run) {
     return;
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -356,6 +356,12 @@
   }
 }
 
+auto SuspectRestart(Worker& aWorker, MonotonicTime aNow) -> void
+{
+  aWorker.mMayHaveRestartedSince = aNow;
+  aWorker.mNeedsPoll = true;
+}
+
 auto ApplyReport(CellState& aCell,
                  Worker& aWorker,
                  const WorkerReport& aReport,
@@ -375,6 +381,10 @@
   aWorker.mLastContact = aNow;
   aWorker.mNeedsPoll = false;
   aWorker.mIsKnown = true;
+  if (aWorker.mMayHaveRestartedSince &&
+      aSentAt >= *aWorker.mMayHaveRestartedSince) {
+    aWorker.mMayHaveRestartedSince.reset();
+  }
   for (const auto& it : aReport.mEnds) {
     if (it.mNumber > aWorker.mSeenEnds) {
       aWorker.mSeenEnds = it.mNumber;
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -224,6 +224,7 @@
   -> bool
 {
   return aWorker.mIsKnown && aWorker.mIsListed && !aWorker.mIsTransferring &&
+         !aWorker.mMayHaveRestartedSince &&
          aWorker.mRecord.mState == WorkerState::Ready &&
          aNow >= aWorker.mSuspectUntil && aNow >= aWorker.mProbationUntil &&
          aNow - aWorker.mLastContact < aCell.mPolicy.mSilenceLimit;
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -131,6 +131,9 @@
   auto SendOrder(cell::Order aOrder) -> net::Task<void>;
   auto LeaseEnd(const std::string& aWorker, MonotonicTime aNow) const
     -> std::int64_t;
+  auto FitsClock(const std::string& aWorker,
+                 std::int64_t aClockMs,
+                 MonotonicTime aNow) const -> bool;
   auto UpdateClock(const std::string& aWorker,
                    std::int64_t aClockMs,
                    MonotonicTime aNow) -> void;
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -72,6 +72,24 @@
   return it->second.mClockMs + since.count() + mContext.mSettings.mLeaseMs;
 }
 
+/** Whether a worker's clock can have the given value now. A clock that starts
+ * anew shows that the worker has restarted. */
+auto CellHolder::FitsClock(const std::string& aWorker,
+                           std::int64_t aClockMs,
+                           MonotonicTime aNow) const -> bool
+{
+  const auto it = mClocks.find(aWorker);
+  if (it == mClocks.end() || it->second.mClockMs == 0 || aClockMs == 0) {
+    return true;
+  }
+  const auto since =
+    std::chrono::duration_cast<Milliseconds>(aNow - it->second.mAt);
+  const auto latest =
+    it->second.mClockMs + MaxLocalDuration(since + kOrderTimeout).count();
+  const auto earliest = it->second.mClockMs - 2 * kOrderTimeout.count();
+  return aClockMs >= earliest && aClockMs <= latest;
+}
+
 auto CellHolder::UpdateClock(const std::string& aWorker,
                              std::int64_t aClockMs,
                              MonotonicTime aNow) -> void
@@ -112,7 +130,10 @@
   const auto sentAt = base::MonotonicClock::now();
   LeaseRenewal renewal;
   renewal.mWaitMs = aWaitMs;
-  renewal.mStoredEnds = found->second->mStoredEnds;
+  // The next incarnation would forget its own ends of these numbers.
+  const auto mayAcknowledge =
+    found->second->mIsKnown && !found->second->mMayHaveRestartedSince;
+  renewal.mStoredEnds = mayAcknowledge ? found->second->mStoredEnds : 0;
   // A renewal without a reply may still be applied. A worker that does not
   // reply gets no further renewal, so that the end of its lease is known.
   const auto isUnresponsive =
@@ -154,11 +175,12 @@
       ScheduleDecision();
       co_return false;
     default:
+      worker.mMayHaveRestartedSince = now;
       co_return false;
   }
   if (RaiseTokenForIncarnation(worker, reply.mReport.mIncarnationStartMs)) {
     // What runs there is known once it has accepted the new token.
-    co_return true;
+    co_return co_await PollWorker(aWorker, 0);
   }
   const auto seen = worker.mSeenEnds;
   cell::ApplyReport(mState, worker, reply.mReport, sentAt, now);
@@ -197,9 +219,10 @@
       }
     }
     const auto& worker = *it->second;
-    const auto isFirst = !mClocks.contains(aWorker);
+    const auto isUrgent = !mClocks.contains(aWorker) || !worker.mIsKnown ||
+                          worker.mMayHaveRestartedSince;
     const auto hasBestEffort = worker.mBestEffortCpuMillis > 0;
-    const auto wait = isFirst         ? 0
+    const auto wait = isUrgent        ? 0
                       : hasBestEffort ? kBestEffortPollWaitMs
                                       : kRenewalWaitMs;
     if (!co_await PollWorker(aWorker, wait)) {
@@ -243,7 +266,13 @@
     co_return;
   }
   const auto repliedAt = base::MonotonicClock::now();
-  UpdateClock(aOrder.mWorker, reply.mClockMs, repliedAt);
+  if (FitsClock(aOrder.mWorker, reply.mClockMs, repliedAt)) {
+    UpdateClock(aOrder.mWorker, reply.mClockMs, repliedAt);
+  } else if (const auto it = mState.mWorkers.find(aOrder.mWorker);
+             it != mState.mWorkers.end()) {
+    cell::SuspectRestart(*it->second, repliedAt);
+    ScheduleDecision();
+  }
   cell::ApplyOutcome(mState, aOrder, reply.mOutcome, repliedAt);
   if (reply.mOutcome != cell::OrderOutcome::Done ||
       aOrder.mKind == cell::OrderKind::Stop) {
--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -29,10 +29,15 @@
   std::map<std::string, std::uint64_t> mTokens;
   /** Start times of the workers' incarnations; 1 where none is given. */
   std::map<std::string, std::int64_t> mIncarnations;
-  std::int64_t mClockMs = 1000;
+  std::int64_t mClockMs = 100000;
+  std::map<std::string, std::int64_t> mStartedAtMs;
   /** Orders get no reply and are kept. */
   bool mHoldsOrders = false;
   std::vector<std::pair<WorkerCall, cell::Order>> mHeldOrders;
+  /** Workers that execute renewals but whose replies are lost. */
+  std::set<std::string> mLosesReplies;
+  /** Number of the next renewals that are executed late, without a reply. */
+  std::size_t mLateRenewals = 0;
   /** Workers that do not reply to renewals. */
   std::set<std::string> mUnresponsive;
 
@@ -66,7 +71,8 @@
   auto Execute(const WorkerCall& aCall, const cell::Order& aOrder) -> OrderReply
   {
     if (!AcceptToken(aCall)) {
-      return OrderReply{ cell::OrderOutcome::Superseded, ++mClockMs };
+      return OrderReply{ cell::OrderOutcome::Superseded,
+                         ClockOf(aCall.mWorker) };
     }
     if (aOrder.mKind == cell::OrderKind::Start) {
       mStarts.push_back(aOrder);
@@ -80,7 +86,8 @@
     if (aOrder.mKind == cell::OrderKind::Stop) {
       mStops.push_back(aOrder);
     }
-    return OrderReply{ cell::OrderOutcome::Done, ++mClockMs };
+    ++mClockMs;
+    return OrderReply{ cell::OrderOutcome::Done, ClockOf(aCall.mWorker) };
   }
 
   auto Renew(WorkerCall aCall, LeaseRenewal aRenewal)
@@ -91,18 +98,26 @@
     if (mUnresponsive.contains(aCall.mWorker)) {
       co_return out;
     }
+    const auto isLate = mLateRenewals > 0;
+    if (isLate) {
+      --mLateRenewals;
+      co_await net::Sleep(Milliseconds(400));
+    }
     if (!AcceptToken(aCall)) {
       out.mOutcome = cell::OrderOutcome::Superseded;
       co_return out;
     }
     mAcknowledged = std::max(mAcknowledged, aRenewal.mStoredEnds);
     std::erase_if(mEnds, [&](const cell::EndRow& aEnd) {
-      return aEnd.mNumber <= mAcknowledged;
+      return aEnd.mNumber <= aRenewal.mStoredEnds;
     });
+    if (isLate || mLosesReplies.contains(aCall.mWorker)) {
+      co_return out;
+    }
     out.mOutcome = cell::OrderOutcome::Done;
     out.mReport.mIncarnationStartMs = IncarnationOf(aCall.mWorker);
     mClockMs += 10;
-    out.mReport.mClockMs = mClockMs;
+    out.mReport.mClockMs = ClockOf(aCall.mWorker);
     for (auto& [name, it] : mRunning) {
       if (mWorkerOf.at(name) == aCall.mWorker) {
         it.mPercent += 1;
@@ -122,7 +137,9 @@
   {
     mIncarnations[aWorker] = IncarnationOf(aWorker) + 1;
     mTokens.erase(aWorker);
+    mStartedAtMs[aWorker] = mClockMs;
     mLastEnd = 0;
+    mAcknowledged = 0;
     std::erase_if(mEnds, [&](const cell::EndRow& aEnd) {
       return mWorkerOf.at(aEnd.mTask) == aWorker;
     });
@@ -131,6 +148,13 @@
     });
   }
 
+  /** A worker's clock, which starts anew with each incarnation. */
+  auto ClockOf(const std::string& aWorker) const -> std::int64_t
+  {
+    const auto it = mStartedAtMs.find(aWorker);
+    return it == mStartedAtMs.end() ? mClockMs : mClockMs - it->second + 1;
+  }
+
   auto IncarnationOf(const std::string& aWorker) const -> std::int64_t
   {
     const auto it = mIncarnations.find(aWorker);
--- a/src/dispatch/tests/takeover_tests.cpp
+++ b/src/dispatch/tests/takeover_tests.cpp
@@ -58,6 +58,35 @@
   }
 };
 
+struct NextIncarnation : HolderFixture
+{
+  ~NextIncarnation() { StopPool(); }
+
+  auto EndOnThread(const std::string& aTask) -> void
+  {
+    if (mWorkers.mRunning.contains(aTask)) {
+      mWorkers.End(aTask, cell::EndKind::Done);
+    }
+  }
+
+  auto EndIfRunning(const std::string& aTask) -> void
+  {
+    Do([&] { EndOnThread(aTask); });
+  }
+
+  /** Runs a job with one task until its end is stored and acknowledged. */
+  auto RunJob(const std::shared_ptr<CellHolder>& aHolder,
+              const std::string& aId) -> void
+  {
+    Wait(aHolder->Execute(MakeSubmission(aId)));
+    BOOST_REQUIRE(Until([&] {
+      EndOnThread(aId + ".0.0.0");
+      return IdState(aId) == cell::JobState::Done &&
+             mWorkers.mAcknowledged == 1U;
+    }));
+  }
+};
+
 } // namespace
 
 // Guards against a second run of a task whose worker has not replied to the
@@ -137,7 +166,7 @@
 
 // Guards against a second run of a task whose start was sent to the previous
 // incarnation of a worker and is executed by the next one.
-BOOST_FIXTURE_TEST_SUITE(next_incarnation, HolderFixture)
+BOOST_FIXTURE_TEST_SUITE(next_incarnation, NextIncarnation)
 
 BOOST_AUTO_TEST_CASE(start_sent_to_the_previous_incarnation_is_refused)
 {
@@ -195,6 +224,54 @@
   Do([&] { holder->End(); });
 }
 
+// Guards against ends that the acknowledgement of ends of the previous
+// incarnation makes the next one forget.
+BOOST_AUTO_TEST_CASE(worker_restarted_while_replies_are_lost_keeps_its_ends)
+{
+  const auto holder = MakeHolder(1);
+  RunJob(holder, "0000000000000001");
+  Do([&] {
+    mWorkers.Restart("w1");
+    mWorkers.mLosesReplies = { "w1" };
+  });
+  Wait(net::Sleep(kSettlingTime), true);
+  Wait(holder->Execute(MakeSubmission("0000000000000002")));
+  Wait(net::Sleep(kSettlingTime), true);
+  EndIfRunning("0000000000000002.0.0.0");
+  Wait(net::Sleep(kSettlingTime), true);
+  Do([&] { mWorkers.mLosesReplies.clear(); });
+
+  BOOST_TEST(Until([&] {
+    EndOnThread("0000000000000002.0.0.0");
+    return IdState("0000000000000002") == cell::JobState::Done;
+  }));
+  BOOST_TEST(mWorkers.mStarts.size() == 2U);
+  Do([&] { holder->End(); });
+}
+
+BOOST_AUTO_TEST_CASE(worker_restarted_during_a_late_renewal_keeps_its_ends)
+{
+  const auto holder = MakeHolder(1);
+  RunJob(holder, "0000000000000001");
+  Do([&] {
+    mWorkers.Restart("w1");
+    mWorkers.mLateRenewals = 1;
+  });
+  BOOST_REQUIRE(Until([&] { return mWorkers.mLateRenewals == 0; }));
+  Wait(holder->Execute(MakeSubmission("0000000000000002")));
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 2; }));
+  Wait(net::Sleep(Milliseconds(100)), true);
+  Do([&] { mStore.mDelays = { Milliseconds(600) }; });
+  EndIfRunning("0000000000000002.0.0.0");
+
+  BOOST_TEST(Until([&] {
+    EndOnThread("0000000000000002.0.0.0");
+    return IdState("0000000000000002") == cell::JobState::Done;
+  }));
+  BOOST_TEST(mWorkers.mStarts.size() == 2U);
+  Do([&] { holder->End(); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against a second run of a hosted task that the previous holder of the
