Conclude nothing from a list of ends that may be cut off

What callers saw: possibly tasks that were done and ran again (TWICE) after a long outage of the store; only tests show it.

Cause: a worker lists 500 ends at a time. A run that is neither listed as running nor has an end was taken for vanished and its task started again, and a takeover counted the worker as reconciled, though the end may be one of those that follow once the first ones are acknowledged.

--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -293,6 +293,9 @@
   std::int64_t mClockMs = 0;
   std::vector<RunningRow> mRunning;
   std::vector<EndRow> mEnds;
+  /** The list of ends may be cut off; the rest is listed once these are
+   * acknowledged. */
+  bool mMayHaveMoreEnds = false;
 };
 
 enum class OrderKind : std::uint8_t
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -401,8 +401,10 @@
       UpdateRun(run->second, it, aNow);
     }
   }
-  DropVanishedRuns(aCell, aWorker, listed, aSentAt, aNow);
-  MarkReconciled(aCell, aWorker.mRecord.mId, "reported");
+  if (!aReport.mMayHaveMoreEnds) {
+    DropVanishedRuns(aCell, aWorker, listed, aSentAt, aNow);
+    MarkReconciled(aCell, aWorker.mRecord.mId, "reported");
+  }
   if (aWorker.mConsecutiveFailures >= aCell.mPolicy.mProbationFailures) {
     aWorker.mProbationUntil = aNow + aCell.mPolicy.mProbation;
     AddEvent(aCell,
--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -40,6 +40,12 @@
   std::size_t mLateRenewals = 0;
   /** Workers that do not reply to renewals. */
   std::set<std::string> mUnresponsive;
+  /** Ports of workers; another worker replies at each other port. */
+  std::map<std::string, std::uint16_t> mPorts;
+  /** Renewals wait for an end, as those of the platform's workers do. */
+  bool mWaitsForEnds = false;
+  /** Ends per reply. */
+  std::size_t mMaxListedEnds = 500;
 
   auto End(const std::string& aTask, cell::EndKind aKind) -> void
   {
@@ -95,9 +101,18 @@
   {
     co_await net::Sleep(Milliseconds(5));
     LeaseRenewalReply out;
+    if (mWaitsForEnds && !mUnresponsive.contains(aCall.mWorker) &&
+        mEnds.empty()) {
+      co_await net::Sleep(Milliseconds(aRenewal.mWaitMs));
+    }
     if (mUnresponsive.contains(aCall.mWorker)) {
       co_return out;
     }
+    if (mPorts.contains(aCall.mWorker) &&
+        mPorts.at(aCall.mWorker) != aCall.mAddress.mPort) {
+      out.mOutcome = cell::OrderOutcome::OtherIncarnation;
+      co_return out;
+    }
     const auto isLate = mLateRenewals > 0;
     if (isLate) {
       --mLateRenewals;
@@ -125,10 +140,12 @@
       }
     }
     for (const auto& it : mEnds) {
-      if (mWorkerOf.at(it.mTask) == aCall.mWorker) {
+      if (mWorkerOf.at(it.mTask) == aCall.mWorker &&
+          out.mReport.mEnds.size() < mMaxListedEnds) {
         out.mReport.mEnds.push_back(it);
       }
     }
+    out.mReport.mMayHaveMoreEnds = out.mReport.mEnds.size() >= mMaxListedEnds;
     co_return out;
   }
 
@@ -248,6 +265,10 @@
     out.mId = aId;
     out.mIncarnationStartMs = mWorkers.IncarnationOf(aId);
     out.mService = "service";
+    if (const auto it = mWorkers.mPorts.find(aId);
+        it != mWorkers.mPorts.end()) {
+      out.mAddress.mPort = it->second;
+    }
     out.mCapacity = { 16000, 64000, 0 };
     return out;
   }
--- /dev/null
+++ b/src/dispatch/tests/reports_tests.cpp
@@ -0,0 +1,71 @@
+#define BOOST_TEST_MODULE dispatch_reports
+#include <boost/test/unit_test.hpp>
+
+#include "holderfixture.h"
+
+namespace {
+
+using namespace eelgrasspost;
+using namespace eelgrasspost::dispatch;
+using dispatch::testing::HolderFixture;
+
+constexpr auto kSettlingTime = Milliseconds(300);
+
+/** A worker with more runs than it lists ends in one reply. */
+struct ManyRuns : HolderFixture
+{
+  static constexpr std::uint32_t kTasks = 520;
+  std::shared_ptr<CellHolder> mFirst = MakeHolder(1);
+
+  ManyRuns()
+  {
+    auto submission = MakeSubmission("0000000000000001");
+    auto& step = submission.mJob.mSpec.mSteps[0];
+    step.mCount = kTasks;
+    step.mNeed = { 10, 10, 0 };
+    Wait(mFirst->Execute(submission));
+    BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == kTasks; }));
+  }
+
+  ~ManyRuns() { StopPool(); }
+
+  /** Ends all runs; to be called on the pool's thread. */
+  auto EndAll() -> void
+  {
+    const auto running = mWorkers.mRunning;
+    for (const auto& [task, row] : running) {
+      mWorkers.End(task, cell::EndKind::Done);
+    }
+  }
+};
+
+} // namespace
+
+// Guards against tasks that are done and start again, as their ends are beyond
+// those that one reply lists.
+BOOST_FIXTURE_TEST_SUITE(ends_beyond_one_reply, ManyRuns)
+
+BOOST_AUTO_TEST_CASE(holder_starts_no_task_again)
+{
+  Do([&] { EndAll(); });
+  BOOST_TEST(
+    Until([&] { return IdState("0000000000000001") == cell::JobState::Done; }));
+  BOOST_TEST(mWorkers.mStarts.size() == kTasks);
+  Do([&] { mFirst->End(); });
+}
+
+BOOST_AUTO_TEST_CASE(nextholder_starts_no_task_again)
+{
+  Do([&] {
+    mFirst->End();
+    EndAll();
+  });
+  const auto next = MakeHolder(2);
+  BOOST_TEST(
+    Until([&] { return IdState("0000000000000001") == cell::JobState::Done; }));
+  BOOST_TEST(next->State().mUnreconciledWorkers.empty());
+  BOOST_TEST(mWorkers.mStarts.size() == kTasks);
+  Do([&] { next->End(); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
