Poll a worker at once when its restart is listed

Long-running tasks of the worker waited for it; they have to be back within 6 s.

Change: a worker that becomes unknown is polled without waiting. A worker that joins again after it was removed also starts with an unknown clock, so that the lease in a renewal never refers to the clock of an earlier incarnation.

--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -40,9 +40,14 @@
       mTokenSteps.contains(aRecord.mId)) {
     // It was removed; it may have restarted unnoticed.
     ++mTokenSteps[aRecord.mId].mStep;
+    mClocks.erase(aRecord.mId);
   }
-  cell::UpdateWorker(mState, aRecord, now);
+  const auto& worker = cell::UpdateWorker(mState, aRecord, now);
   if (mPhase == HolderPhase::Active) {
+    if (!worker.mIsKnown && mMembers.contains(aRecord.mId)) {
+      // The poll in flight may wait for an end of the previous incarnation.
+      net::SpawnTask(mContext.mExecutor, PollOnce(aRecord.mId));
+    }
     StartPolling(aRecord.mId);
     ScheduleDecision();
   }
--- a/src/dispatch/tests/reports_tests.cpp
+++ b/src/dispatch/tests/reports_tests.cpp
@@ -69,3 +69,25 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against long-running tasks that wait for a poll of a restarted worker.
+BOOST_FIXTURE_TEST_CASE(worker_listed_as_restarted_is_polled_at_once,
+                        HolderFixture)
+{
+  const auto holder = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] {
+    const auto it = holder->State().mWorkers.find("w1");
+    return it != holder->State().mWorkers.end() && it->second->mIsKnown;
+  }));
+  Do([&] { mWorkers.mWaitsForEnds = true; });
+  Wait(net::Sleep(kSettlingTime), true);
+  Do([&] {
+    mWorkers.Restart("w1");
+    holder->UpdateWorker(MakeRecord("w1"));
+  });
+  Wait(net::Sleep(kSettlingTime), true);
+
+  BOOST_TEST(holder->State().mWorkers.at("w1")->mIsKnown);
+  BOOST_TEST(holder->State().mWorkers.at("w1")->mIncarnationStartMs == 2);
+  Do([&] { holder->End(); });
+}
