Settle a worker by another one at its address only where it has replied

What callers saw: possibly a task on two workers at one time; only a test shows it.

Cause: the member's row of a worker has the address at which it joined the cell. If it restarted under its id at another one and is not listed at a takeover, as after an outage of the store, the next holder polls the old address. A reply of another worker there, or another worker listed there, counted as proof that the worker is gone, while its runs go on.

Change: the proof is accepted only for the address at which the worker has replied to this holder. Otherwise the lease decides.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -160,6 +160,8 @@
   std::int64_t mIncarnationStartMs = 0;
   /** It has reported under this holder's fencing token: its runs are known. */
   bool mIsKnown = false;
+  /** The address at which it replied last to this holder. */
+  net::Address mRepliedFrom;
   /** It is being transferred to another cell and gets no more starts. */
   bool mIsTransferring = false;
   /** It is in the platform's list. */
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -30,7 +30,7 @@
   const auto now = base::MonotonicClock::now();
   for (auto& [id, it] : mState.mWorkers) {
     const auto isReplaced = id != aRecord.mId && !it->mIsListed &&
-                            it->mRecord.mAddress == aRecord.mAddress;
+                            it->mRepliedFrom == aRecord.mAddress;
     if (isReplaced) {
       // An address is reused only after its previous worker has left.
       it->mLeasesExpiredAt = now;
@@ -173,6 +173,11 @@
       End();
       co_return false;
     case cell::OrderOutcome::OtherIncarnation:
+      if (worker.mRepliedFrom != call.mAddress) {
+        // It may run at another address, which the record does not tell yet.
+        worker.mIsKnown = false;
+        co_return false;
+      }
       cell::DropWorkerRuns(
         mState, worker, cell::RunsLostReason::AddressReused, now);
       worker.mIsKnown = false;
@@ -187,6 +192,7 @@
     // What runs there is known once it has accepted the new token.
     co_return co_await PollWorker(aWorker, 0);
   }
+  worker.mRepliedFrom = call.mAddress;
   const auto seen = worker.mSeenEnds;
   cell::ApplyReport(mState, worker, reply.mReport, sentAt, now);
   UpdateClock(aWorker, reply.mReport.mClockMs, now);
--- a/src/dispatch/tests/reports_tests.cpp
+++ b/src/dispatch/tests/reports_tests.cpp
@@ -91,3 +91,54 @@
   BOOST_TEST(holder->State().mWorkers.at("w1")->mIncarnationStartMs == 2);
   Do([&] { holder->End(); });
 }
+
+// Guards against a second run of a task whose worker has moved to another
+// address since its member's row was written.
+BOOST_FIXTURE_TEST_SUITE(moved_worker, HolderFixture)
+
+BOOST_AUTO_TEST_CASE(other_worker_at_the_old_address_does_not_settle_it)
+{
+  mWorkers.mPorts = { { "w1", 1 }, { "w2", 2 } };
+  const auto first = MakeHolder(1, "a/0", { "w1", "w2" });
+  BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
+  Do([&] {
+    mWorkers.Restart("w1");
+    mWorkers.mPorts["w1"] = 3;
+    first->UpdateWorker(MakeRecord("w1"));
+  });
+  BOOST_REQUIRE(Until([&] {
+    const auto& worker = *first->State().mWorkers.at("w1");
+    return worker.mIsKnown && worker.mIncarnationStartMs == 2;
+  }));
+  for (const auto* id : { "0000000000000001", "0000000000000002" }) {
+    auto submission = MakeSubmission(id);
+    submission.mJob.mSpec.mSteps[0].mNeed.mCpuMillis = 9000;
+    Wait(first->Execute(submission));
+  }
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 2; }));
+  Do([&] {
+    first->End();
+    const auto workers = mWorkers.mWorkerOf;
+    for (const auto& [task, worker] : workers) {
+      if (worker == "w2") {
+        mWorkers.End(task, cell::EndKind::Done);
+      }
+    }
+  });
+
+  // w1 is not listed, as after an outage of the store.
+  const auto next = MakeHolder(2, "a/0", { "w2" });
+  BOOST_REQUIRE(Until([&] { return next->Phase() == HolderPhase::Active; }));
+  Wait(net::Sleep(kSettlingTime), true);
+  Do([&] {
+    mWorkers.mPorts["w3"] = 1;
+    next->UpdateWorker(MakeRecord("w3"));
+  });
+  Wait(net::Sleep(2 * kSettlingTime), true);
+
+  BOOST_TEST(mWorkers.mStarts.size() == 2U);
+  BOOST_TEST(mWorkers.mOverlaps == 0U);
+  Do([&] { next->End(); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
