Wait for earlier holders that may outlive the last one

What callers saw: possibly a task on two workers at one time; it follows from the code.

Cause: a takeover waits for the leases of the previous holder only, if its process is known to have ended. If that holder had itself taken over from one that was silent but not known to have ended, and was lost within the 10 s for which that one may act on its claim, workers that only the first holder reaches may still run its tasks.

Change: an entry remembers, for each cell, until when a holder before the latest one may act, and does not count a takeover before then as one of a gone holder.

Ruled out: being careful for 10 s after the entry's own start as well, when it has seen no change of the rows. It would delay the tasks of crashed workers by 10 s after each restart of all entries.

Test: holder_lost_soon_after_its_claim_leaves_an_earlier_one covers the rule; the two lines in the entry that use it have no test of their own.

--- a/src/dispatch/internal/claiming.cpp
+++ b/src/dispatch/internal/claiming.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "eelgrasspost/base/text.h"
+#include "holdertimes.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -103,6 +104,17 @@
   return out;
 }
 
+auto EarlierHoldersActUntil(const CellRow& aNext,
+                            bool aIsHolderGone,
+                            base::BootTime aKnownUntil,
+                            base::BootTime aNow) -> base::BootTime
+{
+  // A holder that releases its cell has stopped sending orders.
+  const auto hasStopped = aIsHolderGone || aNext.mHolder.empty();
+  return hasStopped ? aKnownUntil
+                    : std::max(aKnownUntil, aNow + kConfirmationTimeout);
+}
+
 auto IsFirstClaimant(const ClaimView& aView) -> bool
 {
   const auto* me = FindLive(aView, aView.mMyName);
--- a/src/dispatch/internal/claiming.h
+++ b/src/dispatch/internal/claiming.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "eelgrasspost/base/bootclock.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 
 namespace eelgrasspost::dispatch {
@@ -47,6 +48,14 @@
 /** Returns the cells that this entry should claim now. */
 auto CellsToClaim(const ClaimView& aView) -> std::vector<std::string>;
 
+/** Until when a holder of a cell before its latest one may still act on its
+ * claim, after the cell's row has changed to aNext. aIsHolderGone: the process
+ * of the holder before the change has ended. */
+auto EarlierHoldersActUntil(const CellRow& aNext,
+                            bool aIsHolderGone,
+                            base::BootTime aKnownUntil,
+                            base::BootTime aNow) -> base::BootTime;
+
 /** Whether this entry is the first choice for a cell of its own domain. */
 auto IsFirstClaimant(const ClaimView& aView) -> bool;
 
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -31,6 +31,7 @@
   {
     CellRow mRow;
     std::uint64_t mVersion = 0;
+    base::BootTime mEarlierHoldersActUntil{};
   };
 
   auto WatchConfiguration() -> net::Task<void>;
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -58,8 +58,13 @@
   if (aVersion <= known.mVersion) {
     return;
   }
-  const auto isPreviousHolderGone = IsHolderGone(known.mRow);
-  known = { aRow, aVersion };
+  const auto now = base::BootNow();
+  const auto isHolderGone = IsHolderGone(known.mRow);
+  const auto isPreviousHolderGone =
+    isHolderGone && now >= known.mEarlierHoldersActUntil;
+  const auto until = EarlierHoldersActUntil(
+    aRow, isHolderGone, known.mEarlierHoldersActUntil, now);
+  known = { aRow, aVersion, until };
   const auto isMine =
     aRow.mHolder == mSettings.mName && aRow.mHolderIncarnation == mIncarnation;
   const auto holder = FindHolder(aRow.mName);
--- a/src/dispatch/tests/claiming_tests.cpp
+++ b/src/dispatch/tests/claiming_tests.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "internal/claiming.h"
+#include "internal/holdertimes.h"
 
 namespace {
 
@@ -136,4 +137,21 @@
   BOOST_TEST(CellsToClaim(mView) == std::vector<std::string>{ "a/0" });
 }
 
+// Guards against a takeover that waits only for the leases of the last holder,
+// while the one before it may still start tasks on workers that it reaches.
+BOOST_AUTO_TEST_CASE(holder_lost_soon_after_its_claim_leaves_an_earlier_one)
+{
+  const auto now = eelgrasspost::base::BootNow();
+  const auto claimed = CellRow{ "a/0", "a", "a1", 10, 2 };
+  const auto released = CellRow{ "a/0", "a", "", 0, 2 };
+
+  const auto until = EarlierHoldersActUntil(claimed, false, {}, now);
+  BOOST_TEST((until == now + kConfirmationTimeout));
+  BOOST_TEST((EarlierHoldersActUntil(released, false, until, now) == until));
+  const auto next = now + Milliseconds(500);
+  BOOST_TEST((EarlierHoldersActUntil(claimed, true, until, next) == until));
+  BOOST_TEST((EarlierHoldersActUntil(claimed, true, {}, now) ==
+              eelgrasspost::base::BootTime{}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
