Tell holders when a worker's capacity or labels change

Cause: an entry passed a worker's row to the holder of its cell only when the state, incarnation, address or service had changed. A holder kept the capacity and the labels that the worker had when it was first listed: after a capacity had shrunk, tasks were started over it, and regained capacity stayed unused.

Ruled out: the adapter decodes the capacity of each row, and the watch delivers each new version of a row; only the comparison ignored the fields. The cell itself uses the record's capacity wherever it decides.

Change: capacity and labels count as changes. A change of capacity is logged (E943). Runs stay where they are; only starts follow the new capacity.

The fake store's feed now returns changed rows; so far it returned none.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -57,6 +57,7 @@
   dispatch::kTaskHosted,
   dispatch::kWorkerReconciled,
   dispatch::kForeignRunFound,
+  dispatch::kCapacityChanged,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -331,6 +331,7 @@
   JobEnded,
   WorkerReconciled,
   ForeignRunFound,
+  CapacityChanged,
 };
 
 /** Why the runs on a worker are considered ended. */
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -2,6 +2,7 @@
 
 #include "besteffort.h"
 #include "cellinternal.h"
+#include "eelgrasspost/base/text.h"
 
 namespace eelgrasspost::cell {
 
@@ -323,6 +324,27 @@
     aCell, aWorker.mRecord.mId, base::NameOf(kRunsLostReasonNames, aReason));
 }
 
+namespace {
+
+auto LogCapacityChange(CellState& aCell, const Worker& aWorker) -> void
+{
+  const auto& [cpuMillis, memoryMb, accelerators] = aWorker.mRecord.mCapacity;
+  AddEvent(aCell,
+           { CellEventKind::CapacityChanged,
+             base::Cat(cpuMillis,
+                       " CPU millis, ",
+                       memoryMb,
+                       " MB, ",
+                       accelerators,
+                       " accelerators"),
+             aWorker.mRecord.mId,
+             0,
+             "listed",
+             static_cast<double>(cpuMillis) });
+}
+
+} // namespace
+
 auto UpdateWorker(CellState& aCell,
                   const WorkerRecord& aRecord,
                   MonotonicTime aNow) -> Worker&
@@ -332,9 +354,14 @@
     slot = std::make_unique<Worker>();
     slot->mLastContact = aNow;
     slot->mLeasesExpiredAt = aNow + Milliseconds(aCell.mPolicy.mLeaseMs);
+    slot->mRecord.mCapacity = aRecord.mCapacity;
   }
   const auto wasReady = slot->mRecord.mState == WorkerState::Ready;
+  const auto hadCapacity = slot->mRecord.mCapacity;
   slot->mRecord = aRecord;
+  if (aRecord.mCapacity != hadCapacity) {
+    LogCapacityChange(aCell, *slot);
+  }
   slot->mIsListed = true;
   if (aRecord.mState == WorkerState::Draining && wasReady) {
     slot->mDrainingSince = aNow;
--- /dev/null
+++ b/src/cell/tests/capacity_tests.cpp
@@ -0,0 +1,146 @@
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "cellfixture.h"
+
+namespace {
+
+using namespace eelgrasspost::cell;
+using eelgrasspost::cell::testing::CellFixture;
+
+struct CapacityFixture : CellFixture
+{
+  CapacityFixture() { mCell.mPolicy.mPlacementDelay = Milliseconds(0); }
+
+  /** The platform lists a worker with another capacity. */
+  auto SetCapacity(const std::string& aId, Resources aCapacity) -> void
+  {
+    auto record = mCell.mWorkers.at(aId)->mRecord;
+    record.mCapacity = aCapacity;
+    UpdateWorker(mCell, record, mNow);
+  }
+
+  /** Collects the orders after the interval at which waiting tasks are tried
+   * again. */
+  auto StartLater() -> std::vector<Order>
+  {
+    Advance(Milliseconds(50));
+    return Start();
+  }
+
+  static auto CountStarts(const std::vector<Order>& aOrders) -> std::size_t
+  {
+    return static_cast<std::size_t>(
+      std::count_if(aOrders.begin(), aOrders.end(), [](const Order& aOrder) {
+        return aOrder.mKind == OrderKind::Start;
+      }));
+  }
+
+  static auto RowOf(const Order& aOrder) -> RunningRow
+  {
+    return { aOrder.mTask, aOrder.mAttempt, "", 1, 0 };
+  }
+
+  static auto EndOf(const Order& aOrder, std::uint64_t aNumber, EndKind aKind)
+    -> EndRow
+  {
+    return { aNumber, aOrder.mTask, aOrder.mAttempt, aKind, "" };
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(capacity, CapacityFixture)
+
+BOOST_AUTO_TEST_CASE(worker_with_less_capacity_keeps_its_runs)
+{
+  AddWorker("w1", 4000);
+  Add(MakeJob("1", MakeStep(4)));
+  BOOST_REQUIRE(CountStarts(Start()) == 4U);
+  SetCapacity("w1", { 1000, 64000, 0 });
+  Advance(Milliseconds(50));
+  CheckRuns(mCell, mNow);
+  BOOST_TEST(Start().empty());
+}
+
+BOOST_AUTO_TEST_CASE(worker_with_less_capacity_counts_what_is_being_stopped)
+{
+  AddWorker("w1", 4000);
+  Add(MakeJob("1", MakeStep(4)));
+  const auto starts = Start();
+  BOOST_REQUIRE(CountStarts(starts) == 4U);
+  SetCapacity("w1", { 3000, 64000, 0 });
+  RemoveJob(mCell, "1");
+  Add(MakeJob("2", MakeStep(1)));
+  BOOST_TEST(CountStarts(StartLater()) == 0U);
+  // Two ends are listed; the other two runs still use 2000 of 3000.
+  Report("w1",
+         { RowOf(starts[2]), RowOf(starts[3]) },
+         { EndOf(starts[0], 1, EndKind::Stopped),
+           EndOf(starts[1], 2, EndKind::Stopped) });
+  BOOST_TEST(CountStarts(StartLater()) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(worker_with_less_memory_gets_no_besteffort_task_over_it)
+{
+  AddWorker("w1", 8000);
+  Add(MakeJob("1", MakeBestEffort(2, 1000, "filler")));
+  BOOST_REQUIRE(CountStarts(Start()) == 2U);
+  SetCapacity("w1", { 8000, 2500, 0 });
+  Add(MakeJob("2", MakeBestEffort(1, 1000, "filler")));
+  BOOST_TEST(CountStarts(StartLater()) == 0U);
+  SetCapacity("w1", { 8000, 3000, 0 });
+  BOOST_TEST(CountStarts(StartLater()) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(worker_with_fewer_accelerators_gets_no_task_over_them)
+{
+  AddWorker("w1", 8000);
+  SetCapacity("w1", { 8000, 64000, 2 });
+  auto step = MakeStep(2, 100);
+  step.mNeed.mAccelerators = 1;
+  Add(MakeJob("1", step));
+  BOOST_REQUIRE(CountStarts(Start()) == 2U);
+  SetCapacity("w1", { 8000, 64000, 1 });
+  step.mCount = 1;
+  Add(MakeJob("2", step));
+  BOOST_TEST(CountStarts(StartLater()) == 0U);
+  SetCapacity("w1", { 8000, 64000, 3 });
+  BOOST_TEST(CountStarts(StartLater()) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(longrunningtask_waiting_for_capacity_starts_when_it_grows)
+{
+  AddWorker("w1", 4000);
+  auto step = MakeStep(1, 6000);
+  step.mIsLongRunning = true;
+  Add(MakeJob("1", step));
+  BOOST_TEST(CountStarts(Start()) == 0U);
+  SetCapacity("w1", { 6000, 64000, 0 });
+  BOOST_TEST(CountStarts(StartLater()) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(worker_with_less_capacity_is_not_transferred_for_more)
+{
+  AddWorker("w1", 8000);
+  const auto need = Resources{ 6000, 1000, 0 };
+  BOOST_TEST(FindTransferable(mCell, "service", need, mNow) != nullptr);
+  SetCapacity("w1", { 4000, 64000, 0 });
+  BOOST_TEST(FindTransferable(mCell, "service", need, mNow) == nullptr);
+  BOOST_TEST(!ReserveCapacity(mCell, "service", need, mNow));
+}
+
+BOOST_AUTO_TEST_CASE(worker_not_listed_gets_no_start_whatever_its_capacity)
+{
+  AddWorker("w1", 8000);
+  UnlistWorker(mCell, "w1");
+  Add(MakeJob("1", MakeStep(1)));
+  BOOST_TEST(CountStarts(StartLater()) == 0U);
+  SetCapacity("w1", { 500, 64000, 0 });
+  BOOST_TEST(CountStarts(StartLater()) == 0U);
+  SetCapacity("w1", { 1000, 64000, 0 });
+  BOOST_TEST(CountStarts(StartLater()) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -170,6 +170,13 @@
   "none after a takeover; 'placed_elsewhere' means that a task has two runs",
 };
 
+inline constexpr auto kCapacityChanged = base::LogEvent{
+  943,
+  base::LogLevel::Info,
+  "the platform lists a worker with another capacity",
+  "none; value is the new capacity in CPU millis",
+};
+
 inline constexpr auto kDispatchLogEvents =
   std::array{ kEntryStarted,    kStopRequested,
               kReloadRequested, kConfigurationApplied,
@@ -182,7 +189,7 @@
               kCpuShareChanged, kJobEnded,
               kJobMigrated,     kWorkerTransferred,
               kTaskHosted,      kWorkerReconciled,
-              kForeignRunFound };
+              kForeignRunFound, kCapacityChanged };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
@@ -208,6 +215,8 @@
       return &kWorkerReconciled;
     case cell::CellEventKind::ForeignRunFound:
       return &kForeignRunFound;
+    case cell::CellEventKind::CapacityChanged:
+      return &kCapacityChanged;
   }
   return &kJobEnded;
 }
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -6,6 +6,23 @@
 
 namespace eelgrasspost::dispatch {
 
+namespace {
+
+/** Whether the holder of the worker's cell must be told of a new row. Most rows
+ * are heartbeats that change nothing by which it decides. */
+auto HasChanged(const cell::WorkerRecord& aKnown,
+                const cell::WorkerRecord& aListed) -> bool
+{
+  return aKnown.mState != aListed.mState ||
+         aKnown.mIncarnationStartMs != aListed.mIncarnationStartMs ||
+         aKnown.mAddress != aListed.mAddress ||
+         aKnown.mService != aListed.mService ||
+         aKnown.mCapacity != aListed.mCapacity ||
+         aKnown.mLabels != aListed.mLabels;
+}
+
+} // namespace
+
 auto DispatchEntry::WatchConfiguration() -> net::Task<void>
 {
   const auto onRow = [this](const StoreRow& aRow) {
@@ -124,10 +141,7 @@
   if (isNew) {
     mWorkersChangedAt = base::MonotonicClock::now();
   }
-  const auto isChanged =
-    isNew || known.mState != record->mState ||
-    known.mIncarnationStartMs != record->mIncarnationStartMs ||
-    known.mAddress != record->mAddress || known.mService != record->mService;
+  const auto isChanged = isNew || HasChanged(known, *record);
   known = *std::move(record);
   if (!isChanged) {
     return;
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -97,12 +97,20 @@
     co_return out;
   }
 
-  auto ReadFeed(FeedQuery, MonotonicTime) -> net::Task<StoreReply> override
+  /** Removed rows are not reported. */
+  auto ReadFeed(FeedQuery aQuery, MonotonicTime)
+    -> net::Task<StoreReply> override
   {
     co_await net::Sleep(Milliseconds(20));
     StoreReply out;
     out.mOutcome = StoreOutcome::Done;
     out.mVersion = mVersion;
+    for (const auto& [key, it] : mRows) {
+      if (it.mTable == aQuery.mTable && it.mPartition.empty() &&
+          it.mVersion > aQuery.mAfter) {
+        out.mRows.push_back(it);
+      }
+    }
     co_return out;
   }
 
