Keep best-effort use right when a worker's capacity changes

Cause: the use of a best-effort image on a worker is a sum of CPU requests, each divided by the worker's capacity. A run that started under one capacity and ended under another was added as one share and subtracted as another. The difference stayed: after growth the image seemed to run for ever, which keeps its CPU share low and other images away; after a reduction the image vanished while other runs of it were still there.

Change: a change of capacity converts the sums.

Before the change besteffortuse_after_a_change_of_capacity_leaves_no_residue saw a use of 0.25 instead of 0.125, and one image left after the last run.

--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -32,6 +32,10 @@
 /** Adds a run to a worker and takes its resources. */
 auto InsertRun(Worker& aWorker, const std::string& aName, Run aRun) -> Run&;
 
+/** Converts the uses of the best-effort images to shares of the worker's
+ * capacity, which was aPrevious so far. */
+auto RescaleBestEffortUses(Worker& aWorker, const Resources& aPrevious) -> void;
+
 auto MakeRun(CellState& aCell,
              Task& aTask,
              std::uint64_t aAttempt,
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -361,6 +361,7 @@
   slot->mRecord = aRecord;
   if (aRecord.mCapacity != hadCapacity) {
     LogCapacityChange(aCell, *slot);
+    RescaleBestEffortUses(*slot, hadCapacity);
   }
   slot->mIsListed = true;
   if (aRecord.mState == WorkerState::Draining && wasReady) {
--- a/src/cell/internal/runs.cpp
+++ b/src/cell/internal/runs.cpp
@@ -16,6 +16,12 @@
 
 namespace {
 
+/** The capacity of which the uses of best-effort images are shares. */
+auto CpuCapacity(const Resources& aCapacity) -> double
+{
+  return static_cast<double>(std::max<std::int64_t>(1, aCapacity.mCpuMillis));
+}
+
 auto AddBestEffortUse(Worker& aWorker, std::size_t aImage, double aUse) -> void
 {
   auto& uses = aWorker.mBestEffortUses;
@@ -63,11 +69,10 @@
   aWorker.mUsed.mAccelerators += sign * aRun.mNeed.mAccelerators;
   if (aRun.mIsBestEffort) {
     aWorker.mBestEffortCpuMillis += cpu;
-    const auto capacity =
-      std::max<std::int64_t>(1, aWorker.mRecord.mCapacity.mCpuMillis);
     AddBestEffortUse(aWorker,
                      aRun.mImageIndex,
-                     static_cast<double>(cpu) / static_cast<double>(capacity));
+                     static_cast<double>(cpu) /
+                       CpuCapacity(aWorker.mRecord.mCapacity));
   } else {
     aWorker.mUsed.mCpuMillis += cpu;
   }
@@ -95,6 +100,15 @@
   return aWorker.mRuns.emplace(aName, std::move(aRun)).first->second;
 }
 
+auto RescaleBestEffortUses(Worker& aWorker, const Resources& aPrevious) -> void
+{
+  const auto factor =
+    CpuCapacity(aPrevious) / CpuCapacity(aWorker.mRecord.mCapacity);
+  for (auto& it : aWorker.mBestEffortUses) {
+    it.mUse *= factor;
+  }
+}
+
 auto MakeRun(CellState& aCell,
              Task& aTask,
              std::uint64_t aAttempt,
--- a/src/cell/tests/capacity_tests.cpp
+++ b/src/cell/tests/capacity_tests.cpp
@@ -110,6 +110,25 @@
   BOOST_TEST(CountStarts(StartLater()) == 1U);
 }
 
+// A run was added to the use of its image as a share of one capacity and
+// subtracted as a share of another, so that the image seemed to run for ever.
+BOOST_AUTO_TEST_CASE(besteffortuse_after_a_change_of_capacity_leaves_no_residue)
+{
+  AddWorker("w1", 8000);
+  Add(MakeJob("1", MakeBestEffort(2, 1000, "filler")));
+  const auto starts = Start();
+  BOOST_REQUIRE(CountStarts(starts) == 2U);
+  SetCapacity("w1", { 16000, 64000, 0 });
+  const auto& uses = mCell.mWorkers.at("w1")->mBestEffortUses;
+  BOOST_REQUIRE(uses.size() == 1U);
+  BOOST_TEST(uses[0].mUse == 2000.0 / 16000.0);
+  Report(
+    "w1",
+    {},
+    { EndOf(starts[0], 1, EndKind::Done), EndOf(starts[1], 2, EndKind::Done) });
+  BOOST_TEST(uses.empty());
+}
+
 BOOST_AUTO_TEST_CASE(longrunningtask_waiting_for_capacity_starts_when_it_grows)
 {
   AddWorker("w1", 4000);
