Count no negative free capacity of a worker over its capacity

Cause: a worker whose capacity has shrunk below what its runs have reserved had negative free capacity. It was added to that of the cell's other workers, so the cell reported less than they have: jobs were not sent or migrated there, and no long-running task was hosted.

Ruled out: starts are decided for each worker by itself and were not affected; the largest free CPU of one worker was bounded at 0 already.

Change: a resource of which a worker has reserved too much counts as 0 free, in CPU, memory, accelerators and the CPU left over for best-effort tasks.

Before the change room_of_a_worker_over_its_capacity_hides_no_other_room saw -1000 instead of 5000 free CPU millis, 60000 instead of 64000 MB, and -1000 instead of 5000 CPU millis left over.

--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -37,6 +37,20 @@
 
 namespace {
 
+/** Unreserved resources; none of a kind of which a worker's runs have reserved
+ * more than its capacity, which may have been higher when they started. */
+auto FreeOf(const Worker& aWorker) -> Resources
+{
+  const auto& capacity = aWorker.mRecord.mCapacity;
+  const auto& used = aWorker.mUsed;
+  const auto left = [](std::int64_t aCapacity, std::int64_t aUsed) {
+    return std::max<std::int64_t>(0, aCapacity - aUsed);
+  };
+  return { left(capacity.mCpuMillis, used.mCpuMillis),
+           left(capacity.mMemoryMb, used.mMemoryMb),
+           left(capacity.mAccelerators, used.mAccelerators) };
+}
+
 auto HasLongRunning(const Worker& aWorker) -> bool
 {
   return std::any_of(
@@ -91,15 +105,16 @@
     if (!IsUsable(aCell, *it, aNow)) {
       continue;
     }
-    const auto& capacity = it->mRecord.mCapacity;
-    free.mCpuMillis += capacity.mCpuMillis - it->mUsed.mCpuMillis;
-    free.mMemoryMb += capacity.mMemoryMb - it->mUsed.mMemoryMb;
-    free.mAccelerators += capacity.mAccelerators - it->mUsed.mAccelerators;
-    out.mLargestCpuMillis = std::max(
-      out.mLargestCpuMillis, capacity.mCpuMillis - it->mUsed.mCpuMillis);
-    out.mCapacityCpuMillis += capacity.mCpuMillis;
+    const auto ofWorker = FreeOf(*it);
+    free.mCpuMillis += ofWorker.mCpuMillis;
+    free.mMemoryMb += ofWorker.mMemoryMb;
+    free.mAccelerators += ofWorker.mAccelerators;
+    out.mLargestCpuMillis =
+      std::max(out.mLargestCpuMillis, ofWorker.mCpuMillis);
+    out.mCapacityCpuMillis += it->mRecord.mCapacity.mCpuMillis;
     out.mBestEffortCpuMillis += it->mBestEffortCpuMillis;
-    out.mLeftoverCpuMillis += static_cast<std::int64_t>(LeftoverCpu(*it));
+    out.mLeftoverCpuMillis +=
+      static_cast<std::int64_t>(std::max(0.0, LeftoverCpu(*it)));
   }
   for (const auto* it : aCell.mReady) {
     if (it->mJob->mIsMigrating) {
--- a/src/cell/tests/capacity_tests.cpp
+++ b/src/cell/tests/capacity_tests.cpp
@@ -129,6 +129,23 @@
   BOOST_TEST(uses.empty());
 }
 
+// Free capacity of a worker over its capacity was negative and hid that of the
+// other workers from other cells.
+BOOST_AUTO_TEST_CASE(room_of_a_worker_over_its_capacity_hides_no_other_room)
+{
+  AddWorker("w1", 8000);
+  Add(MakeJob("1", MakeStep(8)));
+  BOOST_REQUIRE(CountStarts(Start()) == 8U);
+  SetCapacity("w1", { 2000, 4000, 0 });
+  AddWorker("w2", 5000);
+  const auto room = RoomOf(mCell, mNow);
+  BOOST_TEST(room.mFree.mCpuMillis == 5000);
+  BOOST_TEST(room.mFree.mMemoryMb == 64000);
+  BOOST_TEST(room.mLargestCpuMillis == 5000);
+  BOOST_TEST(room.mLeftoverCpuMillis == 5000);
+  BOOST_TEST(room.mCapacityCpuMillis == 7000);
+}
+
 BOOST_AUTO_TEST_CASE(longrunningtask_waiting_for_capacity_starts_when_it_grows)
 {
   AddWorker("w1", 4000);
