Start nothing beside a run of unknown need, also after growth

Cause: a run of a task that the cell does not have was counted with the capacity that its worker had when the run was found. It may use more, if the capacity had shrunk before; and when the capacity grew again while the run was being stopped, the difference counted as free. Starts could then bring the worker over its capacity, for example after a takeover.

Change: no start is decided on a worker while it has such a run, and it reports no free capacity. The run is stopped as before, so this lasts for the time of a stop.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -130,6 +130,9 @@
   std::uint64_t mAttempt = 0;
   RunPhase mPhase = RunPhase::Starting;
   Resources mNeed;
+  /** False for a run of a task that the cell does not have. It may need more
+   * than the worker's capacity, which may have been higher when it started. */
+  bool mIsNeedKnown = true;
   bool mIsBestEffort = false;
   bool mIsLongRunning = false;
   bool mCheckpoints = false;
@@ -170,6 +173,9 @@
   std::unordered_map<std::string, Run> mRuns;
   /** Resources reserved by the runs; best-effort tasks reserve no CPU. */
   Resources mUsed;
+  /** Number of runs whose needs are not known; nothing is started beside them.
+   */
+  std::uint32_t mRunsOfUnknownNeed = 0;
   /** CPU millis that the best-effort runs would use at full speed. */
   std::int64_t mBestEffortCpuMillis = 0;
   /** Highest number of an end that was applied. */
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -207,7 +207,8 @@
       run.mNeed = SpecOf(*task).mNeed;
       run.mIsBestEffort = SpecOf(*task).mIsBestEffort;
     } else {
-      // Its resources are not known, so nothing is started beside it.
+      // Nothing is started beside it.
+      run.mIsNeedKnown = false;
       run.mNeed = aWorker.mRecord.mCapacity;
     }
     RequestStop(InsertRun(aWorker, aRow.mTask, std::move(run)));
@@ -303,6 +304,7 @@
   }
   aWorker.mRuns.clear();
   aWorker.mUsed = {};
+  aWorker.mRunsOfUnknownNeed = 0;
   aWorker.mBestEffortCpuMillis = 0;
   aWorker.mServingCpuMillis = 0;
   aWorker.mBestEffortUses.clear();
--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -41,6 +41,9 @@
  * more than its capacity, which may have been higher when they started. */
 auto FreeOf(const Worker& aWorker) -> Resources
 {
+  if (aWorker.mRunsOfUnknownNeed > 0) {
+    return {};
+  }
   const auto& capacity = aWorker.mRecord.mCapacity;
   const auto& used = aWorker.mUsed;
   const auto left = [](std::int64_t aCapacity, std::int64_t aUsed) {
--- a/src/cell/internal/runs.cpp
+++ b/src/cell/internal/runs.cpp
@@ -65,6 +65,10 @@
 {
   const std::int64_t sign = aIsAdded ? 1 : -1;
   const auto cpu = sign * aRun.mNeed.mCpuMillis;
+  if (!aRun.mIsNeedKnown) {
+    auto& n = aWorker.mRunsOfUnknownNeed;
+    n = aIsAdded ? n + 1 : n - 1;
+  }
   aWorker.mUsed.mMemoryMb += sign * aRun.mNeed.mMemoryMb;
   aWorker.mUsed.mAccelerators += sign * aRun.mNeed.mAccelerators;
   if (aRun.mIsBestEffort) {
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -168,6 +168,9 @@
 auto HasRoom(const Worker& aWorker, const StepSpec& aSpec, MonotonicTime aNow)
   -> bool
 {
+  if (aWorker.mRunsOfUnknownNeed > 0) {
+    return false;
+  }
   const auto& capacity = aWorker.mRecord.mCapacity;
   const auto& used = aWorker.mUsed;
   const auto cpu = aSpec.mIsBestEffort ? 0 : aSpec.mNeed.mCpuMillis;
--- a/src/cell/tests/capacity_tests.cpp
+++ b/src/cell/tests/capacity_tests.cpp
@@ -146,6 +146,21 @@
   BOOST_TEST(room.mCapacityCpuMillis == 7000);
 }
 
+// An untracked run was counted with the capacity that its worker had when the
+// run was found; it may use more once the worker has regained capacity.
+BOOST_AUTO_TEST_CASE(untrackedrun_on_a_worker_with_more_capacity_blocks_starts)
+{
+  AddWorker("w1", 2000);
+  Report("w1", { { "unknown.0.0.0", 7, "", 1, 0 } }, {});
+  SetCapacity("w1", { 16000, 128000, 0 });
+  Add(MakeJob("1", MakeStep(1)));
+  Add(MakeJob("2", MakeBestEffort(1, 1000, "filler")));
+  BOOST_TEST(CountStarts(StartLater()) == 0U);
+  BOOST_TEST(RoomOf(mCell, mNow).mLargestCpuMillis == 0);
+  Report("w1", {}, { { 1, "unknown.0.0.0", 7, EndKind::Stopped, "" } });
+  BOOST_TEST(CountStarts(StartLater()) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(longrunningtask_waiting_for_capacity_starts_when_it_grows)
 {
   AddWorker("w1", 4000);
