Give up a reservation that exceeds a reduced capacity

Cause: a worker that holds back CPU for a waiting long-running task kept that reservation when its capacity shrank below it.

Change: such a reservation ends with the change of capacity; the task gets one on another worker with the next placement.

Before the change reservation_over_the_capacity_is_given_up saw no start of four short tasks that fit.

--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -364,6 +364,9 @@
   if (aRecord.mCapacity != hadCapacity) {
     LogCapacityChange(aCell, *slot);
     RescaleBestEffortUses(*slot, hadCapacity);
+    if (slot->mReservedCpuMillis > aRecord.mCapacity.mCpuMillis) {
+      slot->mReservedUntil = {};
+    }
   }
   slot->mIsListed = true;
   if (aRecord.mState == WorkerState::Draining && wasReady) {
--- a/src/cell/tests/capacity_tests.cpp
+++ b/src/cell/tests/capacity_tests.cpp
@@ -161,6 +161,16 @@
   BOOST_TEST(CountStarts(StartLater()) == 2U);
 }
 
+// A reservation that no longer fits kept the capacity from short tasks.
+BOOST_AUTO_TEST_CASE(reservation_over_the_capacity_is_given_up)
+{
+  AddWorker("w1", 8000);
+  BOOST_REQUIRE(ReserveCapacity(mCell, "service", { 6000, 1000, 0 }, mNow));
+  SetCapacity("w1", { 4000, 64000, 0 });
+  Add(MakeJob("1", MakeStep(4)));
+  BOOST_TEST(CountStarts(StartLater()) == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(longrunningtask_waiting_for_capacity_starts_when_it_grows)
 {
   AddWorker("w1", 4000);
