Start no task by an outdated list of workers

Cause: a holder that cannot read the table of workers kept starting tasks by the capacities that it had read last, up to the 10 s for which its claim of the cell lasts; one whose VM was suspended did so as soon as it resumed. A capacity may have been reduced long before.

Change: the entry knows when the table was last confirmed and when a call last failed. With an outdated table and a recent failure the store is unavailable: starts go on up to the lowest capacity that a worker has listed in this incarnation. Without a recent failure nothing starts until a call succeeds or fails; stops are sent. Calls of the workers' feed wait for 1 s at most, so that an unanswered one fails in time. The bound is the new setting bounds.capacity_ms. Changes of this state are logged (E944).

Not covered: a first reduction that an entry cannot read while the store is unavailable to it.

Ruled out: an entry that reads through a peer is current, as the peer reads after the call was sent. Unlisted workers get no starts (a test shows it), so the old record in the members' rows is never used for one.

--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -97,6 +97,11 @@
          "2000",
          kDayMs,
          "time after which no more tasks start on a draining worker"),
+  Number("bounds",
+         "capacity_ms",
+         "3000",
+         kDayMs,
+         "time after a heartbeat from which a reduced capacity is kept to"),
   Number("bounds",
          "status_s",
          "120",
@@ -141,6 +146,7 @@
   out.mHarmMs = values->Integer("bounds", "harm_ms");
   out.mGracePeriodMs = values->Integer("bounds", "grace_s") * kMsPerSecond;
   out.mDrainMs = values->Integer("bounds", "drain_ms");
+  out.mCapacityMs = values->Integer("bounds", "capacity_ms");
   out.mStatusRetentionMs = values->Integer("bounds", "status_s") * kMsPerSecond;
   return out;
 }
--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -58,6 +58,7 @@
   dispatch::kWorkerReconciled,
   dispatch::kForeignRunFound,
   dispatch::kCapacityChanged,
+  dispatch::kWorkerListStateChanged,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -159,6 +159,8 @@
 struct Worker
 {
   WorkerRecord mRecord;
+  /** Lowest capacity that was listed for this incarnation, by resource. */
+  Resources mLowestCapacity;
   /** Start of the incarnation that answered last; 0 before the first answer. */
   std::int64_t mIncarnationStartMs = 0;
   /** It has reported under this holder's fencing token: its runs are known. */
@@ -271,6 +273,7 @@
   std::map<std::string, std::unique_ptr<Worker>> mWorkers;
   /** Workers of the previous holder whose runs are not known yet. */
   std::set<std::string> mUnreconciledWorkers;
+  WorkerListState mWorkerListState = WorkerListState::Current;
   std::set<std::string> mDirty;
   Interference mInterference;
   /** Tasks that may be started once there is room. */
@@ -347,6 +350,19 @@
 auto UpdateWorker(CellState& aCell,
                   const WorkerRecord& aRecord,
                   MonotonicTime aNow) -> Worker&;
+/** Times since the list of workers was last known to be complete, and since the
+ * last call was sent that failed to read it. */
+struct WorkerListAge
+{
+  Milliseconds mSinceConfirmed{ 0 };
+  Milliseconds mSinceFailedCall{ 0 };
+};
+/** aMaxAge: age from which a capacity may have been reduced for too long.
+ * aMaxFailureAge: how long a failed call shows that the list is unavailable. */
+auto ClassifyWorkerList(const WorkerListAge& aAge,
+                        Milliseconds aMaxAge,
+                        Milliseconds aMaxFailureAge) -> WorkerListState;
+
 /** Marks a worker that the platform no longer lists. */
 auto UnlistWorker(CellState& aCell, const std::string& aId) -> void;
 /** Removes all runs of a worker whose incarnation ended or whose leases
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -253,6 +253,24 @@
   }
 };
 
+/** How current the cell's knowledge of the platform's list of workers is. */
+enum class WorkerListState : std::uint8_t
+{
+  Current,
+  /** The list cannot be read; a capacity may have been reduced since. */
+  Outdated,
+  /** The list has not been read for long, and whether it can be read is not
+   * known yet. */
+  Unconfirmed,
+};
+
+inline constexpr auto kWorkerListStateNames = std::array{
+  base::EnumName<WorkerListState>{ WorkerListState::Current, "current" },
+  base::EnumName<WorkerListState>{ WorkerListState::Outdated, "outdated" },
+  base::EnumName<WorkerListState>{ WorkerListState::Unconfirmed,
+                                   "unconfirmed" },
+};
+
 enum class EndKind : std::uint8_t
 {
   Done,
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -193,7 +193,7 @@
   spec.mIsLongRunning = true;
   for (auto& [id, worker] : aCell.mWorkers) {
     if (worker->mRecord.mService == aService &&
-        aNow >= worker->mReservedUntil && HasRoom(*worker, spec, aNow) &&
+        aNow >= worker->mReservedUntil && HasRoom(aCell, *worker, spec, aNow) &&
         IsUsable(aCell, *worker, aNow)) {
       worker->mReservedCpuMillis = aNeed.mCpuMillis;
       worker->mReservedUntil = aNow + kReservationTime;
@@ -224,7 +224,8 @@
                 MonotonicTime aNow,
                 std::vector<Order>& aOrders) -> void
 {
-  if (aCell.mReady.empty() ||
+  if (aCell.mWorkerListState == WorkerListState::Unconfirmed ||
+      aCell.mReady.empty() ||
       (!aCell.mHasNewReady && aNow - aCell.mPlacedAt < kPlacingInterval)) {
     return;
   }
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -328,6 +328,13 @@
 
 namespace {
 
+auto LowerOf(const Resources& aLeft, const Resources& aRight) -> Resources
+{
+  return { std::min(aLeft.mCpuMillis, aRight.mCpuMillis),
+           std::min(aLeft.mMemoryMb, aRight.mMemoryMb),
+           std::min(aLeft.mAccelerators, aRight.mAccelerators) };
+}
+
 auto LogCapacityChange(CellState& aCell, const Worker& aWorker) -> void
 {
   const auto& [cpuMillis, memoryMb, accelerators] = aWorker.mRecord.mCapacity;
@@ -357,10 +364,16 @@
     slot->mLastContact = aNow;
     slot->mLeasesExpiredAt = aNow + Milliseconds(aCell.mPolicy.mLeaseMs);
     slot->mRecord.mCapacity = aRecord.mCapacity;
+    slot->mLowestCapacity = aRecord.mCapacity;
   }
   const auto wasReady = slot->mRecord.mState == WorkerState::Ready;
   const auto hadCapacity = slot->mRecord.mCapacity;
+  const auto isSameIncarnation =
+    slot->mRecord.mIncarnationStartMs == aRecord.mIncarnationStartMs;
   slot->mRecord = aRecord;
+  slot->mLowestCapacity = isSameIncarnation
+                            ? LowerOf(slot->mLowestCapacity, aRecord.mCapacity)
+                            : aRecord.mCapacity;
   if (aRecord.mCapacity != hadCapacity) {
     LogCapacityChange(aCell, *slot);
     RescaleBestEffortUses(*slot, hadCapacity);
--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -100,6 +100,18 @@
   }
 }
 
+auto ClassifyWorkerList(const WorkerListAge& aAge,
+                        Milliseconds aMaxAge,
+                        Milliseconds aMaxFailureAge) -> WorkerListState
+{
+  if (aAge.mSinceConfirmed <= aMaxAge) {
+    return WorkerListState::Current;
+  }
+  // A process that was suspended has no recent failure either.
+  return aAge.mSinceFailedCall <= aMaxFailureAge ? WorkerListState::Outdated
+                                                 : WorkerListState::Unconfirmed;
+}
+
 auto RoomOf(const CellState& aCell, MonotonicTime aNow) -> CellRoom
 {
   CellRoom out;
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -165,13 +165,18 @@
                                              : InterferenceTolerance::Avoid;
 }
 
-auto HasRoom(const Worker& aWorker, const StepSpec& aSpec, MonotonicTime aNow)
-  -> bool
+auto HasRoom(const CellState& aCell,
+             const Worker& aWorker,
+             const StepSpec& aSpec,
+             MonotonicTime aNow) -> bool
 {
   if (aWorker.mRunsOfUnknownNeed > 0) {
     return false;
   }
-  const auto& capacity = aWorker.mRecord.mCapacity;
+  // A capacity that varies may have been reduced again.
+  const auto& capacity = aCell.mWorkerListState == WorkerListState::Current
+                           ? aWorker.mRecord.mCapacity
+                           : aWorker.mLowestCapacity;
   const auto& used = aWorker.mUsed;
   const auto cpu = aSpec.mIsBestEffort ? 0 : aSpec.mNeed.mCpuMillis;
   const auto hasReservation = !aSpec.mIsBestEffort && !aSpec.mIsLongRunning &&
@@ -193,7 +198,8 @@
   Worker* best = nullptr;
   auto bestCost = std::numeric_limits<double>::max();
   for (auto& [id, worker] : aCell.mWorkers) {
-    if (worker->mRecord.mService != service || !HasRoom(*worker, aSpec, aNow) ||
+    if (worker->mRecord.mService != service ||
+        !HasRoom(aCell, *worker, aSpec, aNow) ||
         !HasLabel(*worker, aSpec.mRequiredLabel) ||
         !IsUsable(aCell, *worker, aNow)) {
       continue;
--- a/src/cell/internal/workerchoice.h
+++ b/src/cell/internal/workerchoice.h
@@ -21,8 +21,10 @@
 
 /** Whether a worker has the free resources for a task, apart from those that
  * are reserved for others. */
-auto HasRoom(const Worker& aWorker, const StepSpec& aSpec, MonotonicTime aNow)
-  -> bool;
+auto HasRoom(const CellState& aCell,
+             const Worker& aWorker,
+             const StepSpec& aSpec,
+             MonotonicTime aNow) -> bool;
 
 /** The worker with the lowest cost for a task; null when it should wait. */
 auto FindWorker(CellState& aCell,
--- a/src/cell/tests/capacity_tests.cpp
+++ b/src/cell/tests/capacity_tests.cpp
@@ -204,4 +204,56 @@
   BOOST_TEST(CountStarts(StartLater()) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(workerlist_outdated_allows_starts_up_to_lowest_capacities)
+{
+  AddWorker("w1", 8000);
+  AddWorker("w2", 3000);
+  SetCapacity("w1", { 2000, 64000, 0 });
+  SetCapacity("w1", { 8000, 64000, 0 });
+  mCell.mWorkerListState = WorkerListState::Outdated;
+  Add(MakeJob("1", MakeStep(20)));
+  BOOST_TEST(CountStarts(StartLater()) == 5U);
+  mCell.mWorkerListState = WorkerListState::Current;
+  BOOST_TEST(CountStarts(StartLater()) == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(workerlist_outdated_counts_only_the_current_incarnation)
+{
+  AddWorker("w1", 2000);
+  auto record = mCell.mWorkers.at("w1")->mRecord;
+  record.mIncarnationStartMs = 2;
+  record.mCapacity.mCpuMillis = 4000;
+  UpdateWorker(mCell, record, mNow);
+  BOOST_TEST(mCell.mWorkers.at("w1")->mLowestCapacity.mCpuMillis == 4000);
+}
+
+BOOST_AUTO_TEST_CASE(workerlist_unconfirmed_allows_stops_but_no_starts)
+{
+  AddWorker("w1", 8000);
+  Add(MakeJob("1", MakeStep(1)));
+  BOOST_REQUIRE(CountStarts(Start()) == 1U);
+  RemoveJob(mCell, "1");
+  Add(MakeJob("2", MakeStep(1)));
+  mCell.mWorkerListState = WorkerListState::Unconfirmed;
+  const auto orders = StartLater();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST((orders[0].mKind == OrderKind::Stop));
+  mCell.mWorkerListState = WorkerListState::Current;
+  BOOST_TEST(CountStarts(StartLater()) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(workerlist_is_outdated_only_with_a_recent_failure)
+{
+  const auto classify = [](std::int64_t aConfirmed, std::int64_t aFailed) {
+    return ClassifyWorkerList(
+      { Milliseconds(aConfirmed), Milliseconds(aFailed) },
+      Milliseconds(2500),
+      Milliseconds(2900));
+  };
+  BOOST_TEST((classify(2500, 10) == WorkerListState::Current));
+  BOOST_TEST((classify(2501, 10) == WorkerListState::Outdated));
+  BOOST_TEST((classify(5000, 2900) == WorkerListState::Outdated));
+  BOOST_TEST((classify(5000, 2901) == WorkerListState::Unconfirmed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -177,19 +177,39 @@
   "none; value is the new capacity in CPU millis",
 };
 
+inline constexpr auto kWorkerListStateChanged = base::LogEvent{
+  944,
+  base::LogLevel::Info,
+  "the list of workers has become outdated, or current again",
+  "check the store; no task starts while the list is unconfirmed",
+};
+
 inline constexpr auto kDispatchLogEvents =
-  std::array{ kEntryStarted,    kStopRequested,
-              kReloadRequested, kConfigurationApplied,
-              kCellClaimed,     kCellActive,
-              kCellLost,        kStoreUnreachable,
-              kStoreReachable,  kJobRequestAnswered,
-              kTaskPlaced,      kOrderFailed,
-              kRunEnded,        kRunStopped,
-              kRunsLost,        kWorkerOnProbation,
-              kCpuShareChanged, kJobEnded,
-              kJobMigrated,     kWorkerTransferred,
-              kTaskHosted,      kWorkerReconciled,
-              kForeignRunFound, kCapacityChanged };
+  std::array{ kEntryStarted,
+              kStopRequested,
+              kReloadRequested,
+              kConfigurationApplied,
+              kCellClaimed,
+              kCellActive,
+              kCellLost,
+              kStoreUnreachable,
+              kStoreReachable,
+              kJobRequestAnswered,
+              kTaskPlaced,
+              kOrderFailed,
+              kRunEnded,
+              kRunStopped,
+              kRunsLost,
+              kWorkerOnProbation,
+              kCpuShareChanged,
+              kJobEnded,
+              kJobMigrated,
+              kWorkerTransferred,
+              kTaskHosted,
+              kWorkerReconciled,
+              kForeignRunFound,
+              kCapacityChanged,
+              kWorkerListStateChanged };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -41,6 +41,9 @@
   std::int64_t mGracePeriodMs = 6000;
   /** Time after which no more tasks start on a draining worker. */
   std::int64_t mDrainMs = 2000;
+  /** Time after its heartbeat from which a worker's reduced capacity must not
+   * be exceeded. */
+  std::int64_t mCapacityMs = 3000;
   /** How long the state of a finished job is kept. */
   std::int64_t mStatusRetentionMs = 120000;
 };
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -47,6 +47,9 @@
   std::function<std::vector<std::string>()> mFindTransferSources;
   /** Clock by which the claim of the cell expires. */
   std::function<base::BootTime()> mBootNow = base::BootNow;
+  std::function<cell::WorkerListState()> mWorkerListState = [] {
+    return cell::WorkerListState::Current;
+  };
 };
 
 enum class HolderPhase : std::uint8_t
@@ -139,6 +142,7 @@
                    MonotonicTime aNow) -> void;
   auto ScheduleDecision() -> void;
   auto MakeDecisions() -> void;
+  auto UpdateWorkerListState() -> void;
   auto LogEvents() -> void;
   auto Tick() -> net::Task<void>;
 
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -68,7 +68,7 @@
   , mWorkerWatch(aPool,
                  mStore,
                  mPlatform.mFormats.WorkerTable(),
-                 kFeedTimeout,
+                 kWorkerFeedWait,
                  kWorkerFeedInterval)
   , mCallerHandler(
       { mPlatform.mFormats,
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -40,6 +40,7 @@
   auto OnControlRow(const StoreRow& aRow) -> void;
   auto OnCellRow(const CellRow& aRow, std::uint64_t aVersion) -> void;
   auto OnWorkerRow(const StoreRow& aRow) -> void;
+  auto GetWorkerListState() const -> cell::WorkerListState;
   auto WriteEntryRow() -> net::Task<void>;
 
   auto ManageCells() -> net::Task<void>;
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -169,7 +169,7 @@
                                 bool aIsPreviousHolderGone) -> void
 {
   const auto cell = aRow.mName;
-  const auto context = HolderContext{
+  auto context = HolderContext{
     mSettings,
     mStore,
     mPlatform.mWorkers,
@@ -191,6 +191,7 @@
     },
     [this, domain = aRow.mDomain] { return FindTransferSources(domain); }
   };
+  context.mWorkerListState = [this] { return GetWorkerListState(); };
   mLog.Record(kCellClaimed,
               { { "cell", aRow.mName },
                 { "term", static_cast<std::int64_t>(aRow.mTerm) },
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -153,6 +153,20 @@
   }
 }
 
+auto DispatchEntry::GetWorkerListState() const -> cell::WorkerListState
+{
+  const auto now = base::BootNow();
+  const auto since = [&](base::BootTime aTime) {
+    return std::chrono::duration_cast<Milliseconds>(now - aTime);
+  };
+  // A worker executes a start within the timeout of the order.
+  const auto maxAge = Milliseconds(mSettings.mCapacityMs) - kOrderTimeout;
+  return cell::ClassifyWorkerList(
+    { since(mWorkerWatch.ConfirmedAt()), since(mWorkerWatch.FailedAt()) },
+    maxAge,
+    kWorkerFeedWait + kStoreTimeout + kRetryInterval * 2);
+}
+
 auto DispatchEntry::WatchWorkers() -> net::Task<void>
 {
   co_await mWorkerWatch.Run([this](const StoreRow& aRow) { OnWorkerRow(aRow); },
--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -37,6 +37,10 @@
 /** Placement of new long-running jobs is delayed for two heartbeats with the
  * cells' status, a tick and the transaction of a migration. */
 inline constexpr auto kPlacementDelay = Milliseconds(500);
+/** How long the store may delay the reply to a call of the workers' feed.
+ * Short, as an unanswered call must fail before the list of workers is
+ * outdated; in deployments of many workers heartbeats end the wait sooner. */
+inline constexpr auto kWorkerFeedWait = Milliseconds(1000);
 inline constexpr auto kTickInterval = Milliseconds(200);
 
 /** Fencing tokens of one claim. Each new incarnation of a worker gets the next
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -301,6 +301,19 @@
                   [self = shared_from_this()] { self->MakeDecisions(); });
 }
 
+auto CellHolder::UpdateWorkerListState() -> void
+{
+  const auto state = mContext.mWorkerListState();
+  if (state == mState.mWorkerListState) {
+    return;
+  }
+  mState.mWorkerListState = state;
+  mContext.mLog.Record(
+    kWorkerListStateChanged,
+    { { "cell", mRow.mName },
+      { "state", base::NameOf(cell::kWorkerListStateNames, state) } });
+}
+
 auto CellHolder::MakeDecisions() -> void
 {
   mIsDecisionScheduled = false;
@@ -308,6 +321,7 @@
   if (!CanSendOrders() || mIsShuttingDown) {
     return;
   }
+  UpdateWorkerListState();
   const auto now = base::MonotonicClock::now();
   for (auto& it : cell::CollectOrders(mState, now)) {
     net::SpawnTask(mContext.mExecutor, SendOrder(std::move(it)));
--- a/src/dispatch/internal/tablewatch.cpp
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -59,6 +59,7 @@
     const auto reply = co_await mStore.ReadRange(
       query, base::MonotonicClock::now() + kStoreTimeout);
     if (reply.mOutcome != StoreOutcome::Done) {
+      mFailedAt = sentAt;
       co_return false;
     }
     // The feed delivers changes between two pages again.
@@ -148,6 +149,7 @@
   } else if (reply.mOutcome == StoreOutcome::HistoryTruncated) {
     mIsCurrent = false;
   } else {
+    mFailedAt = sentAt;
     co_await net::Sleep(kRetryInterval);
   }
 }
--- a/src/dispatch/internal/tablewatch.h
+++ b/src/dispatch/internal/tablewatch.h
@@ -43,6 +43,8 @@
   auto IsLoaded() const -> bool { return mIsActive && mIsLoaded; }
   /** Time at which the last successful call was sent. */
   auto ConfirmedAt() const -> base::BootTime { return mConfirmedAt; }
+  /** Time at which the last failed call was sent. */
+  auto FailedAt() const -> base::BootTime { return mFailedAt; }
 
 private:
   auto ReadTable() -> net::Task<bool>;
@@ -64,6 +66,7 @@
   /** The feed continues from the rows that are known. */
   bool mIsCurrent = false;
   base::BootTime mConfirmedAt{};
+  base::BootTime mFailedAt{};
 };
 
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -33,6 +33,10 @@
   std::deque<FakeFault> mFaults;
   /** Durations of the next commits, in order. */
   std::deque<Milliseconds> mDelays;
+  /** Refuses the calls of feeds. */
+  bool mRefusesFeeds = false;
+  /** Delays the replies to the calls of feeds until it is reset. */
+  bool mHoldsFeeds = false;
   /** Durations of the next range reads, in order. */
   std::deque<Milliseconds> mReadDelays;
 
@@ -101,8 +105,14 @@
   auto ReadFeed(FeedQuery aQuery, MonotonicTime)
     -> net::Task<StoreReply> override
   {
-    co_await net::Sleep(Milliseconds(20));
+    do {
+      co_await net::Sleep(Milliseconds(20));
+    } while (mHoldsFeeds);
     StoreReply out;
+    if (mRefusesFeeds) {
+      out.mOutcome = StoreOutcome::Refused;
+      co_return out;
+    }
     out.mOutcome = StoreOutcome::Done;
     out.mVersion = mVersion;
     for (const auto& [key, it] : mRows) {
--- a/src/dispatch/tests/workerlist_tests.cpp
+++ b/src/dispatch/tests/workerlist_tests.cpp
@@ -16,6 +16,8 @@
 /** Longer than an entry takes to apply a change of the list of workers and to
  * start what it can. */
 constexpr auto kSettlingTime = Milliseconds(900);
+/** Less the timeout of an order, a list counts as current for 700 ms. */
+constexpr std::int64_t kCapacityMs = 1200;
 
 /** The row of a worker contains its CPU millis and its label. */
 class FakeFormats final : public IFormats
@@ -119,6 +121,7 @@
     settings.mReadiness = address;
     settings.mPeers = address;
     settings.mMetrics = address;
+    settings.mCapacityMs = kCapacityMs;
     // One partition.
     settings.mStoreWritesPerS = 100;
     settings.mStorePartitionWritesPerS = 100;
@@ -149,6 +152,14 @@
     });
   }
 
+  auto Set(bool& aFault, bool aValue) -> void
+  {
+    Until([&] {
+      aFault = aValue;
+      return true;
+    });
+  }
+
   auto Settle() -> void { Wait(net::Sleep(kSettlingTime), true); }
 };
 
@@ -202,4 +213,50 @@
   BOOST_TEST(HasStarted(2));
 }
 
+BOOST_AUTO_TEST_CASE(
+  worker_while_the_store_is_unavailable_is_used_up_to_its_lowest_capacity)
+{
+  ListWorker(16000);
+  AddJob(4);
+  StartEntry();
+  BOOST_REQUIRE(HasStarted(2));
+  ListWorker(8000);
+  Settle();
+  ListWorker(16000);
+  Settle();
+  Set(mStore.mRefusesFeeds, true);
+  Settle();
+  EndTask(0);
+  Settle();
+  BOOST_TEST(CountStarts() == 2U);
+  EndTask(1);
+  BOOST_TEST(HasStarted(3));
+  Settle();
+  BOOST_TEST(CountStarts() == 3U);
+  Set(mStore.mRefusesFeeds, false);
+  BOOST_TEST(HasStarted(4));
+}
+
+// A holder that had been suspended started tasks by the capacities that it had
+// read before, although they could have been reduced long ago.
+BOOST_AUTO_TEST_CASE(
+  holder_without_a_reply_about_its_workers_starts_nothing_until_it_has_one)
+{
+  ListWorker(16000);
+  AddJob(3);
+  StartEntry();
+  BOOST_REQUIRE(HasStarted(2));
+  Set(mStore.mHoldsFeeds, true);
+  ListWorker(8000);
+  Settle();
+  EndTask(0);
+  Settle();
+  BOOST_TEST(CountStarts() == 2U);
+  Set(mStore.mHoldsFeeds, false);
+  Settle();
+  BOOST_TEST(CountStarts() == 2U);
+  EndTask(1);
+  BOOST_TEST(HasStarted(3));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
