Give up a task under which two workers have crashed

Cause: a task that crashes each worker that starts it was started again without a limit, as lost runs are no failed attempts.

Change: a crash is counted for the runs that were started less than 0.15 s before the worker's last sign of life. A task with a counted crash is started apart from others, once the count is stored. Its job fails after two crashes of workers that confirmed the start, or three in all. A host cell reports a given-up task to the cell that owns the job.

A crash counts towards two only when the worker had answered the start, the time of the crash is known, and not three workers became unreachable within 0.1 s; the window is 0.15 s.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -59,6 +59,7 @@
   dispatch::kForeignRunFound,
   dispatch::kCapacityChanged,
   dispatch::kWorkerListStateChanged,
+  dispatch::kCrashCounted,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -41,6 +41,8 @@
    * or its leases have expired. */
   bool mMayBeRunning = false;
   std::vector<std::uint64_t> mFailedAttempts;
+  /** Reset when a run of the task proves harmless to its worker. */
+  CrashCount mCrashes;
   std::uint64_t mAttempt = 0;
   std::string mCheckpoint;
   /** The worker of its run; null when it is not placed. */
@@ -105,6 +107,8 @@
   bool mIsMigrating = false;
   /** At least one of its tasks has been started. */
   bool mHasStarted = false;
+  /** Crashes were counted that are not stored yet. */
+  bool mHasUnstoredCrashes = false;
   MonotonicTime mAddedAt{};
   /** Position among the waiting best-effort jobs; see RankJob. */
   JobRank mRank;
@@ -139,6 +143,7 @@
   std::int64_t mTargetTailMs = 0;
   /** Index in the cell's interference table. */
   std::size_t mImageIndex = 0;
+  /** When the start was sent; zero when a previous holder sent it. */
   MonotonicTime mStartedAt{};
   MonotonicTime mConfirmedAt{};
   double mPercent = 0;
@@ -186,6 +191,16 @@
   std::uint64_t mStoredEnds = 0;
   std::int64_t mLastClockMs = 0;
   MonotonicTime mLastContact{};
+  /** When a call to it first failed, other than by a timeout, since the last
+   * contact. */
+  std::optional<MonotonicTime> mUnreachableSince;
+  /** Another worker is listed at its address. */
+  bool mIsReplaced = false;
+  /** When a task was last started on it. */
+  MonotonicTime mLastStartAt{};
+  /** Until then only a task under which workers have crashed may be started on
+   * it, and none after that one. */
+  MonotonicTime mIsolatedUntil{};
   /** If it doesn't answer again, every lease granted to it has expired by
    * this time. */
   MonotonicTime mLeasesExpiredAt{};
@@ -258,6 +273,14 @@
   /** Best-effort tasks are paused when a serving tail beside them has been over
    * its target for this time. */
   Milliseconds mMaxOverTarget{ 1500 };
+  /** A crash of a worker is counted for the tasks that were started on it less
+   * than this time before. */
+  Milliseconds mCrashWindow{ 150 };
+  /** A job fails after this number of confirmed crashes under one of its
+   * tasks, */
+  std::uint32_t mMaxConfirmedCrashes = 2;
+  /** or after this number of crashes, confirmed or not. */
+  std::uint32_t mMaxCrashes = 3;
 };
 
 /** A group of workers of one failure domain and the jobs on them. */
@@ -374,6 +397,12 @@
 
 /** Notes that a worker may have restarted and has to be polled. */
 auto SuspectRestart(Worker& aWorker, MonotonicTime aNow) -> void;
+/** Records that a call to a worker failed, other than by a timeout. */
+auto NoteUnreachable(Worker& aWorker, MonotonicTime aNow) -> void;
+/** The progress of a job was stored, with all its counted crashes. */
+auto MarkCrashesStored(Job& aJob) -> void;
+/** Fails a job of which a task is given up in its host cell. */
+auto GiveUpHostedJob(CellState& aCell, Job& aJob) -> void;
 
 /** Applies a worker's report. aSentAt: when the poll was sent. */
 auto ApplyReport(CellState& aCell,
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -187,6 +187,24 @@
   }
 };
 
+/** Workers that crashed shortly after they were told to start a task. */
+struct CrashCount
+{
+  /** Workers that confirmed the start and crashed, alone, within the crash
+   * window. */
+  std::uint32_t mConfirmed = 0;
+  /** Workers that may well have crashed for another reason. */
+  std::uint32_t mUnconfirmed = 0;
+
+  auto operator==(const CrashCount&) const -> bool = default;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mConfirmed, mUnconfirmed);
+  }
+};
+
 /** Stored progress of a task that is no longer in its initial state. */
 struct TaskProgress
 {
@@ -201,12 +219,14 @@
   std::string mCheckpoint;
   /** The host cell of a remote task; empty when the job's own cell runs it. */
   std::string mHostCell;
+  /** Stored before the task is started again. */
+  CrashCount mCrashes;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mOccurrence, mStep, mIndex, mIsDone, mFailedAttempts);
-    archive(mCheckpoint, mHostCell);
+    archive(mCheckpoint, mHostCell, mCrashes);
   }
 };
 
@@ -350,6 +370,7 @@
   WorkerReconciled,
   ForeignRunFound,
   CapacityChanged,
+  CrashCounted,
 };
 
 /** Why the runs on a worker are considered ended. */
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -60,6 +60,30 @@
 /** Whether a task may be started once there is room. */
 auto MayStart(const Task& aTask, MonotonicTime aNow) -> bool;
 
+/** Whether a worker has crashed shortly after it was told to start a task. Such
+ * a task is started apart from others, so that a further crash is due to it. */
+auto IsSuspect(const Task& aTask) -> bool;
+/** Counts the crash of a worker for the tasks that it may be due to. */
+auto CountCrashes(CellState& aCell,
+                  Worker& aWorker,
+                  const std::unordered_map<std::string, Run>& aRuns,
+                  MonotonicTime aNow) -> void;
+/** Resets the count of a task whose worker still lists the run after the crash
+ * window. */
+auto ClearSuspect(const CellState& aCell, const Run& aRun, MonotonicTime aNow)
+  -> void;
+/** Whether a task may be started on a worker in view of the tasks that may
+ * crash it. */
+auto MayJoinWorker(const CellState& aCell,
+                   const Worker& aWorker,
+                   const Task& aTask,
+                   MonotonicTime aNow) -> bool;
+/** Records the start of a task on a worker. */
+auto NoteStart(const CellState& aCell,
+               Worker& aWorker,
+               const Task& aTask,
+               MonotonicTime aNow) -> void;
+
 /** Whether a worker may be given new work. */
 auto IsUsable(const CellState& aCell, const Worker& aWorker, MonotonicTime aNow)
   -> bool;
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -78,6 +78,7 @@
     auto& step = occurrence->mSteps[it.mStep];
     auto& task = step.mTasks[it.mIndex];
     task.mFailedAttempts = it.mFailedAttempts;
+    task.mCrashes = it.mCrashes;
     task.mCheckpoint = it.mCheckpoint;
     aJob.mHasStarted = true;
     if (!it.mHostCell.empty()) {
@@ -471,14 +472,15 @@
       for (const auto& it : step.mTasks) {
         const auto isDone = it.mPhase == TaskPhase::Done;
         if (isDone || !it.mFailedAttempts.empty() || !it.mCheckpoint.empty() ||
-            !it.mHostCell.empty()) {
+            !it.mHostCell.empty() || IsSuspect(it)) {
           out.mTasks.push_back({ it.mOccurrence,
                                  it.mStep,
                                  it.mIndex,
                                  isDone,
                                  it.mFailedAttempts,
                                  it.mCheckpoint,
-                                 it.mHostCell });
+                                 it.mHostCell,
+                                 it.mCrashes });
         }
       }
     }
@@ -486,15 +488,4 @@
   return out;
 }
 
-auto CountPending(const CellState& aCell, std::string_view aQueue)
-  -> std::size_t
-{
-  return static_cast<std::size_t>(std::count_if(
-    aCell.mJobs.begin(), aCell.mJobs.end(), [&](const auto& aItem) {
-      const auto& job = *aItem.second;
-      return job.mStored.mQueue.mName == aQueue && !job.mHasStarted &&
-             !IsFinal(job.mState);
-    }));
-}
-
 } // namespace eelgrasspost::cell
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -196,6 +196,7 @@
   }
   if (aOutcome == OrderOutcome::Done) {
     worker->mLastContact = std::max(worker->mLastContact, aNow);
+    worker->mUnreachableSince.reset();
   } else {
     AddEvent(aCell,
              { CellEventKind::OrderFailed,
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -23,6 +23,7 @@
     job.mState = JobState::Running;
   }
   ++aCell.mStarts;
+  NoteStart(aCell, aWorker, aTask, aNow);
   Order order;
   order.mKind = OrderKind::Start;
   order.mWorker = aWorker.mRecord.mId;
@@ -218,6 +219,32 @@
     }));
 }
 
+/** Starts a suspect task apart from others. Where no worker is free of recent
+ * starts, one is isolated until the task can be started there. aRank: number of
+ * suspects up to this one in the round; as many workers may be isolated. */
+auto PlaceSuspect(CellState& aCell,
+                  Task& aTask,
+                  InterferenceTolerance aTolerance,
+                  std::size_t aRank,
+                  MonotonicTime aNow) -> std::optional<Order>
+{
+  const auto& spec = SpecOf(aTask);
+  if (auto* worker = FindWorker(aCell, aTask, spec, aTolerance, aNow)) {
+    return PlaceTask(aCell, aTask, *worker, NextAttempt(aCell), aNow);
+  }
+  const auto isolated = static_cast<std::size_t>(std::count_if(
+    aCell.mWorkers.begin(), aCell.mWorkers.end(), [&](const auto& aItem) {
+      return aNow < aItem.second->mIsolatedUntil;
+    }));
+  if (isolated < aRank) {
+    if (auto* worker =
+          FindWorkerToIsolate(aCell, aTask, spec, aTolerance, aNow)) {
+      worker->mIsolatedUntil = aNow + 2 * aCell.mPolicy.mCrashWindow;
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 auto PlaceReady(CellState& aCell,
@@ -241,6 +268,7 @@
   }
   std::sort(ready.begin(), ready.end(), ComesBefore);
   auto reservations = CountReservations(aCell, aNow);
+  std::size_t suspects = 0;
   const auto isLightlyLoaded = IsLightlyLoaded(aCell, aNow);
   for (auto* it : ready) {
     if (!MayStart(*it, aNow) || IsPlacementDelayed(aCell, *it, aNow)) {
@@ -255,6 +283,12 @@
     if (MustAcceptInterference(*it, isLightlyLoaded, aNow)) {
       tolerance = InterferenceTolerance::Accept;
     }
+    if (IsSuspect(*it)) {
+      if (auto order = PlaceSuspect(aCell, *it, tolerance, ++suspects, aNow)) {
+        aOrders.push_back(*std::move(order));
+      }
+      continue;
+    }
     if (NeedsAtLeastUnplaced(unplaced, *it, spec, tolerance)) {
       continue;
     }
--- a/src/cell/internal/queueorder.cpp
+++ b/src/cell/internal/queueorder.cpp
@@ -1,5 +1,6 @@
 #include "queueorder.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -95,4 +96,15 @@
          !HasRun(*aTask.mJob);
 }
 
+auto CountPending(const CellState& aCell, std::string_view aQueue)
+  -> std::size_t
+{
+  return static_cast<std::size_t>(std::count_if(
+    aCell.mJobs.begin(), aCell.mJobs.end(), [&](const auto& aItem) {
+      const auto& job = *aItem.second;
+      return job.mStored.mQueue.mName == aQueue && !job.mHasStarted &&
+             !IsFinal(job.mState);
+    }));
+}
+
 } // namespace eelgrasspost::cell
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -221,6 +221,7 @@
   task->mMayBeRunning = false;
   task->mJob->mHasStarted = true;
   auto run = MakeRun(aCell, *task, aRow.mAttempt, aNow);
+  run.mStartedAt = {};
   run.mPhase = RunPhase::Running;
   run.mConfirmedAt = aNow;
   UpdateRun(InsertRun(aWorker, aRow.mTask, std::move(run)), aRow, aNow);
@@ -302,6 +303,9 @@
                base::NameOf(kRunsLostReasonNames, aReason),
                static_cast<double>(runs.size()) });
   }
+  if (aReason != RunsLostReason::LeaseExpired || aWorker.mIsReplaced) {
+    CountCrashes(aCell, aWorker, runs, aNow);
+  }
   aWorker.mRuns.clear();
   aWorker.mUsed = {};
   aWorker.mRunsOfUnknownNeed = 0;
@@ -425,6 +429,7 @@
   }
   aWorker.mLastClockMs = aReport.mClockMs;
   aWorker.mLastContact = aNow;
+  aWorker.mUnreachableSince.reset();
   aWorker.mNeedsPoll = false;
   aWorker.mIsKnown = true;
   if (aWorker.mMayHaveRestartedSince &&
@@ -445,6 +450,7 @@
       AdoptRun(aCell, aWorker, it, aNow);
     } else if (run->second.mAttempt == it.mAttempt) {
       UpdateRun(run->second, it, aNow);
+      ClearSuspect(aCell, run->second, aNow);
     }
   }
   if (!aReport.mMayHaveMoreEnds) {
--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -9,7 +9,8 @@
 {
   return aTask.mPhase == TaskPhase::Ready && !aTask.mMayBeRunning &&
          aTask.mNotBefore <= aNow && !IsFinal(aTask.mJob->mState) &&
-         !aTask.mJob->mIsMigrating;
+         !aTask.mJob->mIsMigrating &&
+         !(aTask.mJob->mHasUnstoredCrashes && IsSuspect(aTask));
 }
 
 auto IsPlacementDelayed(const CellState& aCell,
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -37,6 +37,11 @@
  * run on a worker whose best-effort tasks are throttled. */
 constexpr double kNegligibleLogRise = 0.15;
 
+/** Cost of each run that would be lost if a suspect task crashed the worker,
+ * and of the presence of serving tasks there. */
+constexpr double kSuspectRunPenalty = 1e5;
+constexpr double kSuspectServingPenalty = 1e7;
+
 /** After this wait a task may run where interference is expected, to update
  * the estimate. */
 constexpr auto kProbeAfter = Milliseconds(5000);
@@ -154,6 +159,10 @@
   if (!aSpec.mDataRack.empty() && !HasLabel(aWorker, aSpec.mDataRack)) {
     *out += kRemoteDataPenalty;
   }
+  if (IsSuspect(aTask)) {
+    *out += kSuspectRunPenalty * static_cast<double>(aWorker.mRuns.size());
+    *out += aWorker.mServingCpuMillis > 0 ? kSuspectServingPenalty : 0;
+  }
   return out;
 }
 
@@ -188,11 +197,20 @@
            capacity.mAccelerators;
 }
 
-auto FindWorker(CellState& aCell,
-                const Task& aTask,
-                const StepSpec& aSpec,
-                InterferenceTolerance aTolerance,
-                MonotonicTime aNow) -> Worker*
+namespace {
+
+enum class WorkerSearch : std::uint8_t
+{
+  ForStart,
+  ToIsolate,
+};
+
+auto FindCheapest(CellState& aCell,
+                  const Task& aTask,
+                  const StepSpec& aSpec,
+                  InterferenceTolerance aTolerance,
+                  WorkerSearch aSearch,
+                  MonotonicTime aNow) -> Worker*
 {
   const auto& service = aTask.mJob->mStored.mQueue.mService;
   Worker* best = nullptr;
@@ -204,9 +222,13 @@
         !IsUsable(aCell, *worker, aNow)) {
       continue;
     }
+    const auto mayUse =
+      aSearch == WorkerSearch::ForStart
+        ? MayJoinWorker(aCell, *worker, aTask, aNow)
+        : aNow >= worker->mIsolatedUntil && !worker->mUnreachableSince;
     const auto isFull = aSpec.mMaxPerWorker > 0 &&
                         CountRunsOfStep(*worker, aTask) >= aSpec.mMaxPerWorker;
-    if (isFull) {
+    if (!mayUse || isFull) {
       continue;
     }
     const auto cost = PlacementCost(aCell, *worker, aTask, aSpec, aTolerance);
@@ -218,6 +240,28 @@
   return best;
 }
 
+} // namespace
+
+auto FindWorker(CellState& aCell,
+                const Task& aTask,
+                const StepSpec& aSpec,
+                InterferenceTolerance aTolerance,
+                MonotonicTime aNow) -> Worker*
+{
+  return FindCheapest(
+    aCell, aTask, aSpec, aTolerance, WorkerSearch::ForStart, aNow);
+}
+
+auto FindWorkerToIsolate(CellState& aCell,
+                         const Task& aTask,
+                         const StepSpec& aSpec,
+                         InterferenceTolerance aTolerance,
+                         MonotonicTime aNow) -> Worker*
+{
+  return FindCheapest(
+    aCell, aTask, aSpec, aTolerance, WorkerSearch::ToIsolate, aNow);
+}
+
 auto HasBetterWorker(CellState& aCell,
                      const Worker& aWorker,
                      const Run& aRun,
--- a/src/cell/internal/workerchoice.h
+++ b/src/cell/internal/workerchoice.h
@@ -33,4 +33,12 @@
                 InterferenceTolerance aTolerance,
                 MonotonicTime aNow) -> Worker*;
 
+/** The worker with the lowest cost for a suspect task, whatever was started
+ * there recently; null when none has room. */
+auto FindWorkerToIsolate(CellState& aCell,
+                         const Task& aTask,
+                         const StepSpec& aSpec,
+                         InterferenceTolerance aTolerance,
+                         MonotonicTime aNow) -> Worker*;
+
 } // namespace eelgrasspost::cell
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -184,32 +184,40 @@
   "check the store; no task starts while the list is unconfirmed",
 };
 
-inline constexpr auto kDispatchLogEvents =
-  std::array{ kEntryStarted,
-              kStopRequested,
-              kReloadRequested,
-              kConfigurationApplied,
-              kCellClaimed,
-              kCellActive,
-              kCellLost,
-              kStoreUnreachable,
-              kStoreReachable,
-              kJobRequestAnswered,
-              kTaskPlaced,
-              kOrderFailed,
-              kRunEnded,
-              kRunStopped,
-              kRunsLost,
-              kWorkerOnProbation,
-              kCpuShareChanged,
-              kJobEnded,
-              kJobMigrated,
-              kWorkerTransferred,
-              kTaskHosted,
-              kWorkerReconciled,
-              kForeignRunFound,
-              kCapacityChanged,
-              kWorkerListStateChanged };
+inline constexpr auto kCrashCounted = base::LogEvent{
+  945,
+  base::LogLevel::Warn,
+  "a worker crashed shortly after it was told to start a task",
+  "none for the first crash under a task; its job fails after the second; "
+  "value is the number of crashes",
+};
+
+inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
+                                                       kStopRequested,
+                                                       kReloadRequested,
+                                                       kConfigurationApplied,
+                                                       kCellClaimed,
+                                                       kCellActive,
+                                                       kCellLost,
+                                                       kStoreUnreachable,
+                                                       kStoreReachable,
+                                                       kJobRequestAnswered,
+                                                       kTaskPlaced,
+                                                       kOrderFailed,
+                                                       kRunEnded,
+                                                       kRunStopped,
+                                                       kRunsLost,
+                                                       kWorkerOnProbation,
+                                                       kCpuShareChanged,
+                                                       kJobEnded,
+                                                       kJobMigrated,
+                                                       kWorkerTransferred,
+                                                       kTaskHosted,
+                                                       kWorkerReconciled,
+                                                       kForeignRunFound,
+                                                       kCapacityChanged,
+                                                       kWorkerListStateChanged,
+                                                       kCrashCounted };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
@@ -237,6 +245,8 @@
       return &kForeignRunFound;
     case cell::CellEventKind::CapacityChanged:
       return &kCapacityChanged;
+    case cell::CellEventKind::CrashCounted:
+      return &kCrashCounted;
   }
   return &kJobEnded;
 }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -206,6 +206,8 @@
   ReserveCapacity,
   /** Reloads from the store which tasks of another cell's job run here. */
   SyncHostedJob,
+  /** Fails a job of which a host cell has given up a task. */
+  GiveUpJob,
 };
 
 /** Control table row of a worker that was transferred out of the cell to which
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -169,6 +169,9 @@
   auto ReserveCapacity(const CapacityRequest& aRequest) -> JobReply;
   auto SyncHostedJob(std::string aId) -> net::Task<JobReply>;
   auto WatchHostedJob(std::string aId) -> net::Task<void>;
+  auto ReportGivenUpJob(const cell::Job& aJob) -> void;
+  auto NotifyOwner(std::string aId) -> net::Task<void>;
+  auto GiveUpJob(const std::string& aId) -> JobReply;
   auto FindOwnJob(const std::string& aId) -> cell::Job*;
   auto TokenFor(const std::string& aWorker) const -> std::uint64_t;
   auto TokenStepOf(const std::string& aWorker) const -> std::uint64_t;
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -45,6 +45,8 @@
       co_return ReserveCapacity(aCommand.mRequest);
     case JobCommandKind::SyncHostedJob:
       co_return co_await SyncHostedJob(std::move(aCommand.mJobId));
+    case JobCommandKind::GiveUpJob:
+      co_return GiveUpJob(aCommand.mJobId);
   }
   co_return JobReply{ JobOutcome::NotInCell };
 }
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -191,4 +191,51 @@
   }
 }
 
+auto CellHolder::ReportGivenUpJob(const cell::Job& aJob) -> void
+{
+  if (cell::IsFinal(aJob.mState)) {
+    net::SpawnTask(mContext.mExecutor, NotifyOwner(aJob.mStored.mSpec.mId));
+  }
+}
+
+/** Tells the cell that owns a hosted job that a task of it is given up, until
+ * the job's row is removed. */
+auto CellHolder::NotifyOwner(std::string aId) -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  RangeQuery query;
+  query.mTable = std::string(kIdTable);
+  query.mPartition = PartitionName(PartitionOf(aId));
+  query.mFrom = aId;
+  query.mLimit = 1;
+  while (mPhase == HolderPhase::Active && cell::FindJob(mState, aId)) {
+    const auto found = co_await mContext.mStore.ReadRange(
+      query, base::MonotonicClock::now() + kStoreTimeout);
+    if (found.mOutcome == StoreOutcome::Done && !found.mRows.empty() &&
+        found.mRows[0].mKey == aId) {
+      if (const auto row = net::Decode<JobIdRow>(found.mRows[0].mValue);
+          row.ok()) {
+        JobCommand command;
+        command.mKind = JobCommandKind::GiveUpJob;
+        command.mCell = row->mCell;
+        command.mJobId = aId;
+        command.mTimeoutMs = kStoreTimeout.count();
+        co_await mContext.mExecute(std::move(command));
+      }
+    }
+    co_await net::Sleep(kHostedJobCheckInterval);
+  }
+}
+
+auto CellHolder::GiveUpJob(const std::string& aId) -> JobReply
+{
+  auto* job = FindOwnJob(aId);
+  if (!job) {
+    return { JobOutcome::NotInCell };
+  }
+  cell::GiveUpHostedJob(mState, *job);
+  ScheduleDecision();
+  return { JobOutcome::Done };
+}
+
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -133,6 +133,8 @@
         // The cell that owns the job stores its progress.
         mState.mDirty.erase(id);
         job->mIsDirty = false;
+        cell::MarkCrashesStored(*job);
+        ReportGivenUpJob(*job);
         continue;
       }
       const auto& rows = mRows[id];
@@ -187,6 +189,9 @@
           FinishJob(it.mId, it.mState);
         } else {
           mRows[it.mId].mProgressVersion = reply.mVersion;
+          if (job && !job->mIsDirty) {
+            cell::MarkCrashesStored(*job);
+          }
         }
         continue;
       }
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -34,6 +34,7 @@
     if (isReplaced) {
       // An address is reused only after its previous worker has left.
       it->mLeasesExpiredAt = now;
+      it->mIsReplaced = true;
     }
   }
   if (!mState.mWorkers.contains(aRecord.mId) &&
@@ -186,6 +187,9 @@
       co_return false;
     default:
       worker.mMayHaveRestartedSince = now;
+      if (now < call.mDeadline) {
+        cell::NoteUnreachable(worker, now);
+      }
       co_return false;
   }
   if (RaiseTokenForIncarnation(worker, reply.mReport.mIncarnationStartMs)) {
--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -46,6 +47,8 @@
   bool mWaitsForEnds = false;
   /** Ends per reply. */
   std::size_t mMaxListedEnds = 500;
+  /** Tasks that crash each worker that starts them. */
+  std::set<std::string> mDeadlyTasks;
 
   auto End(const std::string& aTask, cell::EndKind aKind) -> void
   {
@@ -88,6 +91,9 @@
                      : 0;
       mWorkerOf[aOrder.mTask] = aCall.mWorker;
       mRunning[aOrder.mTask] = { aOrder.mTask, aOrder.mAttempt, "", 1, 0 };
+      if (mDeadlyTasks.contains(aOrder.mTask)) {
+        Restart(aCall.mWorker);
+      }
     }
     if (aOrder.mKind == cell::OrderKind::Stop) {
       mStops.push_back(aOrder);
@@ -172,6 +178,14 @@
     return it == mStartedAtMs.end() ? mClockMs : mClockMs - it->second + 1;
   }
 
+  auto CountStarts(const std::string& aTask) const -> std::size_t
+  {
+    return static_cast<std::size_t>(
+      std::count_if(mStarts.begin(), mStarts.end(), [&](const auto& aOrder) {
+        return aOrder.mTask == aTask;
+      }));
+  }
+
   auto IncarnationOf(const std::string& aWorker) const -> std::int64_t
   {
     const auto it = mIncarnations.find(aWorker);
