Let a test's tasks run before their worker restarts

The test restarted the worker a few ms after the starts. This now counts as a crash under the second task, which waits until the count is stored; both delays of the store are over by its next start, so that the end is stored before the check. The test waits before the restart, as for a restart for another reason. All its checks are unchanged.

--- a/src/dispatch/tests/takeover_tests.cpp
+++ b/src/dispatch/tests/takeover_tests.cpp
@@ -204,6 +204,8 @@
   Wait(holder->Execute(MakeSubmission("0000000000000001")));
   Wait(holder->Execute(MakeSubmission("0000000000000002")));
   BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 2; }));
+  // A task whose worker restarts right after its start waits for the store.
+  Wait(net::Sleep(kSettlingTime), true);
   Do([&] {
     mStore.mDelays = { Milliseconds(400), Milliseconds(400) };
     mWorkers.End("0000000000000001.0.0.0", cell::EndKind::Done);
