Keep the minimum token of a worker whose transfer fails

What callers saw: submissions and states of a cell got no answer until its entry restarted, if a transfer of a borrowed worker out of the cell had failed.

Cause: the holder erased the minimum token of the worker's loan before the transfer had succeeded. The next poll carried a lower token, the worker refused it, and the holder ended itself. All entries considered the cell held, as its row named a live incarnation.

Change: the minimum token stays while the holder lives. An entry claims a cell again whose row names its incarnation but which has had no holder for a lease. The claim is conditional on the known row, so it fails if another entry claimed the cell; the pause keeps two holders from superseding each other within a lease. The previous holder's process counts as alive in such a claim.

Ruled out: clearing the holder in the row, so that the entry with the fewest cells claims it; it takes a second write, and the entry is alive.

--- a/src/dispatch/internal/claiming.cpp
+++ b/src/dispatch/internal/claiming.cpp
@@ -33,6 +33,18 @@
   return aView.mSinceStart < kClaimDelay;
 }
 
+/** Whether this entry's holder of a cell has ended, though the cell is still
+ * this entry's. Whoever superseded the holder by a claim has changed the row by
+ * now; the pause lets the leases of any other holder of a worker expire. */
+auto HasLostHolder(const ClaimView& aView, const CellRow& aCell) -> bool
+{
+  const auto it = aView.mSinceHolderEnded.find(aCell.mName);
+  return it != aView.mSinceHolderEnded.end() &&
+         it->second > aView.mUnheldClaimDelay &&
+         aCell.mHolder == aView.mMyName &&
+         aCell.mHolderIncarnation == aView.mMyIncarnation;
+}
+
 /** Number of cells per processor core that an entry would hold with one cell
  * more. */
 auto LoadWithOneMore(const ClaimCandidate& aCandidate) -> double
@@ -83,6 +95,14 @@
   }
   auto view = aView;
   for (const auto& it : aView.mCells) {
+    if (HasLostHolder(view, it)) {
+      // Other entries consider the cell held.
+      const auto* me = FindLive(view, view.mMyName);
+      if (me && !me->mIsLeaving) {
+        out.push_back(it.mName);
+      }
+      continue;
+    }
     if (IsHeld(view, it)) {
       continue;
     }
--- a/src/dispatch/internal/claiming.h
+++ b/src/dispatch/internal/claiming.h
@@ -37,6 +37,10 @@
   /** Its own domain has an entry with a larger processor share from which it
    * has not received a heartbeat. */
   bool mAwaitsLargerEntry = false;
+  /** Time for which cells whose rows name this incarnation of the entry have
+   * had no holder, and the time after which the entry claims them again. */
+  std::map<std::string, Milliseconds> mSinceHolderEnded;
+  Milliseconds mUnheldClaimDelay{ 0 };
 };
 
 /** All live entries have sent a heartbeat by this time after the start. */
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -48,6 +48,7 @@
   auto CreateLayout(std::string aDomain, std::uint32_t aCells)
     -> net::Task<void>;
   auto MakeClaimView(MonotonicTime aNow) const -> ClaimView;
+  auto FindUnheldCells(MonotonicTime aNow) -> void;
   auto ClaimCell(std::string aCell) -> net::Task<void>;
   auto ReleaseCell(std::string aCell) -> net::Task<void>;
   auto StartHolder(const CellRow& aRow,
@@ -124,6 +125,8 @@
   std::map<std::string, cell::WorkerRecord> mWorkers;
   MonotonicTime mWorkersChangedAt;
   std::map<std::string, std::shared_ptr<CellHolder>> mHolders;
+  /** Cells whose rows name this incarnation, but which have no holder. */
+  std::map<std::string, MonotonicTime> mUnheldSince;
   /** CPU demand of jobs that were sent to a cell since it last reported its
    * status. */
   struct UnreportedWork
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -66,9 +66,29 @@
   for (const auto& [name, it] : mCells) {
     out.mCells.push_back(it.mRow);
   }
+  out.mUnheldClaimDelay = Milliseconds(mSettings.mLeaseMs) + kLeaseMargin;
+  for (const auto& [name, since] : mUnheldSince) {
+    out.mSinceHolderEnded[name] =
+      std::chrono::duration_cast<Milliseconds>(aNow - since);
+  }
   return out;
 }
 
+auto DispatchEntry::FindUnheldCells(MonotonicTime aNow) -> void
+{
+  for (const auto& [name, it] : mCells) {
+    const auto isUnheld = it.mRow.mHolder == mSettings.mName &&
+                          it.mRow.mHolderIncarnation == mIncarnation &&
+                          !FindHolder(name) &&
+                          !mCellsInTransition.contains(name);
+    if (isUnheld) {
+      mUnheldSince.emplace(name, aNow);
+    } else {
+      mUnheldSince.erase(name);
+    }
+  }
+}
+
 auto DispatchEntry::ManageCells() -> net::Task<void>
 {
   while (true) {
@@ -80,6 +100,7 @@
     std::erase_if(mHolders, [](const auto& aItem) {
       return aItem.second->Phase() == HolderPhase::Ended;
     });
+    FindUnheldCells(now);
     const auto view = MakeClaimView(now);
     const auto claims =
       mIsLeaving ? std::vector<std::string>() : CellsToClaim(view);
--- a/src/dispatch/internal/holdertransfers.cpp
+++ b/src/dispatch/internal/holdertransfers.cpp
@@ -136,8 +136,8 @@
     co_return JobReply{ JobOutcome::Refused };
   }
   const auto record = mState.mWorkers.at(id)->mRecord;
+  // The minimum token stays: the worker refuses lower ones if it returns.
   mState.mWorkers.erase(id);
-  mMinTokens.erase(id);
   for (auto n = 0; n < 3 && mMembers.contains(id); ++n) {
     co_await WriteMembers();
   }
--- a/src/dispatch/tests/claiming_tests.cpp
+++ b/src/dispatch/tests/claiming_tests.cpp
@@ -100,6 +100,40 @@
   BOOST_TEST(CellsToRelease(mView) == std::vector<std::string>{ "b/0" });
 }
 
+// Nobody held a cell whose holder had ended itself until the entry restarted.
+BOOST_AUTO_TEST_CASE(own_cell_without_holder_for_longer_than_a_lease_is_claimed)
+{
+  mView.mCells[0].mHolder = "a1";
+  mView.mLive[0].mHeldCells = 5;
+  mView.mUnheldClaimDelay = Milliseconds(6000);
+  mView.mSinceHolderEnded["a/0"] = Milliseconds(6001);
+  BOOST_TEST(CellsToClaim(mView) == std::vector<std::string>{ "a/0" });
+}
+
+BOOST_AUTO_TEST_CASE(own_cell_without_holder_within_a_lease_is_not_claimed)
+{
+  mView.mCells[0].mHolder = "a1";
+  mView.mUnheldClaimDelay = Milliseconds(6000);
+  mView.mSinceHolderEnded["a/0"] = Milliseconds(5999);
+  BOOST_TEST(CellsToClaim(mView).empty());
+}
+
+BOOST_AUTO_TEST_CASE(cell_without_holder_here_but_with_another_is_not_claimed)
+{
+  mView.mUnheldClaimDelay = Milliseconds(6000);
+  mView.mSinceHolderEnded["a/0"] = Milliseconds(9000);
+  BOOST_TEST(CellsToClaim(mView).empty());
+}
+
+BOOST_AUTO_TEST_CASE(leaving_entry_does_not_claim_its_cell_without_holder)
+{
+  mView.mCells[0].mHolder = "a1";
+  mView.mLive[0].mIsLeaving = true;
+  mView.mUnheldClaimDelay = Milliseconds(6000);
+  mView.mSinceHolderEnded["a/0"] = Milliseconds(9000);
+  BOOST_TEST(CellsToClaim(mView).empty());
+}
+
 BOOST_AUTO_TEST_CASE(worker_is_always_in_the_same_cell)
 {
   const auto layout = LayoutRow{ "a", 3 };
