Expect the version of each member's row that is written or removed

What callers saw: after a takeover, a task that was running on a worker was started on another one too.

Cause: the next holder asks the workers that have a row in `members`. A row could vanish while its holder believed it to be there: a removal named no version of the row, so it could get no reply and be executed before or after the worker returned to the cell. Orders were also sent to a worker that returned while the removal of its row was still in progress.

Change: the holder keeps the versions of the rows and expects them in each write and removal, one transaction at a time. A row is uncertain while a write of it is in progress and after one that got no reply or met a conflict; its worker is not polled, and so gets no order, before the row has been read and written again. No worker is transferred while a late write may add its row again. A poll loop looks its worker up again after it has written the row. Writes without a reply are now considered lost after 13 s in place of 10 s, as they may be executed within 12 s; resolving an import uses the same time.

Ruled out: only reading a row again after a write without a reply; the write may be executed after the read. The rows of a conflict's reply: they need not include those whose version was as expected.

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -69,6 +69,16 @@
   std::uint64_t mProgressVersion = 0;
 };
 
+/** What a holder knows about the row of a worker in the table of members. */
+struct MemberRow
+{
+  /** 0 if there is no row. */
+  std::uint64_t mVersion = 0;
+  /** A write is in progress, or got no reply and may still be executed. The row
+   * is certain again once a write that expects its version succeeds. */
+  bool mIsUncertain = false;
+};
+
 /**
  * Manages one cell on behalf of the entry that holds it: takes the cell over,
  * schedules its jobs, sends orders to its workers and persists job progress.
@@ -152,6 +162,10 @@
     -> net::Task<bool>;
   auto UpdateCommitTime(MonotonicTime aSentAt) -> void;
   auto WriteMembers() -> net::Task<void>;
+  auto ReadUncertainMembers() -> net::Task<bool>;
+  auto WriteChangedMembers() -> net::Task<void>;
+  /** Whether the next holder learns of the worker from its row. */
+  auto IsMember(const std::string& aWorker) const -> bool;
   auto CheckFence(const StoreReply& aReply) -> void;
   auto FinishJob(const std::string& aId, cell::JobState aState) -> void;
 
@@ -219,7 +233,11 @@
   std::map<std::uint32_t, std::uint64_t> mFences;
   std::unordered_map<std::string, WorkerClock> mClocks;
   std::set<std::string> mPolledWorkers;
-  std::set<std::string> mMembers;
+  std::map<std::string, MemberRow> mMembers;
+  bool mIsWritingMembers = false;
+  /** Until then, a write without a reply may add the row of a worker that is no
+   * member any more. */
+  MonotonicTime mMemberWritesSettledAt{};
   std::unordered_map<std::string, JobRows> mRows;
   /** Final states of jobs, kept for the status retention time. */
   std::unordered_map<std::string, cell::JobState> mFinished;
--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -15,8 +15,6 @@
 /** Maximum number of jobs that migrate away per tick. */
 constexpr std::size_t kMigrationsPerTick = 3;
 
-/** A write without a reply is applied within this time or never. */
-constexpr auto kMaxWriteDelay = Milliseconds(10000);
 constexpr auto kResolveInterval = Milliseconds(500);
 
 } // namespace
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -261,46 +261,115 @@
   ScheduleDecision();
 }
 
+auto CellHolder::IsMember(const std::string& aWorker) const -> bool
+{
+  const auto it = mMembers.find(aWorker);
+  return it != mMembers.end() && !it->second.mIsUncertain;
+}
+
 /** Runs before a worker gets its first order, so that the next holder knows of
- * the worker. */
+ * the worker. Writes run one at a time. */
 auto CellHolder::WriteMembers() -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  while (mIsWritingMembers) {
+    co_await net::Sleep(kFlushPollInterval);
+  }
+  mIsWritingMembers = true;
+  if (co_await ReadUncertainMembers()) {
+    co_await WriteChangedMembers();
+  }
+  mIsWritingMembers = false;
+}
+
+/** Reads the versions of the rows whose last write got no reply or failed. */
+auto CellHolder::ReadUncertainMembers() -> net::Task<bool>
+{
+  const auto isAnyUncertain =
+    std::any_of(mMembers.begin(), mMembers.end(), [](const auto& aItem) {
+      return aItem.second.mIsUncertain;
+    });
+  if (!isAnyUncertain) {
+    co_return true;
+  }
+  const auto rows = co_await ReadPrefix(std::string(kMemberTable),
+                                        PartitionName(PartitionOf(mRow.mName)));
+  if (!rows) {
+    co_return false;
+  }
+  std::map<std::string, std::uint64_t> versions;
+  for (const auto& it : *rows) {
+    versions[it.mKey] = it.mVersion;
+  }
+  for (auto& [id, it] : mMembers) {
+    if (it.mIsUncertain) {
+      const auto found = versions.find(JobKey(id));
+      it.mVersion = found == versions.end() ? 0 : found->second;
+    }
+  }
+  std::erase_if(mMembers, [&](const auto& aItem) {
+    return aItem.second.mVersion == 0 && !mState.mWorkers.contains(aItem.first);
+  });
+  co_return true;
+}
+
+auto CellHolder::WriteChangedMembers() -> net::Task<void>
 {
   const auto partition = PartitionOf(mRow.mName);
+  const auto before = mMembers;
   StoreTransaction transaction;
   transaction.mPartition = PartitionName(partition);
   transaction.mExpected.push_back(FenceOf(partition));
-  std::vector<std::string> added;
+  std::vector<std::string> written;
   std::vector<std::string> removed;
-  constexpr std::size_t kMaxRows = 90;
+  auto addsRows = false;
+  // Each row takes two of the 100 items of a transaction.
+  constexpr std::size_t kMaxRows = 45;
   for (const auto& [id, it] : mState.mWorkers) {
-    if (!mMembers.contains(id) && added.size() < kMaxRows) {
-      added.push_back(id);
-      transaction.mWrites.push_back({ { std::string(kMemberTable), JobKey(id) },
-                                      net::Encode(it->mRecord) });
+    if (!IsMember(id) && written.size() < kMaxRows) {
+      const auto key = RowKey{ std::string(kMemberTable), JobKey(id) };
+      auto& row = mMembers[id];
+      row.mIsUncertain = true;
+      addsRows = addsRows || row.mVersion == 0;
+      written.push_back(id);
+      transaction.mExpected.push_back({ key, row.mVersion });
+      transaction.mWrites.push_back({ key, net::Encode(it->mRecord) });
     }
   }
-  for (const auto& it : mMembers) {
-    if (!mState.mWorkers.contains(it) &&
-        added.size() + removed.size() < kMaxRows) {
-      removed.push_back(it);
-      transaction.mRemovals.push_back(
-        { std::string(kMemberTable), JobKey(it) });
+  for (auto& [id, it] : mMembers) {
+    if (!mState.mWorkers.contains(id) &&
+        written.size() + removed.size() < kMaxRows) {
+      const auto key = RowKey{ std::string(kMemberTable), JobKey(id) };
+      it.mIsUncertain = true;
+      removed.push_back(id);
+      transaction.mExpected.push_back({ key, it.mVersion });
+      transaction.mRemovals.push_back(key);
     }
   }
-  if (added.empty() && removed.empty()) {
+  if (written.empty() && removed.empty()) {
     co_return;
   }
   const auto reply = co_await mContext.mStore.Commit(
     std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
-  if (reply.mOutcome == StoreOutcome::Conflict) {
-    CheckFence(reply);
-  }
-  if (reply.mOutcome != StoreOutcome::Done) {
-    co_return;
-  }
-  mMembers.insert(added.begin(), added.end());
-  for (const auto& it : removed) {
-    mMembers.erase(it);
+  switch (reply.mOutcome) {
+    case StoreOutcome::Done:
+      for (const auto& it : written) {
+        mMembers[it] = { reply.mVersion, false };
+      }
+      for (const auto& it : removed) {
+        mMembers.erase(it);
+      }
+      break;
+    case StoreOutcome::Refused:
+      mMembers = before;
+      break;
+    case StoreOutcome::Conflict:
+      CheckFence(reply);
+      break;
+    default:
+      if (addsRows) {
+        mMemberWritesSettledAt = base::MonotonicClock::now() + kMaxWriteDelay;
+      }
   }
 }
 
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -181,6 +181,7 @@
   if (!rows) {
     co_return false;
   }
+  mMembers.clear();
   const auto now = base::MonotonicClock::now();
   const auto lease = Milliseconds(mContext.mSettings.mLeaseMs);
   const auto leasesExpiredAt =
@@ -191,7 +192,7 @@
     if (!record.ok()) {
       continue;
     }
-    mMembers.insert(record->mId);
+    mMembers[record->mId] = { it.mVersion, false };
     mState.mUnreconciledWorkers.insert(record->mId);
     const auto isNew = !mState.mWorkers.contains(record->mId);
     auto& worker = isNew ? cell::UpdateWorker(mState, *record, now)
--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -30,6 +30,8 @@
 /** A worker replies at once while it lists unacknowledged ends; the interval is
  * about half of the time until they are stored. */
 inline constexpr auto kUnstoredEndsPollInterval = Milliseconds(45);
+/** A write without a reply is applied within 12 s or never; with a margin. */
+inline constexpr auto kMaxWriteDelay = Milliseconds(13000);
 inline constexpr auto kRetryInterval = Milliseconds(200);
 /** Ends that arrive within this time are stored in one transaction. */
 inline constexpr auto kFlushDelay = Milliseconds(80);
--- a/src/dispatch/internal/holdertransfers.cpp
+++ b/src/dispatch/internal/holdertransfers.cpp
@@ -115,7 +115,7 @@
   auto* worker =
     cell::FindTransferable(mState, request.mService, request.mNeed, now);
   if (!worker || mIsShuttingDown || !CanSendOrders() ||
-      !mState.mUnreconciledWorkers.empty()) {
+      !mState.mUnreconciledWorkers.empty() || now < mMemberWritesSettledAt) {
     co_return JobReply{ JobOutcome::Refused };
   }
   const auto id = worker->mRecord.mId;
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -45,7 +45,7 @@
   }
   const auto& worker = cell::UpdateWorker(mState, aRecord, now);
   if (mPhase == HolderPhase::Active) {
-    if (!worker.mIsKnown && mMembers.contains(aRecord.mId)) {
+    if (!worker.mIsKnown && IsMember(aRecord.mId)) {
       // The poll in flight may wait for an end of the previous incarnation.
       net::SpawnTask(mContext.mExecutor, PollOnce(aRecord.mId));
     }
@@ -226,12 +226,13 @@
     if (it == mState.mWorkers.end()) {
       break;
     }
-    if (!mMembers.contains(aWorker)) {
+    if (!IsMember(aWorker)) {
       co_await WriteMembers();
-      if (!mMembers.contains(aWorker)) {
+      if (!IsMember(aWorker)) {
         co_await net::Sleep(kRetryInterval);
-        continue;
       }
+      // The worker may have left the cell meanwhile.
+      continue;
     }
     const auto& worker = *it->second;
     const auto isUrgent = !mClocks.contains(aWorker) || !worker.mIsKnown ||
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <map>
 #include <tuple>
+#include <vector>
 
 #include "eelgrasspost/dispatch/iplatform.h"
 #include "eelgrasspost/net/iopool.h"
@@ -19,6 +20,8 @@
   LoseReply,
   /** The call has no effect and gets no reply. */
   LoseCall,
+  /** The call gets no reply and is applied when the test says so. */
+  ApplyLate,
 };
 
 /** In-memory store with transactions, range reads and feeds. */
@@ -39,6 +42,16 @@
   bool mHoldsFeeds = false;
   /** Durations of the next range reads, in order. */
   std::deque<Milliseconds> mReadDelays;
+  /** Calls that are still to be applied. */
+  std::vector<StoreTransaction> mLateCalls;
+
+  auto ApplyLateCalls() -> void
+  {
+    for (const auto& it : mLateCalls) {
+      Apply(it);
+    }
+    mLateCalls.clear();
+  }
 
   auto Find(const std::string& aTable,
             const std::string& aPartition,
@@ -66,6 +79,10 @@
                                                 : StoreOutcome::Unknown;
       co_return out;
     }
+    if (fault == FakeFault::ApplyLate) {
+      mLateCalls.push_back(std::move(aTransaction));
+      co_return out;
+    }
     out = Apply(aTransaction);
     if (fault == FakeFault::LoseReply) {
       out = {};
--- a/src/dispatch/tests/transfers_tests.cpp
+++ b/src/dispatch/tests/transfers_tests.cpp
@@ -11,6 +11,60 @@
 
 /** Long enough for a holder to start each task that it considers startable. */
 constexpr auto kSettlingTime = Milliseconds(300);
+/** A lease for tests that wait until it has expired. */
+constexpr std::int64_t kShortLeaseMs = 400;
+
+/** A job with one task that uses more than half of a worker. */
+auto Submission(const std::string& aId) -> JobCommand
+{
+  auto out = HolderFixture::MakeSubmission(aId);
+  out.mJob.mSpec.mSteps[0].mNeed.mCpuMillis = 9000;
+  return out;
+}
+
+auto IsKnown(const CellHolder& aHolder, const std::string& aWorker) -> bool
+{
+  const auto it = aHolder.State().mWorkers.find(aWorker);
+  return it != aHolder.State().mWorkers.end() && it->second->mIsKnown;
+}
+
+/** A holder of w1 and w2, of which w2 has left the cell. */
+struct DepartedWorker : HolderFixture
+{
+  std::shared_ptr<CellHolder> mHolder;
+
+  DepartedWorker()
+  {
+    mSettings.mLeaseMs = kShortLeaseMs;
+    mHolder = MakeHolder(1, "a/0", { "w1", "w2" });
+    BOOST_REQUIRE(Until(
+      [&] { return IsKnown(*mHolder, "w1") && IsKnown(*mHolder, "w2"); }));
+    Do([&] {
+      mWorkers.mUnresponsive = { "w2" };
+      mHolder->UnlistWorker("w2");
+    });
+    BOOST_REQUIRE(
+      Until([&] { return !mHolder->State().mWorkers.contains("w2"); }));
+    Do([&] { mWorkers.mUnresponsive.clear(); });
+  }
+
+  ~DepartedWorker() { StopPool(); }
+
+  /** A new worker makes the holder write its members, with the given fault, and
+   * w2 returns before the write is repeated. */
+  auto Return(FakeFault aFault) -> void
+  {
+    Do([&] {
+      mStore.mFaults = { aFault };
+      mHolder->UpdateWorker(MakeRecord("w3"));
+    });
+    BOOST_REQUIRE(Until([&] { return mStore.mFaults.empty(); }));
+    Do([&] { mHolder->UpdateWorker(MakeRecord("w2")); });
+    BOOST_REQUIRE(Until(
+      [&] { return IsKnown(*mHolder, "w2") && IsKnown(*mHolder, "w3"); }));
+    Wait(net::Sleep(2 * kSettlingTime), true);
+  }
+};
 
 /** A command that asks cell "a/0" for a worker. */
 auto MakeTransfer() -> JobCommand
@@ -34,9 +88,7 @@
   const auto holder = MakeHolder(1);
   Do([&] { holder->RaiseMinToken("w1", 5000); });
   BOOST_REQUIRE(Until([&] {
-    const auto& workers = holder->State().mWorkers;
-    return workers.contains("w1") && workers.at("w1")->mIsKnown &&
-           mWorkers.mTokens["w1"] >= 5000 * 65536ULL;
+    return IsKnown(*holder, "w1") && mWorkers.mTokens["w1"] >= 5000 * 65536ULL;
   }));
   Do([&] {
     mStore.mFaults = { FakeFault::Refuse,
@@ -52,4 +104,107 @@
   Do([&] { holder->End(); });
 }
 
+// The next holder did not ask w2 for its runs, as the row had been removed, and
+// started its task on another worker.
+BOOST_FIXTURE_TEST_CASE(
+  member_removal_without_reply_worker_returns_row_is_written_again,
+  DepartedWorker)
+{
+  Return(FakeFault::LoseReply);
+  for (const auto* id :
+       { "0000000000000001", "0000000000000002", "0000000000000003" }) {
+    Wait(mHolder->Execute(Submission(id)));
+  }
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 3; }));
+  const auto members = CountRows(kMemberTable);
+  Do([&] {
+    mHolder->End();
+    for (const auto& [task, worker] : mWorkers.mWorkerOf) {
+      if (worker != "w2") {
+        mWorkers.End(task, cell::EndKind::Done);
+      }
+    }
+    mWorkers.mUnresponsive = { "w2" };
+  });
+  const auto next = MakeHolder(2, "a/0", { "w1", "w2", "w3" });
+  BOOST_REQUIRE(Until([&] { return next->Phase() == HolderPhase::Active; }));
+  // Well below the lease that the first holder granted.
+  Wait(net::Sleep(Milliseconds(150)), true);
+
+  BOOST_TEST(members == 3U);
+  BOOST_TEST(mWorkers.mStarts.size() == 3U);
+  BOOST_TEST(mWorkers.mOverlaps == 0U);
+  Do([&] { next->End(); });
+}
+
+// A removal named no version, so it removed the row that was written after it.
+BOOST_FIXTURE_TEST_CASE(
+  member_removal_executed_after_the_worker_returned_row_stays,
+  DepartedWorker)
+{
+  Return(FakeFault::ApplyLate);
+  Do([&] { mStore.ApplyLateCalls(); });
+
+  BOOST_TEST(CountRows(kMemberTable) == 3U);
+  Do([&] { mHolder->End(); });
+}
+
+// The removals of a transfer that had failed were executed late, and the holder
+// gave orders to a worker without a row.
+BOOST_AUTO_TEST_CASE(transfer_removals_without_reply_row_is_written_again)
+{
+  const auto holder = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] { return IsKnown(*holder, "w1"); }));
+  Do([&] {
+    mStore.mFaults = { FakeFault::ApplyLate,
+                       FakeFault::ApplyLate,
+                       FakeFault::ApplyLate };
+  });
+
+  const auto reply = Wait(holder->Execute(MakeTransfer()));
+  BOOST_REQUIRE(Until([&] { return IsKnown(*holder, "w1"); }));
+  Do([&] { mStore.ApplyLateCalls(); });
+
+  BOOST_TEST((reply.mOutcome == JobOutcome::Refused));
+  BOOST_TEST(CountRows(kMemberTable) == 1U);
+  Do([&] { holder->End(); });
+}
+
+// The late write added the row of a worker that another cell had by then.
+BOOST_AUTO_TEST_CASE(transfer_soon_after_member_write_without_reply_is_refused)
+{
+  // The first two commits raise the fences.
+  mStore.mFaults = { FakeFault::None, FakeFault::None, FakeFault::ApplyLate };
+  const auto holder = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] { return IsKnown(*holder, "w1"); }));
+  const auto late = mStore.mLateCalls.size();
+
+  const auto reply = Wait(holder->Execute(MakeTransfer()));
+
+  BOOST_TEST(late == 1U);
+  BOOST_TEST((reply.mOutcome == JobOutcome::Refused));
+  Do([&] { holder->End(); });
+}
+
+// Orders to a worker that returned were sent while the removal of its row was
+// still in progress.
+BOOST_FIXTURE_TEST_CASE(
+  member_removal_in_progress_worker_returns_gets_no_order_before_its_row,
+  DepartedWorker)
+{
+  Do([&] {
+    mStore.mDelays = { kSettlingTime };
+    mHolder->UpdateWorker(MakeRecord("w3"));
+  });
+  BOOST_REQUIRE(Until([&] { return mStore.mDelays.empty(); }));
+  Do([&] { mHolder->UpdateWorker(MakeRecord("w2")); });
+  Wait(net::Sleep(kSettlingTime / 2), true);
+  const auto isEarly = IsKnown(*mHolder, "w2");
+  BOOST_REQUIRE(Until([&] { return IsKnown(*mHolder, "w2"); }));
+
+  BOOST_TEST(!isEarly);
+  BOOST_TEST(CountRows(kMemberTable) == 3U);
+  Do([&] { mHolder->End(); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
