Read the progress of a job that a submission finds stored

What callers saw: a step that had ended ran again, if the job was submitted again while it migrated and the reply to the migration's write was lost.

Cause: the importing cell considered the id resolved before it had found out whether the import had been applied. A submission of the id then found the row of its own cell, took the import for an earlier write of the submission, and added the job without progress; the next write replaced the stored progress.

A submission that finds the job stored in its cell loads it with its progress. Both use one function, which adds no job that was added while it read: runs refer to the tasks of that one. A failed read of the progress is repeated after a pause; before, it was repeated at once.

Ruled out: answering such a submission with the state of the row only; nobody would run the job if the first read of the import failed.

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -172,8 +172,13 @@
   auto Submit(JobCommand aCommand) -> net::Task<JobReply>;
   auto ImportJob(JobCommand aCommand) -> net::Task<JobReply>;
   auto ResolveImport(std::string aId) -> net::Task<void>;
-  auto ReadProgress(std::string aId)
-    -> net::Task<std::optional<cell::JobProgress>>;
+  /** Adds a job with the progress that the store has of it, unless it has been
+   * added; false if it could not be read. */
+  auto LoadJob(std::string aId) -> net::Task<bool>;
+  /** Reads a job's row in a table; nothing if the store did not answer, a row
+   * of version 0 if there is none. */
+  auto ReadJobRow(std::string_view aTable, std::string aId)
+    -> net::Task<std::optional<StoreRow>>;
   auto RequestWorkers() -> void;
   auto RequestWorker(CapacityRequest aRequest) -> net::Task<void>;
   auto TransferWorker(JobCommand aCommand) -> net::Task<JobReply>;
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -148,15 +148,11 @@
                             !cell::IsFinal(found->mState);
         if (isOurs && mPhase == HolderPhase::Active &&
             !cell::FindJob(mState, id) && !mFinished.contains(id)) {
-          // An earlier write whose reply was lost has been applied.
-          mRows[id].mJobVersion = it.mVersion;
-          cell::AddJob(mState,
-                       aJob,
-                       {},
-                       false,
-                       base::MonotonicClock::now(),
-                       base::WallClockMs());
-          ScheduleDecision();
+          // An earlier write whose reply was lost has been applied. It may be
+          // an import, of a job that has progress.
+          if (!co_await LoadJob(id)) {
+            co_return JobReply{ JobOutcome::Uncertain };
+          }
         }
         co_return JobReply{ JobOutcome::Done,
                             cell::JobState::Queued,
--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -121,60 +121,73 @@
 {
   const auto self = shared_from_this();
   const auto last = base::MonotonicClock::now() + kMaxWriteDelay;
-  RangeQuery query;
-  query.mTable = std::string(kJobTable);
-  query.mPartition = PartitionName(PartitionOf(aId));
-  query.mFrom = JobKey(aId);
-  query.mLimit = 1;
-  while (mPhase == HolderPhase::Active && !cell::FindJob(mState, aId) &&
+  auto isResolved = false;
+  while (!isResolved && mPhase == HolderPhase::Active &&
          base::MonotonicClock::now() < last) {
-    const auto reply = co_await mContext.mStore.ReadRange(
-      query, base::MonotonicClock::now() + kStoreTimeout);
-    const auto exists = reply.mOutcome == StoreOutcome::Done &&
-                        !reply.mRows.empty() &&
-                        reply.mRows[0].mKey == JobKey(aId);
-    if (exists && mPhase == HolderPhase::Active) {
-      auto job = net::Decode<cell::StoredJob>(reply.mRows[0].mValue);
-      const auto version = reply.mRows[0].mVersion;
-      if (job.ok() && !cell::FindJob(mState, aId)) {
-        auto progress = co_await ReadProgress(aId);
-        if (!progress) {
-          continue;
-        }
-        mRows[aId] = { version, version };
-        cell::AddJob(mState,
-                     *std::move(job),
-                     *progress,
-                     false,
-                     base::MonotonicClock::now(),
-                     base::WallClockMs());
-        ScheduleDecision();
-        co_return;
-      }
+    isResolved = co_await LoadJob(aId);
+    if (!isResolved) {
+      co_await net::Sleep(kResolveInterval);
+    }
+  }
+  mUnresolvedJobs.erase(aId);
+}
+
+auto CellHolder::LoadJob(std::string aId) -> net::Task<bool>
+{
+  const auto row = co_await ReadJobRow(kJobTable, aId);
+  if (!row || row->mVersion == 0) {
+    co_return false;
+  }
+  auto job = net::Decode<cell::StoredJob>(row->mValue);
+  if (!job.ok() || !job->mHostedTasks.empty()) {
+    co_return false;
+  }
+  const auto progressRow = co_await ReadJobRow(kProgressTable, aId);
+  if (!progressRow) {
+    co_return false;
+  }
+  cell::JobProgress progress;
+  if (progressRow->mVersion > 0) {
+    auto decoded = net::Decode<cell::JobProgress>(progressRow->mValue);
+    if (!decoded.ok()) {
+      co_return false;
     }
-    co_await net::Sleep(kResolveInterval);
+    progress = *std::move(decoded);
+  }
+  if (mPhase != HolderPhase::Active) {
+    co_return false;
+  }
+  // Runs refer to the tasks of a job that was added meanwhile.
+  if (!cell::FindJob(mState, aId) && !mFinished.contains(aId)) {
+    mRows[aId] = { row->mVersion, progressRow->mVersion };
+    cell::AddJob(mState,
+                 *std::move(job),
+                 progress,
+                 false,
+                 base::MonotonicClock::now(),
+                 base::WallClockMs());
+    ScheduleDecision();
   }
+  co_return true;
 }
 
-auto CellHolder::ReadProgress(std::string aId)
-  -> net::Task<std::optional<cell::JobProgress>>
+auto CellHolder::ReadJobRow(std::string_view aTable, std::string aId)
+  -> net::Task<std::optional<StoreRow>>
 {
   RangeQuery query;
-  query.mTable = std::string(kProgressTable);
+  query.mTable = std::string(aTable);
   query.mPartition = PartitionName(PartitionOf(aId));
   query.mFrom = JobKey(aId);
   query.mLimit = 1;
-  const auto reply = co_await mContext.mStore.ReadRange(
+  auto reply = co_await mContext.mStore.ReadRange(
     query, base::MonotonicClock::now() + kStoreTimeout);
-  if (reply.mOutcome != StoreOutcome::Done || reply.mRows.empty() ||
-      reply.mRows[0].mKey != JobKey(aId)) {
+  if (reply.mOutcome != StoreOutcome::Done) {
     co_return std::nullopt;
   }
-  auto out = net::Decode<cell::JobProgress>(reply.mRows[0].mValue);
-  if (!out.ok()) {
-    co_return std::nullopt;
+  if (reply.mRows.empty() || reply.mRows[0].mKey != query.mFrom) {
+    co_return StoreRow{};
   }
-  co_return *std::move(out);
+  co_return std::move(reply.mRows[0]);
 }
 
 auto CellHolder::ImportJob(JobCommand aCommand) -> net::Task<JobReply>
@@ -212,7 +225,6 @@
   mUnresolvedJobs.insert(id);
   const auto reply = co_await mContext.mStore.Commit(
     std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
-  mUnresolvedJobs.erase(id);
   if (mPhase == HolderPhase::Ended) {
     co_return JobReply{ JobOutcome::Uncertain };
   }
@@ -220,9 +232,11 @@
     CheckFence(reply);
   }
   if (reply.mOutcome == StoreOutcome::Unknown) {
+    // Until it is resolved, a submission of the id must not add the job.
     net::SpawnTask(mContext.mExecutor, ResolveImport(id));
     co_return JobReply{ JobOutcome::Uncertain };
   }
+  mUnresolvedJobs.erase(id);
   if (reply.mOutcome != StoreOutcome::Done) {
     co_return JobReply{ JobOutcome::Refused };
   }
--- a/src/dispatch/tests/transfers_tests.cpp
+++ b/src/dispatch/tests/transfers_tests.cpp
@@ -66,6 +66,88 @@
   }
 };
 
+/** A job whose first step has ended in cell "b/0" and whose second one waits
+ * for capacity; cell "a/0" imports it. */
+struct ImportedJob : HolderFixture
+{
+  std::string mId = "0000000000000001";
+  JobCommand mSubmission = Submission(mId);
+  JobCommand mImport;
+  std::shared_ptr<CellHolder> mHolder;
+
+  ImportedJob()
+  {
+    const auto from = MakeHolder(1, "b/0", { "w2" });
+    mHolder = MakeHolder(1, "a/0", { "w1" });
+    BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
+    auto& steps = mSubmission.mJob.mSpec.mSteps;
+    auto second = steps[0];
+    second.mAfter = { 0 };
+    second.mNeed.mCpuMillis = 20000;
+    steps.push_back(second);
+    mSubmission.mCell = "b/0";
+    Wait(from->Execute(mSubmission));
+    mSubmission.mCell = "a/0";
+    BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 1; }));
+    Do([&] { mWorkers.End(mId + ".0.0.0", cell::EndKind::Done); });
+    BOOST_REQUIRE(Until([&] { return CountRows(kProgressTable) == 1; }));
+    Do([&] {
+      from->End();
+      MakeImport();
+    });
+  }
+
+  ~ImportedJob() { StopPool(); }
+
+  auto MakeImport() -> void
+  {
+    mImport.mKind = JobCommandKind::ImportJob;
+    mImport.mCell = "a/0";
+    mImport.mJobId = mId;
+    mImport.mJob = mSubmission.mJob;
+    mImport.mTimeoutMs = 3000;
+    cell::TaskProgress done;
+    done.mIsDone = true;
+    mImport.mProgress.mTasks = { done };
+    auto& source = mImport.mSource;
+    source.mCell = "b/0";
+    for (const auto& [key, it] : mStore.mRows) {
+      if (it.mTable == kJobTable) {
+        source.mJobVersion = it.mVersion;
+        const auto* fence =
+          mStore.Find(std::string(kFenceTable), std::get<1>(key), "b/0");
+        source.mFenceVersion = fence->mVersion;
+      } else if (it.mTable == kProgressTable) {
+        source.mProgressVersion = it.mVersion;
+      }
+    }
+  }
+
+  auto StoredProgress() -> cell::JobProgress
+  {
+    for (const auto& [key, it] : mStore.mRows) {
+      if (it.mTable == kProgressTable) {
+        return *net::Decode<cell::JobProgress>(it.mValue);
+      }
+    }
+    return {};
+  }
+
+  /** The job is here, and its first step has not run again. */
+  auto CheckImported() -> void
+  {
+    Wait(net::Sleep(kSettlingTime), true);
+    Do([&] {
+      const auto it = mHolder->State().mJobs.find(mId);
+      BOOST_TEST((it != mHolder->State().mJobs.end()));
+      BOOST_TEST(mWorkers.mStarts.size() == 1U);
+      const auto progress = StoredProgress();
+      BOOST_TEST((!progress.mTasks.empty() && progress.mTasks[0].mIsDone));
+      mHolder->End();
+    });
+  }
+};
+
 /** A command that asks cell "a/0" for a worker. */
 auto MakeTransfer() -> JobCommand
 {
@@ -207,4 +289,39 @@
   Do([&] { mHolder->End(); });
 }
 
+// The submission added the job without its progress, so that its first step ran
+// again.
+BOOST_FIXTURE_TEST_CASE(
+  submission_again_while_an_import_is_unresolved_keeps_the_progress,
+  ImportedJob)
+{
+  Do([&] {
+    mStore.mFaults = { FakeFault::LoseReply };
+    mStore.mReadDelays = { kSettlingTime, kSettlingTime };
+  });
+
+  const auto imported = Wait(mHolder->Execute(mImport));
+  const auto submitted = Wait(mHolder->Execute(mSubmission));
+
+  BOOST_TEST((imported.mOutcome == JobOutcome::Uncertain));
+  BOOST_TEST((submitted.mOutcome == JobOutcome::Done));
+  CheckImported();
+}
+
+// The same of a submission that finds rows which this holder has not loaded.
+BOOST_FIXTURE_TEST_CASE(
+  submission_again_of_a_stored_job_with_progress_keeps_the_progress,
+  ImportedJob)
+{
+  const auto other = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] { return IsKnown(*other, "w1"); }));
+  Wait(other->Execute(mImport));
+  Do([&] { other->End(); });
+
+  const auto submitted = Wait(mHolder->Execute(mSubmission));
+
+  BOOST_TEST((submitted.mOutcome == JobOutcome::Done));
+  CheckImported();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
