--- a/src/dispatch/tests/takeover_tests.cpp
+++ b/src/dispatch/tests/takeover_tests.cpp
@@ -51,7 +51,7 @@
     -> std::shared_ptr<CellHolder>
   {
     Do([&] { mWorkers.mUnresponsive = { aSilent }; });
-    const auto out = MakeHolder(2, "a/0", { "w1", "w2" });
+    auto out = MakeHolder(2, "a/0", { "w1", "w2" });
     BOOST_REQUIRE(Until([&] { return out->Phase() == HolderPhase::Active; }));
     Wait(net::Sleep(kSettlingTime), true);
     return out;
