--- a/tests/integration/underload_tests.cpp
+++ b/tests/integration/underload_tests.cpp
@@ -176,6 +176,12 @@
   mCluster.InjectFault("platform", partition);
   for (std::size_t entry = 0; entry < 2; ++entry) {
     const auto result = RunLoadStep(entry, "20:4", 20);
+    BOOST_TEST_INFO(base::Cat("late ",
+                              result.mLate,
+                              ", refused ",
+                              result.mRefused,
+                              ", unknown ",
+                              result.mUnknown));
     BOOST_TEST(result.mInTime == result.mSent);
   }
 }
