--- a/src/dispatch/tests/crashes_tests.cpp
+++ b/src/dispatch/tests/crashes_tests.cpp
@@ -20,7 +20,7 @@
                 const std::string& aCell,
                 const std::string& aWorker) -> std::shared_ptr<CellHolder>
   {
-    const auto out = MakeHolder(aTerm, aCell, { aWorker });
+    auto out = MakeHolder(aTerm, aCell, { aWorker });
     BOOST_REQUIRE(Until([&] { return out->Phase() == HolderPhase::Active; }));
     BOOST_REQUIRE(Until([&] {
       const auto& worker = *out->State().mWorkers.at(aWorker);
