Keep a worker that is being transferred out of its old cell

Cause: between the removal of a worker's row and the row that assigns it to its new cell, a listing of the worker, as after a restart under its id, added it to its old cell again. It was then in two cells. The cell with the higher token acknowledges ends of tasks that it does not know, and the other one's holder is refused and ends; the next holder starts these tasks again.

Change: a holder ignores a worker that it is transferring or has transferred, until the transfer fails or another one returns the worker.

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -249,6 +249,9 @@
   std::deque<std::pair<MonotonicTime, std::string>> mFinishedOrder;
   std::set<std::string> mUnresolvedJobs;
   std::map<std::string, std::uint64_t> mMinTokens;
+  /** Workers that are being transferred to another cell, or were, until a
+   * transfer returns them. */
+  std::set<std::string> mLeavingWorkers;
   std::map<std::string, TokenStep> mTokenSteps;
   /** Names of the tasks that are being moved to another cell. */
   std::set<std::string> mMovingTasks;
--- a/src/dispatch/internal/holdertransfers.cpp
+++ b/src/dispatch/internal/holdertransfers.cpp
@@ -25,6 +25,7 @@
 {
   auto& token = mMinTokens[aWorker];
   token = std::max(token, aToken);
+  mLeavingWorkers.erase(aWorker);
 }
 
 auto CellHolder::TokenFor(const std::string& aWorker) const -> std::uint64_t
@@ -137,12 +138,14 @@
   }
   const auto record = mState.mWorkers.at(id)->mRecord;
   // The minimum token stays: the worker refuses lower ones if it returns.
+  mLeavingWorkers.insert(id);
   mState.mWorkers.erase(id);
   for (auto n = 0; n < 3 && mMembers.contains(id); ++n) {
     co_await WriteMembers();
   }
   if (mPhase != HolderPhase::Active || mMembers.contains(id)) {
     if (mPhase == HolderPhase::Active) {
+      mLeavingWorkers.erase(id);
       UpdateWorker(record);
     }
     co_return JobReply{ JobOutcome::Refused };
@@ -155,6 +158,7 @@
     std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
   if (reply.mOutcome == StoreOutcome::Refused &&
       mPhase == HolderPhase::Active) {
+    mLeavingWorkers.erase(id);
     UpdateWorker(record);
   }
   co_return JobReply{ reply.mOutcome == StoreOutcome::Done
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -27,6 +27,10 @@
 
 auto CellHolder::UpdateWorker(const cell::WorkerRecord& aRecord) -> void
 {
+  if (mLeavingWorkers.contains(aRecord.mId)) {
+    // This entry may not have read yet that the worker is in another cell.
+    return;
+  }
   const auto now = base::MonotonicClock::now();
   for (auto& [id, it] : mState.mWorkers) {
     const auto isReplaced = id != aRecord.mId && !it->mIsListed &&
--- a/src/dispatch/tests/transfers_tests.cpp
+++ b/src/dispatch/tests/transfers_tests.cpp
@@ -325,3 +325,35 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a worker in two cells, of which the other one acknowledges
+// ends of tasks that it does not know.
+BOOST_FIXTURE_TEST_CASE(worker_listed_during_its_transfer_leaves_the_cell,
+                        HolderFixture)
+{
+  const auto holder = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] { return IsKnown(*holder, "w1"); }));
+  Do([&] { mStore.mDelays = { Milliseconds(0), Milliseconds(500) }; });
+  JobCommand command;
+  command.mKind = JobCommandKind::TransferWorker;
+  command.mCell = "a/0";
+  command.mRequest = { "b/0", "service", { 1000, 1000, 0 } };
+  command.mTimeoutMs = 3000;
+  auto transfer = [](std::shared_ptr<CellHolder> aHolder,
+                     JobCommand aCommand) -> net::Task<void> {
+    co_await aHolder->Execute(std::move(aCommand));
+  };
+  mPool.Spawn(mPool.Executor(0), transfer(holder, command));
+  BOOST_REQUIRE(Until([&] { return mStore.mDelays.empty(); }));
+
+  Do([&] { holder->UpdateWorker(MakeRecord("w1")); });
+  Wait(net::Sleep(Milliseconds(700)), true);
+
+  BOOST_TEST(!holder->State().mWorkers.contains("w1"));
+  Do([&] {
+    holder->RaiseMinToken("w1", 5000);
+    holder->UpdateWorker(MakeRecord("w1"));
+  });
+  BOOST_TEST(Until([&] { return IsKnown(*holder, "w1"); }));
+  Do([&] { holder->End(); });
+}
