Log why long-running tasks wait, and cells that don't host them

Callers see a long-running task without a run while its service has capacity (LOST). The logs showed the stop of its run and a start much later, and nothing in between: neither the reason for which it waits, nor whether other cells were asked and refused, nor which decision stopped the run.

Event 946 names the reason, once a second and for at most eight tasks of a cell; 947 a cell that refuses; 948 that no cell reports capacity; 933 also logs a run that is stopped because its worker drains. No decision changes.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -321,6 +321,7 @@
 
 /** Writes "ID.OCCURRENCE.STEP.INDEX". */
 auto TaskName(const Task& aTask) -> std::string;
+auto SpecOf(const Task& aTask) -> const StepSpec&;
 
 /** Adds a stored job. aInherited: a previous holder may have started runs of
  * it. */
@@ -437,6 +438,17 @@
 auto FindStarved(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
   -> std::vector<const Task*>;
 
+struct WaitingTask
+{
+  const Task* mTask = nullptr;
+  WaitReason mReason = WaitReason::NoRoom;
+  Milliseconds mWaited{ 0 };
+};
+/** All long-running tasks that have been ready for more than aWait, also those
+ * that may not be started. */
+auto FindWaiting(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
+  -> std::vector<WaitingTask>;
+
 /** The least used worker that has no long-running run and the capacity for
  * aNeed; null when there is none. */
 auto FindTransferable(CellState& aCell,
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -373,6 +373,37 @@
   CrashCounted,
 };
 
+/** Why a long-running task that is ready is not started. */
+enum class WaitReason : std::uint8_t
+{
+  /** A previous holder may have started it. */
+  MayBeRunning,
+  /** Its job migrates, or the outcome of a migration is not known. */
+  JobMigrates,
+  /** Crashes under it are not stored yet. */
+  CrashesUnstored,
+  /** A worker refused to start it a moment ago. */
+  StartRefused,
+  /** A worker still has an earlier run of it. */
+  EarlierRunStops,
+  /** No usable worker of its service has the resources. */
+  NoRoom,
+  /** Workers with the resources don't suit for another reason. */
+  NoSuitableWorker,
+};
+
+inline constexpr auto kWaitReasonNames = std::array{
+  base::EnumName<WaitReason>{ WaitReason::MayBeRunning, "may_be_running" },
+  base::EnumName<WaitReason>{ WaitReason::JobMigrates, "job_migrates" },
+  base::EnumName<WaitReason>{ WaitReason::CrashesUnstored, "crashes_unstored" },
+  base::EnumName<WaitReason>{ WaitReason::StartRefused, "start_refused" },
+  base::EnumName<WaitReason>{ WaitReason::EarlierRunStops,
+                              "earlier_run_stops" },
+  base::EnumName<WaitReason>{ WaitReason::NoRoom, "no_room" },
+  base::EnumName<WaitReason>{ WaitReason::NoSuitableWorker,
+                              "no_suitable_worker" },
+};
+
 /** Why the runs on a worker are considered ended. */
 enum class RunsLostReason : std::uint8_t
 {
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -12,7 +12,6 @@
                         MonotonicTime aNow) -> bool;
 /** Whether a worker or another cell has, or may have, a run of a job. */
 auto HasRun(const Job& aJob) -> bool;
-auto SpecOf(const Task& aTask) -> const StepSpec&;
 
 /** Marks a job whose progress has to be stored. */
 auto MarkDirty(CellState& aCell, Job& aJob) -> void;
@@ -41,6 +40,10 @@
              std::uint64_t aAttempt,
              MonotonicTime aNow) -> Run;
 
+/** Whether a worker has a run of a task that has no run of its own, which is
+ * one that a previous holder started and that is being stopped. */
+auto HasUntrackedRun(const CellState& aCell, const Task& aTask) -> bool;
+
 /** Places ready tasks on workers; appends the start orders. */
 auto PlaceReady(CellState& aCell,
                 MonotonicTime aNow,
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -178,6 +178,13 @@
   }
   const auto isLeaving = aWorker.mRecord.mState == WorkerState::Draining;
   if (isLeaving && aRun.mIsLongRunning && aRun.mPhase == RunPhase::Running) {
+    AddEvent(aCell,
+             { CellEventKind::RunStopped,
+               TaskName(*aRun.mTask),
+               aWorker.mRecord.mId,
+               aRun.mAttempt,
+               "worker_drains",
+               static_cast<double>(aWorker.mRecord.mRemainingMs) });
     RequestStop(aRun);
   }
 }
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -49,17 +49,6 @@
   return order;
 }
 
-/** Whether a worker has a run of a task that has no run of its own, which is
- * one that a previous holder started and that is being stopped. */
-auto HasUntrackedRun(const CellState& aCell, const Task& aTask) -> bool
-{
-  const auto name = TaskName(aTask);
-  return std::any_of(
-    aCell.mWorkers.begin(), aCell.mWorkers.end(), [&](const auto& aItem) {
-      return aItem.second->mRuns.contains(name);
-    });
-}
-
 auto NextAttempt(CellState& aCell) -> std::uint64_t
 {
   return aCell.mAttemptBase + aCell.mNextAttempt++;
--- a/src/cell/internal/runs.cpp
+++ b/src/cell/internal/runs.cpp
@@ -133,4 +133,13 @@
   return out;
 }
 
+auto HasUntrackedRun(const CellState& aCell, const Task& aTask) -> bool
+{
+  const auto name = TaskName(aTask);
+  return std::any_of(
+    aCell.mWorkers.begin(), aCell.mWorkers.end(), [&](const auto& aItem) {
+      return aItem.second->mRuns.contains(name);
+    });
+}
+
 } // namespace eelgrasspost::cell
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -192,6 +192,27 @@
   "value is the number of crashes",
 };
 
+inline constexpr auto kTaskWaits = base::LogEvent{
+  946,
+  base::LogLevel::Warn,
+  "a long-running task without a run waits",
+  "see the reason; add workers if it is 'no_room' for long",
+};
+
+inline constexpr auto kHostRefused = base::LogEvent{
+  947,
+  base::LogLevel::Info,
+  "a cell did not reserve capacity for a long-running task of another cell",
+  "none; another cell is asked; outcome is that of the request",
+};
+
+inline constexpr auto kNoHostCell = base::LogEvent{
+  948,
+  base::LogLevel::Warn,
+  "no other cell reports capacity for a long-running task that waits",
+  "add workers if this persists",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -217,7 +238,10 @@
                                                        kForeignRunFound,
                                                        kCapacityChanged,
                                                        kWorkerListStateChanged,
-                                                       kCrashCounted };
+                                                       kCrashCounted,
+                                                       kTaskWaits,
+                                                       kHostRefused,
+                                                       kNoHostCell };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -182,6 +182,7 @@
   auto RequestWorkers() -> void;
   auto RequestWorker(CapacityRequest aRequest) -> net::Task<void>;
   auto TransferWorker(JobCommand aCommand) -> net::Task<JobReply>;
+  auto LogWaitingTasks() -> void;
   auto MoveStarvedTasks() -> void;
   auto MoveTask(std::string aTask, std::string aHost) -> net::Task<void>;
   auto NotifyHost(std::string aId, std::string aHost) -> net::Task<void>;
@@ -257,6 +258,8 @@
   std::set<std::string> mMovingTasks;
   /** Cells that refused to host a task, each until it is asked again. */
   std::map<std::string, MonotonicTime> mRefusingHosts;
+  MonotonicTime mNextWaitLogAt{};
+  MonotonicTime mNextNoHostLogAt{};
   bool mIsRequestingWorker = false;
   MonotonicTime mWorkerRequestedAt{};
   std::size_t mNextExportedEstimate = 0;
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "cellholder.h"
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
@@ -19,6 +21,10 @@
 /** Maximum number of tasks that are moved at one time. */
 constexpr std::size_t kMaxMovingTasks = 4;
 constexpr auto kStoredPollInterval = Milliseconds(20);
+/** Tasks that wait for this time are logged, at most once per interval. */
+constexpr auto kLoggedWait = Milliseconds(1500);
+constexpr auto kWaitLogInterval = Milliseconds(1000);
+constexpr std::size_t kMaxLoggedWaits = 8;
 /** How often a host cell checks whether a hosted job still exists; well below
  * the 3 s within which a cancelled job has to end. */
 constexpr auto kHostedJobCheckInterval = Milliseconds(1000);
@@ -31,6 +37,39 @@
   return job && !cell::IsHostedJob(*job) ? job : nullptr;
 }
 
+/** Logs why long-running tasks wait. */
+auto CellHolder::LogWaitingTasks() -> void
+{
+  const auto now = base::MonotonicClock::now();
+  if (now < mNextWaitLogAt) {
+    return;
+  }
+  const auto waiting = cell::FindWaiting(mState, now, kLoggedWait);
+  if (waiting.empty()) {
+    return;
+  }
+  mNextWaitLogAt = now + kWaitLogInterval;
+  const auto room = cell::RoomOf(mState, now);
+  const auto n = std::min(waiting.size(), kMaxLoggedWaits);
+  for (std::size_t i = 0; i < n; ++i) {
+    const auto& it = waiting[i];
+    const auto& need = cell::SpecOf(*it.mTask).mNeed;
+    const auto isHosted = cell::IsHostedJob(*it.mTask->mJob);
+    mContext.mLog.Record(
+      kTaskWaits,
+      { { "cell", mRow.mName },
+        { "task", cell::TaskName(*it.mTask) },
+        { "reason", base::NameOf(cell::kWaitReasonNames, it.mReason) },
+        { "waited_ms", it.mWaited.count() },
+        { "is_hosted", static_cast<std::int64_t>(isHosted ? 1 : 0) },
+        { "need_cpu_millis", need.mCpuMillis },
+        { "need_memory_mb", need.mMemoryMb },
+        { "largest_free_cpu_millis", room.mLargestCpuMillis },
+        { "free_cpu_millis", room.mFree.mCpuMillis },
+        { "waiting_tasks", static_cast<std::int64_t>(waiting.size()) } });
+  }
+}
+
 /** Moves a long-running task for which this cell has no capacity to another
  * cell. */
 auto CellHolder::MoveStarvedTasks() -> void
@@ -57,6 +96,14 @@
     if (const auto host = mContext.mFindHostCell(need, excluded)) {
       mMovingTasks.insert(name);
       net::SpawnTask(mContext.mExecutor, MoveTask(std::move(name), *host));
+    } else if (now >= mNextNoHostLogAt) {
+      mNextNoHostLogAt = now + kWaitLogInterval;
+      mContext.mLog.Record(
+        kNoHostCell,
+        { { "cell", mRow.mName },
+          { "task", name },
+          { "need_cpu_millis", need.mCpuMillis },
+          { "refused_lately", static_cast<std::int64_t>(excluded.size()) } });
     }
   }
 }
@@ -80,6 +127,12 @@
   mMovingTasks.erase(aTask);
   if (reply.mOutcome != JobOutcome::Done) {
     mRefusingHosts[aHost] = base::MonotonicClock::now() + kRefusingHostDelay;
+    mContext.mLog.Record(
+      kHostRefused,
+      { { "task", aTask },
+        { "from", mRow.mName },
+        { "to", aHost },
+        { "outcome", static_cast<std::int64_t>(reply.mOutcome) } });
   }
   task = cell::FindTask(mState, aTask);
   const auto mayMove = reply.mOutcome == JobOutcome::Done && task &&
