Place long-running tasks that lost their runs before short tasks take the room

Cause: in its own cell, at most two reservations were made at a time, each for 1.5 s, on whichever worker was the freest at that moment, also one that may not run the task; long-running tasks that had not run before could use them.

Each task that lost its run now has its own reservation, on a worker that suits it by service, label and number of tasks of its step, in CPU, memory and accelerators. It is kept until the task starts, and nothing else may use it. A cell reports the largest CPU that a long-running task can have once short tasks have ended; one with room now is asked first, and after 2.5 s, or without a reservation of its own, also one that has to free it. Cells that refuse are followed by others at once.

The first one has 7 of 12 tasks at work after 6 s on the previous code, and all 12 now.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -161,6 +161,12 @@
   bool mCpuShareInFlight = false;
 };
 
+struct Reservation
+{
+  Resources mNeed;
+  MonotonicTime mUntil{};
+};
+
 struct Worker
 {
   WorkerRecord mRecord;
@@ -213,9 +219,9 @@
   /** It gets no new work before this time. */
   MonotonicTime mProbationUntil{};
   MonotonicTime mDrainingSince{};
-  /** CPU that short tasks leave free for a waiting long-running task. */
-  std::int64_t mReservedCpuMillis = 0;
-  MonotonicTime mReservedUntil{};
+  /** Resources that other tasks leave free for waiting long-running ones, by
+   * the names of these. */
+  std::map<std::string, Reservation> mReservations;
   /** A new report is needed to find out what became of a run. */
   bool mNeedsPoll = false;
   /** Since when a call without a reply, or a reply that does not fit its clock,
@@ -350,13 +356,21 @@
                     std::vector<TaskPosition> aTasks,
                     MonotonicTime aNow) -> void;
 
-/** Reserves capacity for a long-running task on a usable worker, for a limited
- * time; false when no worker has room. */
+auto NeedOf(const Task& aTask) -> LongRunningNeed;
+
+/** Reserves capacity for a long-running task of another cell on a usable
+ * worker, for a limited time; false when no worker can hold it. aMayWait: also
+ * where it has room only after short tasks have ended. */
 auto ReserveCapacity(CellState& aCell,
-                     const std::string& aService,
-                     const Resources& aNeed,
+                     const LongRunningNeed& aNeed,
+                     bool aMayWait,
                      MonotonicTime aNow) -> bool;
 
+/** Whether capacity is reserved for a task of the given name. */
+auto FindReservedWorker(CellState& aCell,
+                        const std::string& aTask,
+                        MonotonicTime aNow) -> Worker*;
+
 /** Removes a job and requests that its runs are stopped. */
 auto RemoveJob(CellState& aCell, const std::string& aId) -> void;
 auto FindJob(CellState& aCell, const std::string& aId) -> Job*;
@@ -485,6 +499,9 @@
   Resources mFree;
   /** Largest unreserved CPU millis of one worker. */
   std::int64_t mLargestCpuMillis = 0;
+  /** Largest CPU millis that one worker has for a long-running task once its
+   * short tasks have ended. */
+  std::int64_t mLargestReservableCpuMillis = 0;
   std::int64_t mCapacityCpuMillis = 0;
   /** CPU millis that best-effort tasks want, placed or not. */
   std::int64_t mBestEffortCpuMillis = 0;
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -373,6 +373,24 @@
   CrashCounted,
 };
 
+/** What a long-running task needs of a worker. */
+struct LongRunningNeed
+{
+  std::string mTask;
+  std::string mService;
+  Resources mResources;
+  /** Empty if any worker suits. */
+  std::string mRequiredLabel;
+  /** Maximum number of tasks of its step on one worker; 0: no limit. */
+  std::uint32_t mMaxPerWorker = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mTask, mService, mResources, mRequiredLabel, mMaxPerWorker);
+  }
+};
+
 /** Why a long-running task that is ready is not started. */
 enum class WaitReason : std::uint8_t
 {
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -31,6 +31,9 @@
   order.mAttempt = aAttempt;
   order.mPayload = job.mStored.mSpec.mPayload;
   order.mCheckpoint = aTask.mCheckpoint;
+  if (SpecOf(aTask).mIsLongRunning) {
+    RemoveReservation(aCell, order.mTask);
+  }
   auto& run =
     InsertRun(aWorker, order.mTask, MakeRun(aCell, aTask, aAttempt, aNow));
   if (run.mIsBestEffort) {
@@ -135,77 +138,27 @@
     });
 }
 
-/** How long capacity is reserved; longer than most short tasks run. */
-constexpr auto kReservationTime = Milliseconds(1500);
+/** Maximum number of reservations for tasks that have not run yet; more would
+ * block short tasks. Restarts are not limited. */
+constexpr std::size_t kMaxReservations = 2;
 
-/** Reserves capacity on the worker with the most free CPU that would fit a
- * long-running task, so that a stream of short tasks doesn't starve it. */
-auto ReserveOnFreestWorker(CellState& aCell,
-                           const Task& aTask,
-                           MonotonicTime aNow) -> void
+/** The worker on which capacity is reserved for a long-running task, if the
+ * task fits there now. */
+auto FindWorkerWithReservedRoom(CellState& aCell,
+                                const Task& aTask,
+                                MonotonicTime aNow) -> Worker*
 {
   const auto& spec = SpecOf(aTask);
-  Worker* best = nullptr;
-  std::int64_t bestFree = 0;
-  for (auto& [id, worker] : aCell.mWorkers) {
-    if (!IsUsable(aCell, *worker, aNow) || aNow < worker->mReservedUntil ||
-        worker->mRecord.mService != aTask.mJob->mStored.mQueue.mService) {
-      continue;
-    }
-    const auto& capacity = worker->mRecord.mCapacity;
-    std::int64_t longRunning = 0;
-    for (const auto& [name, run] : worker->mRuns) {
-      longRunning += run.mIsLongRunning ? run.mNeed.mCpuMillis : 0;
-    }
-    const auto free = capacity.mCpuMillis - worker->mUsed.mCpuMillis;
-    const auto canFit =
-      capacity.mCpuMillis - longRunning >= spec.mNeed.mCpuMillis;
-    if (canFit && (!best || free > bestFree)) {
-      best = worker.get();
-      bestFree = free;
-    }
-  }
-  if (best) {
-    best->mReservedCpuMillis = spec.mNeed.mCpuMillis;
-    best->mReservedUntil = aNow + kReservationTime;
-  }
-}
-
-} // namespace
-
-auto ReserveCapacity(CellState& aCell,
-                     const std::string& aService,
-                     const Resources& aNeed,
-                     MonotonicTime aNow) -> bool
-{
-  StepSpec spec;
-  spec.mNeed = aNeed;
-  spec.mIsLongRunning = true;
-  for (auto& [id, worker] : aCell.mWorkers) {
-    if (worker->mRecord.mService == aService &&
-        aNow >= worker->mReservedUntil && HasRoom(aCell, *worker, spec, aNow) &&
-        IsUsable(aCell, *worker, aNow)) {
-      worker->mReservedCpuMillis = aNeed.mCpuMillis;
-      worker->mReservedUntil = aNow + kReservationTime;
-      return true;
-    }
+  if (!spec.mIsLongRunning) {
+    return nullptr;
   }
-  return false;
-}
-
-namespace {
-
-/** Maximum number of workers with a reservation at one time; more would block
- * short tasks. */
-constexpr std::size_t kMaxReservations = 2;
-
-auto CountReservations(const CellState& aCell, MonotonicTime aNow)
-  -> std::size_t
-{
-  return static_cast<std::size_t>(std::count_if(
-    aCell.mWorkers.begin(), aCell.mWorkers.end(), [&](const auto& aItem) {
-      return aNow < aItem.second->mReservedUntil;
-    }));
+  const auto need = NeedOf(aTask);
+  auto* worker = FindReservedWorker(aCell, need.mTask, aNow);
+  const auto isStartable = worker && IsUsable(aCell, *worker, aNow) &&
+                           Suits(*worker, need) &&
+                           HasRoom(aCell, *worker, spec, need.mTask, aNow) &&
+                           MayJoinWorker(aCell, *worker, aTask, aNow);
+  return isStartable ? worker : nullptr;
 }
 
 /** Starts a suspect task apart from others. Where no worker is free of recent
@@ -256,7 +209,10 @@
     }
   }
   std::sort(ready.begin(), ready.end(), ComesBefore);
-  auto reservations = CountReservations(aCell, aNow);
+  RemoveExpiredReservations(aCell, aNow);
+  std::size_t reservations = 0;
+  // The step that no worker can hold; its other tasks follow it in the order.
+  const StepSpec* unreservable = nullptr;
   std::size_t suspects = 0;
   const auto isLightlyLoaded = IsLightlyLoaded(aCell, aNow);
   for (auto* it : ready) {
@@ -278,23 +234,29 @@
       }
       continue;
     }
-    if (NeedsAtLeastUnplaced(unplaced, *it, spec, tolerance)) {
-      continue;
-    }
-    auto* worker = FindWorker(aCell, *it, spec, tolerance, aNow);
+    const auto isSearchFutile =
+      NeedsAtLeastUnplaced(unplaced, *it, spec, tolerance);
+    auto* worker = isSearchFutile
+                     ? FindWorkerWithReservedRoom(aCell, *it, aNow)
+                     : FindWorker(aCell, *it, spec, tolerance, aNow);
     if (worker && HasUntrackedRun(aCell, *it)) {
       continue;
     }
     if (worker) {
       aOrders.push_back(
         PlaceTask(aCell, *it, *worker, NextAttempt(aCell), aNow));
-    } else if (spec.mIsLongRunning && reservations < kMaxReservations) {
-      ReserveOnFreestWorker(aCell, *it, aNow);
-      ++reservations;
-      unplaced.push_back({ it, &spec, tolerance });
-    } else {
+      continue;
+    }
+    if (!isSearchFutile) {
       unplaced.push_back({ it, &spec, tolerance });
     }
+    const auto mayReserve = spec.mIsLongRunning && &spec != unreservable &&
+                            (IsRestart(*it) || reservations < kMaxReservations);
+    if (mayReserve && ReserveForTask(aCell, *it, aNow)) {
+      ++reservations;
+    } else if (mayReserve) {
+      unreservable = &spec;
+    }
   }
   std::erase_if(
     ready, [](const Task* aTask) { return aTask->mPhase != TaskPhase::Ready; });
--- a/src/cell/internal/queueorder.cpp
+++ b/src/cell/internal/queueorder.cpp
@@ -21,16 +21,13 @@
 constexpr double kLightLoadShare = 0.6;
 constexpr auto kNoNewJobTime = Milliseconds(3000);
 
-/** Whether a long-running task belongs to a job that was started before, by
- * this holder or a previous one. Its users have no service until it runs again.
- */
+} // namespace
+
 auto IsRestart(const Task& aTask) -> bool
 {
   return SpecOf(aTask).mIsLongRunning && aTask.mJob->mHasStarted;
 }
 
-} // namespace
-
 auto ComesBefore(const Task* aLeft, const Task* aRight) -> bool
 {
   if (IsRestart(*aLeft) != IsRestart(*aRight)) {
--- a/src/cell/internal/queueorder.h
+++ b/src/cell/internal/queueorder.h
@@ -4,6 +4,11 @@
 
 namespace eelgrasspost::cell {
 
+/** Whether a long-running task belongs to a job that was started before, by
+ * this holder or a previous one. Its users have no service until it runs again.
+ */
+auto IsRestart(const Task& aTask) -> bool;
+
 /** Order in which waiting tasks are placed: restarts of long-running tasks
  * first; then by priority, short tasks before long-running ones. */
 auto ComesBefore(const Task* aLeft, const Task* aRight) -> bool;
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -3,6 +3,7 @@
 #include "besteffort.h"
 #include "cellinternal.h"
 #include "eelgrasspost/base/text.h"
+#include "workerchoice.h"
 
 namespace eelgrasspost::cell {
 
@@ -381,9 +382,7 @@
   if (aRecord.mCapacity != hadCapacity) {
     LogCapacityChange(aCell, *slot);
     RescaleBestEffortUses(*slot, hadCapacity);
-    if (slot->mReservedCpuMillis > aRecord.mCapacity.mCpuMillis) {
-      slot->mReservedUntil = {};
-    }
+    RemoveExpiredReservations(aCell, aNow);
   }
   slot->mIsListed = true;
   if (aRecord.mState == WorkerState::Draining && wasReady) {
--- /dev/null
+++ b/src/cell/internal/reservations.cpp
@@ -0,0 +1,215 @@
+#include <algorithm>
+
+#include "workerchoice.h"
+
+namespace eelgrasspost::cell {
+
+namespace {
+
+/** A reservation lapses when its task is not tried again for this time. */
+constexpr auto kReservationTime = Milliseconds(1500);
+/** Time that another cell has until its task is known here. */
+constexpr auto kHostReservationTime = Milliseconds(3000);
+
+auto Subtract(Resources& aFrom, const Resources& aLess) -> void
+{
+  aFrom.mCpuMillis -= aLess.mCpuMillis;
+  aFrom.mMemoryMb -= aLess.mMemoryMb;
+  aFrom.mAccelerators -= aLess.mAccelerators;
+}
+
+/** What a worker has for one more long-running task once its short tasks have
+ * ended. */
+auto CapacityFor(const CellState& aCell,
+                 const Worker& aWorker,
+                 std::string_view aTask,
+                 MonotonicTime aNow) -> Resources
+{
+  auto out = UsableCapacity(aCell, aWorker);
+  for (const auto& [name, run] : aWorker.mRuns) {
+    if (run.mIsLongRunning && run.mPhase != RunPhase::Stopping) {
+      Subtract(out, run.mNeed);
+    }
+  }
+  Subtract(out, ReservedForOthers(aWorker, aTask, aNow));
+  return out;
+}
+
+/** The worker whose room for a long-running task is complete soonest: the one
+ * with the most free CPU among those that can hold it. */
+auto FindWorkerToReserve(const CellState& aCell,
+                         const LongRunningNeed& aNeed,
+                         MonotonicTime aNow) -> Worker*
+{
+  Worker* best = nullptr;
+  std::int64_t bestFree = 0;
+  for (const auto& [id, worker] : aCell.mWorkers) {
+    if (!IsUsable(aCell, *worker, aNow) || !Suits(*worker, aNeed) ||
+        !Contains(CapacityFor(aCell, *worker, aNeed.mTask, aNow),
+                  aNeed.mResources)) {
+      continue;
+    }
+    const auto free = worker->mRecord.mCapacity.mCpuMillis -
+                      worker->mUsed.mCpuMillis -
+                      ReservedForOthers(*worker, aNeed.mTask, aNow).mCpuMillis;
+    if (!best || free > bestFree) {
+      best = worker.get();
+      bestFree = free;
+    }
+  }
+  return best;
+}
+
+auto Reserve(CellState& aCell,
+             const LongRunningNeed& aNeed,
+             Milliseconds aTime,
+             MonotonicTime aNow) -> Worker*
+{
+  if (auto* worker = FindReservedWorker(aCell, aNeed.mTask, aNow)) {
+    const auto isUseful =
+      IsUsable(aCell, *worker, aNow) && Suits(*worker, aNeed) &&
+      Contains(CapacityFor(aCell, *worker, aNeed.mTask, aNow),
+               aNeed.mResources);
+    if (isUseful) {
+      auto& until = worker->mReservations.at(aNeed.mTask).mUntil;
+      until = std::max(until, aNow + aTime);
+      return worker;
+    }
+    worker->mReservations.erase(aNeed.mTask);
+  }
+  auto* worker = FindWorkerToReserve(aCell, aNeed, aNow);
+  if (worker) {
+    worker->mReservations[aNeed.mTask] = { aNeed.mResources, aNow + aTime };
+  }
+  return worker;
+}
+
+} // namespace
+
+auto Contains(const Resources& aCapacity, const Resources& aNeed) -> bool
+{
+  return aNeed.mCpuMillis <= aCapacity.mCpuMillis &&
+         aNeed.mMemoryMb <= aCapacity.mMemoryMb &&
+         aNeed.mAccelerators <= aCapacity.mAccelerators;
+}
+
+auto NeedOf(const Task& aTask) -> LongRunningNeed
+{
+  const auto& spec = SpecOf(aTask);
+  return { TaskName(aTask),
+           aTask.mJob->mStored.mQueue.mService,
+           spec.mNeed,
+           spec.mRequiredLabel,
+           spec.mMaxPerWorker };
+}
+
+auto Suits(const Worker& aWorker, const LongRunningNeed& aNeed) -> bool
+{
+  const auto& labels = aWorker.mRecord.mLabels;
+  const auto hasLabel =
+    aNeed.mRequiredLabel.empty() ||
+    std::find(labels.begin(), labels.end(), aNeed.mRequiredLabel) !=
+      labels.end();
+  if (aWorker.mRecord.mService != aNeed.mService || !hasLabel) {
+    return false;
+  }
+  if (aNeed.mMaxPerWorker == 0) {
+    return true;
+  }
+  // Tasks of one step differ in the last part of their names only.
+  const auto step = aNeed.mTask.substr(0, aNeed.mTask.rfind('.') + 1);
+  const auto runs = std::count_if(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const auto& aItem) {
+      return aItem.first.starts_with(step);
+    });
+  const auto reserved = std::count_if(aWorker.mReservations.begin(),
+                                      aWorker.mReservations.end(),
+                                      [&](const auto& aItem) {
+                                        return aItem.first.starts_with(step) &&
+                                               aItem.first != aNeed.mTask;
+                                      });
+  return static_cast<std::uint32_t>(runs + reserved) < aNeed.mMaxPerWorker;
+}
+
+auto ReservedForOthers(const Worker& aWorker,
+                       std::string_view aTask,
+                       MonotonicTime aNow) -> Resources
+{
+  Resources out;
+  for (const auto& [name, it] : aWorker.mReservations) {
+    if (aNow < it.mUntil && name != aTask) {
+      out.mCpuMillis += it.mNeed.mCpuMillis;
+      out.mMemoryMb += it.mNeed.mMemoryMb;
+      out.mAccelerators += it.mNeed.mAccelerators;
+    }
+  }
+  return out;
+}
+
+auto FindReservedWorker(CellState& aCell,
+                        const std::string& aTask,
+                        MonotonicTime aNow) -> Worker*
+{
+  for (auto& [id, worker] : aCell.mWorkers) {
+    const auto it = worker->mReservations.find(aTask);
+    if (it != worker->mReservations.end() && aNow < it->second.mUntil) {
+      return worker.get();
+    }
+  }
+  return nullptr;
+}
+
+auto RemoveReservation(CellState& aCell, const std::string& aTask) -> void
+{
+  for (auto& [id, worker] : aCell.mWorkers) {
+    worker->mReservations.erase(aTask);
+  }
+}
+
+auto RemoveExpiredReservations(CellState& aCell, MonotonicTime aNow) -> void
+{
+  for (auto& [id, worker] : aCell.mWorkers) {
+    const auto& capacity = worker->mRecord.mCapacity;
+    std::erase_if(worker->mReservations, [&](const auto& aItem) {
+      return aNow >= aItem.second.mUntil ||
+             !Contains(capacity, aItem.second.mNeed);
+    });
+  }
+}
+
+auto ReserveForTask(CellState& aCell, const Task& aTask, MonotonicTime aNow)
+  -> Worker*
+{
+  return Reserve(aCell, NeedOf(aTask), kReservationTime, aNow);
+}
+
+auto ReserveCapacity(CellState& aCell,
+                     const LongRunningNeed& aNeed,
+                     bool aMayWait,
+                     MonotonicTime aNow) -> bool
+{
+  StepSpec spec;
+  spec.mNeed = aNeed.mResources;
+  spec.mIsLongRunning = true;
+  for (auto& [id, worker] : aCell.mWorkers) {
+    if (IsUsable(aCell, *worker, aNow) && Suits(*worker, aNeed) &&
+        aNow >= worker->mIsolatedUntil &&
+        HasRoom(aCell, *worker, spec, aNeed.mTask, aNow)) {
+      RemoveReservation(aCell, aNeed.mTask);
+      worker->mReservations[aNeed.mTask] = { aNeed.mResources,
+                                             aNow + kHostReservationTime };
+      return true;
+    }
+  }
+  return aMayWait && Reserve(aCell, aNeed, kHostReservationTime, aNow);
+}
+
+auto LargestReservableCpu(const CellState& aCell,
+                          const Worker& aWorker,
+                          MonotonicTime aNow) -> std::int64_t
+{
+  return std::max<std::int64_t>(
+    0, CapacityFor(aCell, aWorker, {}, aNow).mCpuMillis);
+}
+
+} // namespace eelgrasspost::cell
--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -2,6 +2,7 @@
 
 #include "besteffort.h"
 #include "cellinternal.h"
+#include "workerchoice.h"
 
 namespace eelgrasspost::cell {
 
@@ -28,8 +29,8 @@
   std::vector<const Task*> out;
   for (const auto* it : aCell.mReady) {
     if (SpecOf(*it).mIsLongRunning && MayStart(*it, aNow) &&
-        !IsHostedJob(*it->mJob) && !IsPlacementDelayed(aCell, *it, aNow) &&
-        aNow - it->mReadyAt > aWait) {
+        !IsPlacementDelayed(aCell, *it, aNow) && aNow - it->mReadyAt > aWait &&
+        !HasUntrackedRun(aCell, *it)) {
       out.push_back(it);
     }
   }
@@ -75,7 +76,7 @@
     const auto& capacity = worker->mRecord.mCapacity;
     const auto isTransferable =
       IsUsable(aCell, *worker, aNow) && worker->mRecord.mService == aService &&
-      !HasLongRunning(*worker) && aNow >= worker->mReservedUntil &&
+      !HasLongRunning(*worker) && worker->mReservations.empty() &&
       capacity.mCpuMillis >= aNeed.mCpuMillis &&
       capacity.mMemoryMb >= aNeed.mMemoryMb &&
       capacity.mAccelerators >= aNeed.mAccelerators;
@@ -125,8 +126,11 @@
     free.mCpuMillis += ofWorker.mCpuMillis;
     free.mMemoryMb += ofWorker.mMemoryMb;
     free.mAccelerators += ofWorker.mAccelerators;
-    out.mLargestCpuMillis =
-      std::max(out.mLargestCpuMillis, ofWorker.mCpuMillis);
+    out.mLargestCpuMillis = std::max(
+      out.mLargestCpuMillis,
+      ofWorker.mCpuMillis - ReservedForOthers(*it, {}, aNow).mCpuMillis);
+    out.mLargestReservableCpuMillis = std::max(
+      out.mLargestReservableCpuMillis, LargestReservableCpu(aCell, *it, aNow));
     out.mCapacityCpuMillis += it->mRecord.mCapacity.mCpuMillis;
     out.mBestEffortCpuMillis += it->mBestEffortCpuMillis;
     out.mLeftoverCpuMillis +=
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -174,26 +174,35 @@
                                              : InterferenceTolerance::Avoid;
 }
 
+auto UsableCapacity(const CellState& aCell, const Worker& aWorker)
+  -> const Resources&
+{
+  // A capacity that varies may have been reduced again.
+  return aCell.mWorkerListState == WorkerListState::Current
+           ? aWorker.mRecord.mCapacity
+           : aWorker.mLowestCapacity;
+}
+
 auto HasRoom(const CellState& aCell,
              const Worker& aWorker,
              const StepSpec& aSpec,
+             std::string_view aTask,
              MonotonicTime aNow) -> bool
 {
   if (aWorker.mRunsOfUnknownNeed > 0) {
     return false;
   }
-  // A capacity that varies may have been reduced again.
-  const auto& capacity = aCell.mWorkerListState == WorkerListState::Current
-                           ? aWorker.mRecord.mCapacity
-                           : aWorker.mLowestCapacity;
+  const auto& capacity = UsableCapacity(aCell, aWorker);
   const auto& used = aWorker.mUsed;
-  const auto cpu = aSpec.mIsBestEffort ? 0 : aSpec.mNeed.mCpuMillis;
-  const auto hasReservation = !aSpec.mIsBestEffort && !aSpec.mIsLongRunning &&
-                              aNow < aWorker.mReservedUntil;
-  const auto reserved = hasReservation ? aWorker.mReservedCpuMillis : 0;
-  return used.mCpuMillis + cpu + reserved <= capacity.mCpuMillis &&
-         used.mMemoryMb + aSpec.mNeed.mMemoryMb <= capacity.mMemoryMb &&
-         used.mAccelerators + aSpec.mNeed.mAccelerators <=
+  const auto reserved = ReservedForOthers(aWorker, aTask, aNow);
+  // Best-effort tasks reserve no CPU, and leave it when it is used.
+  const auto cpu =
+    aSpec.mIsBestEffort ? 0 : aSpec.mNeed.mCpuMillis + reserved.mCpuMillis;
+  return used.mCpuMillis + cpu <= capacity.mCpuMillis &&
+         used.mMemoryMb + aSpec.mNeed.mMemoryMb + reserved.mMemoryMb <=
+           capacity.mMemoryMb &&
+         used.mAccelerators + aSpec.mNeed.mAccelerators +
+             reserved.mAccelerators <=
            capacity.mAccelerators;
 }
 
@@ -213,11 +222,12 @@
                   MonotonicTime aNow) -> Worker*
 {
   const auto& service = aTask.mJob->mStored.mQueue.mService;
+  const auto name = aSpec.mIsLongRunning ? TaskName(aTask) : std::string();
   Worker* best = nullptr;
   auto bestCost = std::numeric_limits<double>::max();
   for (auto& [id, worker] : aCell.mWorkers) {
     if (worker->mRecord.mService != service ||
-        !HasRoom(aCell, *worker, aSpec, aNow) ||
+        !HasRoom(aCell, *worker, aSpec, name, aNow) ||
         !HasLabel(*worker, aSpec.mRequiredLabel) ||
         !IsUsable(aCell, *worker, aNow)) {
       continue;
--- a/src/cell/internal/workerchoice.h
+++ b/src/cell/internal/workerchoice.h
@@ -20,12 +20,44 @@
   -> InterferenceTolerance;
 
 /** Whether a worker has the free resources for a task, apart from those that
- * are reserved for others. */
+ * are reserved for others. aTask: name of a long-running task, which may have a
+ * reservation; empty for other tasks. */
 auto HasRoom(const CellState& aCell,
              const Worker& aWorker,
              const StepSpec& aSpec,
+             std::string_view aTask,
              MonotonicTime aNow) -> bool;
 
+/** The capacity by which tasks are placed on a worker. */
+auto UsableCapacity(const CellState& aCell, const Worker& aWorker)
+  -> const Resources&;
+
+auto Contains(const Resources& aCapacity, const Resources& aNeed) -> bool;
+
+/** Whether a worker is of the kind that a long-running task needs, and may run
+ * one more task of its step. */
+auto Suits(const Worker& aWorker, const LongRunningNeed& aNeed) -> bool;
+
+/** Resources of a worker that are reserved for other long-running tasks. */
+auto ReservedForOthers(const Worker& aWorker,
+                       std::string_view aTask,
+                       MonotonicTime aNow) -> Resources;
+
+auto RemoveReservation(CellState& aCell, const std::string& aTask) -> void;
+/** Removes reservations that have lapsed or exceed the worker's capacity. */
+auto RemoveExpiredReservations(CellState& aCell, MonotonicTime aNow) -> void;
+
+/** Reserves capacity for a long-running task of the cell, or extends its
+ * reservation; null when no worker can hold it. */
+auto ReserveForTask(CellState& aCell, const Task& aTask, MonotonicTime aNow)
+  -> Worker*;
+
+/** CPU millis that a worker has for a long-running task once its short tasks
+ * have ended. */
+auto LargestReservableCpu(const CellState& aCell,
+                          const Worker& aWorker,
+                          MonotonicTime aNow) -> std::int64_t;
+
 /** The worker with the lowest cost for a task; null when it should wait. */
 auto FindWorker(CellState& aCell,
                 const Task& aTask,
--- a/src/cell/tests/capacity_tests.cpp
+++ b/src/cell/tests/capacity_tests.cpp
@@ -165,7 +165,8 @@
 BOOST_AUTO_TEST_CASE(reservation_over_the_capacity_is_given_up)
 {
   AddWorker("w1", 8000);
-  BOOST_REQUIRE(ReserveCapacity(mCell, "service", { 6000, 1000, 0 }, mNow));
+  BOOST_REQUIRE(ReserveCapacity(
+    mCell, { "2.0.0.0", "service", { 6000, 1000, 0 } }, false, mNow));
   SetCapacity("w1", { 4000, 64000, 0 });
   Add(MakeJob("1", MakeStep(4)));
   BOOST_TEST(CountStarts(StartLater()) == 4U);
@@ -189,7 +190,8 @@
   BOOST_TEST(FindTransferable(mCell, "service", need, mNow) != nullptr);
   SetCapacity("w1", { 4000, 64000, 0 });
   BOOST_TEST(FindTransferable(mCell, "service", need, mNow) == nullptr);
-  BOOST_TEST(!ReserveCapacity(mCell, "service", need, mNow));
+  BOOST_TEST(
+    !ReserveCapacity(mCell, { "2.0.0.0", "service", need }, true, mNow));
 }
 
 BOOST_AUTO_TEST_CASE(worker_not_listed_gets_no_start_whatever_its_capacity)
--- /dev/null
+++ b/src/cell/tests/reservations_tests.cpp
@@ -0,0 +1,191 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "cellfixture.h"
+
+namespace {
+
+using namespace eelgrasspost::cell;
+using eelgrasspost::cell::testing::CellFixture;
+
+/** Workers on which short tasks follow each other without a pause, and
+ * long-running tasks that lost their runs. */
+struct BusyCell : CellFixture
+{
+  std::uint64_t mLastEnd = 0;
+  int mNextJob = 0;
+  std::map<std::string, std::vector<RunningRow>> mRunningOn;
+  std::map<std::string, MonotonicTime> mEndsAt;
+
+  auto AddLongRunning(const std::string& aId, StepSpec aStep) -> Job&
+  {
+    aStep.mIsLongRunning = true;
+    auto& job = Add(MakeJob(aId, std::move(aStep)));
+    // A job that has run before; its tasks are restarts.
+    job.mHasStarted = true;
+    return job;
+  }
+
+  /** Keeps more short jobs waiting than the cell can run. */
+  auto AddShortJobs() -> void
+  {
+    while (mCell.mReady.size() < 24) {
+      Add(MakeJob("s" + std::to_string(mNextJob++), MakeStep(1, 2000)));
+    }
+  }
+
+  /** Runs the cell in short steps. Short tasks take 0.7 to 1.9 s. */
+  auto RunFor(Milliseconds aTime) -> void
+  {
+    // Each report takes time as well.
+    constexpr auto kStep = Milliseconds(10);
+    const auto end = mNow + aTime;
+    while (mNow < end) {
+      AddShortJobs();
+      for (const auto& it : Start()) {
+        if (it.mKind == OrderKind::Start) {
+          mRunningOn[it.mWorker].push_back({ it.mTask, it.mAttempt, "", 1, 0 });
+          const auto isShort = it.mTask.starts_with("s");
+          mEndsAt[it.mTask] =
+            isShort ? mNow + Milliseconds(700 + 400 * (mLastEnd % 4))
+                    : MonotonicTime::max();
+          ++mLastEnd;
+        }
+      }
+      Advance(kStep);
+      for (const auto& [id, worker] : mCell.mWorkers) {
+        ReportEnds(id);
+      }
+    }
+  }
+
+  auto ReportEnds(const std::string& aWorker) -> void
+  {
+    auto& running = mRunningOn[aWorker];
+    std::vector<EndRow> ends;
+    for (auto& it : running) {
+      it.mPercent += 1;
+      if (mEndsAt.at(it.mTask) <= mNow) {
+        ends.push_back(
+          { ++mEndNumbers[aWorker], it.mTask, it.mAttempt, EndKind::Done, "" });
+      }
+    }
+    std::erase_if(running, [&](const RunningRow& aRow) {
+      return mEndsAt.at(aRow.mTask) <= mNow;
+    });
+    Report(aWorker, running, ends);
+  }
+
+  auto CountRunning(const std::string& aJob) -> std::size_t
+  {
+    std::size_t out = 0;
+    for (const auto& [id, running] : mRunningOn) {
+      out += static_cast<std::size_t>(
+        std::count_if(running.begin(), running.end(), [&](const auto& aRow) {
+          return aRow.mTask.starts_with(aJob + ".");
+        }));
+    }
+    return out;
+  }
+
+private:
+  std::map<std::string, std::uint64_t> mEndNumbers;
+};
+
+/** A long-running task has to be at work again within this time. */
+constexpr auto kRestartLimit = Milliseconds(6000);
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(reservations, BusyCell)
+
+// Seven of twelve tasks ran again: two reservations at a time were made, and
+// short tasks took the other capacity that became free.
+BOOST_AUTO_TEST_CASE(longrunningtasks_stopped_in_busy_cell_all_run_within_limit)
+{
+  for (auto i = 0; i < 12; ++i) {
+    AddWorker("w" + std::to_string(i), 8000);
+  }
+  RunFor(Milliseconds(1000));
+  AddLongRunning("a", MakeStep(12, 7000));
+
+  RunFor(kRestartLimit);
+
+  BOOST_TEST(CountRunning("a") == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(
+  longrunningtask_with_limit_per_worker_reserves_on_another_worker)
+{
+  AddWorker("w1", 16000);
+  AddWorker("w2", 8000);
+  auto step = MakeStep(2, 7000);
+  step.mMaxPerWorker = 1;
+  AddLongRunning("a", step);
+
+  RunFor(kRestartLimit);
+
+  BOOST_TEST(CountRunning("a") == 2U);
+}
+
+// A smaller long-running task took the capacity that was being freed.
+BOOST_AUTO_TEST_CASE(reservation_is_not_used_by_another_longrunning_task)
+{
+  auto& worker = AddWorker("w1", 8000);
+  Add(MakeJob("s", MakeStep(1, 4000)));
+  BOOST_REQUIRE(Start().size() == 1U);
+  AddLongRunning("a", MakeStep(1, 6000));
+  BOOST_TEST(Start().empty());
+  BOOST_REQUIRE(worker.mReservations.contains("a.0.0.0"));
+
+  auto small = MakeStep(1, 2000);
+  small.mIsLongRunning = true;
+  Add(MakeJob("b", small));
+  Advance(Milliseconds(100));
+  const auto orders = Start();
+
+  // 4000 are used and 6000 reserved, of 8000.
+  BOOST_TEST(orders.empty());
+}
+
+// A host cell without reservable capacity kept short tasks waiting in vain.
+BOOST_AUTO_TEST_CASE(capacity_of_longrunning_runs_is_not_reserved_for_others)
+{
+  AddWorker("w1", 8000);
+  AddLongRunning("a", MakeStep(1, 5000));
+  BOOST_REQUIRE(Start().size() == 1U);
+
+  const auto need = LongRunningNeed{ "b.0.0.0", "service", { 4000, 1000, 0 } };
+
+  BOOST_TEST(!ReserveCapacity(mCell, need, true, mNow));
+  BOOST_TEST(RoomOf(mCell, mNow).mLargestReservableCpuMillis == 3000);
+}
+
+BOOST_AUTO_TEST_CASE(capacity_used_by_short_tasks_is_reserved_if_it_may_wait)
+{
+  AddWorker("w1", 8000);
+  Add(MakeJob("s", MakeStep(1, 7000)));
+  BOOST_REQUIRE(Start().size() == 1U);
+  const auto need = LongRunningNeed{ "b.0.0.0", "service", { 4000, 1000, 0 } };
+
+  BOOST_TEST(!ReserveCapacity(mCell, need, false, mNow));
+  BOOST_TEST(ReserveCapacity(mCell, need, true, mNow));
+
+  // Four short tasks of 2000 fit in 8000; the reservation leaves room for none.
+  Add(MakeJob("t", MakeStep(1, 1000)));
+  Advance(Milliseconds(100));
+  BOOST_TEST(Start().empty());
+}
+
+BOOST_AUTO_TEST_CASE(reservation_with_label_is_made_on_a_worker_that_has_it)
+{
+  auto& worker = AddWorker("w1", 8000);
+  auto need = LongRunningNeed{ "b.0.0.0", "service", { 4000, 1000, 0 } };
+  need.mRequiredLabel = "kind-b";
+  BOOST_TEST(!ReserveCapacity(mCell, need, true, mNow));
+  worker.mRecord.mLabels = { "kind-b" };
+  BOOST_TEST(ReserveCapacity(mCell, need, true, mNow));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -64,11 +64,15 @@
   std::int64_t mWaitingCpuMillis = 0;
   /** Largest free CPU on a single worker. */
   std::int64_t mLargestCpuMillis = 0;
+  /** Largest CPU on a single worker that a long-running task can have once the
+   * short tasks there have ended. */
+  std::int64_t mLargestReservableCpuMillis = 0;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mName, mToken, mIsActive, mLargestCpuMillis);
+    archive(mLargestReservableCpuMillis);
     archive(mFreeCpuMillis, mFreeMemoryMb, mCapacityCpuMillis);
     archive(mBestEffortCpuMillis, mLeftoverCpuMillis, mWaitingCpuMillis);
   }
@@ -228,13 +232,14 @@
 struct CapacityRequest
 {
   std::string mRequestingCell;
-  std::string mService;
-  cell::Resources mNeed;
+  cell::LongRunningNeed mNeed;
+  /** Capacity that short tasks use now may be reserved. */
+  bool mMayWait = false;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mRequestingCell, mService, mNeed);
+    archive(mRequestingCell, mNeed, mMayWait);
   }
 };
 
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -14,6 +14,7 @@
 #include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/cell/cellstate.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
+#include "hostchoice.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -38,11 +39,8 @@
     mFindEmptierCell;
   /** Executes a command at the holder of its cell. */
   std::function<net::Task<JobReply>(JobCommand)> mExecute;
-  /** Finds another cell with a worker that has the given free capacity, other
-   * than the given ones. */
-  std::function<std::optional<std::string>(const cell::Resources&,
-                                           const std::set<std::string>&)>
-    mFindHostCell;
+  /** Finds another cell for a long-running task. */
+  std::function<std::optional<std::string>(const HostQuery&)> mFindHostCell;
   /** Cells that may transfer a worker to this one, in order of preference. */
   std::function<std::vector<std::string>()> mFindTransferSources;
   /** Clock by which the claim of the cell expires. */
@@ -184,7 +182,11 @@
   auto TransferWorker(JobCommand aCommand) -> net::Task<JobReply>;
   auto LogWaitingTasks() -> void;
   auto MoveStarvedTasks() -> void;
-  auto MoveTask(std::string aTask, std::string aHost) -> net::Task<void>;
+  auto MoveTask(std::string aTask) -> net::Task<void>;
+  auto ReserveInOtherCell(cell::LongRunningNeed aNeed, bool aMayWait)
+    -> net::Task<std::optional<std::string>>;
+  auto RefusingHosts(const cell::Resources& aNeed, MonotonicTime aNow)
+    -> std::set<std::string>;
   auto NotifyHost(std::string aId, std::string aHost) -> net::Task<void>;
   auto ReserveCapacity(const CapacityRequest& aRequest) -> JobReply;
   auto SyncHostedJob(std::string aId) -> net::Task<JobReply>;
@@ -256,8 +258,14 @@
   std::map<std::string, TokenStep> mTokenSteps;
   /** Names of the tasks that are being moved to another cell. */
   std::set<std::string> mMovingTasks;
-  /** Cells that refused to host a task, each until it is asked again. */
-  std::map<std::string, MonotonicTime> mRefusingHosts;
+  /** A cell that refused to host a task. */
+  struct HostRefusal
+  {
+    /** It is not asked for as much CPU until then. */
+    MonotonicTime mUntil{};
+    std::int64_t mCpuMillis = 0;
+  };
+  std::map<std::string, HostRefusal> mRefusingHosts;
   MonotonicTime mNextWaitLogAt{};
   MonotonicTime mNextNoHostLogAt{};
   bool mIsRequestingWorker = false;
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -71,9 +71,7 @@
   auto FindEmptierCell(const std::string& aFrom,
                        const cell::MigratableJob& aJob) const
     -> std::optional<std::string>;
-  auto FindHostCell(const std::string& aFrom,
-                    const cell::Resources& aNeed,
-                    const std::set<std::string>& aExcluded) const
+  auto FindHostCell(const std::string& aFrom, const HostQuery& aQuery) const
     -> std::optional<std::string>;
   auto FindTransferSources(const std::string& aDomain) const
     -> std::vector<std::string>;
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -206,9 +206,8 @@
       return FindEmptierCell(cell, aJob);
     },
     [this](JobCommand aCommand) { return Execute(std::move(aCommand)); },
-    [this, cell](const cell::Resources& aNeed,
-                 const std::set<std::string>& aExcluded) {
-      return FindHostCell(cell, aNeed, aExcluded);
+    [this, cell](const HostQuery& aQuery) {
+      return FindHostCell(cell, aQuery);
     },
     [this, domain = aRow.mDomain] { return FindTransferSources(domain); }
   };
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -196,26 +196,11 @@
   return out;
 }
 
-/** Among the cells with a worker that can run the task, returns the one with
- * the most free capacity. */
 auto DispatchEntry::FindHostCell(const std::string& aFrom,
-                                 const cell::Resources& aNeed,
-                                 const std::set<std::string>& aExcluded) const
+                                 const HostQuery& aQuery) const
   -> std::optional<std::string>
 {
-  std::optional<std::string> out;
-  std::int64_t most = 0;
-  for (const auto& it : ReachableCells()) {
-    const auto canHold = it.mName != aFrom && it.mIsActive &&
-                         !aExcluded.contains(it.mName) &&
-                         it.mLargestCpuMillis >= aNeed.mCpuMillis &&
-                         it.mFreeCpuMillis >= aNeed.mCpuMillis;
-    if (canHold && it.mFreeCpuMillis > most) {
-      out = it.mName;
-      most = it.mFreeCpuMillis;
-    }
-  }
-  return out;
+  return ChooseHostCell(ReachableCells(), aFrom, aQuery);
 }
 
 auto DispatchEntry::ReachableCells() const -> std::vector<CellStatus>
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -15,11 +15,21 @@
 /** A long-running task that has waited for this time is moved to another cell
  * with capacity, as its users should have it back within 6 s. */
 constexpr auto kHostingDelay = Milliseconds(1000);
+/** A task for which capacity is reserved in its own cell moves to a cell that
+ * has to free capacity as well only after this time. */
+constexpr auto kOwnReservationWait = Milliseconds(2500);
 /** A cell that refused is not asked again for this time. Its status lags, and
  * counts capacity that is scattered over workers. */
 constexpr auto kRefusingHostDelay = Milliseconds(1000);
+/** The same where the capacity had to be free at once, which changes with each
+ * status. */
+constexpr auto kStatusInterval = Milliseconds(300);
+/** Holders reply to a request for capacity without calls of their own. */
+constexpr auto kReservationTimeout = Milliseconds(400);
+/** Maximum number of cells that are asked in a row for one task. */
+constexpr std::size_t kMaxHostsAsked = 8;
 /** Maximum number of tasks that are moved at one time. */
-constexpr std::size_t kMaxMovingTasks = 4;
+constexpr std::size_t kMaxMovingTasks = 8;
 constexpr auto kStoredPollInterval = Milliseconds(20);
 /** Tasks that wait for this time are logged, at most once per interval. */
 constexpr auto kLoggedWait = Milliseconds(1500);
@@ -70,73 +80,103 @@
   }
 }
 
-/** Moves a long-running task for which this cell has no capacity to another
- * cell. */
+/** Moves long-running tasks for which this cell has no capacity to other
+ * cells. */
 auto CellHolder::MoveStarvedTasks() -> void
 {
   const auto now = base::MonotonicClock::now();
   if (mIsShuttingDown || !CanSendOrders()) {
     return;
   }
-  std::erase_if(mRefusingHosts,
-                [&](const auto& aItem) { return aItem.second <= now; });
-  std::set<std::string> excluded;
-  for (const auto& [cell, until] : mRefusingHosts) {
-    excluded.insert(cell);
-  }
   for (const auto* it : cell::FindStarved(mState, now, kHostingDelay)) {
     if (mMovingTasks.size() >= kMaxMovingTasks) {
       return;
     }
-    const auto& need = it->mJob->mStored.mSpec.mSteps[it->mStep].mNeed;
     auto name = cell::TaskName(*it);
-    if (mMovingTasks.contains(name)) {
-      continue;
+    if (!cell::IsHostedJob(*it->mJob) && mMovingTasks.insert(name).second) {
+      net::SpawnTask(mContext.mExecutor, MoveTask(std::move(name)));
     }
-    if (const auto host = mContext.mFindHostCell(need, excluded)) {
-      mMovingTasks.insert(name);
-      net::SpawnTask(mContext.mExecutor, MoveTask(std::move(name), *host));
-    } else if (now >= mNextNoHostLogAt) {
-      mNextNoHostLogAt = now + kWaitLogInterval;
-      mContext.mLog.Record(
-        kNoHostCell,
-        { { "cell", mRow.mName },
-          { "task", name },
-          { "need_cpu_millis", need.mCpuMillis },
-          { "refused_lately", static_cast<std::int64_t>(excluded.size()) } });
+  }
+}
+
+auto CellHolder::RefusingHosts(const cell::Resources& aNeed, MonotonicTime aNow)
+  -> std::set<std::string>
+{
+  std::erase_if(mRefusingHosts,
+                [&](const auto& aItem) { return aItem.second.mUntil <= aNow; });
+  std::set<std::string> out;
+  for (const auto& [cell, it] : mRefusingHosts) {
+    if (aNeed.mCpuMillis >= it.mCpuMillis) {
+      out.insert(cell);
     }
   }
+  return out;
 }
 
-/** One transaction writes the row that makes the host cell start the task and
- * the row that prevents its start here. The task never moves back, so nobody
- * has to find out whether it may still be running there. */
-auto CellHolder::MoveTask(std::string aTask, std::string aHost)
-  -> net::Task<void>
+/** Asks other cells until one of them has reserved capacity. */
+auto CellHolder::ReserveInOtherCell(cell::LongRunningNeed aNeed, bool aMayWait)
+  -> net::Task<std::optional<std::string>>
 {
-  const auto self = shared_from_this();
-  auto* task = cell::FindTask(mState, aTask);
-  JobCommand command;
-  command.mKind = JobCommandKind::ReserveCapacity;
-  command.mCell = aHost;
-  command.mRequest = { mRow.mName,
-                       task->mJob->mStored.mQueue.mService,
-                       task->mJob->mStored.mSpec.mSteps[task->mStep].mNeed };
-  command.mTimeoutMs = kStoreTimeout.count();
-  const auto reply = co_await mContext.mExecute(std::move(command));
-  mMovingTasks.erase(aTask);
-  if (reply.mOutcome != JobOutcome::Done) {
-    mRefusingHosts[aHost] = base::MonotonicClock::now() + kRefusingHostDelay;
+  for (std::size_t i = 0; i < kMaxHostsAsked; ++i) {
+    const auto now = base::MonotonicClock::now();
+    const auto host = mContext.mFindHostCell(
+      { aNeed.mResources, RefusingHosts(aNeed.mResources, now), aMayWait });
+    if (!host) {
+      if (now >= mNextNoHostLogAt) {
+        mNextNoHostLogAt = now + kWaitLogInterval;
+        mContext.mLog.Record(
+          kNoHostCell,
+          { { "cell", mRow.mName },
+            { "task", aNeed.mTask },
+            { "need_cpu_millis", aNeed.mResources.mCpuMillis },
+            { "may_wait", static_cast<std::int64_t>(aMayWait ? 1 : 0) },
+            { "refused_lately",
+              static_cast<std::int64_t>(mRefusingHosts.size()) } });
+      }
+      co_return std::nullopt;
+    }
+    JobCommand command;
+    command.mKind = JobCommandKind::ReserveCapacity;
+    command.mCell = *host;
+    command.mRequest = { mRow.mName, aNeed, aMayWait };
+    command.mTimeoutMs = kReservationTimeout.count();
+    const auto reply = co_await mContext.mExecute(std::move(command));
+    if (reply.mOutcome == JobOutcome::Done) {
+      co_return host;
+    }
+    if (mPhase != HolderPhase::Active) {
+      co_return std::nullopt;
+    }
+    mRefusingHosts[*host] = { base::MonotonicClock::now() +
+                                (aMayWait ? kRefusingHostDelay
+                                          : kStatusInterval),
+                              aNeed.mResources.mCpuMillis };
     mContext.mLog.Record(
       kHostRefused,
-      { { "task", aTask },
+      { { "task", aNeed.mTask },
         { "from", mRow.mName },
-        { "to", aHost },
+        { "to", *host },
         { "outcome", static_cast<std::int64_t>(reply.mOutcome) } });
   }
+  co_return std::nullopt;
+}
+
+/** One transaction writes the row that makes the host cell start the task and
+ * the row that prevents its start here. */
+auto CellHolder::MoveTask(std::string aTask) -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  const auto now = base::MonotonicClock::now();
+  auto* task = cell::FindTask(mState, aTask);
+  const auto mayWait = !cell::FindReservedWorker(mState, aTask, now) ||
+                       now - task->mReadyAt > kOwnReservationWait;
+  const auto host = co_await ReserveInOtherCell(cell::NeedOf(*task), mayWait);
+  mMovingTasks.erase(aTask);
+  if (!host) {
+    co_return;
+  }
   task = cell::FindTask(mState, aTask);
-  const auto mayMove = reply.mOutcome == JobOutcome::Done && task &&
-                       task->mPhase == cell::TaskPhase::Ready &&
+  const auto mayMove = task && task->mPhase == cell::TaskPhase::Ready &&
                        !task->mMayBeRunning && !task->mJob->mIsMigrating &&
                        !cell::IsFinal(task->mJob->mState) && !mIsShuttingDown &&
                        CanSendOrders();
@@ -145,7 +185,7 @@
   }
   const auto id = task->mJob->mStored.mSpec.mId;
   const auto version = mRows[id].mProgressVersion;
-  cell::MoveTaskToHost(mState, *task, aHost);
+  cell::MoveTaskToHost(mState, *task, *host);
   ScheduleDecision();
   while (mPhase == HolderPhase::Active && mRows.contains(id) &&
          mRows[id].mProgressVersion <= version) {
@@ -154,8 +194,8 @@
   if (mPhase == HolderPhase::Active) {
     mContext.mLog.Record(
       kTaskHosted,
-      { { "task", aTask }, { "from", mRow.mName }, { "to", aHost } });
-    co_await NotifyHost(id, aHost);
+      { { "task", aTask }, { "from", mRow.mName }, { "to", *host } });
+    co_await NotifyHost(id, *host);
   }
 }
 
@@ -182,7 +222,7 @@
   const auto now = base::MonotonicClock::now();
   const auto isReserved =
     !mIsShuttingDown && CanSendOrders() &&
-    cell::ReserveCapacity(mState, aRequest.mService, aRequest.mNeed, now);
+    cell::ReserveCapacity(mState, aRequest.mNeed, aRequest.mMayWait, now);
   return { isReserved ? JobOutcome::Done : JobOutcome::Refused };
 }
 
--- a/src/dispatch/internal/holdertransfers.cpp
+++ b/src/dispatch/internal/holdertransfers.cpp
@@ -70,14 +70,11 @@
   }
   const auto starved = cell::FindStarved(mState, now, kWorkerRequestDelay);
   if (!starved.empty()) {
-    const auto* task = starved.front();
-    const auto& stored = task->mJob->mStored;
     mIsRequestingWorker = true;
     mWorkerRequestedAt = now;
-    net::SpawnTask(mContext.mExecutor,
-                   RequestWorker({ mRow.mName,
-                                   stored.mQueue.mService,
-                                   stored.mSpec.mSteps[task->mStep].mNeed }));
+    net::SpawnTask(
+      mContext.mExecutor,
+      RequestWorker({ mRow.mName, cell::NeedOf(*starved.front()) }));
   }
 }
 
@@ -113,8 +110,8 @@
 {
   const auto& request = aCommand.mRequest;
   const auto now = base::MonotonicClock::now();
-  auto* worker =
-    cell::FindTransferable(mState, request.mService, request.mNeed, now);
+  auto* worker = cell::FindTransferable(
+    mState, request.mNeed.mService, request.mNeed.mResources, now);
   if (!worker || mIsShuttingDown || !CanSendOrders() ||
       !mState.mUnreconciledWorkers.empty() || now < mMemberWritesSettledAt) {
     co_return JobReply{ JobOutcome::Refused };
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -462,6 +462,7 @@
   out.mLeftoverCpuMillis = capacity.mLeftoverCpuMillis;
   out.mWaitingCpuMillis = capacity.mWaitingCpuMillis;
   out.mLargestCpuMillis = capacity.mLargestCpuMillis;
+  out.mLargestReservableCpuMillis = capacity.mLargestReservableCpuMillis;
   return out;
 }
 
--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -247,9 +247,9 @@
         }
         co_return co_await it->second->Execute(std::move(aCommand));
       },
-      [this](const cell::Resources&, const std::set<std::string>& aExcluded) {
+      [this](const HostQuery& aQuery) {
         for (const auto& it : mHostCells) {
-          if (!aExcluded.contains(it)) {
+          if (!aQuery.mExcluded.contains(it)) {
             return std::optional(it);
           }
         }
--- a/src/dispatch/tests/transfers_tests.cpp
+++ b/src/dispatch/tests/transfers_tests.cpp
@@ -154,7 +154,7 @@
   JobCommand out;
   out.mKind = JobCommandKind::TransferWorker;
   out.mCell = "a/0";
-  out.mRequest = { "b/0", "service", { 1000, 1000, 0 } };
+  out.mRequest = { "b/0", { "", "service", { 1000, 1000, 0 } } };
   out.mTimeoutMs = 3000;
   return out;
 }
@@ -337,7 +337,7 @@
   JobCommand command;
   command.mKind = JobCommandKind::TransferWorker;
   command.mCell = "a/0";
-  command.mRequest = { "b/0", "service", { 1000, 1000, 0 } };
+  command.mRequest = { "b/0", { "", "service", { 1000, 1000, 0 } } };
   command.mTimeoutMs = 3000;
   auto transfer = [](std::shared_ptr<CellHolder> aHolder,
                      JobCommand aCommand) -> net::Task<void> {
