Notify a host cell until it has read the tasks that it runs

Cause: the owning cell notifies the host once a later version of the job's progress is stored. An earlier write that was in progress, or had no reply, also raises that version, before the host's row is written. The host found no row, replied that it was done, and was not notified again.

The notification now names the tasks and is repeated until the host has all of them from the store.

--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -44,7 +44,7 @@
     case JobCommandKind::ReserveCapacity:
       co_return ReserveCapacity(aCommand.mRequest);
     case JobCommandKind::SyncHostedJob:
-      co_return co_await SyncHostedJob(std::move(aCommand.mJobId));
+      co_return co_await ConfirmHostedTasks(std::move(aCommand));
     case JobCommandKind::GiveUpJob:
       co_return GiveUpJob(aCommand.mJobId);
   }
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -199,15 +199,24 @@
   }
 }
 
+/** Notifies a host cell of the tasks that it runs, until it has read them from
+ * the store. */
 auto CellHolder::NotifyHost(std::string aId, std::string aHost)
   -> net::Task<void>
 {
   const auto self = shared_from_this();
-  while (mPhase == HolderPhase::Active && FindOwnJob(aId)) {
+  while (mPhase == HolderPhase::Active) {
+    const auto* job = FindOwnJob(aId);
+    auto tasks = job ? cell::RemoteTasksByHost(*job)
+                     : std::map<std::string, std::vector<cell::TaskPosition>>();
+    if (!tasks.contains(aHost)) {
+      co_return;
+    }
     JobCommand command;
     command.mKind = JobCommandKind::SyncHostedJob;
     command.mCell = aHost;
     command.mJobId = aId;
+    command.mJob.mHostedTasks = std::move(tasks.at(aHost));
     command.mTimeoutMs = kStoreTimeout.count();
     const auto reply = co_await mContext.mExecute(std::move(command));
     if (reply.mOutcome == JobOutcome::Done) {
@@ -217,6 +226,25 @@
   }
 }
 
+/** The write of the hosted job's row may not be executed yet. */
+auto CellHolder::ConfirmHostedTasks(JobCommand aCommand) -> net::Task<JobReply>
+{
+  const auto& id = aCommand.mJobId;
+  const auto reply = co_await SyncHostedJob(id);
+  const auto* job = cell::FindJob(mState, id);
+  const auto isComplete =
+    job && std::all_of(aCommand.mJob.mHostedTasks.begin(),
+                       aCommand.mJob.mHostedTasks.end(),
+                       [&](const cell::TaskPosition& aTask) {
+                         const auto& known = job->mStored.mHostedTasks;
+                         return std::find(known.begin(), known.end(), aTask) !=
+                                known.end();
+                       });
+  co_return reply.mOutcome == JobOutcome::Done && !isComplete
+    ? JobReply{ JobOutcome::NotInCell }
+    : reply;
+}
+
 auto CellHolder::ReserveCapacity(const CapacityRequest& aRequest) -> JobReply
 {
   const auto now = base::MonotonicClock::now();
--- /dev/null
+++ b/src/dispatch/tests/hosting_tests.cpp
@@ -0,0 +1,95 @@
+#define BOOST_TEST_MODULE dispatch_hosting
+#include <boost/test/unit_test.hpp>
+
+#include "holderfixture.h"
+
+namespace {
+
+using namespace eelgrasspost;
+using namespace eelgrasspost::dispatch;
+using dispatch::testing::FakeFault;
+using dispatch::testing::HolderFixture;
+
+/** Time in which a long-running task without a run has to be at work again. */
+constexpr auto kRestartLimit = Milliseconds(6000);
+
+/** Cell "a/0" has a full worker and a long-running task that needs one; cell
+ * "b/0" can host it. */
+struct TaskToMove : HolderFixture
+{
+  static constexpr const char* kId = "000000000000000d";
+  const std::string mTask = std::string(kId) + ".0.0.1";
+  std::shared_ptr<CellHolder> mOwner;
+  std::shared_ptr<CellHolder> mHost;
+
+  TaskToMove()
+  {
+    mOwner = MakeHolder(1);
+    mHost = MakeHolder(1, "b/0", { "w2" });
+    BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
+    Do([&] { mCells = { { "a/0", mOwner }, { "b/0", mHost } }; });
+  }
+
+  ~TaskToMove()
+  {
+    Do([&] {
+      for (const auto& [name, it] : mCells) {
+        it->End();
+      }
+    });
+    StopPool();
+  }
+
+  auto Submit() -> void
+  {
+    auto submission = MakeSubmission(kId);
+    auto& step = submission.mJob.mSpec.mSteps[0];
+    step.mCount = 2;
+    step.mNeed.mCpuMillis = 10000;
+    step.mIsLongRunning = true;
+    Wait(mOwner->Execute(submission));
+  }
+
+  auto IsStartedWithinLimit() -> bool
+  {
+    const auto end = base::MonotonicClock::now() + kRestartLimit;
+    auto isRunning = false;
+    while (!isRunning && base::MonotonicClock::now() < end) {
+      Wait(net::Sleep(Milliseconds(20)), true);
+      Do([&] { isRunning = mWorkers.mRunning.contains(mTask); });
+    }
+    return isRunning;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(moving, TaskToMove)
+
+// The host cell was notified after an earlier write of the progress, found no
+// row of the task, and was not notified again.
+BOOST_AUTO_TEST_CASE(task_moved_after_a_write_without_reply_is_started_by_host)
+{
+  Do([&] { mOwner->UpdateWorker(MakeRecord("w4")); });
+  Submit();
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 2; }));
+  const auto worker = mWorkers.mWorkerOf.at(mTask);
+  Do([&] {
+    auto record = MakeRecord(worker);
+    record.mState = cell::WorkerState::Draining;
+    mOwner->UpdateWorker(record);
+  });
+  BOOST_REQUIRE(Until([&] { return !mWorkers.mStops.empty(); }));
+  Do([&] {
+    // The checkpoint is written, but its reply is lost only after the task has
+    // been moved.
+    mStore.mFaults = { FakeFault::LoseReply };
+    mStore.mDelays = { Milliseconds(1600) };
+    mWorkers.End(mTask, cell::EndKind::Stopped);
+    mWorkers.mEnds.back().mCheckpoint = "checkpoint";
+    mHostCells = { "b/0" };
+  });
+  BOOST_TEST(IsStartedWithinLimit());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
