Let only the current holder of a host cell confirm a hosted task

Callers would see a long-running task that never runs again (LOST).

Cause: a holder that does not know yet that its cell was claimed can confirm that it has read a hosted task. The next holder may have read the rows of the cell before the task was written there, and is not notified.

The holder reads its fence after the rows and confirms only if no later holder has raised it; one that raises it from then on reads the rows afterwards.

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -189,6 +189,7 @@
     -> std::set<std::string>;
   auto NotifyHost(std::string aId, std::string aHost) -> net::Task<void>;
   auto ReserveCapacity(const CapacityRequest& aRequest) -> JobReply;
+  auto HoldsFence(std::string aId) -> net::Task<bool>;
   auto ConfirmHostedTasks(JobCommand aCommand) -> net::Task<JobReply>;
   auto SyncHostedJob(std::string aId) -> net::Task<JobReply>;
   auto WatchHostedJob(std::string aId) -> net::Task<void>;
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -226,11 +226,30 @@
   }
 }
 
+/** Whether no later holder has raised the fence. One that raises it from now on
+ * reads the job's rows afterwards. */
+auto CellHolder::HoldsFence(std::string aId) -> net::Task<bool>
+{
+  RangeQuery query;
+  query.mTable = std::string(kFenceTable);
+  query.mPartition = PartitionName(PartitionOf(aId));
+  query.mFrom = mRow.mName;
+  query.mLimit = 1;
+  const auto reply = co_await mContext.mStore.ReadRange(
+    query, base::MonotonicClock::now() + kStoreTimeout);
+  co_return reply.mOutcome == StoreOutcome::Done && !reply.mRows.empty() &&
+    reply.mRows[0].mKey == mRow.mName &&
+    reply.mRows[0].mVersion == mFences.at(PartitionOf(aId));
+}
+
 /** The write of the hosted job's row may not be executed yet. */
 auto CellHolder::ConfirmHostedTasks(JobCommand aCommand) -> net::Task<JobReply>
 {
   const auto& id = aCommand.mJobId;
   const auto reply = co_await SyncHostedJob(id);
+  if (reply.mOutcome == JobOutcome::Done && !co_await HoldsFence(id)) {
+    co_return JobReply{ JobOutcome::CellNotHeld };
+  }
   const auto* job = cell::FindJob(mState, id);
   const auto isComplete =
     job && std::all_of(aCommand.mJob.mHostedTasks.begin(),
--- a/src/dispatch/tests/hosting_tests.cpp
+++ b/src/dispatch/tests/hosting_tests.cpp
@@ -92,4 +92,23 @@
   BOOST_TEST(IsStartedWithinLimit());
 }
 
+// The previous holder of the host cell confirmed that it knew the task; the
+// next one had read the rows before the task was written there.
+BOOST_AUTO_TEST_CASE(task_confirmed_by_a_superseded_holder_is_started_by_next)
+{
+  // Orders of the previous holder are refused only once its polls return.
+  Do([&] { mWorkers.mWaitsForEnds = true; });
+  Submit();
+  Wait(net::Sleep(Milliseconds(1800)), true);
+  const auto next = MakeHolder(2, "b/0", { "w2" });
+  BOOST_REQUIRE(Until([&] { return next->Phase() == HolderPhase::Active; }));
+  Do([&] { mHostCells = { "b/0" }; });
+  Wait(net::Sleep(Milliseconds(700)), true);
+  Do([&] {
+    mHost->End();
+    mCells["b/0"] = next;
+  });
+  BOOST_TEST(IsStartedWithinLimit());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
