Return hosted tasks that their host cell cannot start

Callers see a long-running task of a job that another cell runs without a run, for as long as that cell is full, while others have capacity (LOST).

Cause: a hosted task never left its host cell: neither the search for another cell nor that for a worker considered it. After its run had been stopped or lost there, it waited for that cell only.

Until the outcome is known the host does not start it; without a reply it waits until its row changes, as the owner writes it again. Reads of a hosted job's row are applied in the order of the store's versions.

Tests: hosting; three cases, of which all fail on the previous code.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -51,6 +51,10 @@
   std::string mAvoidedWorker;
   /** The cell that runs a task in phase Remote; empty for hosted jobs. */
   std::string mHostCell;
+  /** A hosted task that is being returned to the cell that owns it; it is not
+   * started here. */
+  bool mIsReturning = false;
+  MonotonicTime mNextReturnAt{};
   MonotonicTime mReadyAt{};
   /** Not started before this time; set after a refused start. */
   MonotonicTime mNotBefore{};
@@ -347,6 +351,12 @@
 /** Assigns a waiting task to another cell permanently. */
 auto MoveTaskToHost(CellState& aCell, Task& aTask, const std::string& aHost)
   -> void;
+/** Makes a task that another cell could not start ready here. aWaited: how long
+ * it has waited there. */
+auto TakeTaskBack(CellState& aCell,
+                  Task& aTask,
+                  MonotonicTime aNow,
+                  Milliseconds aWaited) -> void;
 /** The tasks of a job that other cells run, by host cell. */
 auto RemoteTasksByHost(const Job& aJob)
   -> std::map<std::string, std::vector<TaskPosition>>;
@@ -376,6 +386,9 @@
 auto FindJob(CellState& aCell, const std::string& aId) -> Job*;
 /** Finds a task by its name; null when the cell doesn't have it. */
 auto FindTask(CellState& aCell, std::string_view aName) -> Task*;
+auto FindTask(Job& aJob, const TaskPosition& aPosition) -> Task*;
+/** Marks a job whose progress has to be stored. */
+auto MarkDirty(CellState& aCell, Job& aJob) -> void;
 
 auto RankJob(const Job& aJob, MonotonicTime aNow) -> JobRank;
 
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -398,6 +398,8 @@
   MayBeRunning,
   /** Its job migrates, or the outcome of a migration is not known. */
   JobMigrates,
+  /** It is being returned to the cell that owns it. */
+  Returns,
   /** Crashes under it are not stored yet. */
   CrashesUnstored,
   /** A worker refused to start it a moment ago. */
@@ -413,6 +415,7 @@
 inline constexpr auto kWaitReasonNames = std::array{
   base::EnumName<WaitReason>{ WaitReason::MayBeRunning, "may_be_running" },
   base::EnumName<WaitReason>{ WaitReason::JobMigrates, "job_migrates" },
+  base::EnumName<WaitReason>{ WaitReason::Returns, "returns" },
   base::EnumName<WaitReason>{ WaitReason::CrashesUnstored, "crashes_unstored" },
   base::EnumName<WaitReason>{ WaitReason::StartRefused, "start_refused" },
   base::EnumName<WaitReason>{ WaitReason::EarlierRunStops,
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -13,9 +13,6 @@
 /** Whether a worker or another cell has, or may have, a run of a job. */
 auto HasRun(const Job& aJob) -> bool;
 
-/** Marks a job whose progress has to be stored. */
-auto MarkDirty(CellState& aCell, Job& aJob) -> void;
-
 /** Queues a task for placement. */
 auto MakeReady(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void;
 
--- a/src/cell/internal/hostedtasks.cpp
+++ b/src/cell/internal/hostedtasks.cpp
@@ -21,6 +21,16 @@
   MarkDirty(aCell, *aTask.mJob);
 }
 
+auto TakeTaskBack(CellState& aCell,
+                  Task& aTask,
+                  MonotonicTime aNow,
+                  Milliseconds aWaited) -> void
+{
+  aTask.mHostCell.clear();
+  MakeReady(aCell, aTask, aNow);
+  aTask.mReadyAt = aNow - aWaited;
+}
+
 auto RemoteTasksByHost(const Job& aJob)
   -> std::map<std::string, std::vector<TaskPosition>>
 {
@@ -46,9 +56,14 @@
   for (auto& [number, occurrence] : aJob.mOccurrences) {
     for (auto& step : occurrence->mSteps) {
       for (auto& it : step.mTasks) {
-        if (it.mPhase == TaskPhase::Remote && IsHostedTask(aJob, it)) {
+        const auto isHosted = IsHostedTask(aJob, it);
+        if (it.mPhase == TaskPhase::Remote && isHosted) {
           it.mMayBeRunning = !aCell.mUnreconciledWorkers.empty();
           MakeReady(aCell, it, aNow);
+        } else if (it.mPhase == TaskPhase::Ready && !isHosted) {
+          std::erase(aCell.mReady, &it);
+          it.mPhase = TaskPhase::Remote;
+          it.mIsReturning = false;
         }
       }
     }
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -133,12 +133,17 @@
   if (!job || !occurrence || !step || !index) {
     return nullptr;
   }
-  auto* found = FindOccurrence(*job, *occurrence);
-  if (!found || *step >= found->mSteps.size() ||
-      *index >= found->mSteps[*step].mTasks.size()) {
+  return FindTask(*job, { *occurrence, *step, *index });
+}
+
+auto FindTask(Job& aJob, const TaskPosition& aPosition) -> Task*
+{
+  auto* found = FindOccurrence(aJob, aPosition.mOccurrence);
+  if (!found || aPosition.mStep >= found->mSteps.size() ||
+      aPosition.mIndex >= found->mSteps[aPosition.mStep].mTasks.size()) {
     return nullptr;
   }
-  return &found->mSteps[*step].mTasks[*index];
+  return &found->mSteps[aPosition.mStep].mTasks[aPosition.mIndex];
 }
 
 auto MarkDirty(CellState& aCell, Job& aJob) -> void
--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -10,7 +10,7 @@
 {
   return aTask.mPhase == TaskPhase::Ready && !aTask.mMayBeRunning &&
          aTask.mNotBefore <= aNow && !IsFinal(aTask.mJob->mState) &&
-         !aTask.mJob->mIsMigrating &&
+         !aTask.mJob->mIsMigrating && !aTask.mIsReturning &&
          !(aTask.mJob->mHasUnstoredCrashes && IsSuspect(aTask));
 }
 
--- a/src/cell/internal/waiting.cpp
+++ b/src/cell/internal/waiting.cpp
@@ -16,6 +16,9 @@
   if (aTask.mJob->mIsMigrating) {
     return WaitReason::JobMigrates;
   }
+  if (aTask.mIsReturning) {
+    return WaitReason::Returns;
+  }
   if (aTask.mJob->mHasUnstoredCrashes && IsSuspect(aTask)) {
     return WaitReason::CrashesUnstored;
   }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -213,6 +213,13 @@
   "add workers if this persists",
 };
 
+inline constexpr auto kTaskReturned = base::LogEvent{
+  949,
+  base::LogLevel::Info,
+  "a cell returns a long-running task that it cannot start to the owning cell",
+  "none; outcome 0 means that the owning cell took it back",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -241,7 +248,8 @@
                                                        kCrashCounted,
                                                        kTaskWaits,
                                                        kHostRefused,
-                                                       kNoHostCell };
+                                                       kNoHostCell,
+                                                       kTaskReturned };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -212,6 +212,8 @@
   SyncHostedJob,
   /** Fails a job of which a host cell has given up a task. */
   GiveUpJob,
+  /** Takes back a task that its host cell cannot start. */
+  ReturnTask,
 };
 
 /** Control table row of a worker that was transferred out of the cell to which
@@ -243,7 +245,8 @@
   }
 };
 
-/** Location and row versions of a job that is to be migrated. */
+/** Location and row versions of a job that is to be migrated, or of a hosted
+ * job of which a task is to be returned. */
 struct MigrationSource
 {
   std::string mCell;
@@ -270,6 +273,8 @@
   /** Used by ImportJob. */
   cell::JobProgress mProgress;
   MigrationSource mSource;
+  /** Used by ReturnTask. */
+  cell::TaskPosition mTask;
   /** Used by TransferWorker and ReserveCapacity. */
   CapacityRequest mRequest;
 
@@ -277,7 +282,7 @@
   auto serialize(Archive& archive) -> void
   {
     archive(mKind, mCell, mJobId, mJob, mTimeoutMs, mProgress, mSource);
-    archive(mRequest);
+    archive(mTask, mRequest);
   }
 };
 
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -156,6 +156,13 @@
 
   auto FlushLoop() -> net::Task<void>;
   auto Flush() -> net::Task<bool>;
+  /** Adds the writes of a job's progress and of the rows of its hosted jobs,
+   * and the versions that they expect. */
+  auto AppendProgress(StoreTransaction& aTransaction, const cell::Job& aJob)
+    -> void;
+  /** The same for the writes that end a job. */
+  auto AppendFinalState(StoreTransaction& aTransaction, const cell::Job& aJob)
+    -> void;
   auto FlushPartition(std::uint32_t aPartition, std::vector<std::string> aJobs)
     -> net::Task<bool>;
   auto UpdateCommitTime(MonotonicTime aSentAt) -> void;
@@ -187,10 +194,23 @@
     -> net::Task<std::optional<std::string>>;
   auto RefusingHosts(const cell::Resources& aNeed, MonotonicTime aNow)
     -> std::set<std::string>;
+  auto ReturnStarvedTasks() -> void;
+  auto ReturnTask(std::string aTask) -> net::Task<void>;
+  auto SettleReturn(std::string aId,
+                    std::uint64_t aJobVersion,
+                    bool aIsUncertain) -> net::Task<void>;
+  auto AcceptReturnedTask(JobCommand aCommand) -> net::Task<JobReply>;
+  /** The cell that owns a job; nothing if it could not be read. */
+  auto FindOwner(std::string aId) -> net::Task<std::optional<std::string>>;
+  auto NotifyHostWhenStored(std::string aId, std::string aHost)
+    -> net::Task<void>;
   auto NotifyHost(std::string aId, std::string aHost) -> net::Task<void>;
   auto ReserveCapacity(const CapacityRequest& aRequest) -> JobReply;
   auto HoldsFence(std::string aId) -> net::Task<bool>;
   auto ConfirmHostedTasks(JobCommand aCommand) -> net::Task<JobReply>;
+  auto IsNewestSync(const std::string& aId,
+                    std::uint64_t aVersion,
+                    MonotonicTime aNow) -> bool;
   auto SyncHostedJob(std::string aId) -> net::Task<JobReply>;
   auto WatchHostedJob(std::string aId) -> net::Task<void>;
   auto ReportGivenUpJob(const cell::Job& aJob) -> void;
@@ -260,6 +280,14 @@
   std::map<std::string, TokenStep> mTokenSteps;
   /** Names of the tasks that are being moved to another cell. */
   std::set<std::string> mMovingTasks;
+  /** The last read of a hosted job's row that was applied. */
+  struct HostedSync
+  {
+    /** Version of the store at that time. */
+    std::uint64_t mVersion = 0;
+    MonotonicTime mAt{};
+  };
+  std::map<std::string, HostedSync> mHostedSyncs;
   /** A cell that refused to host a task. */
   struct HostRefusal
   {
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -184,19 +184,25 @@
     co_return;
   }
   const auto id = task->mJob->mStored.mSpec.mId;
-  const auto version = mRows[id].mProgressVersion;
   cell::MoveTaskToHost(mState, *task, *host);
   ScheduleDecision();
-  while (mPhase == HolderPhase::Active && mRows.contains(id) &&
-         mRows[id].mProgressVersion <= version) {
+  mContext.mLog.Record(
+    kTaskHosted,
+    { { "task", aTask }, { "from", mRow.mName }, { "to", *host } });
+  co_await NotifyHostWhenStored(id, *host);
+}
+
+/** Notifies a host cell once the current progress of a job is stored. */
+auto CellHolder::NotifyHostWhenStored(std::string aId, std::string aHost)
+  -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  const auto version = mRows[aId].mProgressVersion;
+  while (mPhase == HolderPhase::Active && mRows.contains(aId) &&
+         mRows[aId].mProgressVersion <= version) {
     co_await net::Sleep(kStoredPollInterval);
   }
-  if (mPhase == HolderPhase::Active) {
-    mContext.mLog.Record(
-      kTaskHosted,
-      { { "task", aTask }, { "from", mRow.mName }, { "to", *host } });
-    co_await NotifyHost(id, *host);
-  }
+  co_await NotifyHost(aId, aHost);
 }
 
 /** Notifies a host cell of the tasks that it runs, until it has read them from
@@ -273,6 +279,22 @@
   return { isReserved ? JobOutcome::Done : JobOutcome::Refused };
 }
 
+/** Whether no later read of a hosted job's row was applied. */
+auto CellHolder::IsNewestSync(const std::string& aId,
+                              std::uint64_t aVersion,
+                              MonotonicTime aNow) -> bool
+{
+  std::erase_if(mHostedSyncs, [&](const auto& aItem) {
+    return aNow - aItem.second.mAt > kMaxWriteDelay;
+  });
+  auto& last = mHostedSyncs[aId];
+  if (aVersion < last.mVersion) {
+    return false;
+  }
+  last = { aVersion, aNow };
+  return true;
+}
+
 /** Reads the hosted tasks from the store only, so delayed or duplicate messages
  * do no harm. */
 auto CellHolder::SyncHostedJob(std::string aId) -> net::Task<JobReply>
@@ -287,6 +309,11 @@
   if (reply.mOutcome != StoreOutcome::Done || mPhase != HolderPhase::Active) {
     co_return JobReply{ JobOutcome::Uncertain };
   }
+  const auto now = base::MonotonicClock::now();
+  if (!IsNewestSync(aId, reply.mVersion, now)) {
+    // A later read arrived first.
+    co_return JobReply{ JobOutcome::Uncertain };
+  }
   const auto exists =
     !reply.mRows.empty() && reply.mRows[0].mKey == JobKey(aId);
   auto* known = cell::FindJob(mState, aId);
@@ -301,7 +328,6 @@
   if (!stored.ok() || stored->mHostedTasks.empty()) {
     co_return JobReply{ JobOutcome::Refused };
   }
-  const auto now = base::MonotonicClock::now();
   mRows[aId].mJobVersion = reply.mRows[0].mVersion;
   if (known) {
     cell::SetHostedTasks(mState, *known, std::move(stored->mHostedTasks), now);
@@ -343,25 +369,14 @@
 auto CellHolder::NotifyOwner(std::string aId) -> net::Task<void>
 {
   const auto self = shared_from_this();
-  RangeQuery query;
-  query.mTable = std::string(kIdTable);
-  query.mPartition = PartitionName(PartitionOf(aId));
-  query.mFrom = aId;
-  query.mLimit = 1;
   while (mPhase == HolderPhase::Active && cell::FindJob(mState, aId)) {
-    const auto found = co_await mContext.mStore.ReadRange(
-      query, base::MonotonicClock::now() + kStoreTimeout);
-    if (found.mOutcome == StoreOutcome::Done && !found.mRows.empty() &&
-        found.mRows[0].mKey == aId) {
-      if (const auto row = net::Decode<JobIdRow>(found.mRows[0].mValue);
-          row.ok()) {
-        JobCommand command;
-        command.mKind = JobCommandKind::GiveUpJob;
-        command.mCell = row->mCell;
-        command.mJobId = aId;
-        command.mTimeoutMs = kStoreTimeout.count();
-        co_await mContext.mExecute(std::move(command));
-      }
+    if (const auto owner = co_await FindOwner(aId)) {
+      JobCommand command;
+      command.mKind = JobCommandKind::GiveUpJob;
+      command.mCell = *owner;
+      command.mJobId = aId;
+      command.mTimeoutMs = kStoreTimeout.count();
+      co_await mContext.mExecute(std::move(command));
     }
     co_await net::Sleep(kHostedJobCheckInterval);
   }
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -112,6 +112,48 @@
   co_return true;
 }
 
+auto CellHolder::AppendProgress(StoreTransaction& aTransaction,
+                                const cell::Job& aJob) -> void
+{
+  const auto& id = aJob.mStored.mSpec.mId;
+  const auto& rows = mRows[id];
+  const auto progress = RowKey{ std::string(kProgressTable), JobKey(id) };
+  const auto stored = RowKey{ std::string(kJobTable), JobKey(id) };
+  aTransaction.mExpected.push_back({ progress, rows.mProgressVersion });
+  aTransaction.mExpected.push_back({ stored, rows.mJobVersion });
+  aTransaction.mWrites.push_back(
+    { progress, net::Encode(cell::ProgressOf(aJob)) });
+  for (const auto& [host, tasks] : cell::RemoteTasksByHost(aJob)) {
+    auto hostedJob = aJob.mStored;
+    hostedJob.mHostedTasks = tasks;
+    aTransaction.mWrites.push_back(
+      { { std::string(kJobTable), base::Cat(host, "/", id) },
+        net::Encode(hostedJob) });
+  }
+}
+
+auto CellHolder::AppendFinalState(StoreTransaction& aTransaction,
+                                  const cell::Job& aJob) -> void
+{
+  const auto& id = aJob.mStored.mSpec.mId;
+  const auto& rows = mRows[id];
+  const auto progress = RowKey{ std::string(kProgressTable), JobKey(id) };
+  const auto stored = RowKey{ std::string(kJobTable), JobKey(id) };
+  aTransaction.mExpected.push_back({ progress, rows.mProgressVersion });
+  aTransaction.mExpected.push_back({ stored, rows.mJobVersion });
+  aTransaction.mRemovals.push_back(stored);
+  if (rows.mProgressVersion > 0) {
+    aTransaction.mRemovals.push_back(progress);
+  }
+  const auto row = JobIdRow{ mRow.mName, aJob.mState, base::WallClockMs() };
+  aTransaction.mWrites.push_back(
+    { { std::string(kIdTable), id }, net::Encode(row) });
+  for (const auto& [host, tasks] : cell::RemoteTasksByHost(aJob)) {
+    aTransaction.mRemovals.push_back(
+      { std::string(kJobTable), base::Cat(host, "/", id) });
+  }
+}
+
 auto CellHolder::FlushPartition(std::uint32_t aPartition,
                                 std::vector<std::string> aJobs)
   -> net::Task<bool>
@@ -137,36 +179,11 @@
         ReportGivenUpJob(*job);
         continue;
       }
-      const auto& rows = mRows[id];
-      const auto key = JobKey(id);
-      const auto progressKey = RowKey{ std::string(kProgressTable), key };
       const auto isFinal = cell::IsFinal(job->mState);
-      const auto jobKey = RowKey{ std::string(kJobTable), key };
-      transaction.mExpected.push_back({ progressKey, rows.mProgressVersion });
-      transaction.mExpected.push_back({ jobKey, rows.mJobVersion });
       if (isFinal) {
-        transaction.mRemovals.push_back(jobKey);
-        if (rows.mProgressVersion > 0) {
-          transaction.mRemovals.push_back(progressKey);
-        }
-        const auto row =
-          JobIdRow{ mRow.mName, job->mState, base::WallClockMs() };
-        transaction.mWrites.push_back(
-          { { std::string(kIdTable), id }, net::Encode(row) });
+        AppendFinalState(transaction, *job);
       } else {
-        transaction.mWrites.push_back(
-          { progressKey, net::Encode(cell::ProgressOf(*job)) });
-      }
-      for (const auto& [host, tasks] : cell::RemoteTasksByHost(*job)) {
-        const auto hostedJobKey =
-          RowKey{ std::string(kJobTable), base::Cat(host, "/", id) };
-        if (isFinal) {
-          transaction.mRemovals.push_back(hostedJobKey);
-          continue;
-        }
-        auto hostedJob = job->mStored;
-        hostedJob.mHostedTasks = tasks;
-        transaction.mWrites.push_back({ hostedJobKey, net::Encode(hostedJob) });
+        AppendProgress(transaction, *job);
       }
       mState.mDirty.erase(id);
       job->mIsDirty = false;
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -391,6 +391,7 @@
     MigrateJobs();
     RequestWorkers();
     MoveStarvedTasks();
+    ReturnStarvedTasks();
     LogWaitingTasks();
     const auto keep =
       Milliseconds(mContext.mSettings.mStatusRetentionMs) + kRetentionMargin;
--- a/src/dispatch/tests/hosting_tests.cpp
+++ b/src/dispatch/tests/hosting_tests.cpp
@@ -13,6 +13,80 @@
 /** Time in which a long-running task without a run has to be at work again. */
 constexpr auto kRestartLimit = Milliseconds(6000);
 
+/** A job of cell "a/0" with two long-running tasks that need more than half of
+ * a worker. The second one is hosted by "b/0"; "c/0" has an idle worker. */
+struct HostedTask : HolderFixture
+{
+  static constexpr const char* kId = "000000000000000c";
+  const std::string mTask = std::string(kId) + ".0.0.1";
+  std::shared_ptr<CellHolder> mOwner;
+  std::shared_ptr<CellHolder> mHost;
+  std::shared_ptr<CellHolder> mOther;
+
+  HostedTask()
+  {
+    mOwner = MakeHolder(1);
+    mHost = MakeHolder(1, "b/0", { "w2" });
+    mOther = MakeHolder(1, "c/0", { "w3" });
+    BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 3; }));
+    Do([&] {
+      mCells = { { "a/0", mOwner }, { "b/0", mHost }, { "c/0", mOther } };
+      mHostCells = { "b/0" };
+    });
+    auto submission = MakeSubmission(kId);
+    auto& step = submission.mJob.mSpec.mSteps[0];
+    step.mCount = 2;
+    step.mNeed.mCpuMillis = 10000;
+    step.mIsLongRunning = true;
+    Wait(mOwner->Execute(submission));
+    BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 2; }));
+    BOOST_REQUIRE(mWorkers.mWorkerOf.at(mTask) == "w2");
+    Do([&] { mHostCells = { "b/0", "c/0" }; });
+  }
+
+  ~HostedTask()
+  {
+    Do([&] {
+      for (const auto& [name, it] : mCells) {
+        it->End();
+      }
+    });
+    StopPool();
+  }
+
+  /** The worker of the host cell drains, so that the task is stopped. */
+  auto DrainHost() -> void
+  {
+    Do([&] {
+      auto record = MakeRecord("w2");
+      record.mState = cell::WorkerState::Draining;
+      mHost->UpdateWorker(record);
+    });
+    BOOST_REQUIRE(Until([&] { return !mWorkers.mStops.empty(); }));
+    Do([&] { mWorkers.End(mTask, cell::EndKind::Stopped); });
+  }
+
+  auto IsRunningOn(const std::string& aWorker) -> bool
+  {
+    return mWorkers.mRunning.contains(mTask) &&
+           mWorkers.mWorkerOf.at(mTask) == aWorker;
+  }
+
+  auto WaitUntilRunningOn(const std::string& aWorker) -> bool
+  {
+    const auto end = base::MonotonicClock::now() + kRestartLimit;
+    while (base::MonotonicClock::now() < end) {
+      auto isRunning = false;
+      Do([&] { isRunning = IsRunningOn(aWorker); });
+      if (isRunning) {
+        return true;
+      }
+      Wait(net::Sleep(Milliseconds(20)), true);
+    }
+    return false;
+  }
+};
+
 /** Cell "a/0" has a full worker and a long-running task that needs one; cell
  * "b/0" can host it. */
 struct TaskToMove : HolderFixture
@@ -112,3 +186,59 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(hosting, HostedTask)
+
+// A hosted task that its host cell could not start again was offered to no
+// other cell and never ran again.
+BOOST_AUTO_TEST_CASE(hostedtask_of_a_full_host_cell_runs_in_a_third_cell)
+{
+  DrainHost();
+  BOOST_TEST(WaitUntilRunningOn("w3"));
+  Do([&] {
+    BOOST_TEST(mWorkers.mOverlaps == 0U);
+    for (const auto& [key, it] : mStore.mRows) {
+      BOOST_TEST(it.mKey != "b/0/" + std::string(kId));
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(hostedtask_returns_to_its_owner_that_has_room_again)
+{
+  Do([&] {
+    mHostCells = { "b/0" };
+    mOwner->UpdateWorker(MakeRecord("w4"));
+  });
+  DrainHost();
+  BOOST_TEST(WaitUntilRunningOn("w4"));
+  Do([&] { BOOST_TEST(mWorkers.mOverlaps == 0U); });
+}
+
+BOOST_AUTO_TEST_CASE(return_whose_write_has_no_reply_task_runs_in_one_cell)
+{
+  for (const auto fault : { FakeFault::LoseReply, FakeFault::LoseCall }) {
+    Do([&] { mStore.mFaults = { fault }; });
+    DrainHost();
+    BOOST_REQUIRE(Until([&] { return mStore.mFaults.empty(); }));
+    // The worker has room again.
+    Do([&] { mHost->UpdateWorker(MakeRecord("w2")); });
+    auto isRunning = false;
+    for (auto i = 0; i < 300 && !isRunning; ++i) {
+      Wait(net::Sleep(Milliseconds(20)), true);
+      Do([&] { isRunning = mWorkers.mRunning.contains(mTask); });
+    }
+    BOOST_TEST(isRunning);
+    Wait(net::Sleep(Milliseconds(1500)), true);
+    auto isOnHost = false;
+    Do([&] {
+      BOOST_TEST(mWorkers.mOverlaps == 0U);
+      isOnHost = IsRunningOn("w2");
+      mWorkers.mStops.clear();
+    });
+    if (!isOnHost) {
+      break;
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
