--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -14,6 +15,13 @@
 
 namespace eelgrasspost::dispatch::testing {
 
+/** An end that a worker lists until it is acknowledged. */
+struct FakeEnd
+{
+  std::string mWorker;
+  cell::EndRow mRow;
+};
+
 /** Workers that execute all orders; the test ends their runs. */
 class FakeWorkers final : public IWorkerOrders
 {
@@ -22,7 +30,9 @@
   std::vector<cell::Order> mStops;
   std::map<std::string, std::string> mWorkerOf;
   std::map<std::string, cell::RunningRow> mRunning;
-  std::vector<cell::EndRow> mEnds;
+  /** Each worker numbers its ends itself. */
+  std::vector<FakeEnd> mEnds;
+  /** Highest number that was acknowledged to a worker. */
   std::uint64_t mAcknowledged = 0;
   /** Starts of tasks that were running on another worker. */
   std::size_t mOverlaps = 0;
@@ -49,17 +59,33 @@
   std::size_t mMaxListedEnds = 500;
   /** Tasks that crash each worker that starts them. */
   std::set<std::string> mDeadlyTasks;
+  /** Capacity of workers; starts on others are not checked. */
+  std::map<std::string, cell::Resources> mCapacities;
+  /** What one task needs, by the id of its job. */
+  std::map<std::string, cell::Resources> mNeeds;
+  /** Starts that exceeded the capacity of their worker. */
+  std::vector<cell::Order> mExcessiveStarts;
+  /** By worker: calls with lower tokens are lost. */
+  std::map<std::string, std::uint64_t> mLowestHeardTokens;
+  /** The workers' clocks show the time; otherwise each call advances them. */
+  bool mHasRealClock = false;
 
   auto End(const std::string& aTask, cell::EndKind aKind) -> void
   {
     const auto attempt = mRunning.at(aTask).mAttempt;
+    const auto& worker = mWorkerOf.at(aTask);
     mRunning.erase(aTask);
-    mEnds.push_back({ ++mLastEnd, aTask, attempt, aKind, "" });
+    mEnds.push_back(
+      { worker, { ++mLastEnds[worker], aTask, attempt, aKind, "" } });
   }
 
   auto Send(WorkerCall aCall, const cell::Order& aOrder, std::int64_t)
     -> net::Task<OrderReply> override
   {
+    if (!Hears(aCall)) {
+      co_await net::Sleep(Milliseconds(100));
+      co_return OrderReply{ cell::OrderOutcome::Unknown };
+    }
     if (mHoldsOrders) {
       mHeldOrders.emplace_back(aCall, aOrder);
       co_return OrderReply{ cell::OrderOutcome::Unknown };
@@ -85,6 +111,9 @@
     }
     if (aOrder.mKind == cell::OrderKind::Start) {
       mStarts.push_back(aOrder);
+      if (ExceedsCapacity(aOrder, aCall.mWorker)) {
+        mExcessiveStarts.push_back(aOrder);
+      }
       mOverlaps += mRunning.contains(aOrder.mTask) &&
                        mWorkerOf.at(aOrder.mTask) != aCall.mWorker
                      ? 1
@@ -108,10 +137,10 @@
     co_await net::Sleep(Milliseconds(5));
     LeaseRenewalReply out;
     if (mWaitsForEnds && !mUnresponsive.contains(aCall.mWorker) &&
-        mEnds.empty()) {
+        !HasEnds(aCall.mWorker)) {
       co_await net::Sleep(Milliseconds(aRenewal.mWaitMs));
     }
-    if (mUnresponsive.contains(aCall.mWorker)) {
+    if (mUnresponsive.contains(aCall.mWorker) || !Hears(aCall)) {
       co_return out;
     }
     if (mPorts.contains(aCall.mWorker) &&
@@ -129,8 +158,9 @@
       co_return out;
     }
     mAcknowledged = std::max(mAcknowledged, aRenewal.mStoredEnds);
-    std::erase_if(mEnds, [&](const cell::EndRow& aEnd) {
-      return aEnd.mNumber <= aRenewal.mStoredEnds;
+    std::erase_if(mEnds, [&](const FakeEnd& aEnd) {
+      return aEnd.mWorker == aCall.mWorker &&
+             aEnd.mRow.mNumber <= aRenewal.mStoredEnds;
     });
     if (isLate || mLosesReplies.contains(aCall.mWorker)) {
       co_return out;
@@ -146,9 +176,9 @@
       }
     }
     for (const auto& it : mEnds) {
-      if (mWorkerOf.at(it.mTask) == aCall.mWorker &&
+      if (it.mWorker == aCall.mWorker &&
           out.mReport.mEnds.size() < mMaxListedEnds) {
-        out.mReport.mEnds.push_back(it);
+        out.mReport.mEnds.push_back(it.mRow);
       }
     }
     out.mReport.mMayHaveMoreEnds = out.mReport.mEnds.size() >= mMaxListedEnds;
@@ -161,11 +191,10 @@
     mIncarnations[aWorker] = IncarnationOf(aWorker) + 1;
     mTokens.erase(aWorker);
     mStartedAtMs[aWorker] = mClockMs;
-    mLastEnd = 0;
+    mLastEnds.erase(aWorker);
     mAcknowledged = 0;
-    std::erase_if(mEnds, [&](const cell::EndRow& aEnd) {
-      return mWorkerOf.at(aEnd.mTask) == aWorker;
-    });
+    std::erase_if(
+      mEnds, [&](const FakeEnd& aEnd) { return aEnd.mWorker == aWorker; });
     std::erase_if(mRunning, [&](const auto& aItem) {
       return mWorkerOf.at(aItem.first) == aWorker;
     });
@@ -174,10 +203,29 @@
   /** A worker's clock, which starts anew with each incarnation. */
   auto ClockOf(const std::string& aWorker) const -> std::int64_t
   {
+    if (mHasRealClock) {
+      return std::chrono::duration_cast<Milliseconds>(
+               base::MonotonicClock::now().time_since_epoch())
+        .count();
+    }
     const auto it = mStartedAtMs.find(aWorker);
     return it == mStartedAtMs.end() ? mClockMs : mClockMs - it->second + 1;
   }
 
+  auto HasEnds(const std::string& aWorker) const -> bool
+  {
+    return std::any_of(
+      mEnds.begin(), mEnds.end(), [&](const FakeEnd& aEnd) {
+        return aEnd.mWorker == aWorker;
+      });
+  }
+
+  auto NeedOf(const std::string& aTask) const -> cell::Resources
+  {
+    const auto it = mNeeds.find(aTask.substr(0, aTask.find('.')));
+    return it == mNeeds.end() ? cell::Resources{} : it->second;
+  }
+
   auto CountStarts(const std::string& aTask) const -> std::size_t
   {
     return static_cast<std::size_t>(
@@ -203,7 +251,32 @@
     return true;
   }
 
-  std::uint64_t mLastEnd = 0;
+  auto Hears(const WorkerCall& aCall) const -> bool
+  {
+    const auto it = mLowestHeardTokens.find(aCall.mWorker);
+    return it == mLowestHeardTokens.end() || aCall.mToken >= it->second;
+  }
+
+  auto ExceedsCapacity(const cell::Order& aOrder,
+                       const std::string& aWorker) const -> bool
+  {
+    const auto capacity = mCapacities.find(aWorker);
+    if (capacity == mCapacities.end()) {
+      return false;
+    }
+    auto cpu = NeedOf(aOrder.mTask).mCpuMillis;
+    auto memory = NeedOf(aOrder.mTask).mMemoryMb;
+    for (const auto& [name, it] : mRunning) {
+      if (name != aOrder.mTask && mWorkerOf.at(name) == aWorker) {
+        cpu += NeedOf(name).mCpuMillis;
+        memory += NeedOf(name).mMemoryMb;
+      }
+    }
+    return cpu > capacity->second.mCpuMillis ||
+           memory > capacity->second.mMemoryMb;
+  }
+
+  std::map<std::string, std::uint64_t> mLastEnds;
 };
 
 struct HolderFixture : PoolFixture
@@ -221,9 +294,53 @@
   /** The cells that report capacity for long-running tasks, the one with the
    * most first. */
   std::vector<std::string> mHostCells;
+  /** Finds a cell for a long-running task of the given cell; replaceable. */
+  std::function<std::optional<std::string>(const std::string&,
+                                           const HostQuery&)>
+    mFindHost = [this](const std::string&, const HostQuery& aQuery) {
+      for (const auto& it : mHostCells) {
+        if (!aQuery.mExcluded.contains(it)) {
+          return std::optional(it);
+        }
+      }
+      return std::optional<std::string>();
+    };
+  /** Finds a cell for a job of the given cell that has not started. */
+  std::function<std::optional<std::string>(const std::string&,
+                                           const cell::MigratableJob&)>
+    mFindEmptier = [](const std::string&, const cell::MigratableJob&) {
+      return std::optional<std::string>();
+    };
+  /** Executes a command of a holder; replaceable. */
+  std::function<net::Task<JobReply>(JobCommand)> mExecute =
+    [this](JobCommand aCommand) { return ExecuteInCell(std::move(aCommand)); };
   /** Time for which the VM of the holders was suspended. */
   Milliseconds mSuspended{ 0 };
 
+  /** Executes a command at the holder that mCells names. */
+  auto ExecuteInCell(JobCommand aCommand) -> net::Task<JobReply>
+  {
+    const auto it = mCells.find(aCommand.mCell);
+    if (it == mCells.end()) {
+      co_return JobReply{ JobOutcome::CellNotHeld };
+    }
+    co_return co_await it->second->Execute(std::move(aCommand));
+  }
+
+  /** Chooses host cells as the entry does. */
+  auto UseRealHostChoice() -> void
+  {
+    mFindHost = [this](const std::string& aFrom, const HostQuery& aQuery) {
+      std::vector<CellStatus> cells;
+      for (const auto& [name, it] : mCells) {
+        if (it->Phase() != HolderPhase::Ended) {
+          cells.push_back(it->GetStatus());
+        }
+      }
+      return ChooseHostCell(cells, aFrom, aQuery);
+    };
+  }
+
   auto MakeHolder(std::uint64_t aTerm,
                   const std::string& aCell = "a/0",
                   const std::vector<std::string>& aWorkers = { "w1" })
@@ -239,21 +356,12 @@
       1,
       2,
       [](const cell::MigratableJob&) { return std::optional<std::string>(); },
-      [](const cell::MigratableJob&) { return std::optional<std::string>(); },
-      [this](JobCommand aCommand) -> net::Task<JobReply> {
-        const auto it = mCells.find(aCommand.mCell);
-        if (it == mCells.end()) {
-          co_return JobReply{ JobOutcome::CellNotHeld };
-        }
-        co_return co_await it->second->Execute(std::move(aCommand));
+      [this, aCell](const cell::MigratableJob& aJob) {
+        return mFindEmptier(aCell, aJob);
       },
-      [this](const HostQuery& aQuery) {
-        for (const auto& it : mHostCells) {
-          if (!aQuery.mExcluded.contains(it)) {
-            return std::optional(it);
-          }
-        }
-        return std::optional<std::string>();
+      [this](JobCommand aCommand) { return mExecute(std::move(aCommand)); },
+      [this, aCell](const HostQuery& aQuery) {
+        return mFindHost(aCell, aQuery);
       },
       [] { return std::vector<std::string>(); },
       [this] { return base::BootNow() + mSuspended; }
@@ -284,6 +392,10 @@
       out.mAddress.mPort = it->second;
     }
     out.mCapacity = { 16000, 64000, 0 };
+    if (const auto it = mWorkers.mCapacities.find(aId);
+        it != mWorkers.mCapacities.end()) {
+      out.mCapacity = it->second;
+    }
     return out;
   }
 
--- /dev/null
+++ b/src/dispatch/tests/longrunningevents_tests.cpp
@@ -0,0 +1,1 @@
+#include <boost/test/unit_test.hpp>
