--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -61,6 +61,8 @@
   std::set<std::string> mDeadlyTasks;
   /** Capacity of workers; starts on others are not checked. */
   std::map<std::string, cell::Resources> mCapacities;
+  /** Workers that are listed as draining. */
+  std::set<std::string> mDraining;
   /** What one task needs, by the id of its job. */
   std::map<std::string, cell::Resources> mNeeds;
   /** Starts that exceeded the capacity of their worker. */
@@ -391,6 +393,9 @@
         it != mWorkers.mPorts.end()) {
       out.mAddress.mPort = it->second;
     }
+    if (mWorkers.mDraining.contains(aId)) {
+      out.mState = cell::WorkerState::Draining;
+    }
     out.mCapacity = { 16000, 64000, 0 };
     if (const auto it = mWorkers.mCapacities.find(aId);
         it != mWorkers.mCapacities.end()) {
