--- a/src/dispatch/tests/longrunning_tests.cpp
+++ b/src/dispatch/tests/longrunning_tests.cpp
@@ -24,6 +24,9 @@
   FourCells()
   {
     mWorkers.mHasRealClock = true;
+    mWorkers.mPorts = {
+      { "w1", 1 }, { "w2", 2 }, { "w3", 3 }, { "w4", 4 }, { "w5", 5 }
+    };
     UseRealHostChoice();
     Add("a/0", { "w1" });
     Add("b/0", { "w2" });
--- a/src/dispatch/tests/longrunningfixture.h
+++ b/src/dispatch/tests/longrunningfixture.h
@@ -126,6 +126,7 @@
   {
     auto id = "w" + std::to_string(++mWorkerCount);
     mCellOf[id] = aCell;
+    mWorkers.mPorts[id] = static_cast<std::uint16_t>(mWorkerCount);
     mWorkers.mCapacities[id] = { kWorkerCpuMillis, 64000, 0 };
     return id;
   }
@@ -258,7 +259,7 @@
       const auto& ready = holder->State().mReady;
       const auto waiting =
         std::count_if(ready.begin(), ready.end(), [](const auto* it) {
-          return !cell::SpecOf(*it).mIsLongRunning;
+          return !cell::IsLongRunning(it->mJob->mStored.mSpec);
         });
       ++mSampledCells;
       mCellsWithWaiting += waiting > 0 ? 1 : 0;
