--- a/src/dispatch/tests/longrunningevents_tests.cpp
+++ b/src/dispatch/tests/longrunningevents_tests.cpp
@@ -14,7 +14,7 @@
 constexpr auto kEventsFor = Milliseconds(11000);
 /** Time after the last event in which a fault that it caused is seen. */
 constexpr auto kQuietTime = Milliseconds(6500);
-/** An event that a draining worker is replaced after this time. */
+/** A draining worker is replaced after this time. */
 constexpr std::int64_t kReplacementMs = 1000;
 /** Minimum time for which a draining worker stays. */
 constexpr std::int64_t kDrainMs = 2000;
