--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -195,8 +195,8 @@
     mStartedAtMs[aWorker] = mClockMs;
     mLastEnds.erase(aWorker);
     mAcknowledged = 0;
-    std::erase_if(
-      mEnds, [&](const FakeEnd& aEnd) { return aEnd.mWorker == aWorker; });
+    std::erase_if(mEnds,
+                  [&](const FakeEnd& aEnd) { return aEnd.mWorker == aWorker; });
     std::erase_if(mRunning, [&](const auto& aItem) {
       return mWorkerOf.at(aItem.first) == aWorker;
     });
@@ -216,10 +216,9 @@
 
   auto HasEnds(const std::string& aWorker) const -> bool
   {
-    return std::any_of(
-      mEnds.begin(), mEnds.end(), [&](const FakeEnd& aEnd) {
-        return aEnd.mWorker == aWorker;
-      });
+    return std::any_of(mEnds.begin(), mEnds.end(), [&](const FakeEnd& aEnd) {
+      return aEnd.mWorker == aWorker;
+    });
   }
 
   auto NeedOf(const std::string& aTask) const -> cell::Resources
--- a/src/dispatch/tests/longrunning_tests.cpp
+++ b/src/dispatch/tests/longrunning_tests.cpp
@@ -135,15 +135,14 @@
   {
     std::string out;
     Do([&] {
-      for (const auto& [name, holder] :
-           { std::pair("a/0", mCells.at("a/0")),
-             std::pair("b/0, old", mOld),
-             std::pair("b/0, next", mNext) }) {
+      for (const auto& [name, holder] : { std::pair("a/0", mCells.at("a/0")),
+                                          std::pair("b/0, old", mOld),
+                                          std::pair("b/0, next", mNext) }) {
         auto& state = const_cast<cell::CellState&>(holder->State());
         const auto* task = cell::FindTask(state, mTask);
         out += std::string(name) + ": " +
-               (task ? "phase " + std::to_string(int(task->mPhase)) + " host '" +
-                         task->mHostCell + "'"
+               (task ? "phase " + std::to_string(int(task->mPhase)) +
+                         " host '" + task->mHostCell + "'"
                      : "does not know the task") +
                "; ";
       }
@@ -204,7 +203,8 @@
   });
   Submit(MakeLongRunning(kId, 2));
   BOOST_REQUIRE(Until([&] {
-    return mStore.Find(std::string(kJobTable), "p0", "b/0/" + std::string(kId)) ||
+    return mStore.Find(
+             std::string(kJobTable), "p0", "b/0/" + std::string(kId)) ||
            mStore.Find(std::string(kJobTable), "p1", "b/0/" + std::string(kId));
   }));
   Wait(net::Sleep(Milliseconds(500)), true);
--- a/src/dispatch/tests/longrunningevents_tests.cpp
+++ b/src/dispatch/tests/longrunningevents_tests.cpp
@@ -147,7 +147,8 @@
     if (aCpuMillis < capacity.mCpuMillis) {
       // Orders that were sent before the change may still arrive.
       mWorkers.mFormerCapacities[aWorker] = capacity;
-      After(100, [this, aWorker] { mWorkers.mFormerCapacities.erase(aWorker); });
+      After(100,
+            [this, aWorker] { mWorkers.mFormerCapacities.erase(aWorker); });
     }
     capacity.mCpuMillis = aCpuMillis;
     ListWorker(MakeRecord(aWorker));
@@ -211,15 +212,13 @@
   }
   cells.Wait(net::Sleep(kQuietTime), true);
   cells.Do([&] {
-    BOOST_TEST_MESSAGE("seed " << aSeed << ": longest wait with room "
-                               << cells.mLongestAbsence.count() << " ms, "
-                               << cells.mAbsenceCount << " absences, "
-                               << cells.mHostedRuns.size() << " hosted runs, "
-                               << 100 * cells.mCellsWithWaiting /
-                                    cells.mSampledCells
-                               << "% of samples with waiting short tasks, "
-                               << cells.mShortJobs << " short jobs, "
-                               << cells.mWorkers.mStarts.size() << " starts");
+    BOOST_TEST_MESSAGE(
+      "seed " << aSeed << ": longest wait with room "
+              << cells.mLongestAbsence.count() << " ms, " << cells.mAbsenceCount
+              << " absences, " << cells.mHostedRuns.size() << " hosted runs, "
+              << 100 * cells.mCellsWithWaiting / cells.mSampledCells
+              << "% of samples with waiting short tasks, " << cells.mShortJobs
+              << " short jobs, " << cells.mWorkers.mStarts.size() << " starts");
     for (const auto& it : cells.mEvents) {
       BOOST_TEST_MESSAGE(it);
     }
--- a/src/dispatch/tests/longrunningfixture.h
+++ b/src/dispatch/tests/longrunningfixture.h
@@ -74,8 +74,8 @@
         StartHolder(cell);
         mCells[cell] = mNewest[cell];
       });
-      BOOST_REQUIRE(Until(
-        [&] { return mCells.at(cell)->Phase() == HolderPhase::Active; }));
+      BOOST_REQUIRE(
+        Until([&] { return mCells.at(cell)->Phase() == HolderPhase::Active; }));
     }
     mPool.Spawn(mPool.Executor(0), Sample());
   }
@@ -104,9 +104,8 @@
   template<typename T>
   auto Pick(const T& aItems) -> typename T::value_type
   {
-    return *std::next(
-      aItems.begin(),
-      Random(0, static_cast<std::int64_t>(aItems.size()) - 1));
+    return *std::next(aItems.begin(),
+                      Random(0, static_cast<std::int64_t>(aItems.size()) - 1));
   }
 
   auto After(std::int64_t aMs, std::function<void()> aFunction) -> void
@@ -186,8 +185,8 @@
         command.mJob.mSpec.mSteps[0].mIsLongRunning = true;
         holder = std::next(mCells.begin(), i % 4)->second;
       });
-      BOOST_REQUIRE((Wait(holder->Execute(command)).mOutcome ==
-                     JobOutcome::Done));
+      BOOST_REQUIRE(
+        (Wait(holder->Execute(command)).mOutcome == JobOutcome::Done));
       Do([&] {
         for (auto index = 0; index < count; ++index) {
           mTasks.push_back(id + ".0.0." + std::to_string(index));
@@ -311,8 +310,8 @@
         }
         continue;
       }
-      auto& absence = mAbsences.try_emplace(task, Absence{ aNow, {} })
-                        .first->second;
+      auto& absence =
+        mAbsences.try_emplace(task, Absence{ aNow, {} }).first->second;
       std::erase_if(absence.mRoomSince, [&](const auto& aItem) {
         return !mCellOf.contains(aItem.first) || !HasRoom(aItem.first, task);
       });
@@ -320,8 +319,8 @@
         if (!HasRoom(worker, task)) {
           continue;
         }
-        const auto since = absence.mRoomSince.try_emplace(worker, aNow)
-                             .first->second;
+        const auto since =
+          absence.mRoomSince.try_emplace(worker, aNow).first->second;
         const auto lasted =
           std::chrono::duration_cast<Milliseconds>(aNow - since);
         mLongestAbsence = std::max(mLongestAbsence, lasted);
@@ -363,7 +362,8 @@
           << task->mJob->mIsMigrating << ", dirty " << task->mJob->mIsDirty;
       for (const auto& it : cell::FindWaiting(state, aNow, Milliseconds(0))) {
         if (it.mTask == task) {
-          out << ", waits: " << base::NameOf(cell::kWaitReasonNames, it.mReason);
+          out << ", waits: "
+              << base::NameOf(cell::kWaitReasonNames, it.mReason);
         }
       }
       for (const auto& it : state.mUnreconciledWorkers) {
