Refuse to import a job of which the cell hosts tasks

Found by review, not seen: a cell that still had the hosted copy of a job replied that the job was imported already, without writing its rows. The owning cell then forgot the job, and nobody ran it until a takeover. It became possible with the return of hosted tasks, after which such a job may migrate again.

--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -196,8 +196,10 @@
   if (mIsShuttingDown || !CanSendOrders() || mUnresolvedJobs.contains(id)) {
     co_return JobReply{ JobOutcome::CellNotHeld };
   }
-  if (cell::FindJob(mState, id)) {
-    co_return JobReply{ JobOutcome::Done };
+  if (const auto* job = cell::FindJob(mState, id)) {
+    // A hosted job is not the job itself, of which the rows are elsewhere.
+    co_return JobReply{ cell::IsHostedJob(*job) ? JobOutcome::Refused
+                                                : JobOutcome::Done };
   }
   const auto partition = PartitionOf(id);
   const auto& origin = aCommand.mSource;
