Refuse hosted tasks while runs of a previous holder are unknown

Found by review, not seen: after a takeover a cell reserved capacity for tasks that it may not start before its workers have reported, for up to 16 s. Such tasks are neither moved nor returned. A cell refuses now, so that another one is asked.

--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -273,8 +273,10 @@
 auto CellHolder::ReserveCapacity(const CapacityRequest& aRequest) -> JobReply
 {
   const auto now = base::MonotonicClock::now();
+  // While runs of a previous holder are unknown, the task could not start here.
   const auto isReserved =
     !mIsShuttingDown && CanSendOrders() &&
+    mState.mUnreconciledWorkers.empty() &&
     cell::ReserveCapacity(mState, aRequest.mNeed, aRequest.mMayWait, now);
   return { isReserved ? JobOutcome::Done : JobOutcome::Refused };
 }
