Settle a return of hosted tasks without a reply by writing the host's row

The host now rewrites its row, so that the return, which expects the row's version, fails if it was not executed; the tasks wait only for that write. A run of a task that the row no longer lists is stopped. A host that does not find the owner does not freeze the tasks.

--- a/src/cell/internal/hostedtasks.cpp
+++ b/src/cell/internal/hostedtasks.cpp
@@ -47,6 +47,22 @@
   return out;
 }
 
+namespace {
+
+/** Stops the run of a task that the cell no longer runs. */
+auto StopUnownedRun(Task& aTask) -> void
+{
+  const auto run = aTask.mWorker->mRuns.find(TaskName(aTask));
+  if (run != aTask.mWorker->mRuns.end()) {
+    run->second.mTask = nullptr;
+    RequestStop(run->second);
+  }
+  aTask.mPhase = TaskPhase::Remote;
+  aTask.mWorker = nullptr;
+}
+
+} // namespace
+
 auto SetHostedTasks(CellState& aCell,
                     Job& aJob,
                     std::vector<TaskPosition> aTasks,
@@ -64,6 +80,8 @@
           std::erase(aCell.mReady, &it);
           it.mPhase = TaskPhase::Remote;
           it.mIsReturning = false;
+        } else if (it.mPhase == TaskPhase::Placed && !isHosted) {
+          StopUnownedRun(it);
         }
       }
     }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -213,11 +213,11 @@
   "add workers if this persists",
 };
 
-inline constexpr auto kTaskReturned = base::LogEvent{
+inline constexpr auto kTasksReturned = base::LogEvent{
   949,
   base::LogLevel::Info,
-  "a cell returns a long-running task that it cannot start to the owning cell",
-  "none; outcome 0 means that the owning cell took it back",
+  "a cell returns long-running tasks that it cannot start to the owning cell",
+  "none; outcome 0 means that the owning cell took them back",
 };
 
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
@@ -249,7 +249,7 @@
                                                        kTaskWaits,
                                                        kHostRefused,
                                                        kNoHostCell,
-                                                       kTaskReturned };
+                                                       kTasksReturned };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -212,8 +212,8 @@
   SyncHostedJob,
   /** Fails a job of which a host cell has given up a task. */
   GiveUpJob,
-  /** Takes back a task that its host cell cannot start. */
-  ReturnTask,
+  /** Takes back tasks that their host cell cannot start. */
+  ReturnTasks,
 };
 
 /** Control table row of a worker that was transferred out of the cell to which
@@ -246,7 +246,7 @@
 };
 
 /** Location and row versions of a job that is to be migrated, or of a hosted
- * job of which a task is to be returned. */
+ * job of which tasks are to be returned. */
 struct MigrationSource
 {
   std::string mCell;
@@ -273,8 +273,6 @@
   /** Used by ImportJob. */
   cell::JobProgress mProgress;
   MigrationSource mSource;
-  /** Used by ReturnTask. */
-  cell::TaskPosition mTask;
   /** Used by TransferWorker and ReserveCapacity. */
   CapacityRequest mRequest;
 
@@ -282,7 +280,7 @@
   auto serialize(Archive& archive) -> void
   {
     archive(mKind, mCell, mJobId, mJob, mTimeoutMs, mProgress, mSource);
-    archive(mTask, mRequest);
+    archive(mRequest);
   }
 };
 
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -167,6 +167,8 @@
     -> net::Task<bool>;
   auto UpdateCommitTime(MonotonicTime aSentAt) -> void;
   auto WriteMembers() -> net::Task<void>;
+  /** Removes the rows of workers that have left. */
+  auto RemoveDepartedMembers(MonotonicTime aNow) -> void;
   auto ReadUncertainMembers() -> net::Task<bool>;
   auto WriteChangedMembers() -> net::Task<void>;
   /** Whether the next holder learns of the worker from its row. */
@@ -195,11 +197,11 @@
   auto RefusingHosts(const cell::Resources& aNeed, MonotonicTime aNow)
     -> std::set<std::string>;
   auto ReturnStarvedTasks() -> void;
-  auto ReturnTask(std::string aTask) -> net::Task<void>;
-  auto SettleReturn(std::string aId,
-                    std::uint64_t aJobVersion,
-                    bool aIsUncertain) -> net::Task<void>;
-  auto AcceptReturnedTask(JobCommand aCommand) -> net::Task<JobReply>;
+  auto ReturnTasks(std::string aId, std::vector<cell::TaskPosition> aTasks)
+    -> net::Task<void>;
+  auto InvalidateReturn(std::string aId, std::uint64_t aVersion)
+    -> net::Task<void>;
+  auto AcceptReturnedTasks(JobCommand aCommand) -> net::Task<JobReply>;
   /** The cell that owns a job; nothing if it could not be read. */
   auto FindOwner(std::string aId) -> net::Task<std::optional<std::string>>;
   auto NotifyHostWhenStored(std::string aId, std::string aHost)
@@ -265,6 +267,7 @@
   std::set<std::string> mPolledWorkers;
   std::map<std::string, MemberRow> mMembers;
   bool mIsWritingMembers = false;
+  MonotonicTime mNextMemberRemovalAt{};
   /** Until then, a write without a reply may add the row of a worker that is no
    * member any more. */
   MonotonicTime mMemberWritesSettledAt{};
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -47,8 +47,8 @@
       co_return co_await ConfirmHostedTasks(std::move(aCommand));
     case JobCommandKind::GiveUpJob:
       co_return GiveUpJob(aCommand.mJobId);
-    case JobCommandKind::ReturnTask:
-      co_return co_await AcceptReturnedTask(std::move(aCommand));
+    case JobCommandKind::ReturnTasks:
+      co_return co_await AcceptReturnedTasks(std::move(aCommand));
   }
   co_return JobReply{ JobOutcome::NotInCell };
 }
--- a/src/dispatch/internal/holderreturns.cpp
+++ b/src/dispatch/internal/holderreturns.cpp
@@ -27,75 +27,111 @@
   if (mIsShuttingDown || !CanSendOrders()) {
     return;
   }
-  std::vector<std::string> names;
+  std::map<std::string, std::vector<cell::TaskPosition>> byJob;
   for (const auto* it : cell::FindStarved(mState, now, kReturnDelay)) {
-    const auto name = cell::TaskName(*it);
-    const auto isDue = now - it->mReadyAt > kReservedReturnDelay ||
-                       !cell::FindReservedWorker(mState, name, now);
+    const auto isDue =
+      now - it->mReadyAt > kReservedReturnDelay ||
+      !cell::FindReservedWorker(mState, cell::TaskName(*it), now);
     if (cell::IsHostedJob(*it->mJob) && isDue && now >= it->mNextReturnAt) {
-      names.push_back(name);
+      byJob[it->mJob->mStored.mSpec.mId].push_back(
+        { it->mOccurrence, it->mStep, it->mIndex });
     }
   }
-  for (auto& it : names) {
-    cell::FindTask(mState, it)->mIsReturning = true;
-    net::SpawnTask(mContext.mExecutor, ReturnTask(std::move(it)));
+  for (auto& [id, tasks] : byJob) {
+    auto* job = cell::FindJob(mState, id);
+    for (const auto& it : tasks) {
+      cell::FindTask(*job, it)->mIsReturning = true;
+    }
+    net::SpawnTask(mContext.mExecutor, ReturnTasks(id, std::move(tasks)));
   }
 }
 
 /** The owning cell rewrites the rows of both cells on condition that the row
- * and the fence of this cell are unchanged. Until the outcome is known the task
- * is not started here. */
-auto CellHolder::ReturnTask(std::string aTask) -> net::Task<void>
+ * and the fence of this cell are unchanged. Until the outcome is known the
+ * tasks are not started here. */
+auto CellHolder::ReturnTasks(std::string aId,
+                             std::vector<cell::TaskPosition> aTasks)
+  -> net::Task<void>
 {
   const auto self = shared_from_this();
-  const auto* task = cell::FindTask(mState, aTask);
-  const auto id = task->mJob->mStored.mSpec.mId;
   JobCommand command;
-  command.mKind = JobCommandKind::ReturnTask;
-  command.mJobId = id;
-  command.mTask = { task->mOccurrence, task->mStep, task->mIndex };
-  command.mSource = {
-    mRow.mName, mFences.at(PartitionOf(id)), mRows[id].mJobVersion, 0
-  };
+  command.mKind = JobCommandKind::ReturnTasks;
+  command.mJobId = aId;
+  command.mJob.mHostedTasks = aTasks;
   command.mTimeoutMs = kStoreTimeout.count();
   JobReply reply{ JobOutcome::CellNotHeld };
-  if (const auto owner = co_await FindOwner(id)) {
+  const auto owner = co_await FindOwner(aId);
+  const auto row = mRows.find(aId);
+  if (owner && row != mRows.end()) {
     command.mCell = *owner;
+    command.mSource = {
+      mRow.mName, mFences.at(PartitionOf(aId)), row->second.mJobVersion, 0
+    };
+    const auto version = row->second.mJobVersion;
     reply = co_await mContext.mExecute(std::move(command));
+    if (reply.mOutcome == JobOutcome::Uncertain) {
+      co_await InvalidateReturn(aId, version);
+    }
+    if (mPhase == HolderPhase::Active) {
+      // Removes the tasks if they were returned.
+      co_await SyncHostedJob(aId);
+    }
   }
   if (mPhase != HolderPhase::Active) {
     co_return;
   }
   mContext.mLog.Record(
-    kTaskReturned,
-    { { "task", aTask },
+    kTasksReturned,
+    { { "job", aId },
+      { "tasks", static_cast<std::int64_t>(aTasks.size()) },
       { "from", mRow.mName },
       { "outcome", static_cast<std::int64_t>(reply.mOutcome) } });
-  co_await SettleReturn(
-    id, command.mSource.mJobVersion, reply.mOutcome == JobOutcome::Uncertain);
-  if (auto* it = cell::FindTask(mState, aTask)) {
-    it->mIsReturning = false;
-    it->mNextReturnAt = base::MonotonicClock::now() + kReturnRetryInterval;
-    ScheduleDecision();
+  auto* job = cell::FindJob(mState, aId);
+  for (const auto& it : aTasks) {
+    auto* task = job ? cell::FindTask(*job, it) : nullptr;
+    // A task that was taken back stays frozen until its removal is read.
+    if (task && reply.mOutcome != JobOutcome::Done) {
+      task->mIsReturning = false;
+      task->mNextReturnAt = base::MonotonicClock::now() + kReturnRetryInterval;
+    }
   }
+  ScheduleDecision();
 }
 
-/** Reads which tasks of a hosted job are left. A return without a reply may
- * still be executed while the job's row has the version that it expects. */
-auto CellHolder::SettleReturn(std::string aId,
-                              std::uint64_t aJobVersion,
-                              bool aIsUncertain) -> net::Task<void>
+/** Rewrites the row of a hosted job, so that a return without a reply, which
+ * expects its version, fails if it was not executed. */
+auto CellHolder::InvalidateReturn(std::string aId, std::uint64_t aVersion)
+  -> net::Task<void>
 {
-  const auto last = base::MonotonicClock::now() + kMaxWriteDelay;
   while (mPhase == HolderPhase::Active) {
-    const auto reply = co_await SyncHostedJob(aId);
-    const auto it = mRows.find(aId);
-    const auto isSettled = !aIsUncertain || it == mRows.end() ||
-                           it->second.mJobVersion != aJobVersion ||
-                           base::MonotonicClock::now() >= last;
-    if (reply.mOutcome != JobOutcome::Uncertain && isSettled) {
+    const auto* job = cell::FindJob(mState, aId);
+    const auto row = mRows.find(aId);
+    if (!job || row == mRows.end() || row->second.mJobVersion != aVersion) {
       co_return;
     }
+    const auto partition = PartitionOf(aId);
+    const auto key = RowKey{ std::string(kJobTable), JobKey(aId) };
+    StoreTransaction transaction;
+    transaction.mPartition = PartitionName(partition);
+    transaction.mExpected = { FenceOf(partition), { key, aVersion } };
+    transaction.mWrites = { { key, net::Encode(job->mStored) } };
+    const auto reply = co_await mContext.mStore.Commit(
+      std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
+    if (reply.mOutcome == StoreOutcome::Conflict) {
+      CheckFence(reply);
+    }
+    if (mPhase == HolderPhase::Active &&
+        (reply.mOutcome == StoreOutcome::Done ||
+         (co_await SyncHostedJob(aId)).mOutcome == JobOutcome::Done)) {
+      const auto now = mRows.find(aId);
+      if (reply.mOutcome == StoreOutcome::Done && now != mRows.end()) {
+        now->second.mJobVersion = reply.mVersion;
+      }
+      if (reply.mOutcome == StoreOutcome::Done ||
+          reply.mOutcome == StoreOutcome::Conflict) {
+        co_return;
+      }
+    }
     co_await net::Sleep(kRetryInterval);
   }
 }
@@ -118,8 +154,8 @@
   co_return row.ok() ? std::optional(row->mCell) : std::nullopt;
 }
 
-/** Takes back a task that its host cell cannot start. */
-auto CellHolder::AcceptReturnedTask(JobCommand aCommand) -> net::Task<JobReply>
+/** Takes back tasks that their host cell cannot start. */
+auto CellHolder::AcceptReturnedTasks(JobCommand aCommand) -> net::Task<JobReply>
 {
   const auto& id = aCommand.mJobId;
   const auto& host = aCommand.mSource;
@@ -127,11 +163,16 @@
   if (!job) {
     co_return JobReply{ JobOutcome::NotInCell };
   }
-  auto* task = cell::FindTask(*job, aCommand.mTask);
-  const auto isThere = task && task->mPhase == cell::TaskPhase::Remote &&
-                       task->mHostCell == host.mCell;
-  if (!isThere || mIsShuttingDown || !CanSendOrders() ||
-      cell::IsFinal(job->mState)) {
+  std::vector<cell::Task*> tasks;
+  for (const auto& it : aCommand.mJob.mHostedTasks) {
+    auto* task = cell::FindTask(*job, it);
+    if (task && task->mPhase == cell::TaskPhase::Remote &&
+        task->mHostCell == host.mCell) {
+      tasks.push_back(task);
+    }
+  }
+  if (tasks.empty() || tasks.size() != aCommand.mJob.mHostedTasks.size() ||
+      mIsShuttingDown || !CanSendOrders() || cell::IsFinal(job->mState)) {
     co_return JobReply{ JobOutcome::Refused };
   }
   const auto partition = PartitionOf(id);
@@ -143,20 +184,21 @@
                             { { std::string(kFenceTable), host.mCell },
                               host.mFenceVersion },
                             { hostJob, host.mJobVersion } };
-  task->mHostCell.clear();
+  for (auto* it : tasks) {
+    it->mHostCell.clear();
+  }
   AppendProgress(transaction, *job);
-  const auto isLast = !cell::RemoteTasksByHost(*job).contains(host.mCell);
-  task->mHostCell = host.mCell;
-  if (isLast) {
+  if (!cell::RemoteTasksByHost(*job).contains(host.mCell)) {
     transaction.mRemovals.push_back(hostJob);
   }
+  for (auto* it : tasks) {
+    it->mHostCell = host.mCell;
+  }
   const auto reply = co_await mContext.mStore.Commit(
     std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
   if (mPhase == HolderPhase::Ended) {
     co_return JobReply{ JobOutcome::Uncertain };
   }
-  job = FindOwnJob(id);
-  task = job ? cell::FindTask(*job, aCommand.mTask) : nullptr;
   if (reply.mOutcome == StoreOutcome::Conflict) {
     CheckFence(reply);
   }
@@ -164,12 +206,13 @@
       reply.mOutcome == StoreOutcome::Refused) {
     co_return JobReply{ JobOutcome::Refused };
   }
-  if (!task) {
+  job = FindOwnJob(id);
+  if (!job) {
     co_return JobReply{ JobOutcome::Uncertain };
   }
   if (reply.mOutcome != StoreOutcome::Done) {
-    // The next write of the progress assigns the task to the host cell again,
-    // which may have read that it was returned.
+    // The next write of the progress assigns the tasks to the host cell again,
+    // which may have read that they were returned.
     cell::MarkDirty(mState, *job);
     ScheduleDecision();
     net::SpawnTask(mContext.mExecutor, NotifyHostWhenStored(id, host.mCell));
@@ -177,10 +220,13 @@
   }
   mRows[id].mProgressVersion = reply.mVersion;
   const auto now = base::MonotonicClock::now();
-  mRefusingHosts[host.mCell] = { now + kReturnRetryInterval,
-                                 cell::SpecOf(*task).mNeed.mCpuMillis };
-  // It has waited in the host cell and may move on at once.
-  cell::TakeTaskBack(mState, *task, now, kReturnDelay);
+  for (const auto& it : aCommand.mJob.mHostedTasks) {
+    auto& task = *cell::FindTask(*job, it);
+    mRefusingHosts[host.mCell] = { now + kReturnRetryInterval,
+                                   cell::SpecOf(task).mNeed.mCpuMillis };
+    // It has waited in the host cell and may move on at once.
+    cell::TakeTaskBack(mState, task, now, kReturnDelay);
+  }
   ScheduleDecision();
   co_return JobReply{ JobOutcome::Done };
 }
--- a/src/dispatch/tests/hosting_tests.cpp
+++ b/src/dispatch/tests/hosting_tests.cpp
@@ -160,7 +160,7 @@
     mStore.mFaults = { FakeFault::LoseReply };
     mStore.mDelays = { Milliseconds(1600) };
     mWorkers.End(mTask, cell::EndKind::Stopped);
-    mWorkers.mEnds.back().mCheckpoint = "checkpoint";
+    mWorkers.mEnds.back().mRow.mCheckpoint = "checkpoint";
     mHostCells = { "b/0" };
   });
   BOOST_TEST(IsStartedWithinLimit());
