Renew the reservations of all tasks of a step

Found by review: once one task of a step could not reserve capacity, the reservations of the later ones lapsed.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -376,7 +376,10 @@
                      bool aMayWait,
                      MonotonicTime aNow) -> bool;
 
-/** Whether capacity is reserved for a task of the given name. */
+/** Removes reservations that have lapsed or exceed the worker's capacity. */
+auto RemoveExpiredReservations(CellState& aCell, MonotonicTime aNow) -> void;
+/** The worker on which capacity is reserved for a task; null if there is none.
+ */
 auto FindReservedWorker(CellState& aCell,
                         const std::string& aTask,
                         MonotonicTime aNow) -> Worker*;
@@ -446,8 +449,8 @@
 /** Returns the orders that are due; each one counts as sent. */
 auto CollectOrders(CellState& aCell, MonotonicTime aNow) -> std::vector<Order>;
 
-/** Drops the runs of workers whose leases have all expired, and removes those
- * of these workers that are no longer listed. */
+/** Drops the runs of workers whose leases have all expired. Removes the workers
+ * that are no longer listed once they have no runs. */
 auto ExpireWorkers(CellState& aCell, MonotonicTime aNow) -> void;
 
 /** Requests that stalled runs, and long-running ones on draining workers, are
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -250,7 +250,9 @@
     if (!isSearchFutile) {
       unplaced.push_back({ it, &spec, tolerance });
     }
-    const auto mayReserve = spec.mIsLongRunning && &spec != unreservable &&
+    const auto mayReserve = spec.mIsLongRunning &&
+                            (&spec != unreservable ||
+                             FindReservedWorker(aCell, TaskName(*it), aNow)) &&
                             (IsRestart(*it) || reservations < kMaxReservations);
     if (mayReserve && ReserveForTask(aCell, *it, aNow)) {
       ++reservations;
--- a/src/cell/internal/workerchoice.h
+++ b/src/cell/internal/workerchoice.h
@@ -44,8 +44,6 @@
                        MonotonicTime aNow) -> Resources;
 
 auto RemoveReservation(CellState& aCell, const std::string& aTask) -> void;
-/** Removes reservations that have lapsed or exceed the worker's capacity. */
-auto RemoveExpiredReservations(CellState& aCell, MonotonicTime aNow) -> void;
 
 /** Reserves capacity for a long-running task of the cell, or extends its
  * reservation; null when no worker can hold it. */
