Remove idle workers that have left from the members of their cell at once

Callers would see long-running tasks without a run for 6 s and more after a takeover (LOST).

Cause: a worker that had left, with no run, stayed in the table of members until its last lease would have ended. The next holder cannot ask it what runs there, and starts no task without a run before that lease has ended, 6.2 s, or 16.2 s if the previous holder may still act.

A worker that is no longer listed, whose runs are known and none, and of which all ends are stored, has no order that is not settled. It is removed at once, and so is its row.

--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -477,6 +477,13 @@
   for (auto& [id, it] : aCell.mWorkers) {
     const auto isPending =
       !it->mRuns.empty() || aCell.mUnreconciledWorkers.contains(id);
+    const auto isIdle =
+      it->mIsKnown && !isPending && it->mSeenEnds <= it->mStoredEnds;
+    if (isIdle && !it->mIsListed) {
+      // All orders to it are settled.
+      expired.push_back(id);
+      continue;
+    }
     if (aNow < it->mLeasesExpiredAt) {
       continue;
     }
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -24,6 +24,9 @@
  * twice. */
 constexpr auto kFlushTimeout = Milliseconds(6000);
 
+/** Minimum time between two removals of rows of departed workers. */
+constexpr auto kMemberRemovalInterval = Milliseconds(500);
+
 struct JobWrite
 {
   std::string mId;
@@ -299,6 +302,18 @@
   mIsWritingMembers = false;
 }
 
+auto CellHolder::RemoveDepartedMembers(MonotonicTime aNow) -> void
+{
+  const auto hasDeparted =
+    std::any_of(mMembers.begin(), mMembers.end(), [&](const auto& aItem) {
+      return !mState.mWorkers.contains(aItem.first);
+    });
+  if (hasDeparted && !mIsWritingMembers && aNow >= mNextMemberRemovalAt) {
+    mNextMemberRemovalAt = aNow + kMemberRemovalInterval;
+    net::SpawnTask(mContext.mExecutor, WriteMembers());
+  }
+}
+
 /** Reads the versions of the rows whose last write got no reply or failed. */
 auto CellHolder::ReadUncertainMembers() -> net::Task<bool>
 {
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -388,6 +388,8 @@
     cell::ExpireWorkers(mState, now);
     cell::Decay(mState.mInterference,
                 std::chrono::duration<double>(kTickInterval).count());
+    cell::RemoveExpiredReservations(mState, now);
+    RemoveDepartedMembers(now);
     MigrateJobs();
     RequestWorkers();
     MoveStarvedTasks();
