Keep a worker that may have restarted in the members until its leases end

The removal of idle workers that have left must not include one from which a late order could still be accepted: after a restart, a worker has seen no token.

--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -477,8 +477,8 @@
   for (auto& [id, it] : aCell.mWorkers) {
     const auto isPending =
       !it->mRuns.empty() || aCell.mUnreconciledWorkers.contains(id);
-    const auto isIdle =
-      it->mIsKnown && !isPending && it->mSeenEnds <= it->mStoredEnds;
+    const auto isIdle = it->mIsKnown && !it->mMayHaveRestartedSince &&
+                        !isPending && it->mSeenEnds <= it->mStoredEnds;
     if (isIdle && !it->mIsListed) {
       // All orders to it are settled.
       expired.push_back(id);
