Unfreeze a returned task that is assigned to its host cell again

Found by reading the diff, not seen: a task that the owning cell had taken back and assigned to the same host before the host read the removal stayed frozen there and never ran. The host now reads the row until that succeeds, and then starts what it still lists. No test of its own.

--- a/src/dispatch/internal/holderreturns.cpp
+++ b/src/dispatch/internal/holderreturns.cpp
@@ -72,9 +72,11 @@
     if (reply.mOutcome == JobOutcome::Uncertain) {
       co_await InvalidateReturn(aId, version);
     }
-    if (mPhase == HolderPhase::Active) {
-      // Removes the tasks if they were returned.
-      co_await SyncHostedJob(aId);
+    // Removes the tasks if they were returned.
+    while (mPhase == HolderPhase::Active &&
+           (co_await SyncHostedJob(aId)).mOutcome == JobOutcome::Uncertain &&
+           reply.mOutcome == JobOutcome::Done) {
+      co_await net::Sleep(kRetryInterval);
     }
   }
   if (mPhase != HolderPhase::Active) {
@@ -88,9 +90,8 @@
       { "outcome", static_cast<std::int64_t>(reply.mOutcome) } });
   auto* job = cell::FindJob(mState, aId);
   for (const auto& it : aTasks) {
-    auto* task = job ? cell::FindTask(*job, it) : nullptr;
-    // A task that was taken back stays frozen until its removal is read.
-    if (task && reply.mOutcome != JobOutcome::Done) {
+    // A task that is still listed was not returned, or was assigned again.
+    if (auto* task = job ? cell::FindTask(*job, it) : nullptr) {
       task->mIsReturning = false;
       task->mNextReturnAt = base::MonotonicClock::now() + kReturnRetryInterval;
     }
