Declare what concerns the room of a cell in a header of its own

Reservations, waiting tasks and capacities are declared in room.h; ExpireWorkers is beside the other functions on runs. No change of behaviour.

--- /dev/null
+++ b/src/cell/include/eelgrasspost/cell/room.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "eelgrasspost/cell/cellstate.h"
+
+namespace eelgrasspost::cell {
+
+auto NeedOf(const Task& aTask) -> LongRunningNeed;
+
+/** Reserves capacity for a long-running task of another cell on a usable
+ * worker, for a limited time; false when no worker can hold it. aMayWait: also
+ * where it has room only after short tasks have ended. */
+auto ReserveCapacity(CellState& aCell,
+                     const LongRunningNeed& aNeed,
+                     bool aMayWait,
+                     MonotonicTime aNow) -> bool;
+
+/** Removes reservations that have lapsed or exceed the worker's capacity. */
+auto RemoveExpiredReservations(CellState& aCell, MonotonicTime aNow) -> void;
+/** The worker on which capacity is reserved for a task; null if there is none.
+ */
+auto FindReservedWorker(CellState& aCell,
+                        const std::string& aTask,
+                        MonotonicTime aNow) -> Worker*;
+
+/** Times since the list of workers was last known to be complete, and since the
+ * last call was sent that failed to read it. */
+struct WorkerListAge
+{
+  Milliseconds mSinceConfirmed{ 0 };
+  Milliseconds mSinceFailedCall{ 0 };
+};
+/** aMaxAge: age from which a capacity may have been reduced for too long.
+ * aMaxFailureAge: how long a failed call shows that the list is unavailable. */
+auto ClassifyWorkerList(const WorkerListAge& aAge,
+                        Milliseconds aMaxAge,
+                        Milliseconds aMaxFailureAge) -> WorkerListState;
+
+/** Long-running tasks that have been ready for more than aWait. */
+auto FindStarved(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
+  -> std::vector<const Task*>;
+
+struct WaitingTask
+{
+  const Task* mTask = nullptr;
+  WaitReason mReason = WaitReason::NoRoom;
+  Milliseconds mWaited{ 0 };
+};
+/** All long-running tasks that have been ready for more than aWait, also those
+ * that may not be started. */
+auto FindWaiting(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
+  -> std::vector<WaitingTask>;
+
+/** The least used worker that has no long-running run and the capacity for
+ * aNeed; null when there is none. */
+auto FindTransferable(CellState& aCell,
+                      const std::string& aService,
+                      const Resources& aNeed,
+                      MonotonicTime aNow) -> Worker*;
+
+/** Ends starts on a worker and requests that its best-effort runs are stopped.
+ */
+auto PrepareTransfer(Worker& aWorker) -> void;
+
+/** Capacity and demand of a cell, over its usable workers. */
+struct CellRoom
+{
+  /** Unreserved resources, less what waiting tasks need. */
+  Resources mFree;
+  /** Largest unreserved CPU millis of one worker. */
+  std::int64_t mLargestCpuMillis = 0;
+  /** Largest CPU millis that one worker has for a long-running task once its
+   * short tasks have ended. */
+  std::int64_t mLargestReservableCpuMillis = 0;
+  std::int64_t mCapacityCpuMillis = 0;
+  /** CPU millis that best-effort tasks want, placed or not. */
+  std::int64_t mBestEffortCpuMillis = 0;
+  /** CPU millis that are left over for best-effort tasks. */
+  std::int64_t mLeftoverCpuMillis = 0;
+  /** CPU millis that waiting tasks need. */
+  std::int64_t mWaitingCpuMillis = 0;
+};
+auto RoomOf(const CellState& aCell, MonotonicTime aNow) -> CellRoom;
+
+} // namespace eelgrasspost::cell
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "eelgrasspost/cell/cellstate.h"
+#include "eelgrasspost/cell/room.h"
 
 namespace eelgrasspost::cell {
 
--- a/src/cell/internal/runs.cpp
+++ b/src/cell/internal/runs.cpp
@@ -142,4 +142,33 @@
     });
 }
 
+auto ExpireWorkers(CellState& aCell, MonotonicTime aNow) -> void
+{
+  std::vector<std::string> expired;
+  for (auto& [id, it] : aCell.mWorkers) {
+    const auto isPending =
+      !it->mRuns.empty() || aCell.mUnreconciledWorkers.contains(id);
+    const auto isIdle = it->mIsKnown && !it->mMayHaveRestartedSince &&
+                        !isPending && it->mSeenEnds <= it->mStoredEnds;
+    if (isIdle && !it->mIsListed) {
+      // All orders to it are settled.
+      expired.push_back(id);
+      continue;
+    }
+    if (aNow < it->mLeasesExpiredAt) {
+      continue;
+    }
+    if (isPending) {
+      DropWorkerRuns(aCell, *it, RunsLostReason::LeaseExpired, aNow);
+      it->mIsKnown = false;
+    }
+    if (!it->mIsListed) {
+      expired.push_back(id);
+    }
+  }
+  for (const auto& it : expired) {
+    aCell.mWorkers.erase(it);
+  }
+}
+
 } // namespace eelgrasspost::cell
--- a/src/cell/tests/cellfixture.h
+++ b/src/cell/tests/cellfixture.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "eelgrasspost/cell/cellstate.h"
+#include "eelgrasspost/cell/room.h"
 
 namespace eelgrasspost::cell::testing {
 
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -12,7 +12,7 @@
 #include "eelgrasspost/base/bootclock.h"
 #include "eelgrasspost/base/eventlog.h"
 #include "eelgrasspost/base/metrics.h"
-#include "eelgrasspost/cell/cellstate.h"
+#include "eelgrasspost/cell/room.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "hostchoice.h"
 
