--- a/src/dispatch/tests/hostchoice_tests.cpp
+++ b/src/dispatch/tests/hostchoice_tests.cpp
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <utility>
+
 #include "internal/hostchoice.h"
 
 namespace {
@@ -27,8 +29,9 @@
   auto Choose(bool aMayWait, std::set<std::string> aExcluded = {}) const
     -> std::string
   {
-    return ChooseHostCell(
-             mCells, "a/0", { { 4000, 1000, 0 }, aExcluded, aMayWait })
+    return ChooseHostCell(mCells,
+                          "a/0",
+                          { { 4000, 1000, 0 }, std::move(aExcluded), aMayWait })
       .value_or("none");
   }
 };
--- a/src/dispatch/tests/longrunningfixture.h
+++ b/src/dispatch/tests/longrunningfixture.h
@@ -257,8 +257,8 @@
     for (const auto& [name, holder] : mCells) {
       const auto& ready = holder->State().mReady;
       const auto waiting =
-        std::count_if(ready.begin(), ready.end(), [](const auto* it) {
-          return !cell::IsLongRunning(it->mJob->mStored.mSpec);
+        std::count_if(ready.begin(), ready.end(), [](const auto* aTask) {
+          return !cell::IsLongRunning(aTask->mJob->mStored.mSpec);
         });
       ++mSampledCells;
       mCellsWithWaiting += waiting > 0 ? 1 : 0;
