Complete cancellations whose callers got no certain response

Callers saw: a DELETE during an outage of the store, or while the job's cell had no holder, was answered as uncertain or not run; a caller that had used its retries had a job that ran on for good.

Cause: the entry forgot the cancellation with its response, and a holder keeps it in memory only until the final state is stored. Class: a request that was received depends on its sender to repeat it.

Change: the entry goes on with such a cancellation, at intervals of 0.1 to 1 s, until its outcome is certain (event 921, cancellations_deferred_total), and waits for these when it stops. An uncertain cancellation is no longer answered as not run.

Not covered: an entry that is killed in between.

--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -77,6 +77,13 @@
   "see the outcome and the reason",
 };
 
+inline constexpr auto kCancellationCompleted = base::LogEvent{
+  921,
+  base::LogLevel::Info,
+  "a cancellation whose caller got no certain response is complete",
+  "none; took_ms counts from that response",
+};
+
 inline constexpr auto kTaskPlaced = base::LogEvent{
   930,
   base::LogLevel::Info,
@@ -230,6 +237,7 @@
                                                        kStoreUnreachable,
                                                        kStoreReachable,
                                                        kJobRequestAnswered,
+                                                       kCancellationCompleted,
                                                        kTaskPlaced,
                                                        kOrderFailed,
                                                        kRunEnded,
--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <boost/asio/this_coro.hpp>
+
 #include "claiming.h"
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
@@ -26,6 +28,13 @@
 constexpr std::int64_t kMinRetryBudgetMs = 250;
 /** Maximum number of cached job locations; each takes about 100 bytes. */
 constexpr std::size_t kMaxLocations = 20000;
+/** Maximum number of cancellations that are completed without a caller. */
+constexpr std::size_t kMaxPendingCancellations = 5000;
+/** Interval between the attempts to complete one of them, and its upper bound,
+ * which keeps their calls few while the store does not respond. */
+constexpr auto kCancellationInterval = Milliseconds(100);
+constexpr auto kMaxCancellationInterval = Milliseconds(1000);
+constexpr auto kCancellationTimeout = Milliseconds(3000);
 
 auto MakeNotRunResponse(std::string aError) -> CallerResponse
 {
@@ -101,6 +110,8 @@
   , mRefused(
       mContext.mMetrics.FindCounter("submissions_total{outcome=\"refused\"}"))
   , mRequestTime(mContext.mMetrics.FindHistogram("request_time_us"))
+  , mDeferredCancellations(
+      mContext.mMetrics.FindCounter("cancellations_deferred_total"))
   , mUncertain(
       mContext.mMetrics.FindCounter("submissions_total{outcome=\"uncertain\"}"))
 {
@@ -293,10 +304,52 @@
 
 auto CallerHandler::Cancel(std::string aId, MonotonicTime aDeadline)
   -> net::Task<CallerResponse>
+{
+  auto out = co_await TryCancel(aId, aDeadline);
+  // The caller may not ask again.
+  const auto mustContinue =
+    out.mOutcome == CallerOutcome::Uncertain &&
+    mPendingCancellations.size() < kMaxPendingCancellations &&
+    mPendingCancellations.insert(aId).second;
+  if (mustContinue) {
+    mDeferredCancellations.Add();
+    net::SpawnTask(co_await net::asio::this_coro::executor,
+                   CompleteCancellation(std::move(aId)));
+  }
+  co_return out;
+}
+
+auto CallerHandler::CompleteCancellation(std::string aId) -> net::Task<void>
+{
+  const auto startedAt = base::MonotonicClock::now();
+  auto interval = kCancellationInterval;
+  std::int64_t attempts = 0;
+  CallerResponse response;
+  do {
+    co_await net::Sleep(interval);
+    interval = std::min(2 * interval, kMaxCancellationInterval);
+    ++attempts;
+    response = co_await TryCancel(
+      aId, base::MonotonicClock::now() + kCancellationTimeout);
+  } while (response.mOutcome == CallerOutcome::Uncertain);
+  mPendingCancellations.erase(aId);
+  const auto took = std::chrono::duration_cast<Milliseconds>(
+    base::MonotonicClock::now() - startedAt);
+  mContext.mLog.Record(
+    kCancellationCompleted,
+    { { "job", aId },
+      { "outcome", base::NameOf(kCallerOutcomeNames, response.mOutcome) },
+      { "attempts", attempts },
+      { "took_ms", took.count() } });
+}
+
+auto CallerHandler::TryCancel(std::string aId, MonotonicTime aDeadline)
+  -> net::Task<CallerResponse>
 {
   auto location = co_await Locate(aId, aDeadline);
   CallerResponse out;
-  while (location.mExists && !cell::IsFinal(location.mState)) {
+  while (location.mIsCertain && location.mExists &&
+         !cell::IsFinal(location.mState)) {
     JobCommand command;
     command.mKind = JobCommandKind::Cancel;
     command.mCell = location.mCell;
@@ -314,7 +367,7 @@
     location = co_await ReadIdRow(aId, aDeadline);
   }
   if (!location.mIsCertain) {
-    co_return MakeNotRunResponse("the store does not respond; cancel again");
+    co_return MakeUncertainResponse();
   }
   out.mOutcome =
     location.mExists ? CallerOutcome::Cancelled : CallerOutcome::UnknownJob;
--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "eelgrasspost/base/eventlog.h"
@@ -39,6 +40,12 @@
   explicit CallerHandler(CallerHandlerContext aContext);
 
   auto HandleRequest(net::HttpRequest aRequest) -> net::Task<net::HttpResponse>;
+  /** Whether cancellations are being completed whose callers have got their
+   * responses. */
+  auto HasPendingCancellations() const -> bool
+  {
+    return !mPendingCancellations.empty();
+  }
 
 private:
   auto BuildResponse(const net::HttpRequest& aRequest)
@@ -48,8 +55,13 @@
               MonotonicTime aDeadline) -> net::Task<CallerResponse>;
   auto GetState(std::string aId, MonotonicTime aDeadline)
     -> net::Task<CallerResponse>;
+  /** Cancels a job. One whose cancellation is not certain by the deadline is
+   * cancelled afterwards, even if the caller does not ask again. */
   auto Cancel(std::string aId, MonotonicTime aDeadline)
     -> net::Task<CallerResponse>;
+  auto TryCancel(std::string aId, MonotonicTime aDeadline)
+    -> net::Task<CallerResponse>;
+  auto CompleteCancellation(std::string aId) -> net::Task<void>;
   /** The cell that has a job, or the final state of a finished job. */
   struct Location
   {
@@ -70,9 +82,12 @@
 
   CallerHandlerContext mContext;
   std::unordered_map<std::string, std::string> mCellByJob;
+  /** Jobs whose cancellations are completed without a caller. */
+  std::unordered_set<std::string> mPendingCancellations;
   base::Counter& mAccepted;
   base::Counter& mRefused;
   base::Histogram& mRequestTime;
+  base::Counter& mDeferredCancellations;
   base::Counter& mUncertain;
 };
 
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -195,7 +195,8 @@
   const auto last = startedAt + Milliseconds(mSettings.mGracePeriodMs) * 4 / 5;
   while (base::MonotonicClock::now() < last) {
     mHttpServer.CloseIdleConnections();
-    if (mHttpServer.Connections() == 0) {
+    if (mHttpServer.Connections() == 0 &&
+        !mCallerHandler.HasPendingCancellations()) {
       break;
     }
     co_await net::Sleep(kConnectionCheckInterval);
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -36,6 +36,8 @@
   std::deque<FakeFault> mFaults;
   /** Durations of the next commits, in order. */
   std::deque<Milliseconds> mDelays;
+  /** Refuses commits and does not answer reads. */
+  bool mIsUnavailable = false;
   /** Refuses the calls of feeds. */
   bool mRefusesFeeds = false;
   /** Delays the replies to the calls of feeds until it is reset. */
@@ -74,6 +76,10 @@
       co_await net::Sleep(delay);
     }
     StoreReply out;
+    if (mIsUnavailable) {
+      out.mOutcome = StoreOutcome::Refused;
+      co_return out;
+    }
     if (fault == FakeFault::Refuse || fault == FakeFault::LoseCall) {
       out.mOutcome = fault == FakeFault::Refuse ? StoreOutcome::Refused
                                                 : StoreOutcome::Unknown;
@@ -99,6 +105,9 @@
       co_await net::Sleep(delay);
     }
     StoreReply out;
+    if (mIsUnavailable) {
+      co_return out;
+    }
     out.mOutcome = StoreOutcome::Done;
     out.mVersion = mVersion;
     for (const auto& [key, it] : mRows) {
@@ -141,7 +150,6 @@
     co_return out;
   }
 
-private:
   auto Apply(const StoreTransaction& aTransaction) -> StoreReply
   {
     StoreReply out;
