Cancel a job whose submission is still in progress

Cause: 410 said that no such job exists, which nothing kept true. Class: a decision from a read that a write in progress can invalidate.

Change: a cancellation that finds no row writes one with a final state, on condition that there is still none. The write of a submission expects that the row does not exist, so it fails from then on. Such a job is not shown: its state is answered with 410 as before.

Test: failed before (the job ran after the cancellation was acknowledged). The write costs a store call only for jobs that have no row.

--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -224,13 +224,23 @@
   }
 }
 
+auto CallerHandler::PartitionOf(const std::string& aId) const -> std::string
+{
+  return PartitionName(
+    static_cast<std::uint32_t>(HashOf(aId) % mContext.mPartitions));
+}
+
+auto CallerHandler::WasPrevented(const Location& aLocation) -> bool
+{
+  return cell::IsFinal(aLocation.mState) && aLocation.mCell.empty();
+}
+
 auto CallerHandler::ReadIdRow(std::string aId, MonotonicTime aDeadline)
   -> net::Task<Location>
 {
   RangeQuery query;
   query.mTable = std::string(kIdTable);
-  query.mPartition = PartitionName(
-    static_cast<std::uint32_t>(HashOf(aId) % mContext.mPartitions));
+  query.mPartition = PartitionOf(aId);
   query.mFrom = aId;
   query.mLimit = 1;
   const auto storeDeadline = base::MonotonicClock::now() + kStoreTimeout;
@@ -292,7 +302,7 @@
   if (!location.mIsCertain) {
     co_return MakeNotRunResponse("the store does not respond; retry");
   }
-  if (!location.mExists) {
+  if (!location.mExists || WasPrevented(location)) {
     mCellByJob.erase(aId);
     CallerResponse out;
     out.mOutcome = CallerOutcome::UnknownJob;
@@ -348,16 +358,13 @@
 {
   auto location = co_await Locate(aId, aDeadline);
   CallerResponse out;
-  while (location.mIsCertain && location.mExists &&
-         !cell::IsFinal(location.mState)) {
-    JobCommand command;
-    command.mKind = JobCommandKind::Cancel;
-    command.mCell = location.mCell;
-    command.mJobId = aId;
-    command.mTimeoutMs = RemainingTimeoutMs(aDeadline);
-    const auto reply = co_await mContext.mExecute(std::move(command));
-    if (reply.mOutcome == JobOutcome::Done) {
-      out.mOutcome = CallerOutcome::Cancelled;
+  while (location.mIsCertain && !cell::IsFinal(location.mState)) {
+    const auto isDone = location.mExists
+                          ? co_await CancelInCell(aId, location, aDeadline)
+                          : co_await PreventSubmission(aId, aDeadline);
+    if (isDone) {
+      out.mOutcome =
+        location.mExists ? CallerOutcome::Cancelled : CallerOutcome::UnknownJob;
       co_return out;
     }
     if (base::MonotonicClock::now() + kHolderRetryInterval > aDeadline) {
@@ -369,11 +376,41 @@
   if (!location.mIsCertain) {
     co_return MakeUncertainResponse();
   }
-  out.mOutcome =
-    location.mExists ? CallerOutcome::Cancelled : CallerOutcome::UnknownJob;
+  out.mOutcome = WasPrevented(location) ? CallerOutcome::UnknownJob
+                                        : CallerOutcome::Cancelled;
   co_return out;
 }
 
+auto CallerHandler::CancelInCell(std::string aId,
+                                 Location aLocation,
+                                 MonotonicTime aDeadline) -> net::Task<bool>
+{
+  JobCommand command;
+  command.mKind = JobCommandKind::Cancel;
+  command.mCell = aLocation.mCell;
+  command.mJobId = std::move(aId);
+  command.mTimeoutMs = RemainingTimeoutMs(aDeadline);
+  const auto reply = co_await mContext.mExecute(std::move(command));
+  co_return reply.mOutcome == JobOutcome::Done;
+}
+
+auto CallerHandler::PreventSubmission(std::string aId, MonotonicTime aDeadline)
+  -> net::Task<bool>
+{
+  const auto key = RowKey{ std::string(kIdTable), aId };
+  StoreTransaction transaction;
+  transaction.mPartition = PartitionOf(aId);
+  transaction.mExpected = { { key, 0 } };
+  transaction.mWrites = { { key,
+                            net::Encode(JobIdRow{ {},
+                                                  cell::JobState::Cancelled,
+                                                  base::WallClockMs() }) } };
+  const auto storeDeadline = base::MonotonicClock::now() + kStoreTimeout;
+  const auto reply = co_await mContext.mStore.Commit(
+    std::move(transaction), std::min(storeDeadline, aDeadline));
+  co_return reply.mOutcome == StoreOutcome::Done;
+}
+
 auto CallerHandler::BuildResponse(const net::HttpRequest& aRequest)
   -> net::Task<CallerResponse>
 {
--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -61,6 +61,10 @@
     -> net::Task<CallerResponse>;
   auto TryCancel(std::string aId, MonotonicTime aDeadline)
     -> net::Task<CallerResponse>;
+  /** Writes a final state for a job that has no row, so that the write of a
+   * submission in progress fails. */
+  auto PreventSubmission(std::string aId, MonotonicTime aDeadline)
+    -> net::Task<bool>;
   auto CompleteCancellation(std::string aId) -> net::Task<void>;
   /** The cell that has a job, or the final state of a finished job. */
   struct Location
@@ -70,6 +74,12 @@
     std::string mCell;
     cell::JobState mState = cell::JobState::Queued;
   };
+  auto CancelInCell(std::string aId,
+                    Location aLocation,
+                    MonotonicTime aDeadline) -> net::Task<bool>;
+  /** Whether a job was cancelled before any submission of it was stored. */
+  static auto WasPrevented(const Location& aLocation) -> bool;
+  auto PartitionOf(const std::string& aId) const -> std::string;
   auto Locate(std::string aId, MonotonicTime aDeadline) -> net::Task<Location>;
   auto ReadIdRow(std::string aId, MonotonicTime aDeadline)
     -> net::Task<Location>;
--- a/src/dispatch/tests/cancellation_tests.cpp
+++ b/src/dispatch/tests/cancellation_tests.cpp
@@ -8,6 +8,7 @@
 using namespace eelgrasspost;
 using namespace eelgrasspost::dispatch;
 using dispatch::testing::CallersAndCells;
+using dispatch::testing::FakeFault;
 
 /** A caller that does not ask again after this time. */
 constexpr auto kShortTimeout = Milliseconds(400);
@@ -61,4 +62,26 @@
   Do([&] { BOOST_TEST((IdState(kId) == cell::JobState::Cancelled)); });
 }
 
+// A cancellation was acknowledged as the job had no row yet; the write of its
+// submission was executed later, and the job ran.
+BOOST_FIXTURE_TEST_CASE(cancellation_submission_in_progress_prevents_the_job,
+                        CallersAndCells)
+{
+  Do([&] { mStore.mFaults = { FakeFault::ApplyLate, FakeFault::LoseCall }; });
+  BOOST_TEST((Request("POST", Milliseconds(200)) == CallerOutcome::Uncertain));
+  const auto outcome = Request("DELETE", Milliseconds(2000));
+  Do([&] { mStore.ApplyLateCalls(); });
+  BOOST_TEST(IsAcknowledged(outcome));
+  BOOST_TEST(IsCancelledWithinLimit());
+}
+
+// The row that prevents a later submission must not show a job that nobody has
+// submitted.
+BOOST_FIXTURE_TEST_CASE(cancellation_unknown_job_is_not_shown, CallersAndCells)
+{
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(2000)) == CallerOutcome::UnknownJob));
+  BOOST_TEST((Request("GET", Milliseconds(2000)) == CallerOutcome::UnknownJob));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
