Load a job that its cell does not have in memory before cancelling it

Callers saw: the cancellation of a job gets no acknowledgement however often it is repeated; the job waits, and the next holder of the cell runs it.

Cause: an import without a reply is looked for in the store for 13 s. If the store does not respond for so long, the job's rows are in the cell, but its holder has not read them and answers that the job is not in the cell, while the id's row names this cell.

Change: the holder reads the job's rows before it says so.

Test: failed before (no acknowledgement, the job's rows stayed).

--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -200,6 +200,11 @@
   if (isBusy()) {
     co_return JobReply{ JobOutcome::Uncertain };
   }
+  if (!FindOwnJob(aId) && !mFinished.contains(aId)) {
+    // The reply to its import may have been lost for longer than it was waited
+    // for; the next holder would read its row.
+    co_await LoadJob(aId);
+  }
   if (auto* job = FindOwnJob(aId); job && !mIsShuttingDown) {
     if (!cell::IsFinal(job->mState)) {
       job->mState = cell::JobState::Cancelled;
--- a/src/dispatch/tests/cancellation_tests.cpp
+++ b/src/dispatch/tests/cancellation_tests.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "cancellationfixture.h"
+#include "internal/claiming.h"
 
 namespace {
 
@@ -84,4 +85,31 @@
   BOOST_TEST((Request("GET", Milliseconds(2000)) == CallerOutcome::UnknownJob));
 }
 
+// A job whose import got no reply from the store for long was in no holder's
+// memory; its cancellation had no effect, and the next holder ran it.
+BOOST_FIXTURE_TEST_CASE(cancellation_job_not_loaded_by_its_cell_is_stored,
+                        CallersAndCells)
+{
+  Do([&] {
+    StoreTransaction transaction;
+    const auto submission = MakeSubmission(kId);
+    const auto partition =
+      PartitionName(static_cast<std::uint32_t>(HashOf(kId) % kPartitions));
+    transaction.mPartition = partition;
+    transaction.mWrites = {
+      { { std::string(kIdTable), kId },
+        net::Encode(JobIdRow{ "a/0", cell::JobState::Queued, 1 }) },
+      { { std::string(kJobTable), std::string("a/0/") + kId },
+        net::Encode(submission.mJob) }
+    };
+    mStore.Apply(transaction);
+  });
+  BOOST_TEST(IsAcknowledged(Request("DELETE", Milliseconds(1000))));
+  Do([&] {
+    BOOST_TEST((IdState(kId) == cell::JobState::Cancelled));
+    BOOST_TEST(CountRows(kJobTable) == 0U);
+    BOOST_TEST(mWorkers.mStarts.empty());
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
