Don't migrate a job that is being cancelled

Cause: while the job's final state is being written, the job is not marked as changed, and jobs in their placement delay were chosen for migration without a look at their state. If the write was lost and the import came first, the repeated write found the job's row gone, which counts as its own earlier execution, and the cancellation was acknowledged. Class: an inference (the row is gone, so my write removed it) that a second writer of the row makes wrong.

Change: such jobs don't migrate, so a job with a final state has no other writer in its cell's term; a later holder of the cell has raised the fence, and then the holder ends.

Test: failed before (the task ran in the other cell, the stored state was not final).

--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -434,8 +434,8 @@
   std::map<const Job*, MigratableJob> found;
   for (const auto* it : aCell.mReady) {
     const auto* job = it->mJob;
-    if (job->mIsMigrating || job->mIsDirty || it->mMayBeRunning ||
-        !IsPlacementDelayed(aCell, *it, aNow)) {
+    if (job->mIsMigrating || job->mIsDirty || IsFinal(job->mState) ||
+        it->mMayBeRunning || !IsPlacementDelayed(aCell, *it, aNow)) {
       continue;
     }
     auto& migratable = found[job];
--- a/src/dispatch/tests/cancellation_tests.cpp
+++ b/src/dispatch/tests/cancellation_tests.cpp
@@ -112,4 +112,37 @@
   });
 }
 
+// A job that was being cancelled migrated to another cell; the write of its
+// final state, repeated, found the job's row gone and counted as executed.
+BOOST_FIXTURE_TEST_CASE(cancellation_job_about_to_migrate_stays_cancelled,
+                        CallersAndCells)
+{
+  Do([&] {
+    auto& step = mFormats.mSpec.mSteps[0];
+    step.mIsLongRunning = true;
+    step.mNeed.mCpuMillis = 10000;
+    mFindEmptier = [](const std::string&, const cell::MigratableJob&) {
+      return std::optional<std::string>("b/0");
+    };
+    mExecute = [this](JobCommand aCommand) -> net::Task<JobReply> {
+      const auto isImport = aCommand.mKind == JobCommandKind::ImportJob;
+      auto reply = co_await ExecuteInCell(std::move(aCommand));
+      if (isImport) {
+        reply.mOutcome = JobOutcome::Uncertain;
+      }
+      co_return reply;
+    };
+  });
+  BOOST_REQUIRE(
+    (Request("POST", Milliseconds(3000)) == CallerOutcome::Accepted));
+  Do([&] {
+    mStore.mFaults = { FakeFault::LoseCall };
+    mStore.mDelays = { Milliseconds(300) };
+  });
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(3000)) == CallerOutcome::Cancelled));
+  BOOST_TEST(IsCancelledWithinLimit());
+  Do([&] { BOOST_TEST((IdState(kId) == cell::JobState::Cancelled)); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
