Don't take a job's final state as stored when its row is gone

Cause: a job that migrates can reach a final state in its former cell, by an end that a worker lists late, after its lease has expired. If the import is executed first, the write of the final state finds the job's row gone, which counted as its own earlier execution. Class: an inference (the row is gone, so my write removed it) that a second writer of the row makes wrong; excluded one of its ways.

Change: a holder whose write finds the row gone forgets the job. The row of the id tells whether the job has ended or where it is; callers' entries read it when the cell does not have the job.

Test: failed before (the task ran on after the acknowledged cancellation, the stored state was not final). Cancellations whose final write loses its reply cost one more read.

--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -230,12 +230,10 @@
       const auto* jobRow = FindReplyRow(reply, { std::string(kJobTable), key });
       const auto isJobGone = isComplete && (!jobRow || jobRow->mVersion == 0);
       if (isJobGone) {
-        // An earlier write whose reply was lost has been applied.
-        if (it.mIsFinal) {
-          FinishJob(it.mId, it.mState);
-        } else {
-          DropJob(it.mId);
-        }
+        // An earlier write whose reply was lost has been applied, or another
+        // cell has imported the job; the row of its id tells which.
+        DropJob(it.mId);
+        ScheduleDecision();
         continue;
       }
       const auto* progressRow =
--- /dev/null
+++ b/src/dispatch/tests/cancellationcells_tests.cpp
@@ -0,0 +1,73 @@
+#include <boost/test/unit_test.hpp>
+
+#include "cancellationfixture.h"
+#include "internal/claiming.h"
+
+namespace {
+
+using namespace eelgrasspost;
+using namespace eelgrasspost::dispatch;
+using dispatch::testing::CallersAndCells;
+using dispatch::testing::FakeFault;
+
+/** Delays the replies to imports, which are executed at once. */
+auto DelayImportReplies(CallersAndCells& aTest, Milliseconds aDelay) -> void
+{
+  aTest.mExecute = [&aTest,
+                    aDelay](JobCommand aCommand) -> net::Task<JobReply> {
+    const auto isImport = aCommand.mKind == JobCommandKind::ImportJob;
+    const auto reply = co_await aTest.ExecuteInCell(std::move(aCommand));
+    if (isImport) {
+      co_await net::Sleep(aDelay);
+    }
+    co_return reply;
+  };
+}
+
+/** A long-running job whose placement is delayed, so that it may migrate
+ * first. */
+auto MakeLongRunning(CallersAndCells& aTest) -> void
+{
+  auto& step = aTest.mFormats.mSpec.mSteps[0];
+  step.mIsLongRunning = true;
+  step.mNeed.mCpuMillis = 10000;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(cancellation_across_cells)
+
+// A job ended in its former cell while its import by another cell got no reply
+// yet; the former cell acknowledged its cancellation, and the job ran on.
+BOOST_FIXTURE_TEST_CASE(
+  cancellation_job_that_ended_during_its_migration_takes_effect,
+  CallersAndCells)
+{
+  Do([&] {
+    mSettings.mLeaseMs = 600;
+    mFormats.mQueue.mMaxAttempts = 1;
+    mFirst->End();
+    mFirst = MakeHolder(2);
+    mCells["a/0"] = mFirst;
+  });
+  SubmitAndStart();
+  Do([&] {
+    // The end is listed only after the lease has expired.
+    mWorkers.mUnresponsive.insert("w1");
+    mWorkers.End(mTask, cell::EndKind::Failed);
+    mFindCapacity = [this](const std::string& aFrom,
+                           const cell::MigratableJob&) {
+      return aFrom == "a/0" ? std::optional<std::string>("b/0") : std::nullopt;
+    };
+    DelayImportReplies(*this, Milliseconds(1000));
+  });
+  BOOST_REQUIRE(Until([&] { return mWorkers.mRunning.contains(mTask); }));
+  Do([&] { mWorkers.mUnresponsive.clear(); });
+  Wait(net::Sleep(Milliseconds(600)), true);
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(3000)) == CallerOutcome::Cancelled));
+  BOOST_TEST(IsCancelledWithinLimit());
+  Do([&] { BOOST_TEST((IdState(kId) == cell::JobState::Cancelled)); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -321,6 +321,12 @@
     mFindEmptier = [](const std::string&, const cell::MigratableJob&) {
       return std::optional<std::string>();
     };
+  /** Finds a cell with capacity for a waiting job of the given cell. */
+  std::function<std::optional<std::string>(const std::string&,
+                                           const cell::MigratableJob&)>
+    mFindCapacity = [](const std::string&, const cell::MigratableJob&) {
+      return std::optional<std::string>();
+    };
   /** Executes a command of a holder; replaceable. */
   std::function<net::Task<JobReply>(JobCommand)> mExecute =
     [this](JobCommand aCommand) { return ExecuteInCell(std::move(aCommand)); };
@@ -376,6 +382,10 @@
       [] { return std::vector<std::string>(); },
       [this] { return base::BootNow() + mSuspended; }
     };
+    context.mFindCellWithCapacity = [this,
+                                     aCell](const cell::MigratableJob& aJob) {
+      return mFindCapacity(aCell, aJob);
+    };
     CellRow row;
     row.mName = aCell;
     row.mDomain = "a";
