Refuse the import of a job that is migrating away

Callers saw: an accepted job did not run until its cell got another holder (LOST).

Cause: a cell that had the job in memory confirmed its import without a write. A job that has migrated stays in the memory of its former cell until the reply of the import arrives. If the new cell sent it back before that, both cells dropped it. Class: an inference (the job is here, so it was imported) that a write in progress makes wrong.

Change: a job that is migrating is refused; its new cell keeps it.

Test: failed before (the job was not started within 5 s).

--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -197,9 +197,10 @@
     co_return JobReply{ JobOutcome::CellNotHeld };
   }
   if (const auto* job = cell::FindJob(mState, id)) {
-    // A hosted job is not the job itself, of which the rows are elsewhere.
-    co_return JobReply{ cell::IsHostedJob(*job) ? JobOutcome::Refused
-                                                : JobOutcome::Done };
+    // A hosted job is not the job itself, of which the rows are elsewhere. A
+    // migrating one may be in the other cell by now.
+    const auto isElsewhere = cell::IsHostedJob(*job) || job->mIsMigrating;
+    co_return JobReply{ isElsewhere ? JobOutcome::Refused : JobOutcome::Done };
   }
   const auto partition = PartitionOf(id);
   const auto& origin = aCommand.mSource;
--- a/src/dispatch/tests/cancellationcells_tests.cpp
+++ b/src/dispatch/tests/cancellationcells_tests.cpp
@@ -70,4 +70,27 @@
   Do([&] { BOOST_TEST((IdState(kId) == cell::JobState::Cancelled)); });
 }
 
+// A cell that had not learned yet that its job was in another cell confirmed
+// the job's import back; the job was in no cell's memory and did not run.
+BOOST_FIXTURE_TEST_CASE(migration_back_before_the_reply_job_is_started,
+                        CallersAndCells)
+{
+  Do([&] {
+    MakeLongRunning(*this);
+    mFindEmptier = [moves = 0](const std::string& aFrom,
+                               const cell::MigratableJob&) mutable {
+      return ++moves > 2
+               ? std::nullopt
+               : std::optional<std::string>(aFrom == "a/0" ? "b/0" : "a/0");
+    };
+    DelayImportReplies(*this, Milliseconds(350));
+  });
+  BOOST_REQUIRE(
+    (Request("POST", Milliseconds(3000)) == CallerOutcome::Accepted));
+  BOOST_TEST(Until([&] { return mWorkers.mRunning.contains(mTask); }));
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(3000)) == CallerOutcome::Cancelled));
+  BOOST_TEST(IsCancelledWithinLimit());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
