Don't accept a job that was cancelled before it was stored

Callers saw: a submission that came after the job's cancellation was answered as accepted, and the job's state with 410.

Cause: the row that prevents the submission was taken for the row of an earlier submission, and its empty cell was kept as the job's location.

Change: such a submission is answered as not accepted, as the job never runs.

Test: failed before (the submission was accepted).

--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -189,6 +189,10 @@
       command.mCell = it;
       command.mTimeoutMs = RemainingTimeoutMs(aDeadline);
       const auto reply = co_await mContext.mExecute(command);
+      if (reply.mOutcome == JobOutcome::Done && reply.mCell.empty()) {
+        mRefused.Add();
+        co_return MakeNotRunResponse("the job was cancelled before");
+      }
       if (reply.mOutcome == JobOutcome::Done) {
         CacheLocation(aRequest.mJobId, reply.mCell);
         mAccepted.Add();
--- a/src/dispatch/tests/cancellationcells_tests.cpp
+++ b/src/dispatch/tests/cancellationcells_tests.cpp
@@ -93,4 +93,21 @@
   BOOST_TEST(IsCancelledWithinLimit());
 }
 
+// A submission that came after the cancellation of its job was answered as
+// accepted, but the job never ran and was not shown.
+BOOST_FIXTURE_TEST_CASE(submission_after_cancellation_is_not_accepted,
+                        CallersAndCells)
+{
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(2000)) == CallerOutcome::UnknownJob));
+  BOOST_TEST((Request("POST", Milliseconds(2000)) == CallerOutcome::NotRun));
+  BOOST_TEST((Request("GET", Milliseconds(2000)) == CallerOutcome::UnknownJob));
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(2000)) == CallerOutcome::UnknownJob));
+  Do([&] {
+    BOOST_TEST(mWorkers.mStarts.empty());
+    BOOST_TEST(CountRows(kJobTable) == 0U);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
