Don't add a job that is being loaded for its cancellation

Callers saw: no report; found by review.

Cause: a cancellation that reaches a cell during the import of its job, by a location that is outdated, reads the rows of the import, whose reply is still on its way, and cancels the job. The reply then adds the job again; if the first one is still there, the list of ready tasks refers to its removed tasks. Class: a decision from a read that a write in progress can invalidate.

Change: the id counts as unresolved while the job is loaded, so that imports are refused and submissions wait.

Test: failed before (the task started after the acknowledgement).

--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -202,8 +202,11 @@
   }
   if (!FindOwnJob(aId) && !mFinished.contains(aId)) {
     // The reply to its import may have been lost for longer than it was waited
-    // for; the next holder would read its row.
+    // for; the next holder would read its row. No other command may add the job
+    // meanwhile.
+    mUnresolvedJobs.insert(aId);
     co_await LoadJob(aId);
+    mUnresolvedJobs.erase(aId);
   }
   if (auto* job = FindOwnJob(aId); job && !mIsShuttingDown) {
     if (!cell::IsFinal(job->mState)) {
--- a/src/dispatch/tests/cancellationcells_tests.cpp
+++ b/src/dispatch/tests/cancellationcells_tests.cpp
@@ -110,4 +110,49 @@
   });
 }
 
+// A cancellation that reached a cell during the import of its job read the rows
+// before the import got its reply, and the job was added again after it had
+// been cancelled.
+BOOST_FIXTURE_TEST_CASE(cancellation_job_being_imported_is_not_added_again,
+                        CallersAndCells)
+{
+  auto import = MakeSubmission(kId);
+  Do([&] {
+    StoreTransaction transaction;
+    transaction.mPartition =
+      PartitionName(static_cast<std::uint32_t>(HashOf(kId) % kPartitions));
+    transaction.mWrites = {
+      { { std::string(kIdTable), kId },
+        net::Encode(JobIdRow{ "c/0", cell::JobState::Queued, 1 }) },
+      { { std::string(kJobTable), std::string("c/0/") + kId },
+        net::Encode(import.mJob) }
+    };
+    import.mSource = { "c/0", 0, mStore.Apply(transaction).mVersion, 0 };
+    mStore.mReadDelays = { Milliseconds(200) };
+    mStore.mReplyDelays = { Milliseconds(500) };
+  });
+  import.mKind = JobCommandKind::ImportJob;
+  auto cancel = import;
+  cancel.mKind = JobCommandKind::Cancel;
+  cancel.mTimeoutMs = 2000;
+  auto isImportAnswered = false;
+  mPool.Spawn(mPool.Executor(0),
+              [](CallersAndCells& aTest,
+                 JobCommand aImport,
+                 bool& aIsAnswered) -> net::Task<void> {
+                // The cancellation reaches the cell first.
+                co_await net::Sleep(Milliseconds(50));
+                co_await aTest.ExecuteInCell(std::move(aImport));
+                aIsAnswered = true;
+              }(*this, import, isImportAnswered));
+  const auto reply = Wait(ExecuteInCell(cancel));
+  BOOST_REQUIRE(Until([&] { return isImportAnswered; }));
+  Wait(net::Sleep(Milliseconds(500)), true);
+  Do([&] {
+    const auto isAcknowledged = reply.mOutcome == JobOutcome::Done;
+    BOOST_TEST((!isAcknowledged || mWorkers.mStarts.empty()));
+    BOOST_TEST((isAcknowledged || IdState(kId) == cell::JobState::Queued));
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -36,6 +36,9 @@
   std::deque<FakeFault> mFaults;
   /** Durations of the next commits, in order. */
   std::deque<Milliseconds> mDelays;
+  /** Times from the execution of the next commits to their replies, in
+   * order. */
+  std::deque<Milliseconds> mReplyDelays;
   /** Refuses commits and does not answer reads. */
   bool mIsUnavailable = false;
   /** Refuses the calls of feeds. */
@@ -90,6 +93,11 @@
       co_return out;
     }
     out = Apply(aTransaction);
+    if (!mReplyDelays.empty()) {
+      const auto delay = mReplyDelays.front();
+      mReplyDelays.pop_front();
+      co_await net::Sleep(delay);
+    }
     if (fault == FakeFault::LoseReply) {
       out = {};
     }
