--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -36,6 +36,9 @@
   std::uint64_t mAcknowledged = 0;
   /** Starts of tasks that were running on another worker. */
   std::size_t mOverlaps = 0;
+  /** By worker and task: the highest attempt that was stopped or has ended
+   * there; the worker refuses to start it and earlier ones. */
+  std::map<std::string, std::map<std::string, std::uint64_t>> mSettledAttempts;
   /** Highest fencing token that each worker has seen. */
   std::map<std::string, std::uint64_t> mTokens;
   /** Start times of the workers' incarnations; 1 where none is given. */
@@ -44,6 +47,8 @@
   std::map<std::string, std::int64_t> mStartedAtMs;
   /** Orders get no reply and are kept. */
   bool mHoldsOrders = false;
+  /** The same for some workers only. */
+  std::set<std::string> mHoldingWorkers;
   std::vector<std::pair<WorkerCall, cell::Order>> mHeldOrders;
   /** Workers that execute renewals but whose replies are lost. */
   std::set<std::string> mLosesReplies;
@@ -78,6 +83,8 @@
   {
     const auto attempt = mRunning.at(aTask).mAttempt;
     const auto& worker = mWorkerOf.at(aTask);
+    auto& settled = mSettledAttempts[worker][aTask];
+    settled = std::max(settled, attempt);
     mRunning.erase(aTask);
     mEnds.push_back(
       { worker, { ++mLastEnds[worker], aTask, attempt, aKind, "" } });
@@ -90,7 +97,7 @@
       co_await net::Sleep(Milliseconds(100));
       co_return OrderReply{ cell::OrderOutcome::Unknown };
     }
-    if (mHoldsOrders) {
+    if (mHoldsOrders || mHoldingWorkers.contains(aCall.mWorker)) {
       mHeldOrders.emplace_back(aCall, aOrder);
       co_return OrderReply{ cell::OrderOutcome::Unknown };
     }
@@ -107,12 +114,33 @@
     mHeldOrders.clear();
   }
 
+  /** Executes the held orders to one worker. */
+  auto ExecuteHeldOrders(const std::string& aWorker) -> void
+  {
+    mHoldingWorkers.erase(aWorker);
+    for (const auto& [call, order] : mHeldOrders) {
+      if (call.mWorker == aWorker) {
+        Execute(call, order);
+      }
+    }
+    std::erase_if(mHeldOrders, [&](const auto& aItem) {
+      return aItem.first.mWorker == aWorker;
+    });
+  }
+
   auto Execute(const WorkerCall& aCall, const cell::Order& aOrder) -> OrderReply
   {
     if (!AcceptToken(aCall)) {
       return OrderReply{ cell::OrderOutcome::Superseded,
                          ClockOf(aCall.mWorker) };
     }
+    auto& settled = mSettledAttempts[aCall.mWorker][aOrder.mTask];
+    if (aOrder.mKind == cell::OrderKind::Start && aOrder.mAttempt <= settled) {
+      return OrderReply{ cell::OrderOutcome::Refused, ClockOf(aCall.mWorker) };
+    }
+    if (aOrder.mKind == cell::OrderKind::Stop) {
+      settled = std::max(settled, aOrder.mAttempt);
+    }
     if (aOrder.mKind == cell::OrderKind::Start) {
       mStarts.push_back(aOrder);
       CheckCapacity(aCall, aOrder);
@@ -192,6 +220,7 @@
   {
     mIncarnations[aWorker] = IncarnationOf(aWorker) + 1;
     mTokens.erase(aWorker);
+    mSettledAttempts.erase(aWorker);
     mStartedAtMs[aWorker] = mClockMs;
     mLastEnds.erase(aWorker);
     mAcknowledged = 0;
