Send no Retry-After with the refusal of a cancelled job

A submission of a job that was cancelled before it was stored is refused at any time, so the response tells no time to come back.

--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -191,7 +191,10 @@
       const auto reply = co_await mContext.mExecute(command);
       if (reply.mOutcome == JobOutcome::Done && reply.mCell.empty()) {
         mRefused.Add();
-        co_return MakeNotRunResponse("the job was cancelled before");
+        auto out = MakeNotRunResponse("the job was cancelled before");
+        // It is refused again at any time.
+        out.mRetryAfter = {};
+        co_return out;
       }
       if (reply.mOutcome == JobOutcome::Done) {
         CacheLocation(aRequest.mJobId, reply.mCell);
