Test cancellations of jobs whose tasks other cells run

Cancellations while a task is hosted, is being returned, or is moved to a host by a write that is executed late; during a takeover of the host and of the owner; with a start that is executed late and a stop that is lost.

--- a/src/dispatch/tests/cancellationcells_tests.cpp
+++ b/src/dispatch/tests/cancellationcells_tests.cpp
@@ -33,6 +33,51 @@
   step.mNeed.mCpuMillis = 10000;
 }
 
+/** A job of cell "a/0" with two long-running tasks, of which "b/0" hosts the
+ * second one. */
+struct HostedTask : CallersAndCells
+{
+  const std::string mHosted = std::string(kId) + ".0.0.1";
+
+  HostedTask()
+  {
+    Do([&] {
+      MakeLongRunning(*this);
+      mFormats.mSpec.mSteps[0].mCount = 2;
+      mHostCells = { "b/0" };
+    });
+    BOOST_REQUIRE(
+      (Request("POST", Milliseconds(3000)) == CallerOutcome::Accepted));
+  }
+
+  auto WaitUntilHosted() -> void
+  {
+    BOOST_REQUIRE(Until([&] { return mWorkers.mRunning.size() == 2; }));
+    BOOST_REQUIRE(mWorkers.mWorkerOf.at(mHosted) == "w2");
+  }
+
+  auto Replace(const std::string& aCell, const std::string& aWorker) -> void
+  {
+    Do([&] {
+      mCells.at(aCell)->End();
+      mCells[aCell] = MakeHolder(2, aCell, { aWorker });
+    });
+  }
+
+  /** Whether all is gone within the limit and stays away. */
+  auto IsGoneWithinLimit() -> bool
+  {
+    const auto isGone = IsCancelledWithinLimit();
+    auto isAllGone = false;
+    Do([&] {
+      isAllGone = mWorkers.mRunning.empty() && CountRows(kJobTable) == 0 &&
+                  CountRows(kProgressTable) == 0 &&
+                  IdState(kId) == cell::JobState::Cancelled;
+    });
+    return isGone && isAllGone;
+  }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(cancellation_across_cells)
@@ -155,4 +200,140 @@
   });
 }
 
+// Guards against a host cell that keeps the task of a cancelled job.
+BOOST_FIXTURE_TEST_CASE(cancellation_hosted_task_is_stopped, HostedTask)
+{
+  WaitUntilHosted();
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(3000)) == CallerOutcome::Cancelled));
+  BOOST_TEST(IsGoneWithinLimit());
+}
+
+// Guards against the next holder of a host cell that has read the rows of a
+// hosted task before the job was cancelled.
+BOOST_FIXTURE_TEST_CASE(cancellation_during_takeover_of_host_task_is_stopped,
+                        HostedTask)
+{
+  WaitUntilHosted();
+  Do([&] {
+    // The fences, then the rows of both partitions.
+    mStore.mReadDelays = {
+      Milliseconds(0), Milliseconds(0),   Milliseconds(0),
+      Milliseconds(0), Milliseconds(500), Milliseconds(500)
+    };
+  });
+  Replace("b/0", "w2");
+  Wait(net::Sleep(Milliseconds(100)), true);
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(3000)) == CallerOutcome::Cancelled));
+  BOOST_TEST(IsGoneWithinLimit());
+}
+
+// Guards against the write of a final state of a holder that has been replaced.
+BOOST_FIXTURE_TEST_CASE(
+  cancellation_written_late_by_replaced_owner_takes_effect,
+  HostedTask)
+{
+  WaitUntilHosted();
+  Do([&] { mStore.mFaults = { FakeFault::ApplyLate }; });
+  std::thread replacing([&] {
+    Until([&] { return !mStore.mLateCalls.empty(); });
+    Replace("a/0", "w1");
+  });
+  const auto outcome = Request("DELETE", Milliseconds(1500));
+  replacing.join();
+  Do([&] { mStore.ApplyLateCalls(); });
+  BOOST_TEST((outcome == CallerOutcome::Cancelled ||
+              outcome == CallerOutcome::Uncertain));
+  BOOST_TEST(IsGoneWithinLimit());
+}
+
+// Guards against the late execution of the write that moves a task to a host.
+BOOST_FIXTURE_TEST_CASE(cancellation_before_late_move_to_host_adds_no_row,
+                        HostedTask)
+{
+  BOOST_REQUIRE(Until([&] { return mWorkers.mRunning.size() == 1; }));
+  BOOST_REQUIRE(Until([&] {
+    const auto* job = mFirst->State().mJobs.at(kId).get();
+    const auto isMoved = !cell::RemoteTasksByHost(*job).empty();
+    if (isMoved) {
+      mStore.mFaults = { FakeFault::ApplyLate };
+    }
+    return isMoved;
+  }));
+  BOOST_REQUIRE(Until([&] { return !mStore.mLateCalls.empty(); }));
+  BOOST_REQUIRE(std::any_of(mStore.mLateCalls[0].mWrites.begin(),
+                            mStore.mLateCalls[0].mWrites.end(),
+                            [](const RowWrite& aWrite) {
+                              return aWrite.mRow.mKey ==
+                                     std::string("b/0/") + kId;
+                            }));
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(3000)) == CallerOutcome::Cancelled));
+  Do([&] { mStore.ApplyLateCalls(); });
+  BOOST_TEST(IsGoneWithinLimit());
+  Do([&] { BOOST_TEST(!mWorkers.mWorkerOf.contains(mHosted)); });
+}
+
+// Guards against the return of a hosted task, the write of which is executed
+// before or after that of the cancellation.
+BOOST_FIXTURE_TEST_CASE(cancellation_during_return_of_task_starts_it_nowhere,
+                        HostedTask)
+{
+  WaitUntilHosted();
+  Do([&] {
+    mHostCells.clear();
+    auto record = MakeRecord("w2");
+    record.mState = cell::WorkerState::Draining;
+    mSecond->UpdateWorker(record);
+    mFirst->UpdateWorker(MakeRecord("w4"));
+    mExecute = [this](JobCommand aCommand) -> net::Task<JobReply> {
+      if (aCommand.mKind == JobCommandKind::ReturnTasks) {
+        mStore.mFaults = { FakeFault::ApplyLate };
+      }
+      co_return co_await ExecuteInCell(std::move(aCommand));
+    };
+  });
+  BOOST_REQUIRE(Until([&] { return !mStore.mLateCalls.empty(); }));
+  const auto starts = mWorkers.CountStarts(mHosted);
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(3000)) == CallerOutcome::Cancelled));
+  Do([&] { mStore.ApplyLateCalls(); });
+  BOOST_TEST(IsGoneWithinLimit());
+  Do([&] { BOOST_TEST(mWorkers.CountStarts(mHosted) == starts); });
+}
+
+// Guards against a start that a worker executes after the job was cancelled and
+// its stop was answered.
+BOOST_FIXTURE_TEST_CASE(cancellation_start_executed_late_is_stopped,
+                        CallersAndCells)
+{
+  Do([&] { mWorkers.mHoldsOrders = true; });
+  BOOST_REQUIRE(
+    (Request("POST", Milliseconds(3000)) == CallerOutcome::Accepted));
+  BOOST_REQUIRE(Until([&] { return !mWorkers.mHeldOrders.empty(); }));
+  Do([&] { mWorkers.mHoldsOrders = false; });
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(3000)) == CallerOutcome::Cancelled));
+  BOOST_REQUIRE(Until([&] { return !mWorkers.mStops.empty(); }));
+  Wait(net::Sleep(Milliseconds(500)), true);
+  Do([&] { mWorkers.ExecuteHeldOrders(); });
+  BOOST_TEST(IsCancelledWithinLimit());
+}
+
+// Guards against a run that goes on after its stop was lost.
+BOOST_FIXTURE_TEST_CASE(cancellation_stop_lost_is_sent_again, CallersAndCells)
+{
+  SubmitAndStart();
+  Do([&] { mWorkers.mHoldsOrders = true; });
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(3000)) == CallerOutcome::Cancelled));
+  BOOST_REQUIRE(Until([&] { return !mWorkers.mHeldOrders.empty(); }));
+  Do([&] {
+    mWorkers.mHeldOrders.clear();
+    mWorkers.mHoldsOrders = false;
+  });
+  BOOST_TEST(IsCancelledWithinLimit());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
