Read the store once per attempt to complete a cancellation

Callers saw: nothing; found by review. While a job's cell has no holder, each cancellation that the entry completes by itself read the row of the id every 60 ms, for as long as that lasts. The store's reads are limited for all entries.

Cause: an attempt repeats within its timeout at the interval that is meant for a caller that waits, so the interval between attempts, which grows to 1 s, had little effect.

Change: such an attempt tries once. It reads the row first, as the job may be in another cell by then.

--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -322,7 +322,7 @@
 auto CallerHandler::Cancel(std::string aId, MonotonicTime aDeadline)
   -> net::Task<CallerResponse>
 {
-  auto out = co_await TryCancel(aId, aDeadline);
+  auto out = co_await TryCancel(aId, aDeadline, kHolderRetryInterval);
   // The caller may not ask again.
   const auto mustContinue =
     out.mOutcome == CallerOutcome::Uncertain &&
@@ -346,8 +346,12 @@
     co_await net::Sleep(interval);
     interval = std::min(2 * interval, kMaxCancellationInterval);
     ++attempts;
-    response = co_await TryCancel(
-      aId, base::MonotonicClock::now() + kCancellationTimeout);
+    // The row tells whether the job is in another cell by now.
+    mCellByJob.erase(aId);
+    response =
+      co_await TryCancel(aId,
+                         base::MonotonicClock::now() + kCancellationTimeout,
+                         kCancellationTimeout);
   } while (response.mOutcome == CallerOutcome::Uncertain);
   mPendingCancellations.erase(aId);
   const auto took = std::chrono::duration_cast<Milliseconds>(
@@ -360,7 +364,9 @@
       { "took_ms", took.count() } });
 }
 
-auto CallerHandler::TryCancel(std::string aId, MonotonicTime aDeadline)
+auto CallerHandler::TryCancel(std::string aId,
+                              MonotonicTime aDeadline,
+                              Milliseconds aRetryInterval)
   -> net::Task<CallerResponse>
 {
   auto location = co_await Locate(aId, aDeadline);
@@ -374,10 +380,10 @@
         location.mExists ? CallerOutcome::Cancelled : CallerOutcome::UnknownJob;
       co_return out;
     }
-    if (base::MonotonicClock::now() + kHolderRetryInterval > aDeadline) {
+    if (base::MonotonicClock::now() + aRetryInterval > aDeadline) {
       co_return MakeUncertainResponse();
     }
-    co_await net::Sleep(kHolderRetryInterval);
+    co_await net::Sleep(aRetryInterval);
     location = co_await ReadIdRow(aId, aDeadline);
   }
   if (!location.mIsCertain) {
--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -59,8 +59,10 @@
    * cancelled afterwards, even if the caller does not ask again. */
   auto Cancel(std::string aId, MonotonicTime aDeadline)
     -> net::Task<CallerResponse>;
-  auto TryCancel(std::string aId, MonotonicTime aDeadline)
-    -> net::Task<CallerResponse>;
+  /** Tries at intervals until the deadline. */
+  auto TryCancel(std::string aId,
+                 MonotonicTime aDeadline,
+                 Milliseconds aRetryInterval) -> net::Task<CallerResponse>;
   /** Writes a final state for a job that has no row, so that the write of a
    * submission in progress fails. */
   auto PreventSubmission(std::string aId, MonotonicTime aDeadline)
--- a/src/dispatch/tests/cancellationcells_tests.cpp
+++ b/src/dispatch/tests/cancellationcells_tests.cpp
@@ -336,4 +336,24 @@
   BOOST_TEST(IsCancelledWithinLimit());
 }
 
+// While a job's cell had no holder, each of its cancellations read the store 16
+// times a second for as long as that lasted.
+BOOST_FIXTURE_TEST_CASE(cancellation_cell_without_holder_reads_store_rarely,
+                        CallersAndCells)
+{
+  SubmitAndStart();
+  Do([&] {
+    mFirst->End();
+    mCells.erase("a/0");
+  });
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(100)) == CallerOutcome::Uncertain));
+  std::size_t before = 0;
+  Do([&] { before = mStore.mReads; });
+  Wait(net::Sleep(Milliseconds(3000)), true);
+  // Attempts after 0.1, 0.2, 0.4 and 0.8 s, then each second.
+  constexpr std::size_t kMaxAttempts = 5;
+  Do([&] { BOOST_TEST(mStore.mReads - before <= kMaxAttempts); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -47,6 +47,8 @@
   bool mHoldsFeeds = false;
   /** Durations of the next range reads, in order. */
   std::deque<Milliseconds> mReadDelays;
+  /** Number of range reads so far. */
+  std::size_t mReads = 0;
   /** Calls that are still to be applied. */
   std::vector<StoreTransaction> mLateCalls;
 
@@ -107,6 +109,7 @@
   auto ReadRange(RangeQuery aQuery, MonotonicTime)
     -> net::Task<StoreReply> override
   {
+    ++mReads;
     if (!mReadDelays.empty()) {
       const auto delay = mReadDelays.front();
       mReadDelays.pop_front();
