--- a/src/dispatch/tests/cancellationcells_tests.cpp
+++ b/src/dispatch/tests/cancellationcells_tests.cpp
@@ -356,4 +356,47 @@
   Do([&] { BOOST_TEST(mStore.mReads - before <= kMaxAttempts); });
 }
 
+// Guards against the import of a job that is executed late, after its former
+// cell has gone on with the job and cancelled it.
+BOOST_FIXTURE_TEST_CASE(cancellation_before_late_import_takes_effect,
+                        CallersAndCells)
+{
+  Do([&] {
+    MakeLongRunning(*this);
+    mFindEmptier = [moves = 0](const std::string&,
+                               const cell::MigratableJob&) mutable {
+      return ++moves > 1 ? std::nullopt : std::optional<std::string>("b/0");
+    };
+    mExecute = [this](JobCommand aCommand) -> net::Task<JobReply> {
+      if (aCommand.mKind == JobCommandKind::ImportJob) {
+        mStore.mFaults = { FakeFault::ApplyLate };
+      }
+      co_return co_await ExecuteInCell(std::move(aCommand));
+    };
+  });
+  BOOST_REQUIRE(
+    (Request("POST", Milliseconds(3000)) == CallerOutcome::Accepted));
+  BOOST_REQUIRE(Until([&] { return !mStore.mLateCalls.empty(); }));
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(3000)) == CallerOutcome::Cancelled));
+  Do([&] { mStore.ApplyLateCalls(); });
+  BOOST_TEST(IsCancelledWithinLimit());
+  Do([&] {
+    BOOST_TEST((IdState(kId) == cell::JobState::Cancelled));
+    BOOST_TEST(CountRows(kJobTable) == 0U);
+  });
+}
+
+// A cancellation whose final write lost its reply is confirmed by the row of
+// the id.
+BOOST_FIXTURE_TEST_CASE(cancellation_final_write_without_reply_is_acknowledged,
+                        CallersAndCells)
+{
+  SubmitAndStart();
+  Do([&] { mStore.mFaults = { FakeFault::LoseReply }; });
+  BOOST_TEST(
+    (Request("DELETE", Milliseconds(3000)) == CallerOutcome::Cancelled));
+  BOOST_TEST(IsCancelledWithinLimit());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
