Don't wait for the progress of a job that is not in the cell

Found by review: the notification of a host cell that starts after its job has ended created an entry for the job's rows and looked at it every 20 ms until the holder ended. Read in the code; no test or play shows it.

--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -197,9 +197,10 @@
   -> net::Task<void>
 {
   const auto self = shared_from_this();
-  const auto version = mRows[aId].mProgressVersion;
+  const auto rows = mRows.find(aId);
+  const auto version = rows == mRows.end() ? 0 : rows->second.mProgressVersion;
   while (mPhase == HolderPhase::Active && mRows.contains(aId) &&
-         mRows[aId].mProgressVersion <= version) {
+         mRows.at(aId).mProgressVersion <= version) {
     co_await net::Sleep(kStoredPollInterval);
   }
   co_await NotifyHost(aId, aHost);
