Remove departed workers whose last poll failed if no start to them is open

Callers would see long-running tasks without a run for 6 s and more after a takeover (LOST).

Cause: a worker that leaves does not answer the poll that is in flight, and counts as one that may have restarted from then on. Such a worker stayed in the table of members until its last lease would have ended, even if it had no run and all its ends were stored; a poll is nearly always in flight, so the removal of idle workers that have left almost never took place. The next holder cannot ask it and starts no task without a run before 6.3 s.

Class: a condition that stands for another one. What a restart makes dangerous is a start that was not answered, as the next incarnation knows neither a token nor the stop of that run. Without one, a worker cannot begin a run of this holder, restarted or not. So the holder notes until when such a start may still be executed (12 s, with a margin), and keeps only these workers until their leases end, also one whose polls are still answered, which was removed before.

As before, a holder does not know the unanswered starts of its predecessor, from which its first poll of each worker protects that incarnation only.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -217,6 +217,9 @@
   /** No starts before this time; set after a start that was not answered or was
    * refused. */
   MonotonicTime mSuspectUntil{};
+  /** Until then it may execute a start that was not answered: after a restart
+   * even one whose run was stopped. */
+  MonotonicTime mLateStartsUntil{};
   /** Consecutive failed ends; those of the same job count once. */
   std::uint32_t mConsecutiveFailures = 0;
   std::string mLastFailedJob;
@@ -397,6 +400,8 @@
 
 /** Notes that a worker may have restarted and has to be polled. */
 auto SuspectRestart(Worker& aWorker, MonotonicTime aNow) -> void;
+/** Notes that a worker may execute a start until the given time. */
+auto NoteLateStart(Worker& aWorker, MonotonicTime aUntil) -> void;
 /** Records that a call to a worker failed, other than by a timeout. */
 auto NoteUnreachable(Worker& aWorker, MonotonicTime aNow) -> void;
 /** The progress of a job was stored, with all its counted crashes. */
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -411,6 +411,11 @@
   aWorker.mNeedsPoll = true;
 }
 
+auto NoteLateStart(Worker& aWorker, MonotonicTime aUntil) -> void
+{
+  aWorker.mLateStartsUntil = std::max(aWorker.mLateStartsUntil, aUntil);
+}
+
 auto ApplyReport(CellState& aCell,
                  Worker& aWorker,
                  const WorkerReport& aReport,
--- a/src/cell/internal/runs.cpp
+++ b/src/cell/internal/runs.cpp
@@ -148,10 +148,10 @@
   for (auto& [id, it] : aCell.mWorkers) {
     const auto isPending =
       !it->mRuns.empty() || aCell.mUnreconciledWorkers.contains(id);
-    const auto isIdle = it->mIsKnown && !it->mMayHaveRestartedSince &&
-                        !isPending && it->mSeenEnds <= it->mStoredEnds;
-    if (isIdle && !it->mIsListed) {
-      // All orders to it are settled.
+    const auto isIdle =
+      it->mIsKnown && !isPending && it->mSeenEnds <= it->mStoredEnds;
+    if (isIdle && !it->mIsListed && aNow >= it->mLateStartsUntil) {
+      // Neither it nor an incarnation that has seen no token can begin a run.
       expired.push_back(id);
       continue;
     }
--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -32,6 +32,8 @@
 inline constexpr auto kUnstoredEndsPollInterval = Milliseconds(45);
 /** A write without a reply is applied within 12 s or never; with a margin. */
 inline constexpr auto kMaxWriteDelay = Milliseconds(13000);
+/** The same for an order to a worker. */
+inline constexpr auto kMaxOrderDelay = Milliseconds(13000);
 inline constexpr auto kRetryInterval = Milliseconds(200);
 /** Ends that arrive within this time are stored in one transaction. */
 inline constexpr auto kFlushDelay = Milliseconds(80);
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -272,8 +272,17 @@
     auto& clock = mClocks[aOrder.mWorker];
     clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, leaseEnd);
     UpdateClock(aOrder.mWorker, 0, now);
+    cell::NoteLateStart(*found->second, call.mDeadline);
   }
   const auto reply = co_await mContext.mWorkers.Send(call, aOrder, leaseEnd);
+  if (aOrder.mKind == cell::OrderKind::Start &&
+      reply.mOutcome == cell::OrderOutcome::Unknown) {
+    if (const auto it = mState.mWorkers.find(aOrder.mWorker);
+        it != mState.mWorkers.end()) {
+      cell::NoteLateStart(*it->second,
+                          base::MonotonicClock::now() + kMaxOrderDelay);
+    }
+  }
   if (mPhase == HolderPhase::Ended || step != TokenStepOf(aOrder.mWorker)) {
     co_return;
   }
--- a/src/dispatch/tests/takeover_tests.cpp
+++ b/src/dispatch/tests/takeover_tests.cpp
@@ -194,6 +194,60 @@
   Do([&] { holder->End(); });
 }
 
+// Guards against a second run of a task that the next holder starts while a
+// worker that has left the cell may return and execute an earlier start.
+BOOST_AUTO_TEST_CASE(worker_left_with_an_unanswered_start_delays_the_nextholder)
+{
+  const auto first = MakeHolder(1, "a/0", { "w1", "w2" });
+  BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
+  Do([&] { mWorkers.mHoldsOrders = true; });
+  Wait(first->Execute(MakeSubmission("0000000000000001")));
+  BOOST_REQUIRE(Until([&] { return !mWorkers.mHeldOrders.empty(); }));
+  const auto start = mWorkers.mHeldOrders.front();
+  const auto& left = start.first.mWorker;
+  const auto& task = start.second.mTask;
+  const std::string other = left == "w1" ? "w2" : "w1";
+  Do([&] {
+    // The stop is answered, so that the task is started elsewhere.
+    mWorkers.mHoldsOrders = false;
+    mWorkers.mHeldOrders.clear();
+    auto record = MakeRecord(left);
+    record.mState = cell::WorkerState::Draining;
+    first->UpdateWorker(record);
+  });
+  BOOST_REQUIRE(Until([&] {
+    return mWorkers.mRunning.contains(task) &&
+           first->State().mWorkers.at(left)->mRuns.empty();
+  }));
+  BOOST_REQUIRE(mWorkers.mWorkerOf.at(task) == other);
+  Do([&] {
+    first->UnlistWorker(left);
+    mWorkers.mUnresponsive = { left };
+  });
+  Wait(net::Sleep(4 * kSettlingTime), true);
+  Do([&] {
+    first->End();
+    mWorkers.End(task, cell::EndKind::Stopped);
+  });
+
+  const auto next = MakeHolder(2, "a/0", { other });
+  BOOST_REQUIRE(Until([&] { return next->Phase() == HolderPhase::Active; }));
+  Wait(net::Sleep(kSettlingTime), true);
+  Do([&] {
+    mWorkers.mUnresponsive.clear();
+    mWorkers.Restart(left);
+    mWorkers.Execute(start.first, start.second);
+    next->UpdateWorker(MakeRecord(left));
+  });
+  BOOST_REQUIRE(
+    Until([&] { return next->State().mUnreconciledWorkers.empty(); }));
+  Wait(net::Sleep(kSettlingTime), true);
+
+  BOOST_TEST(mWorkers.mOverlaps == 0U);
+  BOOST_TEST(mWorkers.CountStarts(task) == 2U);
+  Do([&] { next->End(); });
+}
+
 // Guards against ends that are acknowledged before they are stored, so that the
 // next holder starts their tasks again.
 BOOST_AUTO_TEST_CASE(
