Remove an idle worker from the members of its cell when it is unlisted

Callers would see long-running tasks without a run for 6 s and more after a takeover (LOST), if a worker without a run left right before it.

Cause: the removal of idle workers that have left waited for the holder's next tick, up to 200 ms. If the holder ended within that time, the row stayed, and the next holder waited for the worker's lease.

Class: work that can be done at an event waits for a tick. The holder now does it when the worker is unlisted; ticks still remove those that are not idle then, or whose write fails. A worker that leaves while its row is being removed from the store, or while its end is being stored, is still waited for.

--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -61,6 +61,12 @@
 auto CellHolder::UnlistWorker(const std::string& aId) -> void
 {
   cell::UnlistWorker(mState, aId);
+  if (mPhase == HolderPhase::Active) {
+    // This holder may end before the next tick.
+    const auto now = base::MonotonicClock::now();
+    cell::ExpireWorkers(mState, now);
+    RemoveDepartedMembers(now);
+  }
 }
 
 auto CellHolder::StartPolling(const std::string& aWorker) -> void
--- a/src/dispatch/tests/longrunning_tests.cpp
+++ b/src/dispatch/tests/longrunning_tests.cpp
@@ -264,6 +264,33 @@
   Do([&] { BOOST_TEST(mWorkers.mOverlaps == 0U); });
 }
 
+// Guards against tasks that wait for a worker that left the cell, without a
+// run, right before its holder changed.
+BOOST_AUTO_TEST_CASE(task_worker_left_right_before_a_takeover_runs)
+{
+  Submit(MakeLongRunning(kId, 1));
+  const auto task = std::string(kId) + ".0.0.0";
+  BOOST_REQUIRE(RunsWithin(task, kRestartLimit));
+  const auto old = mCells.at("a/0");
+  Do([&] { old->UpdateWorker(MakeRecord("w5")); });
+  BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 3; }));
+  Wait(net::Sleep(Milliseconds(500)), true);
+  Do([&] {
+    mWorkers.mUnresponsive = { "w5" };
+    old->UnlistWorker("w5");
+  });
+  Wait(net::Sleep(Milliseconds(10)), true);
+  std::shared_ptr<CellHolder> next;
+  Do([&] {
+    old->End();
+    mWorkers.End(task, cell::EndKind::Stopped);
+    next = MakeHolder(2);
+    mCells["a/0"] = next;
+  });
+  BOOST_TEST(RunsWithin(task, kRestartLimit));
+  Do([&] { BOOST_TEST(mWorkers.mOverlaps == 0U); });
+}
+
 BOOST_AUTO_TEST_CASE(migration_reply_lost_store_answers_again_task_runs)
 {
   AddSpareCells();
