Limit the reservations of long-running tasks that have not run

Seen in tests: as soon as one task of a new long-running job has started, its other tasks go before all priorities and each of them reserves capacity, without the limit of two.

Cause: whether a task lost its run was asked of its job, whose flag is set by the first start of any task. Class: a property of a task kept for its job only. Each task now has a flag: it has been placed, or may have been by a holder whose decisions aren't known here. Tasks of inherited, hosted and returned jobs have it, so that for them nothing changes.

Tests: reservations. Three of the seven new cases fail before: a new task of a running job started before a short task of the same and of a higher priority, and four reserved instead of two. The others guard tasks that lost their runs, inherited and hosted ones.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -40,6 +40,9 @@
    * not reported since. It is not started until every such worker has reported
    * or its leases have expired. */
   bool mMayBeRunning = false;
+  /** It has been placed, or may have been by a holder whose decisions are not
+   * known here: of an earlier term, or of the cell that owns a hosted job. */
+  bool mMayHaveRun = false;
   std::vector<std::uint64_t> mFailedAttempts;
   /** Reset when a run of the task proves harmless to its worker. */
   CrashCount mCrashes;
--- a/src/cell/internal/hostedtasks.cpp
+++ b/src/cell/internal/hostedtasks.cpp
@@ -27,6 +27,7 @@
                   Milliseconds aWaited) -> void
 {
   aTask.mHostCell.clear();
+  aTask.mMayHaveRun = true;
   MakeReady(aCell, aTask, aNow);
   aTask.mReadyAt = aNow - aWaited;
 }
@@ -75,6 +76,7 @@
         const auto isHosted = IsHostedTask(aJob, it);
         if (it.mPhase == TaskPhase::Remote && isHosted) {
           it.mMayBeRunning = !aCell.mUnreconciledWorkers.empty();
+          it.mMayHaveRun = true;
           MakeReady(aCell, it, aNow);
         } else if (it.mPhase == TaskPhase::Ready && !isHosted) {
           std::erase(aCell.mReady, &it);
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -255,6 +255,7 @@
           it.mPhase = TaskPhase::Remote;
         }
         it.mMayBeRunning = aInherited && it.mPhase == TaskPhase::Waiting;
+        it.mMayHaveRun = aInherited || job.mHasStarted;
       }
     }
     OpenSteps(aCell, job, *occurrence, aNow);
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -17,6 +17,7 @@
   aTask.mPhase = TaskPhase::Placed;
   aTask.mWorker = &aWorker;
   aTask.mAttempt = aAttempt;
+  aTask.mMayHaveRun = true;
   auto& job = *aTask.mJob;
   job.mHasStarted = true;
   if (job.mState == JobState::Queued) {
--- a/src/cell/internal/queueorder.cpp
+++ b/src/cell/internal/queueorder.cpp
@@ -25,7 +25,8 @@
 
 auto IsRestart(const Task& aTask) -> bool
 {
-  return SpecOf(aTask).mIsLongRunning && aTask.mJob->mHasStarted;
+  return SpecOf(aTask).mIsLongRunning && aTask.mJob->mHasStarted &&
+         aTask.mMayHaveRun;
 }
 
 auto ComesBefore(const Task* aLeft, const Task* aRight) -> bool
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -128,6 +128,7 @@
     return;
   }
   task->mJob->mHasStarted = true;
+  task->mMayHaveRun = true;
   const auto isCurrent = task->mPhase == TaskPhase::Placed &&
                          task->mWorker == &aWorker &&
                          task->mAttempt == aEnd.mAttempt;
@@ -220,6 +221,7 @@
   task->mWorker = &aWorker;
   task->mAttempt = aRow.mAttempt;
   task->mMayBeRunning = false;
+  task->mMayHaveRun = true;
   task->mJob->mHasStarted = true;
   auto run = MakeRun(aCell, *task, aRow.mAttempt, aNow);
   run.mStartedAt = {};
--- a/src/cell/tests/reservations_tests.cpp
+++ b/src/cell/tests/reservations_tests.cpp
@@ -18,12 +18,48 @@
   std::map<std::string, std::vector<RunningRow>> mRunningOn;
   std::map<std::string, MonotonicTime> mEndsAt;
 
+  static auto TasksOf(Job& aJob) -> std::vector<Task>&
+  {
+    return aJob.mOccurrences.at(0)->mSteps.at(0).mTasks;
+  }
+
+  static auto MakeLongRunning(std::uint32_t aCount, std::int64_t aCpu)
+    -> StepSpec
+  {
+    auto out = MakeStep(aCount, aCpu);
+    out.mIsLongRunning = true;
+    return out;
+  }
+
+  /** Adds workers of 4000 CPU millis, each with one short run of 3000. */
+  auto AddFullWorkers(int aCount) -> void
+  {
+    for (auto i = 0; i < aCount; ++i) {
+      const auto id = std::to_string(i);
+      AddWorker("full" + id, 4000);
+      Add(MakeJob("s" + id, MakeStep(1, 3000)));
+      BOOST_REQUIRE(Start().size() == 1U);
+    }
+  }
+
+  auto CountReservations() const -> std::size_t
+  {
+    std::size_t out = 0;
+    for (const auto& [id, worker] : mCell.mWorkers) {
+      out += worker->mReservations.size();
+    }
+    return out;
+  }
+
   auto AddLongRunning(const std::string& aId, StepSpec aStep) -> Job&
   {
     aStep.mIsLongRunning = true;
     auto& job = Add(MakeJob(aId, std::move(aStep)));
-    // A job that has run before; its tasks are restarts.
+    // A job whose tasks have all run before; they are restarts.
     job.mHasStarted = true;
+    for (auto& it : TasksOf(job)) {
+      it.mMayHaveRun = true;
+    }
     return job;
   }
 
@@ -188,4 +224,124 @@
   BOOST_TEST(ReserveCapacity(mCell, need, true, mNow));
 }
 
+// The other tasks of a new job went before all short tasks once one had
+// started.
+BOOST_AUTO_TEST_CASE(newtask_of_running_job_goes_after_waiting_short_task)
+{
+  AddWorker("w1", 4000);
+  Add(MakeJob("a", MakeLongRunning(2, 3000)));
+  BOOST_REQUIRE(Start().size() == 1U);
+  Add(MakeJob("s", MakeStep(1, 3000)));
+  AddWorker("w2", 4000);
+
+  const auto orders = Start();
+
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].mTask == "s.0.0.0");
+}
+
+// As above, for a short task of a higher priority.
+BOOST_AUTO_TEST_CASE(newtask_of_running_job_goes_after_task_of_higher_priority)
+{
+  AddWorker("w1", 4000);
+  auto job = MakeJob("a", MakeLongRunning(2, 3000));
+  job.mQueue.mPriority = 5;
+  Add(job);
+  BOOST_REQUIRE(Start().size() == 1U);
+  auto urgent = MakeJob("s", MakeStep(1, 3000));
+  urgent.mQueue.mPriority = 1;
+  Add(urgent);
+  AddWorker("w2", 4000);
+
+  const auto orders = Start();
+
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].mTask == "s.0.0.0");
+}
+
+// Each of the other tasks reserved a worker as soon as one of them had started.
+BOOST_AUTO_TEST_CASE(newtasks_of_running_job_reserve_up_to_the_limit)
+{
+  AddFullWorkers(5);
+  AddWorker("w1", 4000);
+  Add(MakeJob("a", MakeLongRunning(5, 3000)));
+
+  const auto orders = Start();
+
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(CountReservations() == 2U);
+}
+
+// Guards against a limit on tasks that lost their runs, which waited too long.
+BOOST_AUTO_TEST_CASE(tasks_that_lost_their_runs_all_reserve)
+{
+  std::vector<std::string> workers = { "w1", "w2", "w3" };
+  for (const auto& it : workers) {
+    AddWorker(it, 4000);
+  }
+  Add(MakeJob("a", MakeLongRunning(3, 3000)));
+  const auto starts = Start();
+  BOOST_REQUIRE(starts.size() == 3U);
+  AddFullWorkers(4);
+  for (const auto& it : starts) {
+    auto record = mCell.mWorkers.at(it.mWorker)->mRecord;
+    record.mState = WorkerState::Draining;
+    UpdateWorker(mCell, record, mNow);
+    Report(
+      it.mWorker, {}, { { 1, it.mTask, it.mAttempt, EndKind::Stopped, "" } });
+  }
+
+  BOOST_TEST(Start().empty());
+
+  BOOST_TEST(CountReservations() == 3U);
+}
+
+// Guards against a task that lost its run and waits behind short tasks.
+BOOST_AUTO_TEST_CASE(task_that_lost_its_run_goes_before_waiting_short_task)
+{
+  AddWorker("w1", 4000);
+  Add(MakeJob("a", MakeLongRunning(1, 3000)));
+  const auto start = Start();
+  BOOST_REQUIRE(start.size() == 1U);
+  Add(MakeJob("s", MakeStep(1, 3000)));
+  Report(
+    "w1", {}, { { 1, "a.0.0.0", start[0].mAttempt, EndKind::Stopped, "" } });
+
+  const auto orders = Start();
+
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].mTask == "a.0.0.0");
+}
+
+// Guards against a limit on tasks of which a new holder doesn't know that they
+// ran before.
+BOOST_AUTO_TEST_CASE(tasks_of_inherited_job_with_a_run_all_reserve)
+{
+  AddFullWorkers(4);
+  AddWorker("w1", 4000);
+  auto& job = Add(MakeJob("a", MakeLongRunning(4, 3000)), {}, true);
+  Report("w1", { { "a.0.0.0", 5, "", 100, 0 } }, {});
+  for (auto& it : TasksOf(job)) {
+    it.mMayBeRunning = false;
+  }
+
+  BOOST_TEST(Start().empty());
+
+  BOOST_TEST(CountReservations() == 3U);
+}
+
+// Guards against a limit on hosted tasks, which may have lost runs elsewhere.
+BOOST_AUTO_TEST_CASE(hosted_tasks_all_reserve)
+{
+  AddFullWorkers(4);
+  auto stored = MakeJob("a", MakeLongRunning(4, 3000));
+  stored.mHostedTasks = { { 0, 0, 1 }, { 0, 0, 2 } };
+  auto& job = Add(stored);
+  SetHostedTasks(mCell, job, { { 0, 0, 1 }, { 0, 0, 2 }, { 0, 0, 3 } }, mNow);
+
+  BOOST_TEST(Start().empty());
+
+  BOOST_TEST(CountReservations() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
