--- a/src/dispatch/tests/cancellationevents_tests.cpp
+++ b/src/dispatch/tests/cancellationevents_tests.cpp
@@ -91,6 +91,7 @@
   auto StatusOfCells() const -> std::vector<CellStatus>
   {
     std::vector<CellStatus> out;
+    out.reserve(mCells.mCells.size());
     for (const auto& [name, it] : mCells.mCells) {
       out.push_back(it->GetStatus());
     }
