--- a/src/dispatch/tests/cancellationcells_tests.cpp
+++ b/src/dispatch/tests/cancellationcells_tests.cpp
@@ -100,8 +100,7 @@
     // The end is listed only after the lease has expired.
     mWorkers.mUnresponsive.insert("w1");
     mWorkers.End(mTask, cell::EndKind::Failed);
-    mFindCapacity = [](const std::string& aFrom,
-                           const cell::MigratableJob&) {
+    mFindCapacity = [](const std::string& aFrom, const cell::MigratableJob&) {
       return aFrom == "a/0" ? std::optional<std::string>("b/0") : std::nullopt;
     };
     DelayImportReplies(*this, Milliseconds(1000));
