--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -44,6 +44,7 @@
   dispatch::kStoreUnreachable,
   dispatch::kStoreReachable,
   dispatch::kJobRequestAnswered,
+  dispatch::kCancellationCompleted,
   dispatch::kTaskPlaced,
   dispatch::kOrderFailed,
   dispatch::kRunEnded,
