--- a/src/dispatch/tests/cancellationevents_tests.cpp
+++ b/src/dispatch/tests/cancellationevents_tests.cpp
@@ -1,3 +1,4 @@
+#define BOOST_TEST_MODULE dispatch_cancellation_events
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
