Size cells by the processor share of their holders

Cause: a job is bound to a cell of 24 workers, also where an entry of half a core holds it. Such a cell is about as large as one wide step: 13 tasks of 3.2 cores need 42 cores, and long-running tasks leave some 35 of 350 free. A cell that runs one job makes the next one wait, while nine other cells of the domain have room.

Ruled out: the order in a cell and the choice of a cell alone.

Change: 480 workers for each core of the largest entry of the domain, at least 24, so one cell for each domain of up to 240 workers with entries of half a core. Domains that have a layout keep it. A cell goes to an entry of another domain rather than to one of its own that would be loaded over twice as much, as when all larger entries of the domain have died.

--- a/src/dispatch/internal/claiming.cpp
+++ b/src/dispatch/internal/claiming.cpp
@@ -1,6 +1,8 @@
 #include "claiming.h"
 
 #include <algorithm>
+#include <cmath>
+#include <optional>
 #include <tuple>
 
 #include <xxhash.h>
@@ -73,6 +75,20 @@
   return best;
 }
 
+/** The entry that should hold a cell of a domain with live entries: one of
+ * these, unless each would be loaded much more than an entry of another domain.
+ */
+auto ChooseClaimant(const ClaimView& aView, const CellRow& aCell)
+  -> const ClaimCandidate*
+{
+  constexpr double kMaxLoadRatio = 2;
+  const auto* own = ChooseHolder(aView, aCell, true);
+  const auto* any = ChooseHolder(aView, aCell, false);
+  const auto isOverloaded =
+    own && LoadWithOneMore(*own) > kMaxLoadRatio * LoadWithOneMore(*any);
+  return isOverloaded ? any : own;
+}
+
 auto SinceLastHeartbeat(const ClaimView& aView, const std::string& aDomain)
   -> Milliseconds
 {
@@ -106,7 +122,7 @@
     if (IsHeld(view, it)) {
       continue;
     }
-    const auto* chosen = ChooseHolder(view, it, true);
+    const auto* chosen = ChooseClaimant(view, it);
     if (!chosen && SinceLastHeartbeat(view, it.mDomain) > kForeignClaimDelay) {
       chosen = ChooseHolder(view, it, false);
     }
@@ -146,12 +162,22 @@
 auto CellsToRelease(const ClaimView& aView) -> std::vector<std::string>
 {
   std::vector<std::string> out;
-  const auto* me = FindLive(aView, aView.mMyName);
-  for (const auto& it : aView.mCells) {
-    const auto isMine = it.mHolder == aView.mMyName &&
-                        it.mHolderIncarnation == aView.mMyIncarnation;
-    if (isMine && me && me->mDomain != it.mDomain &&
-        ChooseHolder(aView, it, true)) {
+  auto view = aView;
+  for (auto& it : view.mLive) {
+    if (it.mName == view.mMyName && it.mHeldCells > 0) {
+      // It would hold one cell less after the release.
+      --it.mHeldCells;
+    }
+  }
+  const auto* me = FindLive(view, view.mMyName);
+  for (const auto& it : view.mCells) {
+    const auto isMine = it.mHolder == view.mMyName &&
+                        it.mHolderIncarnation == view.mMyIncarnation;
+    if (!isMine || !me || me->mDomain == it.mDomain) {
+      continue;
+    }
+    const auto* other = ChooseClaimant(view, it);
+    if (other && other->mDomain == it.mDomain) {
       out.push_back(it.mName);
     }
   }
@@ -165,10 +191,29 @@
   return base::Cat(aLayout.mDomain, "/", n);
 }
 
-auto CellCountFor(std::size_t aWorkers) -> std::uint32_t
+auto CellCountFor(std::size_t aWorkers, double aCpuShare) -> std::uint32_t
+{
+  // A holder has one thread; see docs/CAPACITY.md for what a worker costs it.
+  constexpr double kWorkersPerCore = 480;
+  constexpr std::size_t kMinWorkersPerCell = 24;
+  const auto size = std::max(kMinWorkersPerCell,
+                             static_cast<std::size_t>(std::lround(
+                               kWorkersPerCore * std::min(1.0, aCpuShare))));
+  return static_cast<std::uint32_t>(
+    std::max<std::size_t>(1, (aWorkers + size - 1) / size));
+}
+
+auto LargestCpuShare(const ClaimView& aView, const std::string& aDomain)
+  -> double
 {
-  return static_cast<std::uint32_t>(std::max<std::size_t>(
-    1, (aWorkers + kWorkersPerCell - 1) / kWorkersPerCell));
+  std::optional<double> out;
+  for (const auto& it : aView.mLive) {
+    if (it.mDomain == aDomain) {
+      out = std::max(out.value_or(it.mCpuShare), it.mCpuShare);
+    }
+  }
+  const auto* me = FindLive(aView, aView.mMyName);
+  return out.value_or(me ? me->mCpuShare : 1.0);
 }
 
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/claiming.h
+++ b/src/dispatch/internal/claiming.h
@@ -71,12 +71,16 @@
 auto CellOfWorker(std::string_view aWorker, const LayoutRow& aLayout)
   -> std::string;
 
-/** Target number of workers per cell; a cell costs its holder about 1% of a
- * core for every two task starts per second. */
-inline constexpr std::size_t kWorkersPerCell = 24;
+/** Number of cells for a domain with the given number of workers. aCpuShare:
+ * the largest processor share of an entry that may hold them. Cells are as
+ * large as a holder can serve: a task waits for a worker of its job's cell, and
+ * the tasks of a wide step have to fit into one cell. */
+auto CellCountFor(std::size_t aWorkers, double aCpuShare) -> std::uint32_t;
 
-/** Number of cells for a domain with the given number of workers. */
-auto CellCountFor(std::size_t aWorkers) -> std::uint32_t;
+/** The largest processor share of a live entry in a domain; that of this entry
+ * if there is none. */
+auto LargestCpuShare(const ClaimView& aView, const std::string& aDomain)
+  -> double;
 
 auto HashOf(std::string_view aText) -> std::uint64_t;
 
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -44,7 +44,7 @@
   auto WriteEntryRow() -> net::Task<void>;
 
   auto ManageCells() -> net::Task<void>;
-  auto ManageLayouts(MonotonicTime aNow) -> void;
+  auto ManageLayouts(const ClaimView& aView, MonotonicTime aNow) -> void;
   auto CreateLayout(std::string aDomain, std::uint32_t aCells)
     -> net::Task<void>;
   auto MakeClaimView(MonotonicTime aNow) const -> ClaimView;
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -109,7 +109,7 @@
     mWorkerWatch.SetActive(!mHolders.empty() || !claims.empty() ||
                            mustCreateLayout);
     if (mWorkerWatch.IsLoaded()) {
-      ManageLayouts(now);
+      ManageLayouts(view, now);
       for (const auto& it : claims) {
         if (mCellsInTransition.insert(it).second) {
           net::SpawnTask(mPool.Executor(0), ClaimCell(it));
@@ -124,7 +124,8 @@
   }
 }
 
-auto DispatchEntry::ManageLayouts(MonotonicTime aNow) -> void
+auto DispatchEntry::ManageLayouts(const ClaimView& aView, MonotonicTime aNow)
+  -> void
 {
   if (aNow - mWorkersChangedAt < kLayoutDelay) {
     return;
@@ -136,7 +137,8 @@
   for (const auto& [domain, n] : counts) {
     if (!mLayouts.contains(domain) &&
         mLayoutsInCreation.insert(domain).second) {
-      net::SpawnTask(mPool.Executor(0), CreateLayout(domain, CellCountFor(n)));
+      const auto cells = CellCountFor(n, LargestCpuShare(aView, domain));
+      net::SpawnTask(mPool.Executor(0), CreateLayout(domain, cells));
     }
   }
 }
--- a/src/dispatch/tests/claiming_tests.cpp
+++ b/src/dispatch/tests/claiming_tests.cpp
@@ -139,8 +139,29 @@
   const auto layout = LayoutRow{ "a", 3 };
   BOOST_TEST(CellOfWorker("w1", layout) == CellOfWorker("w1", layout));
   BOOST_TEST(CellOfWorker("w1", layout).starts_with("a/"));
-  BOOST_TEST(CellCountFor(0) == 1U);
-  BOOST_TEST(CellCountFor(25) == 2U);
+}
+
+// Cells of 24 workers, whatever their holders can do, were smaller than a wide
+// step of a short job.
+BOOST_AUTO_TEST_CASE(cells_are_as_large_as_their_holders_can_serve)
+{
+  BOOST_TEST(CellCountFor(0, 0.1) == 1U);
+  BOOST_TEST(CellCountFor(48, 0.1) == 1U);
+  BOOST_TEST(CellCountFor(49, 0.1) == 2U);
+  BOOST_TEST(CellCountFor(220, 0.01) == 10U);
+  BOOST_TEST(CellCountFor(220, 0.5) == 1U);
+  BOOST_TEST(CellCountFor(250, 0.5) == 2U);
+  BOOST_TEST(CellCountFor(4800, 4) == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(cells_are_sized_for_the_largest_entry_of_their_domain)
+{
+  mView.mLive = { { "a1", 10, "a", false, 0, 0.07 },
+                  { "a2", 10, "a", false, 0, 0.5 },
+                  { "b1", 10, "b", false, 0, 0.25 } };
+  BOOST_TEST(LargestCpuShare(mView, "a") == 0.5);
+  BOOST_TEST(LargestCpuShare(mView, "b") == 0.25);
+  BOOST_TEST(LargestCpuShare(mView, "c") == 0.07);
 }
 
 BOOST_AUTO_TEST_CASE(cells_released_go_to_entries_by_their_processor_share)
@@ -160,6 +181,29 @@
   BOOST_TEST(!IsFirstClaimant(mView));
 }
 
+// A cell that is sized for half a core fell to an entry with a fourteenth after
+// all larger entries of its domain had died.
+BOOST_AUTO_TEST_CASE(cell_goes_to_another_domain_rather_than_to_a_small_entry)
+{
+  mView.mLive = { { "a1", 10, "a", false, 0, 0.07 },
+                  { "b1", 10, "b", false, 1, 0.5 } };
+  BOOST_TEST(CellsToClaim(mView).empty());
+  mView.mMyName = "b1";
+  BOOST_TEST(CellsToClaim(mView) == std::vector<std::string>{ "a/0" });
+  mView.mCells[0].mHolder = "b1";
+  mView.mLive[1].mHeldCells = 2;
+  BOOST_TEST(CellsToRelease(mView).empty());
+  mView.mLive.push_back({ "a2", 10, "a", false, 0, 0.5 });
+  BOOST_TEST(CellsToRelease(mView) == std::vector<std::string>{ "a/0" });
+}
+
+BOOST_AUTO_TEST_CASE(small_entry_that_hears_no_larger_one_claims_the_cell)
+{
+  mView.mLive = { { "a1", 10, "a", false, 0, 0.07 } };
+  mView.mSinceLastHeartbeat["b"] = Milliseconds(2000);
+  BOOST_TEST(CellsToClaim(mView) == std::vector<std::string>{ "a/0" });
+}
+
 BOOST_AUTO_TEST_CASE(small_entry_soon_after_its_start_waits_for_a_larger_one)
 {
   mView.mCells[0].mHolder.clear();
