Send short jobs to cells that can start their tasks at once

Callers saw short jobs wait in full cells while others had room.

Cause: cells were ranked by the sum of free CPU in heartbeats, which counts pieces into which no task fits, with a bonus for the entry's own domain as large as the free share of a cell (0.1). The holder accepted jobs that it could not start. A job could move only after 1.2 s, which is the slack of such a job, and only to a cell without any waiting task, also best-effort ones.

Change: heartbeats tell how many tasks of ten sizes a cell could start. Entries rank by the share of a job's first tasks that start at once, offer the job to up to four cells that can start all of them, and a holder declines such an offer without a store call if it cannot. A job without a run that waits for CPU moves after 200 ms to a cell that can start all its waiting tasks. Best-effort and long-running jobs are ranked as before.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -447,6 +447,11 @@
   std::string mId;
   std::int64_t mReservingCpuMillis = 0;
   std::int64_t mBestEffortCpuMillis = 0;
+  /** Waiting tasks that reserve CPU, and the most that one of them reserves. */
+  std::uint32_t mReservingTasks = 0;
+  std::int64_t mLargestTaskCpuMillis = 0;
+  /** Since its first waiting task became ready. */
+  Milliseconds mWaited{ 0 };
 };
 
 /** Jobs without any run of which a task has been ready for more than aWait, the
--- a/src/cell/include/eelgrasspost/cell/room.h
+++ b/src/cell/include/eelgrasspost/cell/room.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -64,6 +66,14 @@
  */
 auto PrepareTransfer(Worker& aWorker) -> void;
 
+/** Sizes of tasks, in CPU millis, for which the number of tasks that could be
+ * started is counted. */
+inline constexpr auto kTaskSizes =
+  std::array<std::int64_t, 10>{ 500,  1000, 2000, 3000,  4000,
+                                5000, 6500, 9000, 12000, 16000 };
+/** Number of tasks of each size. */
+using TaskCounts = std::array<std::uint16_t, kTaskSizes.size()>;
+
 /** Capacity and demand of a cell, over its usable workers. */
 struct CellRoom
 {
@@ -81,7 +91,13 @@
   std::int64_t mLeftoverCpuMillis = 0;
   /** CPU millis that waiting tasks need. */
   std::int64_t mWaitingCpuMillis = 0;
+  /** Tasks of each size that could be started at once. */
+  TaskCounts mStartable{};
 };
+/** The number of tasks with the given need of which aCounts has room; tasks
+ * larger than all sizes have none. */
+auto CountStartable(const TaskCounts& aCounts, std::int64_t aCpuMillis)
+  -> std::uint16_t;
 auto RoomOf(const CellState& aCell, MonotonicTime aNow) -> CellRoom;
 
 } // namespace eelgrasspost::cell
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -405,15 +405,22 @@
     auto& migratable = found[job];
     migratable.mId = job->mStored.mSpec.mId;
     const auto& spec = SpecOf(*it);
-    (spec.mIsBestEffort ? migratable.mBestEffortCpuMillis
-                        : migratable.mReservingCpuMillis) +=
-      spec.mNeed.mCpuMillis;
+    if (spec.mIsBestEffort) {
+      migratable.mBestEffortCpuMillis += spec.mNeed.mCpuMillis;
+    } else {
+      migratable.mReservingCpuMillis += spec.mNeed.mCpuMillis;
+      migratable.mLargestTaskCpuMillis =
+        std::max(migratable.mLargestTaskCpuMillis, spec.mNeed.mCpuMillis);
+      ++migratable.mReservingTasks;
+    }
     auto [slot, isNew] = since.emplace(job, it->mReadyAt);
     slot->second = std::min(slot->second, it->mReadyAt);
   }
   std::vector<std::pair<MonotonicTime, MigratableJob>> order;
-  for (const auto& [job, it] : found) {
+  for (auto& [job, it] : found) {
     if (aNow - since.at(job) > aWait && !HasRun(*job)) {
+      it.mWaited =
+        std::chrono::duration_cast<Milliseconds>(aNow - since.at(job));
       order.emplace_back(since.at(job), it);
     }
   }
--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -114,6 +114,16 @@
                                                  : WorkerListState::Unconfirmed;
 }
 
+auto CountStartable(const TaskCounts& aCounts, std::int64_t aCpuMillis)
+  -> std::uint16_t
+{
+  const auto size =
+    std::lower_bound(kTaskSizes.begin(), kTaskSizes.end(), aCpuMillis);
+  return size == kTaskSizes.end()
+           ? 0
+           : aCounts.at(static_cast<std::size_t>(size - kTaskSizes.begin()));
+}
+
 auto RoomOf(const CellState& aCell, MonotonicTime aNow) -> CellRoom
 {
   CellRoom out;
@@ -126,9 +136,13 @@
     free.mCpuMillis += ofWorker.mCpuMillis;
     free.mMemoryMb += ofWorker.mMemoryMb;
     free.mAccelerators += ofWorker.mAccelerators;
-    out.mLargestCpuMillis = std::max(
-      out.mLargestCpuMillis,
-      ofWorker.mCpuMillis - ReservedForOthers(*it, {}, aNow).mCpuMillis);
+    const auto startable =
+      ofWorker.mCpuMillis - ReservedForOthers(*it, {}, aNow).mCpuMillis;
+    out.mLargestCpuMillis = std::max(out.mLargestCpuMillis, startable);
+    for (std::size_t i = 0; i < kTaskSizes.size(); ++i) {
+      out.mStartable.at(i) += static_cast<std::uint16_t>(
+        std::max<std::int64_t>(0, startable) / kTaskSizes.at(i));
+    }
     out.mLargestReservableCpuMillis = std::max(
       out.mLargestReservableCpuMillis, LargestReservableCpu(aCell, *it, aNow));
     out.mCapacityCpuMillis += it->mRecord.mCapacity.mCpuMillis;
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -4,7 +4,9 @@
 #include <string>
 #include <vector>
 
-#include "eelgrasspost/cell/celltypes.h"
+#include <cereal/types/array.hpp>
+
+#include "eelgrasspost/cell/room.h"
 #include "eelgrasspost/dispatch/iplatform.h"
 
 namespace eelgrasspost::dispatch {
@@ -67,12 +69,14 @@
   /** Largest CPU on a single worker that a long-running task can have once the
    * short tasks there have ended. */
   std::int64_t mLargestReservableCpuMillis = 0;
+  /** Tasks of each size that could be started at once. */
+  cell::TaskCounts mStartable{};
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mName, mToken, mIsActive, mLargestCpuMillis);
-    archive(mLargestReservableCpuMillis);
+    archive(mLargestReservableCpuMillis, mStartable);
     archive(mFreeCpuMillis, mFreeMemoryMb, mCapacityCpuMillis);
     archive(mBestEffortCpuMillis, mLeftoverCpuMillis, mWaitingCpuMillis);
   }
@@ -275,12 +279,15 @@
   MigrationSource mSource;
   /** Used by TransferWorker and ReserveCapacity. */
   CapacityRequest mRequest;
+  /** Used by Submit: the cell declines a job whose first tasks it cannot start
+   * at once. */
+  bool mMustStartAtOnce = false;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mKind, mCell, mJobId, mJob, mTimeoutMs, mProgress, mSource);
-    archive(mRequest);
+    archive(mRequest, mMustStartAtOnce);
   }
 };
 
@@ -294,6 +301,8 @@
   /** The command had no effect and will have none. */
   Refused,
   Uncertain,
+  /** The cell cannot start the job at once; the command had no effect. */
+  Declined,
 };
 
 struct JobReply
--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "callerresponses.h"
+#include "cellchoice.h"
 #include "claiming.h"
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
@@ -42,41 +43,6 @@
   return out;
 }
 
-/** CPU reserved by the most demanding step of a job. */
-auto MaxStepCpuMillis(const cell::JobSpec& aJob) -> std::int64_t
-{
-  std::int64_t out = 0;
-  for (const auto& it : aJob.mSteps) {
-    if (!it.mIsBestEffort) {
-      out = std::max(out, it.mNeed.mCpuMillis * it.mCount);
-    }
-  }
-  return out;
-}
-
-auto Ratio(std::int64_t aPart, std::int64_t aWhole) -> double
-{
-  return static_cast<double>(aPart) /
-         static_cast<double>(std::max<std::int64_t>(1, aWhole));
-}
-
-/** Difference in free capacity that other entries may not have reported yet. */
-constexpr double kJitterWeight = 0.05;
-
-/** Pseudorandom number from 0 to 1 that depends on job and cell. */
-auto JitterOf(const std::string& aJob, const std::string& aCell) -> double
-{
-  constexpr std::uint64_t kSteps = 1000;
-  return static_cast<double>(HashOf(base::Cat(aJob, "/", aCell)) % kSteps) /
-         static_cast<double>(kSteps);
-}
-
-auto IsInDomain(const std::string& aCell, const std::string& aDomain) -> bool
-{
-  return aCell.size() > aDomain.size() && aCell.starts_with(aDomain) &&
-         aCell[aDomain.size()] == '/';
-}
-
 } // namespace
 
 CallerHandler::CallerHandler(CallerHandlerContext aContext)
@@ -102,44 +68,6 @@
   mCellByJob[aId] = aCell;
 }
 
-/** Prefers cells with a large share of free capacity, with a bonus for cells of
- * the entry's own domain that have some. A long-running job gets no such bonus,
- * as the interference and the blocking of others that it causes last as long as
- * the job. */
-auto CallerHandler::RankCells(const cell::JobSpec& aJob) const
-  -> std::vector<std::string>
-{
-  const auto need = MaxStepCpuMillis(aJob);
-  const auto isLongRunning = cell::IsLongRunning(aJob);
-  auto cells = mContext.mCells();
-  const auto rank = [&](const CellStatus& aCell) {
-    const auto isSameDomain =
-      !isLongRunning && IsInDomain(aCell.mName, mContext.mDomain);
-    // Spreads jobs that arrive before the next status reports.
-    const auto jitter =
-      isLongRunning ? JitterOf(aJob.mId, aCell.mName) * kJitterWeight : 0.0;
-    // A cell of the same domain saves a cross-domain message per request.
-    constexpr double kSameDomainBonus = 0.1;
-    const auto share =
-      need > 0
-        ? Ratio(aCell.mFreeCpuMillis - need, aCell.mCapacityCpuMillis)
-        : 1.0 - Ratio(aCell.mBestEffortCpuMillis, aCell.mLeftoverCpuMillis);
-    return -(share + jitter +
-             (isSameDomain && share > 0 ? kSameDomainBonus : 0.0));
-  };
-  std::sort(
-    cells.begin(), cells.end(), [&](const auto& aLeft, const auto& aRight) {
-      return std::pair(!aLeft.mIsActive, rank(aLeft)) <
-             std::pair(!aRight.mIsActive, rank(aRight));
-    });
-  std::vector<std::string> out;
-  out.reserve(cells.size());
-  for (const auto& it : cells) {
-    out.push_back(it.mName);
-  }
-  return out;
-}
-
 auto CallerHandler::Submit(const CallerRequest& aRequest,
                            const std::string& aBody,
                            MonotonicTime aDeadline) -> net::Task<CallerResponse>
@@ -161,8 +89,10 @@
   auto isOutcomeUnknown = false;
   auto isRefused = false;
   while (true) {
-    for (const auto& it : RankCells(command.mJob.mSpec)) {
-      command.mCell = it;
+    for (const auto& it :
+         PlanOffers(mContext.mCells(), command.mJob.mSpec, mContext.mDomain)) {
+      command.mCell = it.mCell;
+      command.mMustStartAtOnce = it.mMustStartAtOnce;
       command.mTimeoutMs = RemainingTimeoutMs(aDeadline);
       const auto reply = co_await mContext.mExecute(command);
       if (reply.mOutcome == JobOutcome::Done && reply.mCell.empty()) {
--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -85,7 +85,6 @@
   auto Locate(std::string aId, MonotonicTime aDeadline) -> net::Task<Location>;
   auto ReadIdRow(std::string aId, MonotonicTime aDeadline)
     -> net::Task<Location>;
-  auto RankCells(const cell::JobSpec& aJob) const -> std::vector<std::string>;
   auto LogResponse(const CallerRequest& aRequest,
                    const Configuration& aConfiguration,
                    const CallerResponse& aResponse,
--- /dev/null
+++ b/src/dispatch/internal/cellchoice.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "eelgrasspost/cell/cellstate.h"
+#include "eelgrasspost/dispatch/dispatchtypes.h"
+
+namespace eelgrasspost::dispatch {
+
+/** A job that has waited this long for capacity is offered to another cell. The
+ * slack of a short job that reserves CPU is about a second. */
+inline constexpr auto kMigrationDelay = base::Milliseconds(200);
+inline constexpr auto kBestEffortMigrationDelay = base::Milliseconds(1200);
+/** Maximum number of jobs that migrate away per tick. */
+inline constexpr std::size_t kMigrationsPerTick = 3;
+
+/** The status of a cell as its holder reports it, except for its token and
+ * whether it is active. */
+auto MakeCellStatus(const cell::CellState& aCell, base::MonotonicTime aNow)
+  -> CellStatus;
+
+/** Share of the short tasks of a job's first steps that a cell could start at
+ * once; 1 for a job without such tasks. */
+auto StartableShare(const CellStatus& aCell, const cell::JobSpec& aJob)
+  -> double;
+
+/** A cell to which a new job is sent. */
+struct Offer
+{
+  std::string mCell;
+  /** The cell declines the job unless it can start its first tasks at once. Its
+   * status may be out of date. */
+  bool mMustStartAtOnce = false;
+};
+
+/** The cells to which a new job is sent, one after the other, until one accepts
+ * it. aDomain: the domain of the entry that has received the job. */
+auto PlanOffers(std::vector<CellStatus> aCells,
+                const cell::JobSpec& aJob,
+                const std::string& aDomain) -> std::vector<Offer>;
+
+/** Whether a job without any run has waited long enough for another cell. */
+auto IsMigrationDue(const cell::MigratableJob& aJob) -> bool;
+
+/** Another cell with capacity for the waiting tasks of a job of the cell aFrom.
+ */
+auto ChooseCellWithCapacity(const std::vector<CellStatus>& aCells,
+                            const std::string& aFrom,
+                            const cell::MigratableJob& aJob)
+  -> std::optional<std::string>;
+
+/** Another cell that stays emptier than the cell aFrom after it has taken one
+ * of its jobs, which has not started. */
+auto ChooseEmptierCell(const std::vector<CellStatus>& aCells,
+                       const std::string& aFrom,
+                       const cell::MigratableJob& aJob)
+  -> std::optional<std::string>;
+
+} // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "cellchoice.h"
 #include "eelgrasspost/net/codec.h"
 
 namespace eelgrasspost::dispatch {
@@ -138,25 +139,7 @@
                                          const cell::MigratableJob& aJob) const
   -> std::optional<std::string>
 {
-  std::optional<std::string> out;
-  std::int64_t mostCapacity = 0;
-  for (const auto& it : ReachableCells()) {
-    if (it.mName == aFrom || !it.mIsActive || it.mWaitingCpuMillis > 0) {
-      continue;
-    }
-    // Fragmentation makes part of the free capacity unusable.
-    constexpr double kUsableShare = 0.8;
-    const auto free = static_cast<std::int64_t>(
-                        static_cast<double>(it.mFreeCpuMillis) * kUsableShare) -
-                      aJob.mReservingCpuMillis;
-    const auto left = it.mLeftoverCpuMillis - it.mBestEffortCpuMillis -
-                      aJob.mBestEffortCpuMillis;
-    const auto capacity = aJob.mReservingCpuMillis > 0 ? free : left;
-    if (free >= 0 && left >= 0 && (!out || capacity > mostCapacity)) {
-      out = it.mName;
-      mostCapacity = capacity;
-    }
-  }
+  auto out = ChooseCellWithCapacity(ReachableCells(), aFrom, aJob);
   if (out) {
     AddUnreportedWork(
       *out, aJob.mReservingCpuMillis, aJob.mBestEffortCpuMillis);
@@ -168,31 +151,11 @@
                                     const cell::MigratableJob& aJob) const
   -> std::optional<std::string>
 {
-  // A smaller difference does not justify a transaction.
-  constexpr double kMinGain = 0.03;
-  const auto freeShare = [](const CellStatus& aCell, std::int64_t aLess) {
-    const auto capacity = std::max<std::int64_t>(1, aCell.mCapacityCpuMillis);
-    return static_cast<double>(aCell.mFreeCpuMillis - aLess) /
-           static_cast<double>(capacity);
-  };
-  std::optional<std::string> out;
-  auto own = 0.0;
-  auto best = 0.0;
-  for (const auto& it : ReachableCells()) {
-    if (it.mName == aFrom) {
-      own = freeShare(it, 0);
-    } else if (it.mIsActive) {
-      const auto share = freeShare(it, aJob.mReservingCpuMillis);
-      if (!out || share > best) {
-        out = it.mName;
-        best = share;
-      }
-    }
-  }
-  if (!out || best <= own + kMinGain) {
-    return std::nullopt;
+  auto out = ChooseEmptierCell(ReachableCells(), aFrom, aJob);
+  if (out) {
+    AddUnreportedWork(
+      *out, aJob.mReservingCpuMillis, aJob.mBestEffortCpuMillis);
   }
-  AddUnreportedWork(*out, aJob.mReservingCpuMillis, aJob.mBestEffortCpuMillis);
   return out;
 }
 
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "cellchoice.h"
 #include "cellholder.h"
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/net/codec.h"
@@ -86,6 +87,10 @@
   if (mIsShuttingDown || !CanSendOrders()) {
     co_return JobReply{ JobOutcome::CellNotHeld };
   }
+  if (aCommand.mMustStartAtOnce &&
+      StartableShare(GetStatus(), aCommand.mJob.mSpec) < 1) {
+    co_return JobReply{ JobOutcome::Declined };
+  }
   mUnresolvedJobs.insert(id);
   auto reply = co_await CommitJob(aCommand.mJob, deadline);
   if (reply.mOutcome == JobOutcome::Uncertain) {
--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -1,3 +1,4 @@
+#include "cellchoice.h"
 #include "cellholder.h"
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
@@ -10,11 +11,6 @@
 
 namespace {
 
-/** A job that has waited this long for capacity is offered to another cell. */
-constexpr auto kMigrationDelay = Milliseconds(1200);
-/** Maximum number of jobs that migrate away per tick. */
-constexpr std::size_t kMigrationsPerTick = 3;
-
 constexpr auto kResolveInterval = Milliseconds(500);
 
 } // namespace
@@ -39,7 +35,9 @@
     if (moves >= kMigrationsPerTick) {
       return;
     }
-    if (const auto target = mContext.mFindCellWithCapacity(it)) {
+    const auto target =
+      IsMigrationDue(it) ? mContext.mFindCellWithCapacity(it) : std::nullopt;
+    if (target) {
       ++moves;
       move(it.mId, *target);
     }
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -1,6 +1,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "cellchoice.h"
 #include "cellholder.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/iopool.h"
@@ -467,20 +468,9 @@
 
 auto CellHolder::GetStatus() const -> CellStatus
 {
-  const auto now = base::MonotonicClock::now();
-  const auto capacity = cell::RoomOf(mState, now);
-  CellStatus out;
-  out.mName = mRow.mName;
+  auto out = MakeCellStatus(mState, base::MonotonicClock::now());
   out.mToken = mRowVersion;
   out.mIsActive = CanSendOrders() && !mIsShuttingDown;
-  out.mFreeCpuMillis = capacity.mFree.mCpuMillis;
-  out.mFreeMemoryMb = capacity.mFree.mMemoryMb;
-  out.mCapacityCpuMillis = capacity.mCapacityCpuMillis;
-  out.mBestEffortCpuMillis = capacity.mBestEffortCpuMillis;
-  out.mLeftoverCpuMillis = capacity.mLeftoverCpuMillis;
-  out.mWaitingCpuMillis = capacity.mWaitingCpuMillis;
-  out.mLargestCpuMillis = capacity.mLargestCpuMillis;
-  out.mLargestReservableCpuMillis = capacity.mLargestReservableCpuMillis;
   return out;
 }
 
