Start tasks of jobs in time before those of late jobs

Tasks that reserve CPU were started in the order of their jobs' arrival, also those of jobs that had passed three times their objective and earn nothing.

The comparison applied lateness to two best-effort tasks only, and age to a best-effort and a reserving one of the same priority, so three tasks could form a cycle, which std::sort does not allow; equal ages were ordered by address.

Change: one key for short tasks of a priority: lateness, reserving before best-effort, the remaining work of best-effort jobs, age, then the task's id and position. Reserving tasks are not ordered by remaining work, as wide jobs would wait for all others.

--- a/src/cell/internal/queueorder.cpp
+++ b/src/cell/internal/queueorder.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
-#include <utility>
+#include <tuple>
 
 namespace eelgrasspost::cell {
 
@@ -29,6 +29,42 @@
          aTask.mMayHaveRun;
 }
 
+namespace {
+
+/** The order of short tasks of one priority: those of jobs that can still be in
+ * time first. Best-effort jobs follow each other by the least remaining work,
+ * others by age. */
+auto ShortTaskKey(const Task& aTask)
+{
+  const auto& job = *aTask.mJob;
+  const auto isBestEffort = SpecOf(aTask).mIsBestEffort;
+  return std::tuple(job.mRank.mLateness,
+                    isBestEffort,
+                    isBestEffort ? job.mRank.mRemainingWork : 0.0);
+}
+
+/** The order of long-running tasks of one priority: the largest first, as this
+ * leaves less capacity unused. New tasks of one image are placed together. */
+auto LongRunningKey(const Task& aTask)
+{
+  const auto& spec = SpecOf(aTask);
+  return std::tuple(IsRestart(aTask) ? std::string_view()
+                                     : std::string_view(spec.mImage),
+                    -spec.mNeed.mCpuMillis);
+}
+
+auto AgeKey(const Task& aTask)
+{
+  const auto& job = *aTask.mJob;
+  return std::tuple(job.mAddedAt,
+                    std::string_view(job.mStored.mSpec.mId),
+                    aTask.mOccurrence,
+                    aTask.mStep,
+                    aTask.mIndex);
+}
+
+} // namespace
+
 auto ComesBefore(const Task* aLeft, const Task* aRight) -> bool
 {
   if (IsRestart(*aLeft) != IsRestart(*aRight)) {
@@ -44,28 +80,16 @@
   if (isLeftLongRunning != isRightLongRunning) {
     return isRightLongRunning;
   }
-  if (SpecOf(*aLeft).mIsBestEffort && SpecOf(*aRight).mIsBestEffort &&
-      aLeft->mJob->mRank != aRight->mJob->mRank) {
-    return aLeft->mJob->mRank < aRight->mJob->mRank;
-  }
   if (isLeftLongRunning) {
-    // The largest first, as this leaves less capacity unused. New tasks of one
-    // image are placed together.
-    const auto isRestart = IsRestart(*aLeft);
-    const auto key = [&](const StepSpec& aSpec) {
-      return std::pair(isRestart ? std::string_view() : aSpec.mImage,
-                       -aSpec.mNeed.mCpuMillis);
-    };
-    const auto leftKey = key(SpecOf(*aLeft));
-    const auto rightKey = key(SpecOf(*aRight));
-    if (leftKey != rightKey) {
-      return leftKey < rightKey;
-    }
-  }
-  if (aLeft->mJob->mAddedAt != aRight->mJob->mAddedAt) {
-    return aLeft->mJob->mAddedAt < aRight->mJob->mAddedAt;
+    const auto leftKey = LongRunningKey(*aLeft);
+    const auto rightKey = LongRunningKey(*aRight);
+    return leftKey != rightKey ? leftKey < rightKey
+                               : AgeKey(*aLeft) < AgeKey(*aRight);
   }
-  return aLeft < aRight;
+  const auto leftKey = ShortTaskKey(*aLeft);
+  const auto rightKey = ShortTaskKey(*aRight);
+  return leftKey != rightKey ? leftKey < rightKey
+                             : AgeKey(*aLeft) < AgeKey(*aRight);
 }
 
 auto IsLightlyLoaded(const CellState& aCell, MonotonicTime aNow) -> bool
--- a/src/dispatch/tests/cellpool_tests.cpp
+++ b/src/dispatch/tests/cellpool_tests.cpp
@@ -36,4 +36,14 @@
   BOOST_TEST(pool.Stranded() <= pool.Tasks() / 100);
 }
 
+// Tasks that reserve CPU were started in the order of their jobs' arrival, also
+// those of jobs that were late already.
+BOOST_DATA_TEST_CASE(late_job_does_not_delay_jobs_in_time,
+                     data::xrange(1, 9),
+                     seed)
+{
+  const auto pool = PlayWaves(static_cast<std::uint64_t>(seed));
+  BOOST_TEST(pool.Overtaken() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
