--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -56,6 +56,7 @@
       mContext.mMetrics.FindCounter("cancellations_deferred_total"))
   , mUncertain(
       mContext.mMetrics.FindCounter("submissions_total{outcome=\"uncertain\"}"))
+  , mDeclinedOffers(mContext.mMetrics.FindCounter("offers_declined_total"))
 {
 }
 
@@ -95,6 +96,10 @@
       command.mMustStartAtOnce = it.mMustStartAtOnce;
       command.mTimeoutMs = RemainingTimeoutMs(aDeadline);
       const auto reply = co_await mContext.mExecute(command);
+      if (reply.mOutcome == JobOutcome::Declined) {
+        mDeclinedOffers.Add();
+        continue;
+      }
       if (reply.mOutcome == JobOutcome::Done && reply.mCell.empty()) {
         mRefused.Add();
         auto out = MakeNotRunResponse("the job was cancelled before");
--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -100,6 +100,7 @@
   base::Histogram& mRequestTime;
   base::Counter& mDeferredCancellations;
   base::Counter& mUncertain;
+  base::Counter& mDeclinedOffers;
 };
 
 } // namespace eelgrasspost::dispatch
