--- a/src/dispatch/internal/cellchoice.cpp
+++ b/src/dispatch/internal/cellchoice.cpp
@@ -127,7 +127,7 @@
 
 } // namespace
 
-auto PlanOffers(std::vector<CellStatus> aCells,
+auto PlanOffers(const std::vector<CellStatus>& aCells,
                 const cell::JobSpec& aJob,
                 const std::string& aDomain) -> std::vector<Offer>
 {
--- a/src/dispatch/internal/cellchoice.h
+++ b/src/dispatch/internal/cellchoice.h
@@ -37,7 +37,7 @@
 
 /** The cells to which a new job is sent, one after the other, until one accepts
  * it. aDomain: the domain of the entry that has received the job. */
-auto PlanOffers(std::vector<CellStatus> aCells,
+auto PlanOffers(const std::vector<CellStatus>& aCells,
                 const cell::JobSpec& aJob,
                 const std::string& aDomain) -> std::vector<Offer>;
 
--- a/src/dispatch/tests/cellpool.h
+++ b/src/dispatch/tests/cellpool.h
@@ -262,6 +262,7 @@
   auto Statuses() const -> std::vector<CellStatus>
   {
     std::vector<CellStatus> out;
+    out.reserve(mCells.size());
     for (const auto& [name, it] : mCells) {
       out.push_back(it.mStatus);
     }
