--- a/src/dispatch/internal/claiming.cpp
+++ b/src/dispatch/internal/claiming.cpp
@@ -75,20 +75,6 @@
   return best;
 }
 
-/** The entry that should hold a cell of a domain with live entries: one of
- * these, unless each would be loaded much more than an entry of another domain.
- */
-auto ChooseClaimant(const ClaimView& aView, const CellRow& aCell)
-  -> const ClaimCandidate*
-{
-  constexpr double kMaxLoadRatio = 2;
-  const auto* own = ChooseHolder(aView, aCell, true);
-  const auto* any = ChooseHolder(aView, aCell, false);
-  const auto isOverloaded =
-    own && LoadWithOneMore(*own) > kMaxLoadRatio * LoadWithOneMore(*any);
-  return isOverloaded ? any : own;
-}
-
 auto SinceLastHeartbeat(const ClaimView& aView, const std::string& aDomain)
   -> Milliseconds
 {
@@ -122,7 +108,7 @@
     if (IsHeld(view, it)) {
       continue;
     }
-    const auto* chosen = ChooseClaimant(view, it);
+    const auto* chosen = ChooseHolder(view, it, true);
     if (!chosen && SinceLastHeartbeat(view, it.mDomain) > kForeignClaimDelay) {
       chosen = ChooseHolder(view, it, false);
     }
@@ -162,22 +148,12 @@
 auto CellsToRelease(const ClaimView& aView) -> std::vector<std::string>
 {
   std::vector<std::string> out;
-  auto view = aView;
-  for (auto& it : view.mLive) {
-    if (it.mName == view.mMyName && it.mHeldCells > 0) {
-      // It would hold one cell less after the release.
-      --it.mHeldCells;
-    }
-  }
-  const auto* me = FindLive(view, view.mMyName);
-  for (const auto& it : view.mCells) {
-    const auto isMine = it.mHolder == view.mMyName &&
-                        it.mHolderIncarnation == view.mMyIncarnation;
-    if (!isMine || !me || me->mDomain == it.mDomain) {
-      continue;
-    }
-    const auto* other = ChooseClaimant(view, it);
-    if (other && other->mDomain == it.mDomain) {
+  const auto* me = FindLive(aView, aView.mMyName);
+  for (const auto& it : aView.mCells) {
+    const auto isMine = it.mHolder == aView.mMyName &&
+                        it.mHolderIncarnation == aView.mMyIncarnation;
+    if (isMine && me && me->mDomain != it.mDomain &&
+        ChooseHolder(aView, it, true)) {
       out.push_back(it.mName);
     }
   }
