Count startable tasks without wrapping, also those beyond all sizes

In a cell of many large workers the count of small tasks wrapped around at 65,536 (140 workers of 256 cores), so the cell looked full. Tasks of more than 16 cores were counted as never startable: they were not offered, and a waiting job of such a task no longer moved. Both came with the counts of startable tasks; found by reading them. Counts are capped, and a cell whose largest piece of free CPU suffices counts as able to start one task.

--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 
 #include "besteffort.h"
 #include "cellinternal.h"
@@ -140,8 +141,12 @@
       ofWorker.mCpuMillis - ReservedForOthers(*it, {}, aNow).mCpuMillis;
     out.mLargestCpuMillis = std::max(out.mLargestCpuMillis, startable);
     for (std::size_t i = 0; i < kTaskSizes.size(); ++i) {
-      out.mStartable.at(i) += static_cast<std::uint16_t>(
-        std::max<std::int64_t>(0, startable) / kTaskSizes.at(i));
+      constexpr std::int64_t kMaxCount =
+        std::numeric_limits<TaskCounts::value_type>::max();
+      auto& count = out.mStartable.at(i);
+      count = static_cast<TaskCounts::value_type>(std::min(
+        kMaxCount,
+        count + std::max<std::int64_t>(0, startable) / kTaskSizes.at(i)));
     }
     out.mLargestReservableCpuMillis = std::max(
       out.mLargestReservableCpuMillis, LargestReservableCpu(aCell, *it, aNow));
--- a/src/cell/tests/capacity_tests.cpp
+++ b/src/cell/tests/capacity_tests.cpp
@@ -258,4 +258,27 @@
   BOOST_TEST((classify(5000, 2901) == WorkerListState::Unconfirmed));
 }
 
+BOOST_AUTO_TEST_CASE(startable_tasks_are_counted_by_size_and_worker)
+{
+  AddWorker("w1", 7000);
+  AddWorker("w2", 4000);
+  const auto counts = RoomOf(mCell, mNow).mStartable;
+  BOOST_TEST(CountStartable(counts, 3000) == 3U);
+  BOOST_TEST(CountStartable(counts, 3500) == 2U);
+  BOOST_TEST(CountStartable(counts, 6000) == 1U);
+  BOOST_TEST(CountStartable(counts, 8000) == 0U);
+  BOOST_TEST(CountStartable(counts, 20000) == 0U);
+}
+
+// The counts of cells with many large workers wrapped around.
+BOOST_AUTO_TEST_CASE(startable_tasks_of_large_workers_are_capped)
+{
+  for (auto i = 0; i < 140; ++i) {
+    AddWorker("w" + std::to_string(i), 256000);
+  }
+  const auto counts = RoomOf(mCell, mNow).mStartable;
+  BOOST_TEST(CountStartable(counts, 500) == 65535U);
+  BOOST_TEST(CountStartable(counts, 1000) == 35840U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/internal/cellchoice.cpp
+++ b/src/dispatch/internal/cellchoice.cpp
@@ -41,6 +41,15 @@
          static_cast<double>(kSteps);
 }
 
+/** The number of tasks with the given need that a cell could start at once; one
+ * where only its largest piece of free CPU shows that there is room. */
+auto CountStartable(const CellStatus& aCell, std::int64_t aCpuMillis)
+  -> std::uint32_t
+{
+  const std::uint32_t n = cell::CountStartable(aCell.mStartable, aCpuMillis);
+  return std::max(n, aCell.mLargestCpuMillis >= aCpuMillis ? 1U : 0U);
+}
+
 auto IsShortReserving(const cell::StepSpec& aStep) -> bool
 {
   return !aStep.mIsBestEffort && !aStep.mIsLongRunning;
@@ -85,8 +94,8 @@
   for (const auto& it : aJob.mSteps) {
     if (it.mAfter.empty() && IsShortReserving(it)) {
       tasks += it.mCount;
-      startable += std::min<double>(
-        it.mCount, cell::CountStartable(aCell.mStartable, it.mNeed.mCpuMillis));
+      startable +=
+        std::min<double>(it.mCount, CountStartable(aCell, it.mNeed.mCpuMillis));
     }
   }
   return tasks > 0 ? startable / tasks : 1.0;
@@ -175,8 +184,7 @@
     const auto isReserving = aJob.mReservingTasks > 0;
     const auto hasRoom =
       isReserving
-        ? cell::CountStartable(it.mStartable, aJob.mLargestTaskCpuMillis) >=
-            aJob.mReservingTasks
+        ? CountStartable(it, aJob.mLargestTaskCpuMillis) >= aJob.mReservingTasks
         : it.mWaitingCpuMillis == 0;
     const auto capacity = isReserving ? it.mFreeCpuMillis : left;
     if (hasRoom && left >= 0 && (!out || capacity > mostCapacity)) {
--- a/src/dispatch/tests/cellchoice_tests.cpp
+++ b/src/dispatch/tests/cellchoice_tests.cpp
@@ -73,6 +73,17 @@
   BOOST_TEST(Plan(MakeJob(1, 20000)) == "b/0 a/0 ");
 }
 
+// A task larger than all counted sizes was never offered nor moved.
+BOOST_AUTO_TEST_CASE(task_larger_than_all_counted_sizes_is_offered)
+{
+  AddCell("a/0", 3000, 200);
+  AddCell("b/0", 64000, 1);
+  BOOST_TEST(Plan(MakeJob(1, 40000)) == "b/0! b/0 a/0 ");
+  BOOST_TEST(
+    ChooseCellWithCapacity(mCells, "a/0", { "job", 40000, 0, 1, 40000 })
+      .has_value());
+}
+
 BOOST_AUTO_TEST_CASE(inactive_cell_is_the_last_choice)
 {
   AddCell("a/0", 4000, 200).mIsActive = false;
