--- /dev/null
+++ b/src/cell/internal/migration.cpp
@@ -0,0 +1,76 @@
+#include <algorithm>
+#include <map>
+
+#include "cellinternal.h"
+
+namespace eelgrasspost::cell {
+
+auto FindMigratable(const CellState& aCell,
+                    MonotonicTime aNow,
+                    Milliseconds aWait) -> std::vector<MigratableJob>
+{
+  std::map<const Job*, MigratableJob> found;
+  std::map<const Job*, MonotonicTime> since;
+  for (const auto* it : aCell.mReady) {
+    const auto* job = it->mJob;
+    if (job->mIsMigrating || job->mIsDirty || IsFinal(job->mState) ||
+        IsHostedJob(*job)) {
+      continue;
+    }
+    auto& migratable = found[job];
+    migratable.mId = job->mStored.mSpec.mId;
+    const auto& spec = SpecOf(*it);
+    if (spec.mIsBestEffort) {
+      migratable.mBestEffortCpuMillis += spec.mNeed.mCpuMillis;
+    } else {
+      migratable.mReservingCpuMillis += spec.mNeed.mCpuMillis;
+      migratable.mLargestTaskCpuMillis =
+        std::max(migratable.mLargestTaskCpuMillis, spec.mNeed.mCpuMillis);
+      ++migratable.mReservingTasks;
+    }
+    auto [slot, isNew] = since.emplace(job, it->mReadyAt);
+    slot->second = std::min(slot->second, it->mReadyAt);
+  }
+  std::vector<std::pair<MonotonicTime, MigratableJob>> order;
+  for (auto& [job, it] : found) {
+    if (aNow - since.at(job) > aWait && !HasRun(*job)) {
+      it.mWaited =
+        std::chrono::duration_cast<Milliseconds>(aNow - since.at(job));
+      order.emplace_back(since.at(job), it);
+    }
+  }
+  std::sort(
+    order.begin(), order.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
+  std::vector<MigratableJob> out;
+  out.reserve(order.size());
+  for (auto& [at, it] : order) {
+    out.push_back(std::move(it));
+  }
+  return out;
+}
+
+auto FindDelayedJobs(const CellState& aCell, MonotonicTime aNow)
+  -> std::vector<MigratableJob>
+{
+  std::map<const Job*, MigratableJob> found;
+  for (const auto* it : aCell.mReady) {
+    const auto* job = it->mJob;
+    if (job->mIsMigrating || job->mIsDirty || IsFinal(job->mState) ||
+        it->mMayBeRunning || !IsPlacementDelayed(aCell, *it, aNow)) {
+      continue;
+    }
+    auto& migratable = found[job];
+    migratable.mId = job->mStored.mSpec.mId;
+    migratable.mReservingCpuMillis += SpecOf(*it).mNeed.mCpuMillis;
+  }
+  std::vector<MigratableJob> out;
+  out.reserve(found.size());
+  for (auto& [job, it] : found) {
+    out.push_back(std::move(it));
+  }
+  return out;
+}
+
+} // namespace eelgrasspost::cell
