Log the cells that are created for a domain

The number of cells follows from the workers of the domain and the largest processor share of an entry at the time of creation, and stays. Nothing showed these inputs. No decision changes.

--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -227,6 +227,14 @@
   "none; outcome 0 means that the owning cell took them back",
 };
 
+inline constexpr auto kLayoutCreated = base::LogEvent{
+  950,
+  base::LogLevel::Info,
+  "the cells of a domain are created",
+  "none; their number depends on the workers and on the largest cpu_share of "
+  "an entry at this time, and does not change later",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -257,7 +265,8 @@
                                                        kTaskWaits,
                                                        kHostRefused,
                                                        kNoHostCell,
-                                                       kTasksReturned };
+                                                       kTasksReturned,
+                                                       kLayoutCreated };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -137,7 +137,13 @@
   for (const auto& [domain, n] : counts) {
     if (!mLayouts.contains(domain) &&
         mLayoutsInCreation.insert(domain).second) {
-      const auto cells = CellCountFor(n, LargestCpuShare(aView, domain));
+      const auto cpuShare = LargestCpuShare(aView, domain);
+      const auto cells = CellCountFor(n, cpuShare);
+      mLog.Record(kLayoutCreated,
+                  { { "domain", domain },
+                    { "workers", static_cast<std::int64_t>(n) },
+                    { "cpu_share", cpuShare },
+                    { "cells", static_cast<std::int64_t>(cells) } });
       net::SpawnTask(mPool.Executor(0), CreateLayout(domain, cells));
     }
   }
