--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -44,7 +44,7 @@
     0,
     kMaxCores,
     "processor cores that this entry may use; entries with more hold more "
-    "cells" },
+    "cells, and the cells of a new domain are larger" },
   Required("listen", "http", SettingKind::Address, "address for callers"),
   Required("listen",
            "readiness",
--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -65,6 +65,7 @@
   dispatch::kHostRefused,
   dispatch::kNoHostCell,
   dispatch::kTasksReturned,
+  dispatch::kLayoutCreated,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
