--- a/review/standins/standin.py
+++ b/review/standins/standin.py
@@ -274,7 +274,7 @@
         self.ending = asyncio.Event()
 
     async def work(self, key, spec, job_step):
-        gang = spec.get("gang")
+        gang = spec.get("gang") if self.world.need(job_step.split(".")[0], int(job_step.split(".")[2])).get("gang") else None
         if gang:
             members = Minion.gangs.setdefault((job_step, key[1]), {"in": set(), "all": asyncio.Event()})
             members["in"].add(key[0])
