--- a/review/standins/standin.py
+++ b/review/standins/standin.py
@@ -540,8 +540,6 @@
                     world.record("%s ended by itself with %s" % (it.name, it.process.returncode))
             return broken
         finally:
-            if os.environ.get("KEEP"):
-                os.system("cp %s/*.log %s/" % (world.folder, os.environ["KEEP"]))
             await world.finish()
     try:
         broken = asyncio.run(asyncio.wait_for(main(), 115))
