Migrate and submit jobs only to cells that can run them

Callers saw accepted jobs that require a label stay queued for good beside an idle worker with the label.

Cause: cells are chosen by free CPU only, and the cell that takes a job checked nothing, so a job moved between two cells without the label. The same holds for memory, accelerators, limits for each worker, gangs and services. A refusal to host a task with a label also excluded the cell for tasks without one.

Ruled out: a richer status in the heartbeats, which costs bytes in each of them and is up to 300 ms old.

Change: the cell declines a new or migrating job that none of its workers could run, and a migrating one that it cannot start now while its own cell could run it. The sender leaves such cells out for 1 s, for all work that needs at least as much; hosts are left out by the same rule. A job that no cell can run is accepted and waits.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -450,6 +450,13 @@
   /** Waiting tasks that reserve CPU, and the most that one of them reserves. */
   std::uint32_t mReservingTasks = 0;
   std::int64_t mLargestTaskCpuMillis = 0;
+  /** Its steps with waiting tasks. */
+  std::vector<WaitingStep> mWaitingSteps;
+  /** Whether workers of its own cell could run the waiting tasks once they are
+   * free. */
+  bool mCanRunHere = true;
+  /** Cells that declined the like of it a short time ago. */
+  std::set<std::string> mExcludedCells;
   /** Since its first waiting task became ready. */
   Milliseconds mWaited{ 0 };
 };
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -169,6 +169,21 @@
   }
 };
 
+/** A step of a job of which tasks wait. */
+struct WaitingStep
+{
+  std::uint32_t mStep = 0;
+  std::uint32_t mTasks = 0;
+
+  auto operator==(const WaitingStep&) const -> bool = default;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mStep, mTasks);
+  }
+};
+
 /** An accepted job as it is stored. */
 struct StoredJob
 {
--- a/src/cell/include/eelgrasspost/cell/room.h
+++ b/src/cell/include/eelgrasspost/cell/room.h
@@ -100,4 +100,24 @@
   -> std::uint16_t;
 auto RoomOf(const CellState& aCell, MonotonicTime aNow) -> CellRoom;
 
+/** Whether the cell's workers could run a step once they are free: those of the
+ * service that have its label hold one of its tasks, or all members of a gang
+ * at the same time. A worker that is listed and does not reply counts. */
+auto CanRunStep(const CellState& aCell,
+                const std::string& aService,
+                const StepSpec& aStep) -> bool;
+/** Whether the cell could run all steps of a job; see CanRunStep. */
+auto CanRunJob(const CellState& aCell, const StoredJob& aJob) -> bool;
+/** Whether the cell could run all the given steps; see CanRunStep. */
+auto CanRunSteps(const CellState& aCell,
+                 const StoredJob& aJob,
+                 const std::vector<WaitingStep>& aSteps) -> bool;
+/** Whether usable workers have room now for the tasks of the given steps: for
+ * all of them where a step restricts the workers that may run it, otherwise for
+ * one. Best-effort steps need none. */
+auto HasRoomForSteps(const CellState& aCell,
+                     const StoredJob& aJob,
+                     const std::vector<WaitingStep>& aSteps,
+                     MonotonicTime aNow) -> bool;
+
 } // namespace eelgrasspost::cell
--- a/src/cell/internal/migration.cpp
+++ b/src/cell/internal/migration.cpp
@@ -2,9 +2,28 @@
 #include <map>
 
 #include "cellinternal.h"
+#include "eelgrasspost/cell/room.h"
 
 namespace eelgrasspost::cell {
 
+namespace {
+
+auto AddWaitingTask(MigratableJob& aJob, const Task& aTask) -> void
+{
+  auto& steps = aJob.mWaitingSteps;
+  const auto it =
+    std::find_if(steps.begin(), steps.end(), [&](const WaitingStep& aStep) {
+      return aStep.mStep == aTask.mStep;
+    });
+  if (it == steps.end()) {
+    steps.push_back({ aTask.mStep, 1 });
+  } else {
+    ++it->mTasks;
+  }
+}
+
+} // namespace
+
 auto FindMigratable(const CellState& aCell,
                     MonotonicTime aNow,
                     Milliseconds aWait) -> std::vector<MigratableJob>
@@ -19,6 +38,7 @@
     }
     auto& migratable = found[job];
     migratable.mId = job->mStored.mSpec.mId;
+    AddWaitingTask(migratable, *it);
     const auto& spec = SpecOf(*it);
     if (spec.mIsBestEffort) {
       migratable.mBestEffortCpuMillis += spec.mNeed.mCpuMillis;
@@ -36,6 +56,7 @@
     if (aNow - since.at(job) > aWait && !HasRun(*job)) {
       it.mWaited =
         std::chrono::duration_cast<Milliseconds>(aNow - since.at(job));
+      it.mCanRunHere = CanRunSteps(aCell, job->mStored, it.mWaitingSteps);
       order.emplace_back(since.at(job), it);
     }
   }
@@ -63,11 +84,13 @@
     }
     auto& migratable = found[job];
     migratable.mId = job->mStored.mSpec.mId;
+    AddWaitingTask(migratable, *it);
     migratable.mReservingCpuMillis += SpecOf(*it).mNeed.mCpuMillis;
   }
   std::vector<MigratableJob> out;
   out.reserve(found.size());
   for (auto& [job, it] : found) {
+    it.mCanRunHere = CanRunSteps(aCell, job->mStored, it.mWaitingSteps);
     out.push_back(std::move(it));
   }
   return out;
--- a/src/cell/internal/reservations.cpp
+++ b/src/cell/internal/reservations.cpp
@@ -105,12 +105,7 @@
 
 auto Suits(const Worker& aWorker, const LongRunningNeed& aNeed) -> bool
 {
-  const auto& labels = aWorker.mRecord.mLabels;
-  const auto hasLabel =
-    aNeed.mRequiredLabel.empty() ||
-    std::find(labels.begin(), labels.end(), aNeed.mRequiredLabel) !=
-      labels.end();
-  if (aWorker.mRecord.mService != aNeed.mService || !hasLabel) {
+  if (!IsOfKind(aWorker, aNeed.mService, aNeed.mRequiredLabel)) {
     return false;
   }
   if (aNeed.mMaxPerWorker == 0) {
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -226,9 +226,8 @@
   Worker* best = nullptr;
   auto bestCost = std::numeric_limits<double>::max();
   for (auto& [id, worker] : aCell.mWorkers) {
-    if (worker->mRecord.mService != service ||
+    if (!IsOfKind(*worker, service, aSpec.mRequiredLabel) ||
         !HasRoom(aCell, *worker, aSpec, name, aNow) ||
-        !HasLabel(*worker, aSpec.mRequiredLabel) ||
         !IsUsable(aCell, *worker, aNow)) {
       continue;
     }
@@ -252,6 +251,14 @@
 
 } // namespace
 
+auto IsOfKind(const Worker& aWorker,
+              const std::string& aService,
+              const std::string& aRequiredLabel) -> bool
+{
+  return aWorker.mRecord.mService == aService &&
+         HasLabel(aWorker, aRequiredLabel);
+}
+
 auto FindWorker(CellState& aCell,
                 const Task& aTask,
                 const StepSpec& aSpec,
--- a/src/cell/internal/workerchoice.h
+++ b/src/cell/internal/workerchoice.h
@@ -34,6 +34,12 @@
 
 auto Contains(const Resources& aCapacity, const Resources& aNeed) -> bool;
 
+/** Whether a worker belongs to a service and has a label, if one is required.
+ */
+auto IsOfKind(const Worker& aWorker,
+              const std::string& aService,
+              const std::string& aRequiredLabel) -> bool;
+
 /** Whether a worker is of the kind that a long-running task needs, and may run
  * one more task of its step. */
 auto Suits(const Worker& aWorker, const LongRunningNeed& aNeed) -> bool;
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -279,15 +279,20 @@
   MigrationSource mSource;
   /** Used by TransferWorker and ReserveCapacity. */
   CapacityRequest mRequest;
-  /** Used by Submit: the cell declines a job whose first tasks it cannot start
-   * at once. */
+  /** Used by Submit and ImportJob: the cell declines a job whose first, or
+   * waiting, tasks it cannot start at once. */
   bool mMustStartAtOnce = false;
+  /** Used by Submit: the cell declines a job with a step that none of its
+   * workers could run. ImportJob does so without it. */
+  bool mMustBeAbleToRun = false;
+  /** Used by ImportJob: the steps of which tasks wait. */
+  std::vector<cell::WaitingStep> mWaitingSteps;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mKind, mCell, mJobId, mJob, mTimeoutMs, mProgress, mSource);
-    archive(mRequest, mMustStartAtOnce);
+    archive(mRequest, mMustStartAtOnce, mMustBeAbleToRun, mWaitingSteps);
   }
 };
 
@@ -301,7 +306,8 @@
   /** The command had no effect and will have none. */
   Refused,
   Uncertain,
-  /** The cell cannot start the job at once; the command had no effect. */
+  /** The cell cannot start the job at once, or not run it at all; the command
+   * had no effect. */
   Declined,
 };
 
--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -89,7 +89,9 @@
   const auto startedAt = base::MonotonicClock::now();
   auto isOutcomeUnknown = false;
   auto isRefused = false;
+  command.mMustBeAbleToRun = true;
   while (true) {
+    auto isDeclinedByAll = true;
     for (const auto& it :
          PlanOffers(mContext.mCells(), command.mJob.mSpec, mContext.mDomain)) {
       command.mCell = it.mCell;
@@ -100,6 +102,7 @@
         mDeclinedOffers.Add();
         continue;
       }
+      isDeclinedByAll = false;
       if (reply.mOutcome == JobOutcome::Done && reply.mCell.empty()) {
         mRefused.Add();
         auto out = MakeNotRunResponse("the job was cancelled before");
@@ -122,6 +125,11 @@
         break;
       }
     }
+    if (isDeclinedByAll && command.mMustBeAbleToRun) {
+      // Suitable workers may join later; the job then migrates to their cell.
+      command.mMustBeAbleToRun = false;
+      continue;
+    }
     if (isOutcomeUnknown) {
       // A retry with the same id finds the same rows and resolves the outcome.
       if (RemainingTimeoutMs(aDeadline) > kMinRetryBudgetMs) {
--- a/src/dispatch/internal/cellchoice.cpp
+++ b/src/dispatch/internal/cellchoice.cpp
@@ -176,7 +176,8 @@
   std::optional<std::string> out;
   std::int64_t mostCapacity = 0;
   for (const auto& it : aCells) {
-    if (it.mName == aFrom || !it.mIsActive) {
+    if (it.mName == aFrom || !it.mIsActive ||
+        aJob.mExcludedCells.contains(it.mName)) {
       continue;
     }
     const auto left = it.mLeftoverCpuMillis - it.mBestEffortCpuMillis -
@@ -187,7 +188,9 @@
         ? CountStartable(it, aJob.mLargestTaskCpuMillis) >= aJob.mReservingTasks
         : it.mWaitingCpuMillis == 0;
     const auto capacity = isReserving ? it.mFreeCpuMillis : left;
-    if (hasRoom && left >= 0 && (!out || capacity > mostCapacity)) {
+    // A job without suitable workers in its own cell waits elsewhere for them.
+    const auto mayTake = !aJob.mCanRunHere || (hasRoom && left >= 0);
+    if (mayTake && (!out || capacity > mostCapacity)) {
       out = it.mName;
       mostCapacity = capacity;
     }
@@ -213,7 +216,7 @@
   for (const auto& it : aCells) {
     if (it.mName == aFrom) {
       own = freeShare(it, 0);
-    } else if (it.mIsActive) {
+    } else if (it.mIsActive && !aJob.mExcludedCells.contains(it.mName)) {
       const auto share = freeShare(it, aJob.mReservingCpuMillis);
       if (!out || share > best) {
         out = it.mName;
@@ -221,7 +224,8 @@
       }
     }
   }
-  if (!out || best <= own + kMinGain) {
+  const auto isGain = best > own + kMinGain || !aJob.mCanRunHere;
+  if (!out || !isGain) {
     return std::nullopt;
   }
   return out;
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -15,6 +15,7 @@
 #include "eelgrasspost/cell/room.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "hostchoice.h"
+#include "refusals.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -194,8 +195,6 @@
   auto MoveTask(std::string aTask) -> net::Task<void>;
   auto ReserveInOtherCell(cell::LongRunningNeed aNeed, bool aMayWait)
     -> net::Task<std::optional<std::string>>;
-  auto RefusingHosts(const cell::Resources& aNeed, MonotonicTime aNow)
-    -> std::set<std::string>;
   auto ReturnStarvedTasks() -> void;
   auto ReturnTasks(std::string aId, std::vector<cell::TaskPosition> aTasks)
     -> net::Task<void>;
@@ -226,7 +225,11 @@
   auto RaiseTokenForIncarnation(cell::Worker& aWorker,
                                 std::int64_t aIncarnationStartMs) -> bool;
   auto MigrateJobs() -> void;
-  auto MigrateJob(std::string aId, std::string aCell) -> net::Task<void>;
+  /** Starts the migration of a job if a suitable cell is found. */
+  auto TryMigration(cell::MigratableJob aJob) -> bool;
+  auto MigrateJob(cell::MigratableJob aJob, std::string aCell)
+    -> net::Task<void>;
+  auto CanStartAtOnce(const cell::StoredJob& aJob) const -> bool;
   auto DropJob(const std::string& aId) -> void;
   auto Cancel(std::string aId, MonotonicTime aDeadline) -> net::Task<JobReply>;
   auto GetState(const std::string& aId) -> JobReply;
@@ -291,14 +294,10 @@
     MonotonicTime mAt{};
   };
   std::map<std::string, HostedSync> mHostedSyncs;
-  /** A cell that refused to host a task. */
-  struct HostRefusal
-  {
-    /** It is not asked for as much CPU until then. */
-    MonotonicTime mUntil{};
-    std::int64_t mCpuMillis = 0;
-  };
-  std::map<std::string, HostRefusal> mRefusingHosts;
+  /** Cells that refused to host long-running tasks. */
+  Refusals mHostRefusals;
+  /** Cells that declined jobs that were to migrate. */
+  Refusals mImportRefusals;
   MonotonicTime mNextWaitLogAt{};
   MonotonicTime mNextNoHostLogAt{};
   bool mIsRequestingWorker = false;
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -69,6 +69,23 @@
   return { JobOutcome::Done, state, mRow.mName };
 }
 
+/** Whether the first tasks of a new job could be started now. */
+auto CellHolder::CanStartAtOnce(const cell::StoredJob& aJob) const -> bool
+{
+  if (StartableShare(GetStatus(), aJob.mSpec) < 1) {
+    return false;
+  }
+  std::vector<cell::WaitingStep> first;
+  for (std::uint32_t i = 0; i < aJob.mSpec.mSteps.size(); ++i) {
+    const auto& step = aJob.mSpec.mSteps[i];
+    if (step.mAfter.empty() && !step.mIsLongRunning) {
+      first.push_back({ i, step.mCount });
+    }
+  }
+  return cell::HasRoomForSteps(
+    mState, aJob, first, base::MonotonicClock::now());
+}
+
 auto CellHolder::Submit(JobCommand aCommand) -> net::Task<JobReply>
 {
   const auto& id = aCommand.mJobId;
@@ -87,8 +104,10 @@
   if (mIsShuttingDown || !CanSendOrders()) {
     co_return JobReply{ JobOutcome::CellNotHeld };
   }
-  if (aCommand.mMustStartAtOnce &&
-      StartableShare(GetStatus(), aCommand.mJob.mSpec) < 1) {
+  const auto isDeclined =
+    (aCommand.mMustStartAtOnce && !CanStartAtOnce(aCommand.mJob)) ||
+    (aCommand.mMustBeAbleToRun && !cell::CanRunJob(mState, aCommand.mJob));
+  if (isDeclined) {
     co_return JobReply{ JobOutcome::Declined };
   }
   mUnresolvedJobs.insert(id);
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -99,20 +99,6 @@
   }
 }
 
-auto CellHolder::RefusingHosts(const cell::Resources& aNeed, MonotonicTime aNow)
-  -> std::set<std::string>
-{
-  std::erase_if(mRefusingHosts,
-                [&](const auto& aItem) { return aItem.second.mUntil <= aNow; });
-  std::set<std::string> out;
-  for (const auto& [cell, it] : mRefusingHosts) {
-    if (aNeed.mCpuMillis >= it.mCpuMillis) {
-      out.insert(cell);
-    }
-  }
-  return out;
-}
-
 /** Asks other cells until one of them has reserved capacity. */
 auto CellHolder::ReserveInOtherCell(cell::LongRunningNeed aNeed, bool aMayWait)
   -> net::Task<std::optional<std::string>>
@@ -120,7 +106,9 @@
   for (std::size_t i = 0; i < kMaxHostsAsked; ++i) {
     const auto now = base::MonotonicClock::now();
     const auto host = mContext.mFindHostCell(
-      { aNeed.mResources, RefusingHosts(aNeed.mResources, now), aMayWait });
+      { aNeed.mResources,
+        FindRefusingCells(mHostRefusals, { NeedOf(aNeed) }, now),
+        aMayWait });
     if (!host) {
       if (now >= mNextNoHostLogAt) {
         mNextNoHostLogAt = now + kWaitLogInterval;
@@ -131,7 +119,7 @@
             { "need_cpu_millis", aNeed.mResources.mCpuMillis },
             { "may_wait", static_cast<std::int64_t>(aMayWait ? 1 : 0) },
             { "refused_lately",
-              static_cast<std::int64_t>(mRefusingHosts.size()) } });
+              static_cast<std::int64_t>(mHostRefusals.size()) } });
       }
       co_return std::nullopt;
     }
@@ -147,10 +135,11 @@
     if (mPhase != HolderPhase::Active) {
       co_return std::nullopt;
     }
-    mRefusingHosts[*host] = { base::MonotonicClock::now() +
-                                (aMayWait ? kRefusingHostDelay
-                                          : kStatusInterval),
-                              aNeed.mResources.mCpuMillis };
+    mHostRefusals.push_back(
+      { *host,
+        { NeedOf(aNeed) },
+        base::MonotonicClock::now() +
+          (aMayWait ? kRefusingHostDelay : kStatusInterval) });
     mContext.mLog.Record(
       kHostRefused,
       { { "task", aNeed.mTask },
--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -12,45 +12,55 @@
 namespace {
 
 constexpr auto kResolveInterval = Milliseconds(500);
+/** A cell that declined a job is not asked for the like of it for this time. */
+constexpr auto kDeclinedDelay = Milliseconds(1000);
 
 } // namespace
 
+auto CellHolder::TryMigration(cell::MigratableJob aJob) -> bool
+{
+  auto* job = cell::FindJob(mState, aJob.mId);
+  aJob.mExcludedCells =
+    FindRefusingCells(mImportRefusals,
+                      NeedsOf(job->mStored, aJob.mWaitingSteps),
+                      base::MonotonicClock::now());
+  const auto isDelayed = aJob.mWaited == Milliseconds(0);
+  const auto target = isDelayed ? mContext.mFindEmptierCell(aJob)
+                                : mContext.mFindCellWithCapacity(aJob);
+  if (!target) {
+    return false;
+  }
+  job->mIsMigrating = true;
+  net::SpawnTask(mContext.mExecutor, MigrateJob(std::move(aJob), *target));
+  return true;
+}
+
 auto CellHolder::MigrateJobs() -> void
 {
   if (mIsShuttingDown || !CanSendOrders() || mState.mReady.empty()) {
     return;
   }
   const auto now = base::MonotonicClock::now();
-  const auto move = [this](const std::string& aId, const std::string& aCell) {
-    cell::FindJob(mState, aId)->mIsMigrating = true;
-    net::SpawnTask(mContext.mExecutor, MigrateJob(aId, aCell));
-  };
   for (const auto& it : cell::FindDelayedJobs(mState, now)) {
-    if (const auto target = mContext.mFindEmptierCell(it)) {
-      move(it.mId, *target);
-    }
+    TryMigration(it);
   }
   std::size_t moves = 0;
   for (const auto& it : cell::FindMigratable(mState, now, kMigrationDelay)) {
     if (moves >= kMigrationsPerTick) {
       return;
     }
-    const auto target =
-      IsMigrationDue(it) ? mContext.mFindCellWithCapacity(it) : std::nullopt;
-    if (target) {
-      ++moves;
-      move(it.mId, *target);
-    }
+    moves += IsMigrationDue(it) && TryMigration(it) ? 1 : 0;
   }
 }
 
 /** The target cell rewrites the job's rows on condition that the rows of this
  * cell are unchanged. While the outcome is unknown the job stays frozen here;
  * storing its progress then shows which of the two writes came first. */
-auto CellHolder::MigrateJob(std::string aId, std::string aCell)
+auto CellHolder::MigrateJob(cell::MigratableJob aJob, std::string aCell)
   -> net::Task<void>
 {
   const auto self = shared_from_this();
+  const auto& aId = aJob.mId;
   auto* job = cell::FindJob(mState, aId);
   if (!job || !mRows.contains(aId)) {
     co_return;
@@ -67,10 +77,18 @@
                       rows.mJobVersion,
                       rows.mProgressVersion };
   command.mTimeoutMs = kStoreTimeout.count();
+  command.mWaitingSteps = aJob.mWaitingSteps;
+  // A cell with suitable workers is left only for one that has room now.
+  command.mMustStartAtOnce = aJob.mCanRunHere && aJob.mWaited.count() > 0;
+  const auto needs = NeedsOf(job->mStored, aJob.mWaitingSteps);
   const auto reply = co_await mContext.mExecute(std::move(command));
   if (mPhase == HolderPhase::Ended) {
     co_return;
   }
+  if (reply.mOutcome == JobOutcome::Declined) {
+    mImportRefusals.push_back(
+      { aCell, needs, base::MonotonicClock::now() + kDeclinedDelay });
+  }
   mContext.mLog.Record(
     kJobMigrated,
     { { "job", aId },
@@ -200,6 +218,17 @@
     const auto isElsewhere = cell::IsHostedJob(*job) || job->mIsMigrating;
     co_return JobReply{ isElsewhere ? JobOutcome::Refused : JobOutcome::Done };
   }
+  // Jobs for which no cell has a suitable worker would move between cells.
+  const auto isDeclined =
+    !cell::CanRunSteps(mState, aCommand.mJob, aCommand.mWaitingSteps) ||
+    (aCommand.mMustStartAtOnce &&
+     !cell::HasRoomForSteps(mState,
+                            aCommand.mJob,
+                            aCommand.mWaitingSteps,
+                            base::MonotonicClock::now()));
+  if (isDeclined) {
+    co_return JobReply{ JobOutcome::Declined };
+  }
   const auto partition = PartitionOf(id);
   const auto& origin = aCommand.mSource;
   const auto fromKey = base::Cat(origin.mCell, "/", id);
--- a/src/dispatch/internal/holderreturns.cpp
+++ b/src/dispatch/internal/holderreturns.cpp
@@ -223,8 +223,9 @@
   const auto now = base::MonotonicClock::now();
   for (const auto& it : aCommand.mJob.mHostedTasks) {
     auto& task = *cell::FindTask(*job, it);
-    mRefusingHosts[host.mCell] = { now + kReturnRetryInterval,
-                                   cell::SpecOf(task).mNeed.mCpuMillis };
+    mHostRefusals.push_back({ host.mCell,
+                              { NeedOf(cell::NeedOf(task)) },
+                              now + kReturnRetryInterval });
     // It has waited in the host cell and may move on at once.
     cell::TakeTaskBack(mState, task, now, kReturnDelay);
   }
--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -57,6 +57,8 @@
   /** Executes a command of a holder; replaceable. */
   std::function<net::Task<JobReply>(JobCommand)> mExecute =
     [this](JobCommand aCommand) { return ExecuteInCell(std::move(aCommand)); };
+  /** Labels of workers. */
+  std::map<std::string, std::vector<std::string>> mLabels;
   /** Time for which the VM of the holders was suspended. */
   Milliseconds mSuspended{ 0 };
 
@@ -142,6 +144,9 @@
       out.mState = cell::WorkerState::Draining;
     }
     out.mCapacity = { 16000, 64000, 0 };
+    if (const auto it = mLabels.find(aId); it != mLabels.end()) {
+      out.mLabels = it->second;
+    }
     if (const auto it = mWorkers.mCapacities.find(aId);
         it != mWorkers.mCapacities.end()) {
       out.mCapacity = it->second;
