Give up connections between entries that have gone silent

Callers saw cancels, submissions and queries end at their deadlines from the moment on at which a connection between two entries went silent; cancelled jobs ran on.

Cause: MessageClient shares one connection to each entry; a call without a reply left it open, and nothing else closed it. Heartbeats are datagrams, so the peer counted as alive.

Ruled out: closing the connection on each late reply, which would turn slowness into new connections; TCP_USER_TIMEOUT, as a silent peer may still acknowledge.

Change: a connection on which a reply is due is probed after 300 ms without any bytes and given up after another 900 ms. The server echoes probes itself. Event 951 and connections_given_up_total report it. Nothing is repeated.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -66,6 +66,7 @@
   dispatch::kNoHostCell,
   dispatch::kTasksReturned,
   dispatch::kLayoutCreated,
+  dispatch::kConnectionGivenUp,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -56,6 +56,14 @@
   "none; see the log of the other entry for the reason",
 };
 
+inline constexpr auto kConnectionGivenUp = base::LogEvent{
+  951,
+  base::LogLevel::Warn,
+  "a connection that has gone silent is given up",
+  "none if it is rare; calls on it ended with an unknown outcome, the next "
+  "ones use a new connection",
+};
+
 inline constexpr auto kStoreUnreachable = base::LogEvent{
   913,
   base::LogLevel::Warn,
@@ -266,7 +274,8 @@
                                                        kHostRefused,
                                                        kNoHostCell,
                                                        kTasksReturned,
-                                                       kLayoutCreated };
+                                                       kLayoutCreated,
+                                                       kConnectionGivenUp };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -106,6 +106,14 @@
 
 auto DispatchEntry::Start() -> absl::Status
 {
+  mMessages.SetOnSilentConnection(
+    [this](const net::SilentConnection& aConnection) {
+      mMetrics.FindCounter("connections_given_up_total").Add();
+      mLog.Record(kConnectionGivenUp,
+                  { { "address", net::ToString(aConnection.mAddress) },
+                    { "age_ms", aConnection.mAge.count() },
+                    { "silence_ms", aConnection.mSilence.count() } });
+    });
   net::RegisterTypedHandler<JobCommand, JobReply>(
     mMessageServer, net::MessageKind::JobCommand, [this](JobCommand aCommand) {
       return ExecuteLocally(std::move(aCommand));
--- a/src/framework/net/include/eelgrasspost/net/messages.h
+++ b/src/framework/net/include/eelgrasspost/net/messages.h
@@ -18,6 +18,8 @@
 /** Kind of a request message between entries. */
 enum class MessageKind : std::uint16_t
 {
+  /** Answered by the server itself, at once. */
+  Probe = 0,
   ForwardRequest = 1,
   ReleaseNotePull = 2,
   HandOver = 3,
@@ -36,9 +38,21 @@
   std::string mBytes;
 };
 
+/** A connection on which nothing arrived though replies were due. */
+struct SilentConnection
+{
+  Address mAddress;
+  /** Since it was opened, and since something last arrived on it. */
+  std::chrono::milliseconds mAge{ 0 };
+  std::chrono::milliseconds mSilence{ 0 };
+};
+using OnSilentConnection = std::function<void(const SilentConnection&)>;
+
 /**
  * Sends messages to other entries over one TCP connection per address and pool
- * thread. Replies are matched to calls by a correlation id that is unique in
+ * thread. A connection on which neither replies nor the echo of a probe arrive
+ * is given up: its calls fail with an unknown outcome, and the next call opens
+ * a new one. Replies are matched to calls by a correlation id that is unique in
  * the connection; a reply whose call has ended is dropped and counted.
  */
 class MessageClient
@@ -51,6 +65,8 @@
             MessageKind aKind,
             std::string aBytes,
             base::MonotonicTime aDeadline) -> Task<MessageReply>;
+  /** Sets a function that is called for each connection that is given up. */
+  auto SetOnSilentConnection(OnSilentConnection aFunction) -> void;
   /** Number of replies that arrived after their call had ended. */
   auto LateReplies() const -> std::uint64_t;
 
--- a/src/framework/net/internal/messageclient.cpp
+++ b/src/framework/net/internal/messageclient.cpp
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 #include <boost/asio/steady_timer.hpp>
@@ -29,6 +30,14 @@
 
 using PendingCallPtr = std::shared_ptr<PendingCall>;
 
+/** A connection on which a reply is due is probed after this time, */
+constexpr auto kProbeDelay = std::chrono::milliseconds(300);
+/** and given up if nothing arrives for this time after the probe. A peer that
+ * is slower than this misses its heartbeats as well. */
+constexpr auto kProbeTimeout = std::chrono::milliseconds(900);
+/** Correlation id of probes; calls have higher ones. */
+constexpr std::uint64_t kProbeId = 0;
+
 /** A connection to an address, used by a single thread. */
 struct Connection : std::enable_shared_from_this<Connection>
 {
@@ -43,6 +52,56 @@
   std::unordered_map<std::uint64_t, PendingCallPtr> mPending;
   std::uint64_t mNextCorrelationId = 1;
   bool mIsBroken = false;
+  base::MonotonicTime mOpenedAt = base::MonotonicClock::now();
+  base::MonotonicTime mLastReceivedAt = mOpenedAt;
+  /** Since when a reply has been due while nothing arrived. */
+  std::optional<base::MonotonicTime> mSilentSince;
+  bool mIsWatched = false;
+
+  auto NoteReceived() -> void
+  {
+    mLastReceivedAt = base::MonotonicClock::now();
+    mSilentSince =
+      mPending.empty() ? std::nullopt : std::optional(mLastReceivedAt);
+  }
+
+  /** Ends once no reply is due; returns whether the connection is silent. */
+  auto WatchSilence() -> Task<bool>
+  {
+    const auto self = shared_from_this();
+    mIsWatched = true;
+    std::optional<base::MonotonicTime> probed;
+    while (!mIsBroken && mSilentSince) {
+      const auto now = base::MonotonicClock::now();
+      const auto dueAt = *mSilentSince + kProbeDelay;
+      if (probed && *probed < *mSilentSince) {
+        probed.reset();
+      }
+      if (now < dueAt) {
+        co_await SleepUntil(dueAt);
+      } else if (!probed) {
+        probed = now;
+        mWriter->Write(EncodeFrame(
+          { kProbeId, static_cast<std::uint16_t>(MessageKind::Probe), {} }));
+      } else if (now < *probed + kProbeTimeout) {
+        co_await SleepUntil(*probed + kProbeTimeout);
+      } else if (error_code ec; mSocket.available(ec) > 0) {
+        // This process was suspended, or is late itself.
+        mSilentSince = now;
+      } else {
+        mIsWatched = false;
+        co_return true;
+      }
+    }
+    mIsWatched = false;
+    co_return false;
+  }
+
+  static auto SleepUntil(base::MonotonicTime aTime) -> Task<void>
+  {
+    co_await Sleep(std::chrono::ceil<std::chrono::milliseconds>(
+      aTime - base::MonotonicClock::now()));
+  }
 
   auto Fail() -> void
   {
@@ -70,13 +129,15 @@
       }
       auto it = mPending.find(frame.mCorrelationId);
       if (it == mPending.end()) {
-        ++aLateReplies;
+        aLateReplies += frame.mCorrelationId == kProbeId ? 0 : 1;
+        NoteReceived();
         continue;
       }
       it->second->mHasReply = true;
       it->second->mBytes = std::move(frame.mBytes);
       it->second->mDone.cancel();
       mPending.erase(it);
+      NoteReceived();
     }
   }
 };
@@ -129,6 +190,22 @@
   /** One per pool thread, used only by that thread. */
   std::vector<Connections> mConnections;
   std::atomic<std::uint64_t> mLateReplies{ 0 };
+  OnSilentConnection mOnSilent = [](const SilentConnection&) {};
+
+  auto Watch(Address aAddress, ConnectionPtr aConnection) -> Task<void>
+  {
+    if (!co_await aConnection->WatchSilence()) {
+      co_return;
+    }
+    const auto now = base::MonotonicClock::now();
+    const auto since = [&](base::MonotonicTime aTime) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(now - aTime);
+    };
+    mOnSilent({ aAddress,
+                since(aConnection->mOpenedAt),
+                since(aConnection->mLastReceivedAt) });
+    aConnection->Fail();
+  }
 
   auto GetConnection(const Address& aAddress, base::MonotonicTime aDeadline)
     -> Task<ConnectionPtr>
@@ -184,6 +261,14 @@
   connection->mPending.emplace(id, call);
   connection->mWriter->Write(
     EncodeFrame({ id, static_cast<std::uint16_t>(aKind), std::move(aBytes) }));
+  if (!connection->mSilentSince) {
+    connection->mSilentSince = base::MonotonicClock::now();
+  }
+  if (!connection->mIsWatched) {
+    connection->mIsWatched = true;
+    SpawnTask(connection->mSocket.get_executor(),
+              mImpl->Watch(aAddress, connection));
+  }
   error_code ec;
   co_await call->mDone.async_wait(
     asio::redirect_error(asio::use_awaitable, ec));
@@ -202,6 +287,11 @@
   co_return MessageReply{ std::move(status), SendProgress::MaybeSent, {} };
 }
 
+auto MessageClient::SetOnSilentConnection(OnSilentConnection aFunction) -> void
+{
+  mImpl->mOnSilent = std::move(aFunction);
+}
+
 auto MessageClient::LateReplies() const -> std::uint64_t
 {
   return mImpl->mLateReplies;
--- a/src/framework/net/internal/messageserver.cpp
+++ b/src/framework/net/internal/messageserver.cpp
@@ -75,6 +75,12 @@
       Frame frame;
       error_code ec;
       co_await ReadFrame(aConnection->mSocket, frame, ec);
+      if (!ec &&
+          frame.mKind == static_cast<std::uint16_t>(MessageKind::Probe)) {
+        aConnection->mWriter->Write(
+          EncodeFrame({ frame.mCorrelationId, frame.mKind, {} }));
+        continue;
+      }
       if (ec || !mHandlers.contains(frame.mKind)) {
         aConnection->mWriter->Close();
         aConnection->mSocket.close(ec);
