Close idle connections and retry feeds after a silence

Callers were refused with 404 for 9 to 11 s on a route that was added, after the open connections to the store had gone silent.

Cause: a feed's call waited 3.5 s; each of up to 16 idle connections then cost a timeout of its own; and failed calls made the store count as unreachable, though it answers on new connections.

Change: after a timeout the idle connections to the address that have not responded in the last 300 ms are closed; a feed fails 0.8 s after its wait and is called again after 50 ms; a call without a reply causes a probe at once. The same client serves orders and renewals to workers.

Ruled out: counting a feed's failure only after a failed probe, which delays the detection of an unreachable store (feed_goes_through_a_peer_while_the_store_is_probed failed).

Evidence: httpclient_idle_connections_go_silent_cost_one_timeout and store_that_answers_other_calls_stays_reachable fail on the source before.

--- a/src/dispatch/internal/storeaccess.cpp
+++ b/src/dispatch/internal/storeaccess.cpp
@@ -97,6 +97,10 @@
                             .count()));
   }
   RecordOutcome(reply, sentAt);
+  if (reply.mOutcome == StoreOutcome::Unknown && !mIsProbing) {
+    // The connection may have gone silent while the store responds on others.
+    net::SpawnTask(co_await net::asio::this_coro::executor, Probe());
+  }
   co_return reply;
 }
 
@@ -155,11 +159,13 @@
  * network partition it takes its whole timeout. */
 auto StoreAccess::Probe() -> net::Task<void>
 {
+  mIsProbing = true;
   StoreRelay probe;
   probe.mKind = RelayKind::ReadRange;
   probe.mRange.mTable = std::string(kControlTable);
   probe.mRange.mLimit = 1;
   co_await CallDirectly(probe, base::MonotonicClock::now() + kProbeTimeout);
+  mIsProbing = false;
 }
 
 auto StoreAccess::Call(StoreRelay aRelay, MonotonicTime aDeadline)
--- a/src/dispatch/internal/storeaccess.h
+++ b/src/dispatch/internal/storeaccess.h
@@ -64,6 +64,7 @@
   CommitBatcher mCommitBatcher;
   std::uint32_t mConsecutiveFailures = 0;
   MonotonicTime mLastAttemptAt{};
+  bool mIsProbing = false;
 };
 
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/tablewatch.cpp
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -14,6 +14,11 @@
 
 /** Delay before a failed call is retried. */
 constexpr auto kRetryInterval = Milliseconds(250);
+/** Time beyond the wait after which a feed has failed. A slow store replies
+ * sooner; a configuration has to be read within 3 s of a silence. */
+constexpr auto kFeedReplyTimeout = Milliseconds(800);
+/** Delay after a call without a reply; the store is probed meanwhile. */
+constexpr auto kTimeoutPause = Milliseconds(50);
 /** Rows per reply. */
 constexpr std::uint32_t kPageRows = 500;
 
@@ -135,7 +140,7 @@
   query.mWaitMs = mWait.count();
   const auto sentAt = base::BootNow();
   const auto reply = co_await mStore.ReadFeed(
-    query, base::MonotonicClock::now() + mWait + kStoreTimeout);
+    query, base::MonotonicClock::now() + mWait + kFeedReplyTimeout);
   if (reply.mOutcome == StoreOutcome::Done) {
     mConfirmedAt = sentAt;
     for (const auto& it : reply.mRows) {
@@ -150,7 +155,8 @@
     mIsCurrent = false;
   } else {
     mFailedAt = sentAt;
-    co_await net::Sleep(kRetryInterval);
+    const auto wasImmediate = base::BootNow() - sentAt < kRetryInterval;
+    co_await net::Sleep(wasImmediate ? kRetryInterval : kTimeoutPause);
   }
 }
 
--- a/src/dispatch/tests/storeaccess_tests.cpp
+++ b/src/dispatch/tests/storeaccess_tests.cpp
@@ -44,6 +44,44 @@
   }
 };
 
+/** A store of which only the connection of the feed has gone silent. */
+class SilentFeedStore final : public ISharedStore
+{
+public:
+  auto Commit(StoreTransaction aTransaction, MonotonicTime aDeadline)
+    -> net::Task<StoreReply> override
+  {
+    return mStore.Commit(std::move(aTransaction), aDeadline);
+  }
+  auto ReadRange(RangeQuery aQuery, MonotonicTime aDeadline)
+    -> net::Task<StoreReply> override
+  {
+    return mStore.ReadRange(std::move(aQuery), aDeadline);
+  }
+  auto ReadFeed(FeedQuery, MonotonicTime aDeadline)
+    -> net::Task<StoreReply> override
+  {
+    co_await net::Sleep(
+      std::max(Milliseconds(0), Milliseconds(base::RemainingMs(aDeadline))));
+    co_return StoreReply{};
+  }
+
+private:
+  FakeStore mStore;
+};
+
+struct SilentFeedFixture : PoolFixture
+{
+  SilentFeedStore mStore;
+  base::Metrics mMetrics;
+  base::EventLog mLog{ "entry" };
+  net::MessageClient mMessages{ 1, "127.0.0.1" };
+  Peers mPeers{ mPool, "entry", "a" };
+  StoreAccess mAccess{ mStore, mMessages, mPeers, mMetrics, mLog };
+
+  ~SilentFeedFixture() { StopPool(); }
+};
+
 struct PartitionedEntryFixture : PoolFixture
 {
   UnreachableStore mUnreachableStore;
@@ -102,3 +140,41 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(feed_connections_gone_silent, SilentFeedFixture)
+
+// Feeds whose connections had gone silent made the store count as unreachable,
+// so that submissions were refused.
+BOOST_AUTO_TEST_CASE(store_that_answers_other_calls_stays_reachable)
+{
+  for (auto i = 0; i < 4; ++i) {
+    const auto reply = Wait(
+      mAccess.ReadFeed({}, base::MonotonicClock::now() + Milliseconds(50)));
+    BOOST_TEST((reply.mOutcome == StoreOutcome::Unknown));
+  }
+  Wait(net::Sleep(Milliseconds(50)), true);
+
+  BOOST_TEST(mAccess.IsDirectlyReachable());
+}
+
+// Feeds that failed at the same time made the store count as unreachable.
+BOOST_AUTO_TEST_CASE(store_stays_reachable_when_feeds_fail_together)
+{
+  auto read = [](StoreAccess& aAccess,
+                 std::atomic<int>& aDone) -> net::Task<void> {
+    const FeedQuery query;
+    const auto deadline = base::MonotonicClock::now() + Milliseconds(50);
+    co_await aAccess.ReadFeed(query, deadline);
+    ++aDone;
+  };
+  std::atomic<int> done{ 0 };
+  for (auto i = 0; i < 3; ++i) {
+    mPool.Spawn(mPool.Executor(0), read(mAccess, done));
+  }
+  BOOST_TEST(Until([&] { return done == 3; }));
+  Wait(net::Sleep(Milliseconds(50)), true);
+
+  BOOST_TEST(mAccess.IsDirectlyReachable());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/suitability_tests.cpp
+++ b/src/dispatch/tests/suitability_tests.cpp
@@ -55,6 +55,7 @@
   auto Statuses() -> std::vector<CellStatus>
   {
     std::vector<CellStatus> out;
+    out.reserve(mCells.size());
     for (const auto& [name, it] : mCells) {
       out.push_back(it->GetStatus());
     }
--- a/src/framework/net/include/eelgrasspost/net/http.h
+++ b/src/framework/net/include/eelgrasspost/net/http.h
@@ -79,7 +79,9 @@
 
 /**
  * HTTP/1.1 client that keeps idle connections for each thread of the IoPool. A
- * connection whose exchange failed or timed out is closed, never reused.
+ * connection whose exchange failed or timed out is closed, never reused. After
+ * a timeout the idle connections to the address are closed that have not
+ * responded lately, as connections may go silent together.
  */
 class HttpClient
 {
--- a/src/framework/net/internal/httpclient.cpp
+++ b/src/framework/net/internal/httpclient.cpp
@@ -29,10 +29,17 @@
   }
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
+  /** When a response was last complete. */
+  base::MonotonicTime mLastResponseAt{};
 };
 
 using ConnectionPtr = std::unique_ptr<Connection>;
 
+/** A request with a shorter timeout says nothing about its connection. */
+constexpr auto kMinConclusiveTimeout = std::chrono::milliseconds(300);
+/** A connection that responded less than this time ago is considered sound. */
+constexpr auto kRecentResponse = std::chrono::milliseconds(300);
+
 /** Returns whether an idle connection is still open and has no unread bytes. */
 auto IsReusable(Connection& aConnection) -> bool
 {
@@ -144,6 +151,22 @@
   std::vector<IdleConnections> mIdle;
   std::atomic<std::uint64_t> mMismatched{ 0 };
 
+  /** A request got no response. Closes the idle connections to the address that
+   * have not responded lately: they may have gone silent as well,
+   * and each would cost a timeout. */
+  auto DropUnconfirmed(const Address& aAddress, base::MonotonicTime aSentAt)
+    -> void
+  {
+    const auto now = base::MonotonicClock::now();
+    if (now - aSentAt < kMinConclusiveTimeout) {
+      return;
+    }
+    auto& idle = mIdle[ThisThreadIndex()][aAddress];
+    std::erase_if(idle, [&](const ConnectionPtr& aIdle) {
+      return now - aIdle->mLastResponseAt > kRecentResponse;
+    });
+  }
+
   auto TakeIdle(const Address& aAddress) -> ConnectionPtr
   {
     auto& idle = mIdle[ThisThreadIndex()][aAddress];
@@ -199,6 +222,7 @@
   }
   auto& stream = connection->mStream;
   stream.expires_at(aDeadline);
+  const auto sentAt = base::MonotonicClock::now();
   const auto message = ToBeast(aRequest, aAddress);
   co_await http::async_write(
     stream, message, asio::redirect_error(asio::use_awaitable, ec));
@@ -214,9 +238,13 @@
                             parser,
                             asio::redirect_error(asio::use_awaitable, ec));
   if (ec) {
+    if (ec == beast::error::timeout) {
+      mImpl->DropUnconfirmed(aAddress, sentAt);
+    }
     co_return FailedExchange(
       "no response from", aAddress, ec, SendProgress::MaybeSent);
   }
+  connection->mLastResponseAt = base::MonotonicClock::now();
   auto response = parser.release();
   if (IsMismatched(mImpl->mOptions.mEchoField, aRequest, response)) {
     ++mImpl->mMismatched;
--- a/src/framework/net/tests/silence_tests.cpp
+++ b/src/framework/net/tests/silence_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <future>
 
+#include "eelgrasspost/net/http.h"
 #include "eelgrasspost/net/messages.h"
 #include "silentproxy.h"
 
@@ -95,6 +96,43 @@
   }
 };
 
+struct SilentRequests : SilenceFixture
+{
+  HttpServer mServer{ mPool, {}, [](HttpRequest) -> Task<HttpResponse> {
+                       co_await Sleep(milliseconds(30));
+                       co_return HttpResponse{ 200, {}, "ok" };
+                     } };
+  HttpClient mClient{ 1, {} };
+  Address mAddress = StartProxy(mServer.Listen({ "127.0.0.1", 0 }).value());
+
+  auto Exchange(milliseconds aTimeout) -> HttpExchange
+  {
+    const auto request = HttpRequest{ "GET", "/", {}, "" };
+    return Await(
+      mClient.Exchange(mAddress, request, MonotonicClock::now() + aTimeout));
+  }
+
+  /** Opens connections that are idle afterwards. */
+  auto OpenConnections(std::size_t aCount) -> void
+  {
+    std::vector<std::shared_ptr<std::promise<bool>>> done;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      done.push_back(std::make_shared<std::promise<bool>>());
+      auto run = [](SilentRequests& aFixture,
+                    std::shared_ptr<std::promise<bool>> aDone) -> Task<void> {
+        const auto request = HttpRequest{ "GET", "/", {}, "" };
+        const auto exchange = co_await aFixture.mClient.Exchange(
+          aFixture.mAddress, request, MonotonicClock::now() + kTimeout);
+        aDone->set_value(exchange.mStatus.ok());
+      };
+      mPool.Spawn(mPool.Executor(0), run(*this, done.back()));
+    }
+    for (auto& it : done) {
+      BOOST_TEST_REQUIRE(it->get_future().get());
+    }
+  }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(silent_messages, SilentMessages)
@@ -142,3 +180,31 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(silent_requests, SilentRequests)
+
+// Each idle connection that had gone silent cost a timeout of its own.
+BOOST_AUTO_TEST_CASE(httpclient_idle_connections_go_silent_cost_one_timeout)
+{
+  OpenConnections(8);
+  Silence();
+
+  const auto lost = Exchange(milliseconds(400));
+  const auto next = Exchange(milliseconds(400));
+
+  BOOST_TEST(!lost.mStatus.ok());
+  BOOST_TEST(next.mStatus.ok());
+  BOOST_TEST(mProxy->Connections() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(httpclient_short_timeout_keeps_idle_connections)
+{
+  OpenConnections(4);
+
+  BOOST_TEST(!Exchange(milliseconds(5)).mStatus.ok());
+  BOOST_TEST(Exchange(milliseconds(400)).mStatus.ok());
+
+  BOOST_TEST(mProxy->Connections() == 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
