--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -366,6 +366,7 @@
   ForeignRunFound,
   CapacityChanged,
   CrashCounted,
+  EndWithoutJob,
 };
 
 /** What a long-running task needs of a worker. */
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -124,7 +124,17 @@
              base::NameOf(kEndKindNames, aEnd.mKind),
              static_cast<double>(aEnd.mNumber) });
   auto* task = FindTask(aCell, aEnd.mTask);
-  if (!task || IsFinal(task->mJob->mState)) {
+  if (!task) {
+    AddEvent(aCell,
+             { CellEventKind::EndWithoutJob,
+               aEnd.mTask,
+               aWorker.mRecord.mId,
+               aEnd.mAttempt,
+               base::NameOf(kEndKindNames, aEnd.mKind),
+               static_cast<double>(aEnd.mNumber) });
+    return;
+  }
+  if (IsFinal(task->mJob->mState)) {
     return;
   }
   task->mJob->mHasStarted = true;
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -243,6 +243,36 @@
   "an entry at this time, and does not change later",
 };
 
+inline constexpr auto kEndWithoutJob = base::LogEvent{
+  952,
+  base::LogLevel::Warn,
+  "a worker lists the end of a run of a job that its cell does not have",
+  "none for a job that has ended; otherwise another cell has the job",
+};
+
+inline constexpr auto kHolderRefused = base::LogEvent{
+  953,
+  base::LogLevel::Warn,
+  "a worker has seen a higher fencing token; the holder of the cell ends",
+  "none if another entry has claimed the cell; otherwise see which cell has "
+  "the worker",
+};
+
+inline constexpr auto kWorkerLent = base::LogEvent{
+  954,
+  base::LogLevel::Info,
+  "a worker leaves a cell for another one",
+  "none; an outcome other than 0 means that it stays or that the outcome is "
+  "not known",
+};
+
+inline constexpr auto kTransferRead = base::LogEvent{
+  955,
+  base::LogLevel::Info,
+  "the entry has read to which cell a worker was transferred",
+  "none",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -275,7 +305,11 @@
                                                        kNoHostCell,
                                                        kTasksReturned,
                                                        kLayoutCreated,
-                                                       kConnectionGivenUp };
+                                                       kConnectionGivenUp,
+                                                       kEndWithoutJob,
+                                                       kHolderRefused,
+                                                       kWorkerLent,
+                                                       kTransferRead };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
@@ -305,6 +339,8 @@
       return &kCapacityChanged;
     case cell::CellEventKind::CrashCounted:
       return &kCrashCounted;
+    case cell::CellEventKind::EndWithoutJob:
+      return &kEndWithoutJob;
   }
   return &kJobEnded;
 }
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -135,6 +135,7 @@
   auto TakeOver() -> net::Task<bool>;
 
   auto CanSendOrders() const -> bool;
+  auto EndAsRefused(const WorkerCall& aCall) -> void;
   auto StartPolling(const std::string& aWorker) -> void;
   auto PollLoop(std::string aWorker) -> net::Task<void>;
   auto PollWorker(const std::string& aWorker, std::int64_t aWaitMs)
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -208,6 +208,10 @@
     return;
   }
   transfer = { aRow.mCell, aVersion };
+  mLog.Record(kTransferRead,
+              { { "worker", aRow.mWorker },
+                { "cell", aRow.mCell },
+                { "version", static_cast<std::int64_t>(aVersion) } });
   const auto holder = FindHolder(aRow.mCell);
   const auto worker = mWorkers.find(aRow.mWorker);
   if (holder) {
--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -81,6 +81,7 @@
   // A cell with suitable workers is left only for one that has room now.
   command.mMustStartAtOnce = aJob.mCanRunHere && aJob.mWaited.count() > 0;
   const auto needs = NeedsOf(job->mStored, aJob.mWaitingSteps);
+  const auto source = command.mSource;
   const auto reply = co_await mContext.mExecute(std::move(command));
   if (mPhase == HolderPhase::Ended) {
     co_return;
@@ -94,6 +95,10 @@
     { { "job", aId },
       { "from", mRow.mName },
       { "to", aCell },
+      { "term", static_cast<std::int64_t>(mRow.mTerm) },
+      { "job_version", static_cast<std::int64_t>(source.mJobVersion) },
+      { "progress_version",
+        static_cast<std::int64_t>(source.mProgressVersion) },
       { "outcome", static_cast<std::int64_t>(reply.mOutcome) } });
   job = cell::FindJob(mState, aId);
   if (!job) {
--- a/src/dispatch/internal/holdertransfers.cpp
+++ b/src/dispatch/internal/holdertransfers.cpp
@@ -153,6 +153,14 @@
       net::Encode(WorkerTransferRow{ id, request.mRequestingCell }) });
   const auto reply = co_await mContext.mStore.Commit(
     std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
+  mContext.mLog.Record(
+    kWorkerLent,
+    { { "worker", id },
+      { "from", mRow.mName },
+      { "to", request.mRequestingCell },
+      { "term", static_cast<std::int64_t>(mRow.mTerm) },
+      { "outcome", static_cast<std::int64_t>(reply.mOutcome) },
+      { "version", static_cast<std::int64_t>(reply.mVersion) } });
   if (reply.mOutcome == StoreOutcome::Refused &&
       mPhase == HolderPhase::Active) {
     mLeavingWorkers.erase(id);
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -26,6 +26,18 @@
   mFlushTimer->cancel();
 }
 
+/** A worker refused a call, as it has seen a higher token. */
+auto CellHolder::EndAsRefused(const WorkerCall& aCall) -> void
+{
+  mContext.mLog.Record(
+    kHolderRefused,
+    { { "cell", mRow.mName },
+      { "worker", aCall.mWorker },
+      { "term", static_cast<std::int64_t>(mRow.mTerm) },
+      { "token", static_cast<std::int64_t>(aCall.mToken) } });
+  End();
+}
+
 auto CellHolder::UpdateWorker(const cell::WorkerRecord& aRecord) -> void
 {
   if (mLeavingWorkers.contains(aRecord.mId)) {
@@ -182,7 +194,7 @@
     case cell::OrderOutcome::Done:
       break;
     case cell::OrderOutcome::Superseded:
-      End();
+      EndAsRefused(call);
       co_return false;
     case cell::OrderOutcome::OtherIncarnation:
       if (worker.mRepliedFrom != call.mAddress) {
@@ -297,7 +309,7 @@
     // A worker that was transferred meanwhile has another holder; the cell
     // itself may still be held.
     if (mState.mWorkers.contains(aOrder.mWorker)) {
-      End();
+      EndAsRefused(call);
     }
     co_return;
   }
