--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -125,10 +125,21 @@
     for (const auto& it : aWorkers) {
       workers.push_back(MakeRecord(it));
     }
+    mPool.Spawn(mPool.Executor(0), WriteCellRow(row, aTerm * 1000));
     mPool.Spawn(mPool.Executor(0), out->Run(std::move(workers), true));
     return out;
   }
 
+  /** Writes the row by which a holder has claimed its cell. */
+  auto WriteCellRow(CellRow aRow, std::uint64_t aVersion) -> net::Task<void>
+  {
+    const auto key = "cell/" + aRow.mName;
+    mStore.mRows[{ std::string(kControlTable), "", key }] = {
+      std::string(kControlTable), "", key, net::Encode(aRow), aVersion
+    };
+    co_return;
+  }
+
   /** A worker as the platform lists it. */
   auto MakeRecord(const std::string& aId) -> cell::WorkerRecord
   {
