Make transfers of workers conditional on the claim of the lending cell

Callers saw tasks that were done run again (TWICE). A worker that is in two cells is polled by both holders: the one that did not start a task acknowledges its end, and the other one is refused by the worker, ends, and starts the task again under its next term. The order and the times of the record fit this; that it was the cause there is not proved.

Cause: the row of a transfer was written without a condition. A write without a reply is applied up to 12 s later: after the next holder had claimed the cell together with the worker, or after a later transfer of the worker.

Change: the write expects the claim of this holder and the worker's previous transfer. A claim in between makes it fail, and the holder ends.

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -176,6 +176,7 @@
   /** Whether the next holder learns of the worker from its row. */
   auto IsMember(const std::string& aWorker) const -> bool;
   auto CheckFence(const StoreReply& aReply) -> void;
+  auto CheckClaim(const StoreReply& aReply) -> void;
   auto FinishJob(const std::string& aId, cell::JobState aState) -> void;
 
   auto Submit(JobCommand aCommand) -> net::Task<JobReply>;
--- /dev/null
+++ b/src/dispatch/internal/controlkeys.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "eelgrasspost/base/text.h"
+
+namespace eelgrasspost::dispatch {
+
+// Keys of the control table.
+
+inline constexpr std::string_view kCellPrefix = "cell/";
+inline constexpr std::string_view kTransferPrefix = "lent/";
+
+inline auto CellKey(std::string_view aCell) -> std::string
+{
+  return base::Cat(kCellPrefix, aCell);
+}
+
+inline auto TransferKey(std::string_view aWorker) -> std::string
+{
+  return base::Cat(kTransferPrefix, aWorker);
+}
+
+} // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/holdertransfers.cpp
+++ b/src/dispatch/internal/holdertransfers.cpp
@@ -1,4 +1,5 @@
 #include "cellholder.h"
+#include "controlkeys.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
@@ -147,9 +148,18 @@
     }
     co_return JobReply{ JobOutcome::Refused };
   }
+  // A holder that claims this cell afterwards has the worker, as has the cell
+  // of a later transfer.
+  const auto transferKey =
+    RowKey{ std::string(kControlTable), TransferKey(id) };
+  const auto known = mMinTokens.find(id);
   StoreTransaction transaction;
+  transaction.mExpected = {
+    { { std::string(kControlTable), CellKey(mRow.mName) }, mRowVersion },
+    { transferKey, known == mMinTokens.end() ? 0 : known->second }
+  };
   transaction.mWrites.push_back(
-    { { std::string(kControlTable), "lent/" + id },
+    { transferKey,
       net::Encode(WorkerTransferRow{ id, request.mRequestingCell }) });
   const auto reply = co_await mContext.mStore.Commit(
     std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
@@ -161,6 +171,9 @@
       { "term", static_cast<std::int64_t>(mRow.mTerm) },
       { "outcome", static_cast<std::int64_t>(reply.mOutcome) },
       { "version", static_cast<std::int64_t>(reply.mVersion) } });
+  if (reply.mOutcome == StoreOutcome::Conflict) {
+    CheckClaim(reply);
+  }
   if (reply.mOutcome == StoreOutcome::Refused &&
       mPhase == HolderPhase::Active) {
     mLeavingWorkers.erase(id);
@@ -171,4 +184,16 @@
                         : JobOutcome::Refused };
 }
 
+/** Ends the holder if a conflict shows that its cell was claimed again. */
+auto CellHolder::CheckClaim(const StoreReply& aReply) -> void
+{
+  for (const auto& it : aReply.mRows) {
+    const auto isClaim =
+      it.mTable == kControlTable && it.mKey == CellKey(mRow.mName);
+    if (isClaim && it.mVersion > mRowVersion) {
+      End();
+    }
+  }
+}
+
 } // namespace eelgrasspost::dispatch
