Read all transfers of workers before the holder of a claimed cell starts

Cause: an entry that claims a cell takes its workers by what it has read of the control table. Its feed may be seconds behind its claim, as after connections that went silent, and a full read delivers the rows of cells before those of transfers. The holder then kept a worker that had left the cell, also once the entry had read of it, and acknowledged the ends of the tasks of the other cell.

Change: the transfers are read after the claim is written and before the holder starts. A claim costs one more read, and waits for it.

Evidence: the last case of dispatch_workercells failed before (a start and a call to the worker) and passes now; dispatch_entry and dispatch_takeover pass.

--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -51,6 +51,10 @@
   auto FindUnheldCells(MonotonicTime aNow) -> void;
   auto ClaimCell(std::string aCell) -> net::Task<void>;
   auto ReleaseCell(std::string aCell) -> net::Task<void>;
+  auto AdoptCell(CellRow aRow,
+                 std::uint64_t aVersion,
+                 bool aIsPreviousHolderGone) -> net::Task<void>;
+  auto ReadTransfers() -> net::Task<bool>;
   auto StartHolder(const CellRow& aRow,
                    std::uint64_t aVersion,
                    bool aIsPreviousHolderGone) -> void;
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "controlkeys.h"
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
@@ -163,7 +164,7 @@
     CellRow row;
     row.mName = base::Cat(aDomain, "/", i);
     row.mDomain = aDomain;
-    add("cell/" + row.mName, net::Encode(row));
+    add(CellKey(row.mName), net::Encode(row));
   }
   co_await mStore.Commit(std::move(transaction),
                          base::MonotonicClock::now() + kStoreTimeout);
@@ -180,7 +181,7 @@
   row.mHolderIncarnation = mIncarnation;
   ++row.mTerm;
   StoreTransaction transaction;
-  const auto key = RowKey{ std::string(kControlTable), "cell/" + aCell };
+  const auto key = RowKey{ std::string(kControlTable), CellKey(aCell) };
   transaction.mExpected.push_back({ key, known.mVersion });
   transaction.mWrites.push_back({ key, net::Encode(row) });
   const auto reply = co_await mStore.Commit(
@@ -193,6 +194,24 @@
   mCellsInTransition.erase(aCell);
 }
 
+/** Starts the holder of a claimed cell. The entry may not have read yet which
+ * workers left the cell before the claim; later transfers fail unless this
+ * holder makes them. */
+auto DispatchEntry::AdoptCell(CellRow aRow,
+                              std::uint64_t aVersion,
+                              bool aIsPreviousHolderGone) -> net::Task<void>
+{
+  const auto isCurrent = [&] {
+    return mCells.at(aRow.mName).mVersion == aVersion;
+  };
+  while (isCurrent() && !co_await ReadTransfers()) {
+    co_await net::Sleep(kRetryInterval);
+  }
+  if (isCurrent() && !FindHolder(aRow.mName)) {
+    StartHolder(aRow, aVersion, aIsPreviousHolderGone);
+  }
+}
+
 auto DispatchEntry::StartHolder(const CellRow& aRow,
                                 std::uint64_t aVersion,
                                 bool aIsPreviousHolderGone) -> void
@@ -250,7 +269,7 @@
     auto row = holder->Row();
     row.mHolder.clear();
     StoreTransaction transaction;
-    const auto key = RowKey{ std::string(kControlTable), "cell/" + aCell };
+    const auto key = RowKey{ std::string(kControlTable), CellKey(aCell) };
     transaction.mExpected.push_back({ key, holder->RowVersion() });
     transaction.mWrites.push_back({ key, net::Encode(row) });
     co_await mStore.Commit(std::move(transaction),
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -1,5 +1,6 @@
 #include "dispatchentry.h"
 
+#include "controlkeys.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "holdertimes.h"
@@ -57,11 +58,11 @@
     if (auto row = net::Decode<LayoutRow>(aRow.mValue); row.ok()) {
       mLayouts[row->mDomain] = *row;
     }
-  } else if (aRow.mKey.starts_with("lent/")) {
+  } else if (aRow.mKey.starts_with(kTransferPrefix)) {
     if (auto row = net::Decode<WorkerTransferRow>(aRow.mValue); row.ok()) {
       OnWorkerTransferRow(*row, aRow.mVersion);
     }
-  } else if (aRow.mKey.starts_with("cell/")) {
+  } else if (aRow.mKey.starts_with(kCellPrefix)) {
     if (auto row = net::Decode<CellRow>(aRow.mValue); row.ok()) {
       OnCellRow(*row, aRow.mVersion);
     }
@@ -94,7 +95,8 @@
     mHolders.erase(aRow.mName);
   }
   if (isMine && !FindHolder(aRow.mName)) {
-    StartHolder(aRow, aVersion, isPreviousHolderGone);
+    net::SpawnTask(mPool.Executor(0),
+                   AdoptCell(aRow, aVersion, isPreviousHolderGone));
   }
 }
 
@@ -200,6 +202,31 @@
   }
 }
 
+/** Reads all transfers of workers. */
+auto DispatchEntry::ReadTransfers() -> net::Task<bool>
+{
+  RangeQuery query;
+  query.mTable = std::string(kControlTable);
+  query.mFrom = std::string(kTransferPrefix);
+  query.mBefore = query.mFrom;
+  ++query.mBefore.back();
+  for (auto hasMore = true; hasMore;) {
+    const auto reply = co_await mStore.ReadRange(
+      query, base::MonotonicClock::now() + kStoreTimeout);
+    if (reply.mOutcome != StoreOutcome::Done) {
+      co_return false;
+    }
+    for (const auto& it : reply.mRows) {
+      OnControlRow(it);
+    }
+    hasMore = reply.mHasMore && !reply.mRows.empty();
+    if (hasMore) {
+      query.mFrom = reply.mRows.back().mKey + '\x01';
+    }
+  }
+  co_return true;
+}
+
 auto DispatchEntry::OnWorkerTransferRow(const WorkerTransferRow& aRow,
                                         std::uint64_t aVersion) -> void
 {
