Acknowledge ends of other cells' jobs after these have stored them

Cause: an end of a task that the cell does not have was ignored and counted as stored, so that the worker forgot it. Nothing showed the cell that has the job that its task was done. That is how a worker in two cells made tasks run twice; a job that left while a run of it was not settled has the same effect. The class: an acknowledgement without a write of the owner behind it.

Change: such an end is not acknowledged until the row of the job's id shows that the job has ended or does not exist, or until the cell that the row names has stored the end (command ReportEnd). That cell reads the job if it has missed its import. Ends of runs that were stopped or have lapsed are acknowledged as before. The ends of a worker behind one that waits wait as well.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -202,6 +202,8 @@
   std::uint64_t mSeenEnds = 0;
   /** Ends up to this number are stored and may be acknowledged. */
   std::uint64_t mStoredEnds = 0;
+  /** Ends, by number, of jobs that the cell does not have. */
+  std::map<std::uint64_t, EndRow> mForeignEnds;
   std::int64_t mLastClockMs = 0;
   MonotonicTime mLastContact{};
   /** When a call to it first failed, other than by a timeout, since the last
@@ -418,6 +420,13 @@
                  const WorkerReport& aReport,
                  MonotonicTime aSentAt,
                  MonotonicTime aNow) -> void;
+/** Applies the end of a run that is listed to another cell. */
+auto ApplyForeignEnd(CellState& aCell,
+                     Job& aJob,
+                     const TaskProgress& aEnd,
+                     MonotonicTime aNow) -> void;
+/** The highest number up to which the ends of a worker need no other cell. */
+auto HighestSettledEnd(const Worker& aWorker) -> std::uint64_t;
 auto ApplyOutcome(CellState& aCell,
                   const Order& aOrder,
                   OrderOutcome aOutcome,
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -46,6 +46,15 @@
                 MonotonicTime aNow,
                 std::vector<Order>& aOrders) -> void;
 
+/** Applies an end that a worker lists for the first time. */
+auto ApplyEnd(CellState& aCell,
+              Worker& aWorker,
+              const EndRow& aEnd,
+              MonotonicTime aNow) -> void;
+/** Requests that the other members of a gang are stopped after one has ended.
+ */
+auto StopGang(Task& aTask) -> void;
+
 /** Adjusts the CPU shares of a worker's best-effort runs to the tails of its
  * serving runs, and stops runs that can move to another worker. */
 auto AdjustCpuShares(CellState& aCell, Worker& aWorker, MonotonicTime aNow)
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -218,6 +218,8 @@
   GiveUpJob,
   /** Takes back tasks that their host cell cannot start. */
   ReturnTasks,
+  /** Stores the end of a run that a worker lists to another cell. */
+  ReportEnd,
 };
 
 /** Control table row of a worker that was transferred out of the cell to which
@@ -274,7 +276,7 @@
   std::string mJobId;
   cell::StoredJob mJob;
   std::int64_t mTimeoutMs = 0;
-  /** Used by ImportJob. */
+  /** Used by ImportJob and ReportEnd. */
   cell::JobProgress mProgress;
   MigrationSource mSource;
   /** Used by TransferWorker and ReserveCapacity. */
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -189,6 +189,11 @@
    * of version 0 if there is none. */
   auto ReadJobRow(std::string_view aTable, std::string aId)
     -> net::Task<std::optional<StoreRow>>;
+  auto SettleForeignEnds(std::string aWorker) -> net::Task<void>;
+  /** Whether the end of a job that this cell did not have may be acknowledged
+   * now. */
+  auto SettleForeignEnd(cell::EndRow aEnd) -> net::Task<bool>;
+  auto AcceptEnd(JobCommand aCommand) -> net::Task<JobReply>;
   auto RequestWorkers() -> void;
   auto RequestWorker(CapacityRequest aRequest) -> net::Task<void>;
   auto TransferWorker(JobCommand aCommand) -> net::Task<JobReply>;
@@ -203,6 +208,9 @@
   auto InvalidateReturn(std::string aId, std::uint64_t aVersion)
     -> net::Task<void>;
   auto AcceptReturnedTasks(JobCommand aCommand) -> net::Task<JobReply>;
+  /** The row of a job's id, with an empty cell if there is none; nothing if it
+   * could not be read. */
+  auto ReadIdRow(std::string aId) -> net::Task<std::optional<JobIdRow>>;
   /** The cell that owns a job; nothing if it could not be read. */
   auto FindOwner(std::string aId) -> net::Task<std::optional<std::string>>;
   auto NotifyHostWhenStored(std::string aId, std::string aHost)
@@ -286,6 +294,8 @@
    * transfer returns them. */
   std::set<std::string> mLeavingWorkers;
   std::map<std::string, TokenStep> mTokenSteps;
+  /** Workers of which the foreign ends are being settled. */
+  std::set<std::string> mSettlingWorkers;
   /** Names of the tasks that are being moved to another cell. */
   std::set<std::string> mMovingTasks;
   /** The last read of a hosted job's row that was applied. */
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -50,6 +50,8 @@
       co_return GiveUpJob(aCommand.mJobId);
     case JobCommandKind::ReturnTasks:
       co_return co_await AcceptReturnedTasks(std::move(aCommand));
+    case JobCommandKind::ReportEnd:
+      co_return co_await AcceptEnd(std::move(aCommand));
   }
   co_return JobReply{ JobOutcome::NotInCell };
 }
--- a/src/dispatch/internal/holderreturns.cpp
+++ b/src/dispatch/internal/holderreturns.cpp
@@ -137,8 +137,8 @@
   }
 }
 
-auto CellHolder::FindOwner(std::string aId)
-  -> net::Task<std::optional<std::string>>
+auto CellHolder::ReadIdRow(std::string aId)
+  -> net::Task<std::optional<JobIdRow>>
 {
   RangeQuery query;
   query.mTable = std::string(kIdTable);
@@ -147,12 +147,22 @@
   query.mLimit = 1;
   const auto found = co_await mContext.mStore.ReadRange(
     query, base::MonotonicClock::now() + kStoreTimeout);
-  if (found.mOutcome != StoreOutcome::Done || found.mRows.empty() ||
-      found.mRows[0].mKey != aId) {
+  if (found.mOutcome != StoreOutcome::Done) {
     co_return std::nullopt;
   }
+  if (found.mRows.empty() || found.mRows[0].mKey != aId) {
+    co_return JobIdRow{};
+  }
   const auto row = net::Decode<JobIdRow>(found.mRows[0].mValue);
-  co_return row.ok() ? std::optional(row->mCell) : std::nullopt;
+  co_return row.ok() ? std::optional(*row) : std::nullopt;
+}
+
+auto CellHolder::FindOwner(std::string aId)
+  -> net::Task<std::optional<std::string>>
+{
+  const auto row = co_await ReadIdRow(std::move(aId));
+  co_return row && !row->mCell.empty() ? std::optional(row->mCell)
+                                       : std::nullopt;
 }
 
 /** Takes back tasks that their host cell cannot start. */
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -34,7 +34,8 @@
   bool mIsFinal = false;
 };
 
-/** The last end that a worker's incarnation had listed when a flush began. */
+/** The last end that a worker's incarnation had listed, and that needs no other
+ * cell, when a flush began. */
 struct SeenEnds
 {
   std::int64_t mIncarnationStartMs = 0;
@@ -84,7 +85,7 @@
   mIsFlushing = true;
   std::map<std::string, SeenEnds> seen;
   for (const auto& [id, it] : mState.mWorkers) {
-    seen[id] = { it->mIncarnationStartMs, it->mSeenEnds };
+    seen[id] = { it->mIncarnationStartMs, cell::HighestSettledEnd(*it) };
   }
   std::map<std::uint32_t, std::vector<std::string>> byPartition;
   for (const auto& it : mState.mDirty) {
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -366,7 +366,10 @@
   LogEvents();
   auto needsFlush = !mState.mDirty.empty();
   for (auto& [id, it] : mState.mWorkers) {
-    needsFlush = needsFlush || it->mSeenEnds > it->mStoredEnds;
+    needsFlush = needsFlush || cell::HighestSettledEnd(*it) > it->mStoredEnds;
+    if (!it->mForeignEnds.empty() && mSettlingWorkers.insert(id).second) {
+      net::SpawnTask(mContext.mExecutor, SettleForeignEnds(id));
+    }
     if (it->mNeedsPoll && it->mIsKnown) {
       it->mNeedsPoll = false;
       net::SpawnTask(mContext.mExecutor, PollOnce(id));
