--- a/src/framework/net/internal/messageclient.cpp
+++ b/src/framework/net/internal/messageclient.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "connect.h"
 #include "eelgrasspost/base/text.h"
 #include "frame.h"
 
@@ -144,42 +145,6 @@
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
-/** Timeout for connecting if the deadline of the call is later. */
-constexpr auto kConnectTimeout = std::chrono::milliseconds(1000);
-
-auto Connect(Tcp::socket& aSocket,
-             const Address& aAddress,
-             const std::string& aBindIp,
-             base::MonotonicTime aDeadline) -> Task<error_code>
-{
-  error_code ec;
-  const auto target =
-    Tcp::endpoint(asio::ip::make_address(aAddress.mIp, ec), aAddress.mPort);
-  if (ec) {
-    co_return ec;
-  }
-  aSocket.open(target.protocol(), ec);
-  if (!aBindIp.empty()) {
-    aSocket.bind(Tcp::endpoint(asio::ip::make_address(aBindIp, ec), 0), ec);
-  }
-  const auto limit = base::MonotonicClock::now() + kConnectTimeout;
-  auto timer =
-    asio::steady_timer(aSocket.get_executor(), std::min(limit, aDeadline));
-  timer.async_wait([&aSocket](error_code aError) {
-    if (!aError) {
-      error_code ignored;
-      aSocket.close(ignored);
-    }
-  });
-  co_await aSocket.async_connect(target,
-                                 asio::redirect_error(asio::use_awaitable, ec));
-  timer.cancel();
-  if (!ec) {
-    aSocket.set_option(Tcp::no_delay(true), ec);
-  }
-  co_return ec;
-}
-
 } // namespace
 
 struct MessageClient::Impl
