Keep a job in its cell while an earlier run of it is being stopped

Cause: a job without a placed task may migrate. A run that is not its task's current one, as one that a takeover finds beside another, doesn't count, though its end still comes to the cell that the job leaves.

Ruled out: FindDelayedJobs (hypothesis 3). It takes only jobs of which nothing has started, and hosted jobs count as started.

Change: FindMigratable leaves out jobs of which a worker has such a run.

--- a/src/cell/internal/migration.cpp
+++ b/src/cell/internal/migration.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <map>
+#include <set>
+#include <string_view>
 
 #include "cellinternal.h"
 #include "eelgrasspost/cell/room.h"
@@ -22,6 +24,21 @@
   }
 }
 
+/** Ids of the jobs of which workers have runs that are not the current ones of
+ * their tasks. Their ends come to this cell. */
+auto JobsWithUntrackedRuns(const CellState& aCell) -> std::set<std::string_view>
+{
+  std::set<std::string_view> out;
+  for (const auto& [id, worker] : aCell.mWorkers) {
+    for (const auto& [name, run] : worker->mRuns) {
+      if (!run.mTask) {
+        out.insert(std::string_view(name).substr(0, name.find('.')));
+      }
+    }
+  }
+  return out;
+}
+
 } // namespace
 
 auto FindMigratable(const CellState& aCell,
@@ -51,9 +68,11 @@
     auto [slot, isNew] = since.emplace(job, it->mReadyAt);
     slot->second = std::min(slot->second, it->mReadyAt);
   }
+  const auto untracked = JobsWithUntrackedRuns(aCell);
   std::vector<std::pair<MonotonicTime, MigratableJob>> order;
   for (auto& [job, it] : found) {
-    if (aNow - since.at(job) > aWait && !HasRun(*job)) {
+    if (aNow - since.at(job) > aWait && !HasRun(*job) &&
+        !untracked.contains(it.mId)) {
       it.mWaited =
         std::chrono::duration_cast<Milliseconds>(aNow - since.at(job));
       it.mCanRunHere = CanRunSteps(aCell, job->mStored, it.mWaitingSteps);
--- a/src/cell/tests/takeover_tests.cpp
+++ b/src/cell/tests/takeover_tests.cpp
@@ -206,6 +206,27 @@
   BOOST_TEST(FindMigratable(mCell, mNow, Milliseconds(0)).empty());
 }
 
+// Guards against a task that runs again in another cell while an earlier run of
+// it is being stopped here: the end of that run came after its job had left.
+BOOST_AUTO_TEST_CASE(job_with_an_earlier_run_that_is_being_stopped_stays)
+{
+  AddWorker("w1");
+  AddWorker("w2");
+  Add(MakeJob("j", MakeStep(1)));
+  const auto started = Start();
+  BOOST_REQUIRE(started.size() == 1U);
+  const auto& worker = started[0].mWorker;
+  const auto other = worker == "w1" ? "w2" : "w1";
+  Report(other, { { "j.0.0.0", 1, "", 1, 0 } }, {});
+  Report(
+    worker, {}, { { 1, "j.0.0.0", started[0].mAttempt, EndKind::Lapsed, "" } });
+  Advance(Milliseconds(100));
+  BOOST_TEST(FindMigratable(mCell, mNow, Milliseconds(50)).empty());
+
+  Report(other, {}, { { 1, "j.0.0.0", 1, EndKind::Stopped, "" } });
+  BOOST_TEST(FindMigratable(mCell, mNow, Milliseconds(50)).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(orders, CellFixture)
