--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -296,6 +296,8 @@
   std::map<std::string, TokenStep> mTokenSteps;
   /** Workers of which the foreign ends are being settled. */
   std::set<std::string> mSettlingWorkers;
+  /** Jobs of other cells, or of none, that have ended. */
+  std::set<std::string> mEndedElsewhere;
   /** Names of the tasks that are being moved to another cell. */
   std::set<std::string> mMovingTasks;
   /** The last read of a hosted job's row that was applied. */
--- a/src/dispatch/internal/holderends.cpp
+++ b/src/dispatch/internal/holderends.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/** Number of ended jobs that are kept, as workers list many ends of one job. */
+constexpr std::size_t kMaxEndedElsewhere = 1000;
+
 /** An end as the progress that it makes; nothing if it names no task. */
 auto ProgressOfEnd(const cell::EndRow& aEnd)
   -> std::optional<cell::TaskProgress>
@@ -66,7 +69,7 @@
 {
   const auto progress = ProgressOfEnd(aEnd);
   const auto id = aEnd.mTask.substr(0, aEnd.mTask.find('.'));
-  if (!progress || mFinished.contains(id)) {
+  if (!progress || mFinished.contains(id) || mEndedElsewhere.contains(id)) {
     co_return true;
   }
   const auto row = co_await ReadIdRow(id);
@@ -75,6 +78,10 @@
   }
   if (row->mCell.empty() || cell::IsFinal(row->mState)) {
     // Nobody starts a task of it.
+    if (mEndedElsewhere.size() >= kMaxEndedElsewhere) {
+      mEndedElsewhere.clear();
+    }
+    mEndedElsewhere.insert(id);
     co_return true;
   }
   JobCommand command;
