Bound the wait for an earlier holder's leases by evidence of its end

Cause: the next holder waits until every lease of a worker that does not reply has expired. It counted 10 s, for which the earlier holder may act without the store, from its own claim, unless that holder's process was known to have ended when the claim was read. What becomes known later was not looked at.

Change: entries keep the earlier claims of each cell and bound each by a later incarnation of its entry, by their own restart, or by the word of its holder: heartbeats list an entry's claims that have ended within 30 s, with the time of the last order under each. A claim that the entry may have missed still counts in full. A holder that has ended sends no order that it had decided on before.

--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -115,6 +115,21 @@
   }
 };
 
+/** A claim of a cell on which its holder no longer acts. */
+struct EndedClaim
+{
+  /** Version of the cell's row by which it was made. */
+  std::uint64_t mVersion = 0;
+  /** Time since the last order or renewal under it. */
+  std::int64_t mSinceLastOrderMs = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mVersion, mSinceLastOrderMs);
+  }
+};
+
 /** Datagram that an entry sends to its peers periodically. */
 struct Heartbeat
 {
@@ -129,13 +144,15 @@
   std::vector<PendingCount> mPending;
   /** A subset of the estimates; successive heartbeats cycle through all. */
   std::vector<InterferenceEstimate> mEstimates;
+  /** Its own claims that have ended a short time ago. */
+  std::vector<EndedClaim> mEndedClaims;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mName, mIncarnation, mDomain, mPeers, mCpuShare);
     archive(mIsLeaving, mReachesStore);
-    archive(mCells, mPending, mEstimates);
+    archive(mCells, mPending, mEstimates, mEndedClaims);
   }
 };
 
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -103,6 +103,11 @@
   /** Sets the minimum fencing token of orders to a transferred worker. */
   auto RaiseMinToken(const std::string& aWorker, std::uint64_t aToken) -> void;
   auto UnlistWorker(const std::string& aId) -> void;
+  /** Earlier holders of the cell send no orders and no renewals after the given
+   * time. */
+  auto BoundEarlierHolders(base::BootTime aUntil) -> void;
+  /** When this holder last sent an order or a renewal. */
+  auto LastOrderAt() const -> base::BootTime { return mLastOrderAt; }
   /** Confirms that no other entry had claimed the cell at the given time. */
   auto ConfirmClaim(base::BootTime aAt) -> void;
 
@@ -130,6 +135,8 @@
   auto RaiseFence(std::uint32_t aPartition) -> net::Task<FenceResult>;
   auto LoadPartition(std::uint32_t aPartition) -> net::Task<bool>;
   auto LoadMembers() -> net::Task<bool>;
+  /** When the leases that earlier holders granted have expired. */
+  auto EarlierLeasesExpireAt() const -> MonotonicTime;
   auto ReadPrefix(std::string aTable, std::string aPartition)
     -> net::Task<std::optional<std::vector<StoreRow>>>;
   auto TakeOver() -> net::Task<bool>;
@@ -274,6 +281,8 @@
   HolderPhase mPhase = HolderPhase::TakingOver;
   bool mIsShuttingDown = false;
   bool mIsPreviousHolderGone = false;
+  base::BootTime mEarlierHoldersActUntil = base::BootTime::max();
+  base::BootTime mLastOrderAt;
   cell::CellState mState;
   std::map<std::uint32_t, std::uint64_t> mFences;
   std::unordered_map<std::string, WorkerClock> mClocks;
--- a/src/dispatch/internal/claiming.cpp
+++ b/src/dispatch/internal/claiming.cpp
@@ -137,6 +137,18 @@
                     : std::max(aKnownUntil, aNow + kConfirmationTimeout);
 }
 
+auto EarlierClaimsEndAt(const std::vector<EarlierClaim>& aClaims,
+                        const FindClaimEnd& aFindEnd) -> base::BootTime
+{
+  base::BootTime out{};
+  for (const auto& it : aClaims) {
+    const auto known = aFindEnd(it);
+    out =
+      std::max(out, known ? std::min(*known, it.mActsUntil) : it.mActsUntil);
+  }
+  return out;
+}
+
 auto IsFirstClaimant(const ClaimView& aView) -> bool
 {
   const auto* me = FindLive(aView, aView.mMyName);
--- a/src/dispatch/internal/claiming.h
+++ b/src/dispatch/internal/claiming.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,6 +62,25 @@
                             base::BootTime aKnownUntil,
                             base::BootTime aNow) -> base::BootTime;
 
+/** A claim of a cell before its latest one. */
+struct EarlierClaim
+{
+  /** Empty if the claim is not known. */
+  std::string mHolder;
+  std::uint64_t mHolderIncarnation = 0;
+  std::uint64_t mVersion = 0;
+  /** Its holder acts on it until then at the latest. */
+  base::BootTime mActsUntil{};
+};
+
+/** Returns since when a claim's holder is known not to act on it any more. */
+using FindClaimEnd =
+  std::function<std::optional<base::BootTime>(const EarlierClaim&)>;
+
+/** Until when the holder of one of the claims may have acted or may act. */
+auto EarlierClaimsEndAt(const std::vector<EarlierClaim>& aClaims,
+                        const FindClaimEnd& aFindEnd) -> base::BootTime;
+
 /** Whether this entry is the first choice for a cell of its own domain. */
 auto IsFirstClaimant(const ClaimView& aView) -> bool;
 
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -32,6 +32,13 @@
     CellRow mRow;
     std::uint64_t mVersion = 0;
     base::BootTime mEarlierHoldersActUntil{};
+    std::vector<EarlierClaim> mEarlierClaims;
+  };
+  /** The end of a claim, as its holder states it. */
+  struct ClaimEnd
+  {
+    base::BootTime mLastOrderAt{};
+    base::BootTime mKnownSince{};
   };
 
   auto WatchConfiguration() -> net::Task<void>;
@@ -55,6 +62,17 @@
                  std::uint64_t aVersion,
                  bool aIsPreviousHolderGone) -> net::Task<void>;
   auto ReadTransfers() -> net::Task<bool>;
+  /** Records the earlier claims of a cell before its known row changes. */
+  auto NoteEarlierClaim(KnownCell& aKnown,
+                        const CellRow& aNext,
+                        base::BootTime aNow) -> void;
+  auto FindEndOfClaim(const EarlierClaim& aClaim) const
+    -> std::optional<base::BootTime>;
+  /** Tells a holder until when earlier ones may have acted, as far as that is
+   * known by now. */
+  auto BoundEarlierHolders(CellHolder& aHolder) -> void;
+  auto NoteOwnClaimEnd(const CellHolder& aHolder) -> void;
+  auto RemoveOldClaimEnds(base::BootTime aNow) -> void;
   auto StartHolder(const CellRow& aRow,
                    std::uint64_t aVersion,
                    bool aIsPreviousHolderGone) -> void;
@@ -99,6 +117,7 @@
   std::uint64_t mIncarnation;
   std::uint32_t mPartitions;
   MonotonicTime mStartedAt;
+  base::BootTime mBootStartedAt = base::BootNow();
   base::Metrics mMetrics;
   base::EventLog mLog;
   net::MessageClient mMessages;
@@ -127,6 +146,10 @@
   std::map<std::string, cell::WorkerRecord> mWorkers;
   MonotonicTime mWorkersChangedAt;
   std::map<std::string, std::shared_ptr<CellHolder>> mHolders;
+  /** Claims that have ended, by the versions of their rows: those of this entry
+   * and those of others. */
+  std::map<std::uint64_t, ClaimEnd> mOwnClaimEnds;
+  std::map<std::uint64_t, ClaimEnd> mClaimEnds;
   /** Cells whose rows name this incarnation, but which have no holder. */
   std::map<std::string, MonotonicTime> mUnheldSince;
   /** CPU demand of jobs that were sent to a cell since it last reported its
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -98,9 +98,17 @@
     if (!mControlWatch.IsLoaded()) {
       continue;
     }
+    for (const auto& [name, it] : mHolders) {
+      if (it->Phase() == HolderPhase::Ended) {
+        NoteOwnClaimEnd(*it);
+      } else {
+        BoundEarlierHolders(*it);
+      }
+    }
     std::erase_if(mHolders, [](const auto& aItem) {
       return aItem.second->Phase() == HolderPhase::Ended;
     });
+    RemoveOldClaimEnds(base::BootNow());
     FindUnheldCells(now);
     const auto view = MakeClaimView(now);
     const auto claims =
@@ -258,6 +266,7 @@
       holder->RaiseMinToken(id, it.mVersion);
     }
   }
+  BoundEarlierHolders(*holder);
   net::SpawnTask(mPool.Executor(0),
                  holder->Run(std::move(workers), aIsPreviousHolderGone));
 }
--- /dev/null
+++ b/src/dispatch/internal/entryclaims.cpp
@@ -0,0 +1,87 @@
+#include "dispatchentry.h"
+
+#include <algorithm>
+
+#include "holdertimes.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** An ended claim is reported, and remembered, for this time; longer than
+ * another holder waits without the report. */
+constexpr auto kClaimEndRetention = Milliseconds(30000);
+
+} // namespace
+
+auto DispatchEntry::NoteEarlierClaim(KnownCell& aKnown,
+                                     const CellRow& aNext,
+                                     base::BootTime aNow) -> void
+{
+  auto& claims = aKnown.mEarlierClaims;
+  std::erase_if(claims, [&](const EarlierClaim& aClaim) {
+    return aClaim.mActsUntil + kClaimEndRetention < aNow;
+  });
+  // The row may have changed more than once since it was read last.
+  if (aNext.mTerm > aKnown.mRow.mTerm + 1) {
+    claims.push_back({ {}, 0, 0, aNow + kConfirmationTimeout });
+  }
+  if (!aKnown.mRow.mHolder.empty()) {
+    // A holder that releases its cell has stopped sending orders.
+    const auto isReleased = aNext.mHolder.empty();
+    claims.push_back({ aKnown.mRow.mHolder,
+                       aKnown.mRow.mHolderIncarnation,
+                       aKnown.mVersion,
+                       isReleased ? aNow : aNow + kConfirmationTimeout });
+  }
+}
+
+auto DispatchEntry::FindEndOfClaim(const EarlierClaim& aClaim) const
+  -> std::optional<base::BootTime>
+{
+  if (const auto it = mClaimEnds.find(aClaim.mVersion);
+      it != mClaimEnds.end()) {
+    return it->second.mLastOrderAt;
+  }
+  if (const auto it = mOwnClaimEnds.find(aClaim.mVersion);
+      it != mOwnClaimEnds.end()) {
+    return it->second.mLastOrderAt;
+  }
+  if (aClaim.mHolder == mSettings.mName &&
+      aClaim.mHolderIncarnation != mIncarnation) {
+    return mBootStartedAt;
+  }
+  // A later incarnation shows that the process of the claim has ended.
+  const auto* peer = mPeers.Find(aClaim.mHolder);
+  if (peer && peer->mRow.mIncarnation > aClaim.mHolderIncarnation) {
+    return peer->mIncarnationSeenAt;
+  }
+  return std::nullopt;
+}
+
+auto DispatchEntry::BoundEarlierHolders(CellHolder& aHolder) -> void
+{
+  const auto it = mCells.find(aHolder.Name());
+  if (it != mCells.end() && it->second.mVersion == aHolder.RowVersion()) {
+    aHolder.BoundEarlierHolders(EarlierClaimsEndAt(
+      it->second.mEarlierClaims,
+      [this](const EarlierClaim& aClaim) { return FindEndOfClaim(aClaim); }));
+  }
+}
+
+auto DispatchEntry::NoteOwnClaimEnd(const CellHolder& aHolder) -> void
+{
+  mOwnClaimEnds.emplace(aHolder.RowVersion(),
+                        ClaimEnd{ aHolder.LastOrderAt(), base::BootNow() });
+}
+
+auto DispatchEntry::RemoveOldClaimEnds(base::BootTime aNow) -> void
+{
+  const auto isOld = [&](const auto& aItem) {
+    return aItem.second.mKnownSince + kClaimEndRetention < aNow;
+  };
+  std::erase_if(mOwnClaimEnds, isOld);
+  std::erase_if(mClaimEnds, isOld);
+}
+
+} // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -56,6 +56,12 @@
   for (const auto& [name, it] : mHolders) {
     it->ImportEstimates(aHeartbeat.mEstimates);
   }
+  const auto bootNow = base::BootNow();
+  for (const auto& it : aHeartbeat.mEndedClaims) {
+    mClaimEnds.emplace(
+      it.mVersion,
+      ClaimEnd{ bootNow - Milliseconds(it.mSinceLastOrderMs), bootNow });
+  }
 }
 
 auto DispatchEntry::Execute(JobCommand aCommand) -> net::Task<JobReply>
@@ -249,6 +255,12 @@
   for (const auto& [hash, n] : pending) {
     out.mPending.push_back({ hash, n });
   }
+  const auto now = base::BootNow();
+  for (const auto& [version, it] : mOwnClaimEnds) {
+    const auto since =
+      std::chrono::duration_cast<Milliseconds>(now - it.mLastOrderAt);
+    out.mEndedClaims.push_back({ version, since.count() });
+  }
   return out;
 }
 
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -82,7 +82,10 @@
     isHolderGone && now >= known.mEarlierHoldersActUntil;
   const auto until = EarlierHoldersActUntil(
     aRow, isHolderGone, known.mEarlierHoldersActUntil, now);
-  known = { aRow, aVersion, until };
+  NoteEarlierClaim(known, aRow, now);
+  known.mRow = aRow;
+  known.mVersion = aVersion;
+  known.mEarlierHoldersActUntil = until;
   const auto isMine =
     aRow.mHolder == mSettings.mName && aRow.mHolderIncarnation == mIncarnation;
   const auto holder = FindHolder(aRow.mName);
@@ -92,6 +95,7 @@
                   { "holder", aRow.mHolder },
                   { "term", static_cast<std::int64_t>(aRow.mTerm) } });
     holder->End();
+    NoteOwnClaimEnd(*holder);
     mHolders.erase(aRow.mName);
   }
   if (isMine && !FindHolder(aRow.mName)) {
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -29,6 +29,7 @@
   : mContext(std::move(aContext))
   , mRow(std::move(aRow))
   , mRowVersion(aRowVersion)
+  , mLastOrderAt(mContext.mBootNow())
   , mConfirmedAt(mContext.mBootNow())
   , mFlushTimer(std::make_unique<net::asio::steady_timer>(mContext.mExecutor,
                                                           MonotonicTime::max()))
@@ -183,10 +184,11 @@
   }
   mMembers.clear();
   const auto now = base::MonotonicClock::now();
-  const auto lease = Milliseconds(mContext.mSettings.mLeaseMs);
-  const auto leasesExpiredAt =
-    now + (mIsPreviousHolderGone ? Milliseconds(0) : kConfirmationTimeout) +
-    MaxLocalDuration(lease) + kLeaseMargin;
+  mEarlierHoldersActUntil = std::min(
+    mEarlierHoldersActUntil,
+    mContext.mBootNow() +
+      (mIsPreviousHolderGone ? Milliseconds(0) : kConfirmationTimeout));
+  const auto leasesExpiredAt = EarlierLeasesExpireAt();
   for (const auto& it : *rows) {
     auto record = net::Decode<cell::WorkerRecord>(it.mValue);
     if (!record.ok()) {
@@ -206,6 +208,35 @@
   co_return true;
 }
 
+auto CellHolder::EarlierLeasesExpireAt() const -> MonotonicTime
+{
+  const auto left = std::chrono::duration_cast<Milliseconds>(
+    mEarlierHoldersActUntil - mContext.mBootNow());
+  return base::MonotonicClock::now() + left +
+         MaxLocalDuration(Milliseconds(mContext.mSettings.mLeaseMs)) +
+         kLeaseMargin;
+}
+
+auto CellHolder::BoundEarlierHolders(base::BootTime aUntil) -> void
+{
+  if (aUntil >= mEarlierHoldersActUntil) {
+    return;
+  }
+  mEarlierHoldersActUntil = aUntil;
+  const auto expireAt = EarlierLeasesExpireAt();
+  for (const auto& id : mState.mUnreconciledWorkers) {
+    const auto worker = mState.mWorkers.find(id);
+    const auto clock = mClocks.find(id);
+    // This holder grants no lease to a worker whose clock it does not know.
+    const auto hasOwnLease =
+      clock != mClocks.end() && clock->second.mClockMs > 0;
+    if (worker != mState.mWorkers.end() && !hasOwnLease) {
+      auto& expiredAt = worker->second->mLeasesExpiredAt;
+      expiredAt = std::min(expiredAt, expireAt);
+    }
+  }
+}
+
 auto CellHolder::TakeOver() -> net::Task<bool>
 {
   std::vector<net::Task<bool>> tasks;
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -169,6 +169,7 @@
     sentAt - found->second->mLastContact > kRenewalCutoff;
   if (CanSendOrders() && !isUnresponsive) {
     renewal.mLeaseEndMs = LeaseEnd(aWorker, sentAt);
+    mLastOrderAt = mContext.mBootNow();
     auto& clock = mClocks[aWorker];
     clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, renewal.mLeaseEndMs);
     UpdateClock(aWorker, 0, sentAt);
@@ -276,9 +277,10 @@
 {
   const auto self = shared_from_this();
   const auto found = mState.mWorkers.find(aOrder.mWorker);
-  if (found == mState.mWorkers.end()) {
+  if (found == mState.mWorkers.end() || mPhase == HolderPhase::Ended) {
     co_return;
   }
+  mLastOrderAt = mContext.mBootNow();
   const auto now = base::MonotonicClock::now();
   WorkerCall call;
   call.mAddress = found->second->mRecord.mAddress;
--- a/src/dispatch/internal/peers.cpp
+++ b/src/dispatch/internal/peers.cpp
@@ -15,6 +15,13 @@
 /** Every eighth heartbeat is an infrequent one. */
 constexpr std::uint64_t kInfrequentInterval = 8;
 
+auto NoteIncarnation(Peer& aPeer, std::uint64_t aIncarnation) -> void
+{
+  if (aPeer.mRow.mIncarnation != aIncarnation) {
+    aPeer.mIncarnationSeenAt = base::BootNow();
+  }
+}
+
 } // namespace
 
 auto MustSendHeartbeat(const HeartbeatTarget& aTarget,
@@ -55,6 +62,7 @@
   if (heartbeat->mIncarnation < peer.mLastHeartbeat.mIncarnation) {
     return;
   }
+  NoteIncarnation(peer, heartbeat->mIncarnation);
   peer.mRow = { heartbeat->mName,
                 heartbeat->mIncarnation,
                 heartbeat->mDomain,
@@ -74,6 +82,7 @@
   }
   auto& peer = mPeers[aRow.mName];
   if (aRow.mIncarnation >= peer.mRow.mIncarnation) {
+    NoteIncarnation(peer, aRow.mIncarnation);
     peer.mRow = aRow;
     peer.mRowReadAt = base::MonotonicClock::now();
   }
--- a/src/dispatch/internal/peers.h
+++ b/src/dispatch/internal/peers.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "eelgrasspost/base/bootclock.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "eelgrasspost/net/datagram.h"
 
@@ -20,6 +21,8 @@
   /** Time of the last heartbeat; the epoch if there was none. */
   MonotonicTime mLastHeartbeatAt{};
   MonotonicTime mRowReadAt{};
+  /** When its current incarnation was first known. */
+  base::BootTime mIncarnationSeenAt{};
 };
 
 /** An entry is considered dead after four missed heartbeats. */
--- a/src/dispatch/tests/claiming_tests.cpp
+++ b/src/dispatch/tests/claiming_tests.cpp
@@ -220,4 +220,24 @@
               eelgrasspost::base::BootTime{}));
 }
 
+// A claim that is known to have ended no longer counts from the time at which
+// the cell's row changed; one that is not known still does.
+BOOST_AUTO_TEST_CASE(claims_known_to_have_ended_bound_the_wait_by_their_end)
+{
+  const auto now = eelgrasspost::base::BootNow();
+  const auto latest = now + kConfirmationTimeout;
+  const auto claims = std::vector<EarlierClaim>{
+    { "a2", 10, 101, latest },
+    { "b1", 10, 102, latest },
+  };
+  const auto findEnd = [&](const EarlierClaim& aClaim) {
+    return aClaim.mVersion == 101 ? std::optional(now) : std::nullopt;
+  };
+
+  BOOST_TEST((EarlierClaimsEndAt(claims, findEnd) == latest));
+  BOOST_TEST((EarlierClaimsEndAt({ claims[0] }, findEnd) == now));
+  BOOST_TEST(
+    (EarlierClaimsEndAt({}, findEnd) == eelgrasspost::base::BootTime{}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/entryfixture.h
+++ b/src/dispatch/tests/entryfixture.h
@@ -69,6 +69,7 @@
   FakeWorkers mWorkers;
   FakeFormats mFormats;
   std::unique_ptr<IDispatchEntry> mEntry;
+  std::int64_t mLeaseMs = 6000;
 
   ~EntryFixture() { StopPool(); }
 
@@ -104,7 +105,8 @@
     Write("p0", kJobTable, "a/0/" + job.mSpec.mId, net::Encode(job));
   }
 
-  /** aHolder: the entry that holds the cell according to its row. */
+  /** aHolder: the entry that holds the cell according to its row, in its first
+   * term and incarnation. */
   auto StartEntry(const std::string& aHolder = "") -> void
   {
     Write("", kControlTable, "layout/a", net::Encode(LayoutRow{ "a", 1 }));
@@ -112,6 +114,8 @@
     row.mName = "a/0";
     row.mDomain = "a";
     row.mHolder = aHolder;
+    row.mHolderIncarnation = aHolder.empty() ? 0 : 1;
+    row.mTerm = row.mHolderIncarnation;
     Write("", kControlTable, "cell/a/0", net::Encode(row));
     const auto address = *net::ParseAddress("127.0.0.1:0");
     DispatchSettings settings;
@@ -122,6 +126,7 @@
     settings.mPeers = address;
     settings.mMetrics = address;
     settings.mCapacityMs = kCapacityMs;
+    settings.mLeaseMs = mLeaseMs;
     // One partition.
     settings.mStoreWritesPerS = 100;
     settings.mStorePartitionWritesPerS = 100;
