Store one bit for each task that is done

Cause: its progress, one row, had 45 bytes or more for each task that was done. The store refuses a row over 65,536 bytes, and a flush without success acknowledges no ends of any job.

Change: done tasks take a bit each, done occurrences a range. Rows of earlier versions are read; entries of earlier versions cannot read the new ones. Progress moves to a file of its own.

--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -246,15 +246,47 @@
   }
 };
 
-/** Stored progress of a job; written before ends are acknowledged. */
+/** The tasks of a step that are done. */
+struct DoneTasks
+{
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  /** A bit for each task, the lowest of each byte first; empty if all are done.
+   */
+  std::string mBits;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mOccurrence, mStep, mBits);
+  }
+};
+
+/** Successive occurrences of which all tasks are done. */
+struct DoneOccurrences
+{
+  std::uint32_t mFirst = 0;
+  std::uint32_t mCount = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mFirst, mCount);
+  }
+};
+
+/** Stored progress of a job; written before ends are acknowledged. A row of the
+ * store holds it, so tasks that are done take a bit each. */
 struct JobProgress
 {
   std::vector<TaskProgress> mTasks;
+  std::vector<DoneTasks> mDoneTasks;
+  std::vector<DoneOccurrences> mDoneOccurrences;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mTasks);
+    archive(mTasks, mDoneTasks, mDoneOccurrences);
   }
 };
 
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -13,6 +13,15 @@
 /** Whether a worker or another cell has, or may have, a run of a job. */
 auto HasRun(const Job& aJob) -> bool;
 
+auto MakeOccurrence(Job& aJob, std::uint32_t aNumber)
+  -> std::unique_ptr<Occurrence>;
+/** Null if it has not been opened. */
+auto FindOccurrence(Job& aJob, std::uint32_t aNumber) -> Occurrence*;
+/** 1 for a job that is not scheduled. */
+auto OccurrenceCount(const JobSpec& aSpec) -> std::uint32_t;
+/** Applies the stored progress to a job that is being added. */
+auto ApplyProgress(Job& aJob, const JobProgress& aProgress) -> void;
+
 /** Queues a task for placement. */
 auto MakeReady(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void;
 
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -7,6 +7,31 @@
 
 namespace {
 
+auto AreDone(const Occurrence& aOccurrence,
+             const std::vector<StepSpec>& aSteps,
+             const std::vector<std::uint32_t>& aNumbers) -> bool
+{
+  return std::all_of(
+    aNumbers.begin(), aNumbers.end(), [&](std::uint32_t aStep) {
+      return aStep < aSteps.size() &&
+             aOccurrence.mSteps[aStep].mDone == aSteps[aStep].mCount;
+    });
+}
+
+auto IsDue(const CellState& aCell,
+           const JobSpec& aSpec,
+           std::uint32_t aNumber,
+           std::int64_t aWallMs) -> bool
+{
+  if (aSpec.mRepeatCount == 0) {
+    return true;
+  }
+  const auto due = aSpec.mFirstStartMs + aNumber * aSpec.mIntervalMs;
+  return aWallMs + aCell.mPolicy.mEarlyMs >= due;
+}
+
+} // namespace
+
 auto MakeOccurrence(Job& aJob, std::uint32_t aNumber)
   -> std::unique_ptr<Occurrence>
 {
@@ -27,73 +52,17 @@
   return out;
 }
 
-auto AreDone(const Occurrence& aOccurrence,
-             const std::vector<StepSpec>& aSteps,
-             const std::vector<std::uint32_t>& aNumbers) -> bool
-{
-  return std::all_of(
-    aNumbers.begin(), aNumbers.end(), [&](std::uint32_t aStep) {
-      return aStep < aSteps.size() &&
-             aOccurrence.mSteps[aStep].mDone == aSteps[aStep].mCount;
-    });
-}
-
 auto OccurrenceCount(const JobSpec& aSpec) -> std::uint32_t
 {
   return std::max<std::uint32_t>(1, aSpec.mRepeatCount);
 }
 
-auto IsDue(const CellState& aCell,
-           const JobSpec& aSpec,
-           std::uint32_t aNumber,
-           std::int64_t aWallMs) -> bool
-{
-  if (aSpec.mRepeatCount == 0) {
-    return true;
-  }
-  const auto due = aSpec.mFirstStartMs + aNumber * aSpec.mIntervalMs;
-  return aWallMs + aCell.mPolicy.mEarlyMs >= due;
-}
-
 auto FindOccurrence(Job& aJob, std::uint32_t aNumber) -> Occurrence*
 {
   const auto it = aJob.mOccurrences.find(aNumber);
   return it == aJob.mOccurrences.end() ? nullptr : it->second.get();
 }
 
-auto ApplyProgress(Job& aJob, const JobProgress& aProgress) -> void
-{
-  for (const auto& it : aProgress.mTasks) {
-    auto* occurrence = FindOccurrence(aJob, it.mOccurrence);
-    if (!occurrence) {
-      auto made = MakeOccurrence(aJob, it.mOccurrence);
-      occurrence = made.get();
-      aJob.mOccurrences.emplace(it.mOccurrence, std::move(made));
-      aJob.mNextOccurrence = std::max(aJob.mNextOccurrence, it.mOccurrence + 1);
-    }
-    if (it.mStep >= occurrence->mSteps.size() ||
-        it.mIndex >= occurrence->mSteps[it.mStep].mTasks.size()) {
-      continue;
-    }
-    auto& step = occurrence->mSteps[it.mStep];
-    auto& task = step.mTasks[it.mIndex];
-    task.mFailedAttempts = it.mFailedAttempts;
-    task.mCrashes = it.mCrashes;
-    task.mCheckpoint = it.mCheckpoint;
-    aJob.mHasStarted = true;
-    if (!it.mHostCell.empty()) {
-      task.mPhase = TaskPhase::Remote;
-      task.mHostCell = it.mHostCell;
-    }
-    if (it.mIsDone) {
-      task.mPhase = TaskPhase::Done;
-      ++step.mDone;
-    }
-  }
-}
-
-} // namespace
-
 auto AddEvent(CellState& aCell, CellEvent aEvent) -> void
 {
   // The holder logs and clears the events at each decision; the bound limits
@@ -409,28 +378,4 @@
   aCell.mJobs.erase(aId);
 }
 
-auto ProgressOf(const Job& aJob) -> JobProgress
-{
-  JobProgress out;
-  for (const auto& [number, occurrence] : aJob.mOccurrences) {
-    for (const auto& step : occurrence->mSteps) {
-      for (const auto& it : step.mTasks) {
-        const auto isDone = it.mPhase == TaskPhase::Done;
-        if (isDone || !it.mFailedAttempts.empty() || !it.mCheckpoint.empty() ||
-            !it.mHostCell.empty() || IsSuspect(it)) {
-          out.mTasks.push_back({ it.mOccurrence,
-                                 it.mStep,
-                                 it.mIndex,
-                                 isDone,
-                                 it.mFailedAttempts,
-                                 it.mCheckpoint,
-                                 it.mHostCell,
-                                 it.mCrashes });
-        }
-      }
-    }
-  }
-  return out;
-}
-
 } // namespace eelgrasspost::cell
--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -5,6 +5,7 @@
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
+#include "progressrow.h"
 #include "storeaccess.h"
 
 namespace eelgrasspost::dispatch {
@@ -169,7 +170,7 @@
   }
   cell::JobProgress progress;
   if (progressRow->mVersion > 0) {
-    auto decoded = net::Decode<cell::JobProgress>(progressRow->mValue);
+    auto decoded = DecodeProgress(progressRow->mValue);
     if (!decoded.ok()) {
       co_return false;
     }
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -11,6 +11,7 @@
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
+#include "progressrow.h"
 #include "storeaccess.h"
 #include "whenall.h"
 
@@ -165,8 +166,7 @@
     cell::JobProgress done;
     if (const auto found = byKey.find(it.mKey); found != byKey.end()) {
       rows.mProgressVersion = found->second->mVersion;
-      if (auto decoded = net::Decode<cell::JobProgress>(found->second->mValue);
-          decoded.ok()) {
+      if (auto decoded = DecodeProgress(found->second->mValue); decoded.ok()) {
         done = *std::move(decoded);
       }
     }
--- a/src/dispatch/tests/transfers_tests.cpp
+++ b/src/dispatch/tests/transfers_tests.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "holderfixture.h"
+#include "internal/progressrow.h"
 
 namespace {
 
@@ -142,7 +143,10 @@
       BOOST_TEST((it != mHolder->State().mJobs.end()));
       BOOST_TEST(mWorkers.mStarts.size() == 1U);
       const auto progress = StoredProgress();
-      BOOST_TEST((!progress.mTasks.empty() && progress.mTasks[0].mIsDone));
+      const auto isFirstDone = !progress.mDoneTasks.empty() &&
+                               progress.mDoneTasks[0].mStep == 0 &&
+                               progress.mDoneTasks[0].mBits.empty();
+      BOOST_TEST(isFirstDone);
       mHolder->End();
     });
   }
@@ -324,6 +328,22 @@
   CheckImported();
 }
 
+// A version that lists each task that is done wrote rows without the rest.
+BOOST_AUTO_TEST_CASE(progress_row_of_an_earlier_version_is_read)
+{
+  cell::TaskProgress done;
+  done.mIndex = 3;
+  done.mIsDone = true;
+  const auto row = net::Encode(std::vector<cell::TaskProgress>{ done });
+
+  const auto progress = DecodeProgress(row);
+
+  BOOST_REQUIRE(progress.ok());
+  BOOST_REQUIRE(progress->mTasks.size() == 1U);
+  BOOST_TEST(progress->mTasks[0].mIndex == 3U);
+  BOOST_TEST(progress->mTasks[0].mIsDone);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against a worker in two cells, of which the other one acknowledges
