Count the time without a holder from the latest claim

A claimed cell now has no holder until the transfers are read. An entry whose holder had ended by itself would have claimed the cell again at the next check, while the store is slow at every check, and would never have started a holder. Found by reading; the time starts anew with each row of the cell. No test of its own; dispatch_entry passes.

--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -86,6 +86,8 @@
   known.mRow = aRow;
   known.mVersion = aVersion;
   known.mEarlierHoldersActUntil = until;
+  // The holder of a new claim starts after further reads.
+  mUnheldSince.erase(aRow.mName);
   const auto isMine =
     aRow.mHolder == mSettings.mName && aRow.mHolderIncarnation == mIncarnation;
   const auto holder = FindHolder(aRow.mName);
