Settle ends of other cells' jobs also beside migrations and clock jumps

Found by a reviewer who had not seen the work, by reading; no test of their own: - an end of a job that is migrating was applied here, and its job left without it: it counts as foreign now; - an end of an occurrence that this holder has not opened, as after a clock jump, was acknowledged; it waits now; - a worker with such ends was drained for transfers that could not succeed; - a job was loaded before the check that this holder may act; - an end that is stored already waited for a flush of all partitions.

dispatch_reports and cell cover the paths as before.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -420,11 +420,12 @@
                  const WorkerReport& aReport,
                  MonotonicTime aSentAt,
                  MonotonicTime aNow) -> void;
-/** Applies the end of a run that is listed to another cell. */
+/** Applies the end of a run that is listed to another cell; false if its
+ * occurrence is not open yet. */
 auto ApplyForeignEnd(CellState& aCell,
                      Job& aJob,
                      const TaskProgress& aEnd,
-                     MonotonicTime aNow) -> void;
+                     MonotonicTime aNow) -> bool;
 /** The highest number up to which the ends of a worker need no other cell. */
 auto HighestSettledEnd(const Worker& aWorker) -> std::uint64_t;
 auto ApplyOutcome(CellState& aCell,
--- a/src/cell/internal/ends.cpp
+++ b/src/cell/internal/ends.cpp
@@ -82,11 +82,13 @@
   }
 }
 
-/** Whether another cell stores the progress of a task that is to end here. */
+/** Whether another cell stores the progress of a task that has ended here, or
+ * may do so soon. */
 auto IsForeign(const Task* aTask) -> bool
 {
   return !aTask ||
-         (aTask->mPhase == TaskPhase::Remote && !SpecOf(*aTask).mIsLongRunning);
+         (!SpecOf(*aTask).mIsLongRunning &&
+          (aTask->mPhase == TaskPhase::Remote || aTask->mJob->mIsMigrating));
 }
 
 /** The end must not be acknowledged before the cell that has the job has stored
@@ -184,26 +186,32 @@
 auto ApplyForeignEnd(CellState& aCell,
                      Job& aJob,
                      const TaskProgress& aEnd,
-                     MonotonicTime aNow) -> void
+                     MonotonicTime aNow) -> bool
 {
   auto* task = FindTask(aJob, { aEnd.mOccurrence, aEnd.mStep, aEnd.mIndex });
-  const auto isOver = !task || IsFinal(aJob.mState) ||
-                      task->mPhase == TaskPhase::Done ||
+  if (!task) {
+    const auto& spec = aJob.mStored.mSpec;
+    return aEnd.mOccurrence >= OccurrenceCount(spec) ||
+           aEnd.mStep >= spec.mSteps.size() ||
+           aEnd.mIndex >= spec.mSteps[aEnd.mStep].mCount;
+  }
+  const auto isOver = IsFinal(aJob.mState) || task->mPhase == TaskPhase::Done ||
                       SpecOf(*task).mIsLongRunning;
   if (isOver) {
-    return;
+    return true;
   }
   aJob.mHasStarted = true;
   task->mMayHaveRun = true;
   if (aEnd.mIsDone) {
     ApplyDone(aCell, *task, aNow);
-    return;
+    return true;
   }
   for (const auto it : aEnd.mFailedAttempts) {
     if (!IsCounted(*task, it)) {
       CountFailure(aCell, {}, *task, it);
     }
   }
+  return true;
 }
 
 auto HighestSettledEnd(const Worker& aWorker) -> std::uint64_t
--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -78,7 +78,7 @@
     const auto isTransferable =
       IsUsable(aCell, *worker, aNow) && worker->mRecord.mService == aService &&
       !HasLongRunning(*worker) && worker->mReservations.empty() &&
-      capacity.mCpuMillis >= aNeed.mCpuMillis &&
+      worker->mForeignEnds.empty() && capacity.mCpuMillis >= aNeed.mCpuMillis &&
       capacity.mMemoryMb >= aNeed.mMemoryMb &&
       capacity.mAccelerators >= aNeed.mAccelerators;
     const auto busy = [](const Worker& aWorker) {
--- a/src/dispatch/internal/holderends.cpp
+++ b/src/dispatch/internal/holderends.cpp
@@ -106,6 +106,9 @@
   if (mFinished.contains(id)) {
     co_return JobReply{ JobOutcome::Done, mFinished.at(id), mRow.mName };
   }
+  if (mIsShuttingDown || !CanSendOrders()) {
+    co_return JobReply{ JobOutcome::Refused };
+  }
   if (!FindOwnJob(id) && !mUnresolvedJobs.contains(id)) {
     // Its import may have been executed after its reply was waited for.
     mUnresolvedJobs.insert(id);
@@ -116,11 +119,20 @@
   if (!job) {
     co_return JobReply{ JobOutcome::NotInCell };
   }
-  if (job->mIsMigrating || mIsShuttingDown || !CanSendOrders()) {
+  if (job->mIsMigrating) {
     co_return JobReply{ JobOutcome::Refused };
   }
+  auto isKnown = true;
   for (const auto& it : aCommand.mProgress.mTasks) {
-    cell::ApplyForeignEnd(mState, *job, it, base::MonotonicClock::now());
+    isKnown = isKnown && cell::ApplyForeignEnd(
+                           mState, *job, it, base::MonotonicClock::now());
+  }
+  if (!isKnown) {
+    co_return JobReply{ JobOutcome::Refused };
+  }
+  if (!job->mIsDirty && !mIsFlushing) {
+    // It was stored before.
+    co_return JobReply{ JobOutcome::Done, job->mState, mRow.mName };
   }
   ScheduleDecision();
   // A flush also ends a job whose last task this was.
