Count claims that an entry has not read when bounding earlier leases

Evidence from an incarnation does not count from before the claim was read, as clocks jump. No lease counts as expired before a worker could reply. A claim is confirmed as of its time, not of the start of its holder. A holder that may no longer act, as after a suspension, does not send orders that it had decided on. A cell is not claimed again while its transfers are read.

--- a/src/dispatch/internal/claiming.h
+++ b/src/dispatch/internal/claiming.h
@@ -69,6 +69,8 @@
   std::string mHolder;
   std::uint64_t mHolderIncarnation = 0;
   std::uint64_t mVersion = 0;
+  /** When the row that names it was read. */
+  base::BootTime mReadAt{};
   /** Its holder acts on it until then at the latest. */
   base::BootTime mActsUntil{};
 };
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -31,6 +31,7 @@
   {
     CellRow mRow;
     std::uint64_t mVersion = 0;
+    base::BootTime mReadAt{};
     base::BootTime mEarlierHoldersActUntil{};
     std::vector<EarlierClaim> mEarlierClaims;
   };
@@ -75,6 +76,7 @@
   auto RemoveOldClaimEnds(base::BootTime aNow) -> void;
   auto StartHolder(const CellRow& aRow,
                    std::uint64_t aVersion,
+                   base::BootTime aClaimedAt,
                    bool aIsPreviousHolderGone) -> void;
   auto IsHolderGone(const CellRow& aRow) const -> bool;
   auto CellOf(const cell::WorkerRecord& aRecord) const
@@ -163,6 +165,8 @@
   /** Expected content of the next heartbeats; choosing a cell adds to it. */
   mutable std::map<std::string, UnreportedWork> mUnreportedWork;
   std::set<std::string> mCellsInTransition;
+  /** Cells that are claimed and whose holders are about to start. */
+  std::set<std::string> mCellsInAdoption;
   std::set<std::string> mLayoutsInCreation;
   bool mIsLeaving = false;
 };
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -78,10 +78,10 @@
 auto DispatchEntry::FindUnheldCells(MonotonicTime aNow) -> void
 {
   for (const auto& [name, it] : mCells) {
-    const auto isUnheld = it.mRow.mHolder == mSettings.mName &&
-                          it.mRow.mHolderIncarnation == mIncarnation &&
-                          !FindHolder(name) &&
-                          !mCellsInTransition.contains(name);
+    const auto isUnheld =
+      it.mRow.mHolder == mSettings.mName &&
+      it.mRow.mHolderIncarnation == mIncarnation && !FindHolder(name) &&
+      !mCellsInTransition.contains(name) && !mCellsInAdoption.contains(name);
     if (isUnheld) {
       mUnheldSince.emplace(name, aNow);
     } else {
@@ -209,19 +209,30 @@
                               std::uint64_t aVersion,
                               bool aIsPreviousHolderGone) -> net::Task<void>
 {
+  const auto claimedAt = base::BootNow();
   const auto isCurrent = [&] {
     return mCells.at(aRow.mName).mVersion == aVersion;
   };
-  while (isCurrent() && !co_await ReadTransfers()) {
+  mCellsInAdoption.insert(aRow.mName);
+  while (isCurrent()) {
+    const auto isRead = co_await ReadTransfers();
+    if (isRead) {
+      break;
+    }
     co_await net::Sleep(kRetryInterval);
   }
-  if (isCurrent() && !FindHolder(aRow.mName)) {
-    StartHolder(aRow, aVersion, aIsPreviousHolderGone);
+  if (!isCurrent()) {
+    co_return;
+  }
+  mCellsInAdoption.erase(aRow.mName);
+  if (!FindHolder(aRow.mName)) {
+    StartHolder(aRow, aVersion, claimedAt, aIsPreviousHolderGone);
   }
 }
 
 auto DispatchEntry::StartHolder(const CellRow& aRow,
                                 std::uint64_t aVersion,
+                                base::BootTime aClaimedAt,
                                 bool aIsPreviousHolderGone) -> void
 {
   const auto cell = aRow.mName;
@@ -266,6 +277,7 @@
       holder->RaiseMinToken(id, it.mVersion);
     }
   }
+  holder->SetClaimTime(aClaimedAt);
   BoundEarlierHolders(*holder);
   net::SpawnTask(mPool.Executor(0),
                  holder->Run(std::move(workers), aIsPreviousHolderGone));
--- a/src/dispatch/internal/entryclaims.cpp
+++ b/src/dispatch/internal/entryclaims.cpp
@@ -22,17 +22,22 @@
   std::erase_if(claims, [&](const EarlierClaim& aClaim) {
     return aClaim.mActsUntil + kClaimEndRetention < aNow;
   });
+  const auto latest = aNow + kConfirmationTimeout;
+  const auto isRelease =
+    aNext.mHolder.empty() && aNext.mTerm == aKnown.mRow.mTerm;
   // The row may have changed more than once since it was read last.
-  if (aNext.mTerm > aKnown.mRow.mTerm + 1) {
-    claims.push_back({ {}, 0, 0, aNow + kConfirmationTimeout });
+  const auto hasMissedClaim = aNext.mTerm > aKnown.mRow.mTerm + 1 ||
+                              (aNext.mHolder.empty() && !isRelease);
+  if (hasMissedClaim) {
+    claims.push_back({ {}, 0, 0, aNow, latest });
   }
   if (!aKnown.mRow.mHolder.empty()) {
     // A holder that releases its cell has stopped sending orders.
-    const auto isReleased = aNext.mHolder.empty();
     claims.push_back({ aKnown.mRow.mHolder,
                        aKnown.mRow.mHolderIncarnation,
                        aKnown.mVersion,
-                       isReleased ? aNow : aNow + kConfirmationTimeout });
+                       aKnown.mReadAt,
+                       isRelease ? aNow : latest });
   }
 }
 
@@ -54,7 +59,8 @@
   // A later incarnation shows that the process of the claim has ended.
   const auto* peer = mPeers.Find(aClaim.mHolder);
   if (peer && peer->mRow.mIncarnation > aClaim.mHolderIncarnation) {
-    return peer->mIncarnationSeenAt;
+    // The clock from which incarnations are taken may have jumped.
+    return std::max(peer->mIncarnationSeenAt, aClaim.mReadAt);
   }
   return std::nullopt;
 }
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -85,9 +85,9 @@
   NoteEarlierClaim(known, aRow, now);
   known.mRow = aRow;
   known.mVersion = aVersion;
+  known.mReadAt = now;
   known.mEarlierHoldersActUntil = until;
-  // The holder of a new claim starts after further reads.
-  mUnheldSince.erase(aRow.mName);
+  mCellsInAdoption.erase(aRow.mName);
   const auto isMine =
     aRow.mHolder == mSettings.mName && aRow.mHolderIncarnation == mIncarnation;
   const auto holder = FindHolder(aRow.mName);
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -210,11 +210,13 @@
 
 auto CellHolder::EarlierLeasesExpireAt() const -> MonotonicTime
 {
+  const auto now = base::MonotonicClock::now();
   const auto left = std::chrono::duration_cast<Milliseconds>(
     mEarlierHoldersActUntil - mContext.mBootNow());
-  return base::MonotonicClock::now() + left +
-         MaxLocalDuration(Milliseconds(mContext.mSettings.mLeaseMs)) +
-         kLeaseMargin;
+  const auto lease = Milliseconds(mContext.mSettings.mLeaseMs);
+  // Each worker has the time to reply to a poll and to a repeated one.
+  return std::max(now + left + MaxLocalDuration(lease) + kLeaseMargin,
+                  now + 2 * kOrderTimeout);
 }
 
 auto CellHolder::BoundEarlierHolders(base::BootTime aUntil) -> void
@@ -282,6 +284,10 @@
       { "workers", static_cast<std::int64_t>(mState.mWorkers.size()) },
       { "unsettled",
         static_cast<std::int64_t>(mState.mUnreconciledWorkers.size()) },
+      { "leases_ms",
+        std::chrono::duration_cast<Milliseconds>(EarlierLeasesExpireAt() -
+                                                 base::MonotonicClock::now())
+          .count() },
       { "took_ms", took.count() } });
   if (mState.mUnreconciledWorkers.empty()) {
     for (auto& [id, job] : mState.mJobs) {
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -280,6 +280,12 @@
   if (found == mState.mWorkers.end() || mPhase == HolderPhase::Ended) {
     co_return;
   }
+  if (!CanSendOrders()) {
+    // The process was suspended after the decision.
+    cell::ApplyOutcome(
+      mState, aOrder, cell::OrderOutcome::Refused, base::MonotonicClock::now());
+    co_return;
+  }
   mLastOrderAt = mContext.mBootNow();
   const auto now = base::MonotonicClock::now();
   WorkerCall call;
--- a/src/dispatch/tests/claiming_tests.cpp
+++ b/src/dispatch/tests/claiming_tests.cpp
@@ -227,8 +227,8 @@
   const auto now = eelgrasspost::base::BootNow();
   const auto latest = now + kConfirmationTimeout;
   const auto claims = std::vector<EarlierClaim>{
-    { "a2", 10, 101, latest },
-    { "b1", 10, 102, latest },
+    { "a2", 10, 101, now, latest },
+    { "b1", 10, 102, now, latest },
   };
   const auto findEnd = [&](const EarlierClaim& aClaim) {
     return aClaim.mVersion == 101 ? std::optional(now) : std::nullopt;
--- a/src/dispatch/tests/earlierclaims_tests.cpp
+++ b/src/dispatch/tests/earlierclaims_tests.cpp
@@ -8,13 +8,12 @@
 using namespace eelgrasspost::dispatch;
 using dispatch::testing::EntryFixture;
 
-/** An entry that claims a cell after the entry "other" has lost its power,
- * together with the worker w2. A job has a task that may have run there. */
-struct LostHolder : EntryFixture
+/** A job with a task that may have run on the worker w2, which does not reply.
+ */
+struct LostWorker : EntryFixture
 {
-  LostHolder()
+  LostWorker()
   {
-    mLeaseMs = 400;
     mWorkers.mUnresponsive = { "w2" };
     cell::WorkerRecord lost;
     lost.mId = "w2";
@@ -24,16 +23,18 @@
     Write("p0", kMemberTable, "a/0/w2", net::Encode(lost));
     ListWorker(16000);
     AddJob(1);
-    WriteEntry(1);
-    StartEntry("other");
+  }
+
+  ~LostWorker() { StopPool(); }
+
+  auto WaitForClaim() -> void
+  {
     BOOST_REQUIRE(Until([&] {
       const auto* row = mStore.Find(std::string(kControlTable), "", "cell/a/0");
       return net::Decode<CellRow>(row->mValue)->mHolder == "entry";
     }));
   }
 
-  ~LostHolder() { StopPool(); }
-
   auto WriteEntry(std::uint64_t aIncarnation) -> void
   {
     const auto address = *net::ParseAddress("127.0.0.1:1");
@@ -46,16 +47,34 @@
 
 } // namespace
 
+BOOST_FIXTURE_TEST_SUITE(task_on_a_lost_worker, LostWorker)
+
 // Guards against tasks that wait for 16 s after their holder and their worker
 // were lost together: the next holder waited as if the earlier one could still
 // renew leases, though its process had been started again.
-BOOST_FIXTURE_TEST_CASE(
-  holder_started_again_task_on_a_lost_worker_starts_after_its_lease,
-  LostHolder)
+BOOST_AUTO_TEST_CASE(holder_started_again_task_starts_after_its_lease)
 {
+  mLeaseMs = 400;
+  WriteEntry(1);
+  StartEntry("other");
+  WaitForClaim();
   Settle();
   BOOST_TEST(CountStarts() == 0U);
 
   WriteEntry(2);
   BOOST_TEST(HasStarted(1));
 }
+
+// Guards against a task that runs twice: an entry that first reads a cell's row
+// after its release knew of no earlier claim and of no lease.
+BOOST_AUTO_TEST_CASE(row_read_first_after_its_release_task_waits_for_its_lease)
+{
+  StartEntry("", 1);
+  WaitForClaim();
+  Settle();
+  Settle();
+
+  BOOST_TEST(CountStarts() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/entryfixture.h
+++ b/src/dispatch/tests/entryfixture.h
@@ -108,6 +108,11 @@
   /** aHolder: the entry that holds the cell according to its row, in its first
    * term and incarnation. */
   auto StartEntry(const std::string& aHolder = "") -> void
+  {
+    StartEntry(aHolder, aHolder.empty() ? 0 : 1);
+  }
+
+  auto StartEntry(const std::string& aHolder, std::uint64_t aTerm) -> void
   {
     Write("", kControlTable, "layout/a", net::Encode(LayoutRow{ "a", 1 }));
     CellRow row;
@@ -115,7 +120,7 @@
     row.mDomain = "a";
     row.mHolder = aHolder;
     row.mHolderIncarnation = aHolder.empty() ? 0 : 1;
-    row.mTerm = row.mHolderIncarnation;
+    row.mTerm = aTerm;
     Write("", kControlTable, "cell/a/0", net::Encode(row));
     const auto address = *net::ParseAddress("127.0.0.1:0");
     DispatchSettings settings;
