Count a failure of a migrating job in its own cell

Change: only ends as done are foreign while a job migrates, as these must not be lost; a failure is applied in the cell that lists it, as before.

--- a/src/cell/internal/ends.cpp
+++ b/src/cell/internal/ends.cpp
@@ -83,12 +83,16 @@
 }
 
 /** Whether another cell stores the progress of a task that has ended here, or
- * may do so soon. */
-auto IsForeign(const Task* aTask) -> bool
+ * may do so soon. A failure of a job that migrates is counted here: its cell
+ * keeps the job if the migration fails. */
+auto IsForeign(const Task* aTask, EndKind aKind) -> bool
 {
-  return !aTask ||
-         (!SpecOf(*aTask).mIsLongRunning &&
-          (aTask->mPhase == TaskPhase::Remote || aTask->mJob->mIsMigrating));
+  if (!aTask) {
+    return true;
+  }
+  const auto mayLeave = aTask->mJob->mIsMigrating && aKind == EndKind::Done;
+  return !SpecOf(*aTask).mIsLongRunning &&
+         (aTask->mPhase == TaskPhase::Remote || mayLeave);
 }
 
 /** The end must not be acknowledged before the cell that has the job has stored
@@ -143,7 +147,7 @@
              base::NameOf(kEndKindNames, aEnd.mKind),
              static_cast<double>(aEnd.mNumber) });
   auto* task = FindTask(aCell, aEnd.mTask);
-  if (IsForeign(task)) {
+  if (IsForeign(task, aEnd.mKind)) {
     AddForeignEnd(aCell, aWorker, aEnd);
     return;
   }
