Start a long-running task in its reserved capacity without waiting for others'

Cause: a start had to leave free all that was reserved for other tasks on the worker, also for a task with a reservation there. So tasks that had reserved capacity on one worker waited until there was room for all of them at once, and their capacity stood idle meanwhile.

Why it is enough: a reservation is only made where it fits beside the long-running runs and the other reservations. Whichever of them starts first, the others still fit once the short runs have ended.

Logs could not tell this from a lack of workers. Event 946 now has the reason 'room_reserved' and tells the worker, since when, its free CPU and what others have reserved there.

Tests: reservations. Both new cases fail before (0 of 4 tasks run beside a long short run; none starts where one fits).

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -172,6 +173,7 @@
 {
   Resources mNeed;
   MonotonicTime mUntil{};
+  MonotonicTime mSince{};
 };
 
 struct Worker
@@ -233,7 +235,7 @@
   MonotonicTime mDrainingSince{};
   /** Resources that other tasks leave free for waiting long-running ones, by
    * the names of these. */
-  std::map<std::string, Reservation> mReservations;
+  std::map<std::string, Reservation, std::less<>> mReservations;
   /** A new report is needed to find out what became of a run. */
   bool mNeedsPoll = false;
   /** Since when a call without a reply, or a reply that does not fit its clock,
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -434,8 +434,11 @@
   StartRefused,
   /** A worker still has an earlier run of it. */
   EarlierRunStops,
-  /** No usable worker of its service has the resources. */
+  /** No usable worker of its service has the resources, also without the short
+   * tasks that run there. */
   NoRoom,
+  /** The resources are reserved on a worker and not free there yet. */
+  RoomReserved,
   /** Workers with the resources don't suit for another reason. */
   NoSuitableWorker,
 };
@@ -449,6 +452,7 @@
   base::EnumName<WaitReason>{ WaitReason::EarlierRunStops,
                               "earlier_run_stops" },
   base::EnumName<WaitReason>{ WaitReason::NoRoom, "no_room" },
+  base::EnumName<WaitReason>{ WaitReason::RoomReserved, "room_reserved" },
   base::EnumName<WaitReason>{ WaitReason::NoSuitableWorker,
                               "no_suitable_worker" },
 };
--- a/src/cell/include/eelgrasspost/cell/room.h
+++ b/src/cell/include/eelgrasspost/cell/room.h
@@ -49,6 +49,11 @@
   const Task* mTask = nullptr;
   WaitReason mReason = WaitReason::NoRoom;
   Milliseconds mWaited{ 0 };
+  /** The worker on which capacity is reserved for it; null if there is none. */
+  const Worker* mReservedOn = nullptr;
+  Milliseconds mReservedFor{ 0 };
+  /** CPU millis that other tasks have reserved on that worker. */
+  std::int64_t mReservedForOthersCpuMillis = 0;
 };
 /** All long-running tasks that have been ready for more than aWait, also those
  * that may not be started. */
--- a/src/cell/internal/reservations.cpp
+++ b/src/cell/internal/reservations.cpp
@@ -79,7 +79,9 @@
   }
   auto* worker = FindWorkerToReserve(aCell, aNeed, aNow);
   if (worker) {
-    worker->mReservations[aNeed.mTask] = { aNeed.mResources, aNow + aTime };
+    worker->mReservations[aNeed.mTask] = { aNeed.mResources,
+                                           aNow + aTime,
+                                           aNow };
   }
   return worker;
 }
@@ -141,13 +143,20 @@
   return out;
 }
 
+auto HasReservation(const Worker& aWorker,
+                    std::string_view aTask,
+                    MonotonicTime aNow) -> bool
+{
+  const auto it = aWorker.mReservations.find(aTask);
+  return it != aWorker.mReservations.end() && aNow < it->second.mUntil;
+}
+
 auto FindReservedWorker(CellState& aCell,
                         const std::string& aTask,
                         MonotonicTime aNow) -> Worker*
 {
   for (auto& [id, worker] : aCell.mWorkers) {
-    const auto it = worker->mReservations.find(aTask);
-    if (it != worker->mReservations.end() && aNow < it->second.mUntil) {
+    if (HasReservation(*worker, aTask, aNow)) {
       return worker.get();
     }
   }
@@ -192,7 +201,8 @@
         HasRoom(aCell, *worker, spec, aNeed.mTask, aNow)) {
       RemoveReservation(aCell, aNeed.mTask);
       worker->mReservations[aNeed.mTask] = { aNeed.mResources,
-                                             aNow + kHostReservationTime };
+                                             aNow + kHostReservationTime,
+                                             aNow };
       return true;
     }
   }
--- a/src/cell/internal/waiting.cpp
+++ b/src/cell/internal/waiting.cpp
@@ -38,6 +38,27 @@
   return hasRoom ? WaitReason::NoSuitableWorker : WaitReason::NoRoom;
 }
 
+auto AddReservation(const CellState& aCell,
+                    WaitingTask& aWaiting,
+                    MonotonicTime aNow) -> void
+{
+  const auto name = TaskName(*aWaiting.mTask);
+  for (const auto& [id, worker] : aCell.mWorkers) {
+    const auto it = worker->mReservations.find(name);
+    if (it == worker->mReservations.end() || aNow >= it->second.mUntil) {
+      continue;
+    }
+    aWaiting.mReservedOn = worker.get();
+    aWaiting.mReservedFor =
+      std::chrono::duration_cast<Milliseconds>(aNow - it->second.mSince);
+    aWaiting.mReservedForOthersCpuMillis =
+      ReservedForOthers(*worker, name, aNow).mCpuMillis;
+    if (aWaiting.mReason == WaitReason::NoRoom) {
+      aWaiting.mReason = WaitReason::RoomReserved;
+    }
+  }
+}
+
 } // namespace
 
 auto FindWaiting(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
@@ -53,6 +74,7 @@
       { it,
         ReasonToWait(aCell, *it, aNow),
         std::chrono::duration_cast<Milliseconds>(aNow - it->mReadyAt) });
+    AddReservation(aCell, out.back(), aNow);
   }
   return out;
 }
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -194,7 +194,11 @@
   }
   const auto& capacity = UsableCapacity(aCell, aWorker);
   const auto& used = aWorker.mUsed;
-  const auto reserved = ReservedForOthers(aWorker, aTask, aNow);
+  // All reservations of a worker fit beside its long-running runs. A task that
+  // has one needn't wait until there is room for the others too.
+  const auto reserved = HasReservation(aWorker, aTask, aNow)
+                          ? Resources{}
+                          : ReservedForOthers(aWorker, aTask, aNow);
   // Best-effort tasks reserve no CPU, and leave it when it is used.
   const auto cpu =
     aSpec.mIsBestEffort ? 0 : aSpec.mNeed.mCpuMillis + reserved.mCpuMillis;
--- a/src/cell/internal/workerchoice.h
+++ b/src/cell/internal/workerchoice.h
@@ -19,9 +19,9 @@
 auto ToleranceOf(const Task& aTask, MonotonicTime aNow)
   -> InterferenceTolerance;
 
-/** Whether a worker has the free resources for a task, apart from those that
- * are reserved for others. aTask: name of a long-running task, which may have a
- * reservation; empty for other tasks. */
+/** Whether a worker has the free resources for a task; apart from those that
+ * are reserved for others, unless it has a reservation there itself. aTask:
+ * name of a long-running task; empty for other tasks. */
 auto HasRoom(const CellState& aCell,
              const Worker& aWorker,
              const StepSpec& aSpec,
@@ -49,6 +49,11 @@
                        std::string_view aTask,
                        MonotonicTime aNow) -> Resources;
 
+/** Whether capacity of a worker is reserved for a task. */
+auto HasReservation(const Worker& aWorker,
+                    std::string_view aTask,
+                    MonotonicTime aNow) -> bool;
+
 auto RemoveReservation(CellState& aCell, const std::string& aTask) -> void;
 
 /** Reserves capacity for a long-running task of the cell, or extends its
--- a/src/cell/tests/reservations_tests.cpp
+++ b/src/cell/tests/reservations_tests.cpp
@@ -185,6 +185,50 @@
   BOOST_TEST(orders.empty());
 }
 
+// Guards against tasks that reserved capacity on one worker and waited until
+// there was room for all of them at once.
+BOOST_AUTO_TEST_CASE(tasks_reserved_on_one_worker_each_starts_once_it_fits)
+{
+  auto& worker = AddWorker("w1", 12000);
+  Add(MakeJob("s", MakeStep(4, 3000)));
+  const auto starts = Start();
+  BOOST_REQUIRE(starts.size() == 4U);
+  AddLongRunning("a", MakeStep(3, 3000));
+  BOOST_TEST(Start().empty());
+  BOOST_REQUIRE(worker.mReservations.size() == 3U);
+
+  std::vector<RunningRow> running;
+  for (std::size_t i = 1; i < starts.size(); ++i) {
+    running.push_back({ starts[i].mTask, starts[i].mAttempt, "", 10, 0 });
+  }
+  Report("w1",
+         running,
+         { { 1, starts[0].mTask, starts[0].mAttempt, EndKind::Done, "" } });
+  Advance(Milliseconds(100));
+  const auto orders = Start();
+
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].mTask.starts_with("a."));
+}
+
+// A short task that ran for long kept all tasks from the capacity that was free
+// beside it.
+BOOST_AUTO_TEST_CASE(long_short_run_delays_only_the_reserved_task_that_needs_it)
+{
+  AddWorker("w1", 16000);
+  Add(MakeJob("l", MakeStep(1, 2000)));
+  const auto starts = Start();
+  BOOST_REQUIRE(starts.size() == 1U);
+  mRunningOn["w1"].push_back({ starts[0].mTask, starts[0].mAttempt, "", 1, 0 });
+  mEndsAt[starts[0].mTask] = MonotonicTime::max();
+  RunFor(Milliseconds(1000));
+  AddLongRunning("a", MakeStep(5, 3000));
+
+  RunFor(kRestartLimit);
+
+  BOOST_TEST(CountRunning("a") == 4U);
+}
+
 // A host cell without reservable capacity kept short tasks waiting in vain.
 BOOST_AUTO_TEST_CASE(capacity_of_longrunning_runs_is_not_reserved_for_others)
 {
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -211,7 +211,8 @@
   946,
   base::LogLevel::Warn,
   "a long-running task without a run waits",
-  "see the reason; add workers if it is 'no_room' for long",
+  "see the reason; add workers if it is 'no_room' for long; 'room_reserved': "
+  "short tasks on the worker in reserved_on have to end",
 };
 
 inline constexpr auto kHostRefused = base::LogEvent{
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -65,6 +65,7 @@
     const auto& it = waiting[i];
     const auto& need = cell::SpecOf(*it.mTask).mNeed;
     const auto isHosted = cell::IsHostedJob(*it.mTask->mJob);
+    const auto* worker = it.mReservedOn;
     mContext.mLog.Record(
       kTaskWaits,
       { { "cell", mRow.mName },
@@ -76,6 +77,14 @@
         { "need_memory_mb", need.mMemoryMb },
         { "largest_free_cpu_millis", room.mLargestCpuMillis },
         { "free_cpu_millis", room.mFree.mCpuMillis },
+        { "largest_reservable_cpu_millis", room.mLargestReservableCpuMillis },
+        { "reserved_on", worker ? worker->mRecord.mId : std::string() },
+        { "reserved_ms", it.mReservedFor.count() },
+        { "reserved_on_free_cpu_millis",
+          worker
+            ? worker->mRecord.mCapacity.mCpuMillis - worker->mUsed.mCpuMillis
+            : 0 },
+        { "reserved_for_others_cpu_millis", it.mReservedForOthersCpuMillis },
         { "waiting_tasks", static_cast<std::int64_t>(waiting.size()) } });
   }
 }
