Let restarts use reserved capacity that stands free

Class: capacity that is promised to one waiting task and not yet enough for it stands idle while others wait.

A task that lost its run may now start wherever its resources are free and all reservations of the worker still fit beside the long-running runs. New tasks still leave reserved capacity alone. A reservation that moves to another worker keeps its age.

Test: reservations (restart_uses_capacity_in_which_a_larger_one_does_not_fit_yet; the smaller task did not start).

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -173,6 +173,7 @@
 {
   Resources mNeed;
   MonotonicTime mUntil{};
+  /** Since when capacity is reserved for the task, on any worker. */
   MonotonicTime mSince{};
 };
 
@@ -234,7 +235,7 @@
   MonotonicTime mProbationUntil{};
   MonotonicTime mDrainingSince{};
   /** Resources that other tasks leave free for waiting long-running ones, by
-   * the names of these. */
+   * the names of these. All of them fit beside the long-running runs. */
   std::map<std::string, Reservation, std::less<>> mReservations;
   /** A new report is needed to find out what became of a run. */
   bool mNeedsPoll = false;
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -155,10 +155,10 @@
   }
   const auto need = NeedOf(aTask);
   auto* worker = FindReservedWorker(aCell, need.mTask, aNow);
-  const auto isStartable = worker && IsUsable(aCell, *worker, aNow) &&
-                           Suits(*worker, need) &&
-                           HasRoom(aCell, *worker, spec, need.mTask, aNow) &&
-                           MayJoinWorker(aCell, *worker, aTask, aNow);
+  const auto isStartable =
+    worker && IsUsable(aCell, *worker, aNow) && Suits(*worker, need) &&
+    HasRoom(aCell, *worker, spec, need.mTask, RoomUse::Reserved, aNow) &&
+    MayJoinWorker(aCell, *worker, aTask, aNow);
   return isStartable ? worker : nullptr;
 }
 
--- a/src/cell/internal/reservations.cpp
+++ b/src/cell/internal/reservations.cpp
@@ -18,23 +18,6 @@
   aFrom.mAccelerators -= aLess.mAccelerators;
 }
 
-/** What a worker has for one more long-running task once its short tasks have
- * ended. */
-auto CapacityFor(const CellState& aCell,
-                 const Worker& aWorker,
-                 std::string_view aTask,
-                 MonotonicTime aNow) -> Resources
-{
-  auto out = UsableCapacity(aCell, aWorker);
-  for (const auto& [name, run] : aWorker.mRuns) {
-    if (run.mIsLongRunning && run.mPhase != RunPhase::Stopping) {
-      Subtract(out, run.mNeed);
-    }
-  }
-  Subtract(out, ReservedForOthers(aWorker, aTask, aNow));
-  return out;
-}
-
 /** The worker whose room for a long-running task is complete soonest: the one
  * with the most free CPU among those that can hold it. */
 auto FindWorkerToReserve(const CellState& aCell,
@@ -65,14 +48,17 @@
              Milliseconds aTime,
              MonotonicTime aNow) -> Worker*
 {
+  auto since = aNow;
   if (auto* worker = FindReservedWorker(aCell, aNeed.mTask, aNow)) {
+    auto& reservation = worker->mReservations.at(aNeed.mTask);
+    since = reservation.mSince;
     const auto isUseful =
       IsUsable(aCell, *worker, aNow) && Suits(*worker, aNeed) &&
       Contains(CapacityFor(aCell, *worker, aNeed.mTask, aNow),
                aNeed.mResources);
     if (isUseful) {
-      auto& until = worker->mReservations.at(aNeed.mTask).mUntil;
-      until = std::max(until, aNow + aTime);
+      const auto until = std::max(reservation.mUntil, aNow + aTime);
+      reservation = { aNeed.mResources, until, since };
       return worker;
     }
     worker->mReservations.erase(aNeed.mTask);
@@ -81,7 +67,7 @@
   if (worker) {
     worker->mReservations[aNeed.mTask] = { aNeed.mResources,
                                            aNow + aTime,
-                                           aNow };
+                                           since };
   }
   return worker;
 }
@@ -143,6 +129,21 @@
   return out;
 }
 
+auto CapacityFor(const CellState& aCell,
+                 const Worker& aWorker,
+                 std::string_view aTask,
+                 MonotonicTime aNow) -> Resources
+{
+  auto out = UsableCapacity(aCell, aWorker);
+  for (const auto& [name, run] : aWorker.mRuns) {
+    if (run.mIsLongRunning && run.mPhase != RunPhase::Stopping) {
+      Subtract(out, run.mNeed);
+    }
+  }
+  Subtract(out, ReservedForOthers(aWorker, aTask, aNow));
+  return out;
+}
+
 auto HasReservation(const Worker& aWorker,
                     std::string_view aTask,
                     MonotonicTime aNow) -> bool
@@ -198,7 +199,7 @@
   for (auto& [id, worker] : aCell.mWorkers) {
     if (IsUsable(aCell, *worker, aNow) && Suits(*worker, aNeed) &&
         aNow >= worker->mIsolatedUntil &&
-        HasRoom(aCell, *worker, spec, aNeed.mTask, aNow)) {
+        HasRoom(aCell, *worker, spec, aNeed.mTask, RoomUse::Unreserved, aNow)) {
       RemoveReservation(aCell, aNeed.mTask);
       worker->mReservations[aNeed.mTask] = { aNeed.mResources,
                                              aNow + kHostReservationTime,
--- a/src/cell/internal/waiting.cpp
+++ b/src/cell/internal/waiting.cpp
@@ -33,7 +33,12 @@
       const auto& worker = *aItem.second;
       return IsUsable(aCell, worker, aNow) &&
              worker.mRecord.mService == aTask.mJob->mStored.mQueue.mService &&
-             HasRoom(aCell, worker, SpecOf(aTask), TaskName(aTask), aNow);
+             HasRoom(aCell,
+                     worker,
+                     SpecOf(aTask),
+                     TaskName(aTask),
+                     RoomUseOf(aTask),
+                     aNow);
     });
   return hasRoom ? WaitReason::NoSuitableWorker : WaitReason::NoRoom;
 }
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "besteffort.h"
+#include "queueorder.h"
 
 namespace eelgrasspost::cell {
 
@@ -183,10 +184,16 @@
            : aWorker.mLowestCapacity;
 }
 
+auto RoomUseOf(const Task& aTask) -> RoomUse
+{
+  return IsRestart(aTask) ? RoomUse::Reserved : RoomUse::Unreserved;
+}
+
 auto HasRoom(const CellState& aCell,
              const Worker& aWorker,
              const StepSpec& aSpec,
              std::string_view aTask,
+             RoomUse aUse,
              MonotonicTime aNow) -> bool
 {
   if (aWorker.mRunsOfUnknownNeed > 0) {
@@ -194,11 +201,14 @@
   }
   const auto& capacity = UsableCapacity(aCell, aWorker);
   const auto& used = aWorker.mUsed;
-  // All reservations of a worker fit beside its long-running runs. A task that
-  // has one needn't wait until there is room for the others too.
-  const auto reserved = HasReservation(aWorker, aTask, aNow)
-                          ? Resources{}
-                          : ReservedForOthers(aWorker, aTask, aNow);
+  if (aSpec.mIsLongRunning && !aWorker.mReservations.empty() &&
+      !Contains(CapacityFor(aCell, aWorker, aTask, aNow), aSpec.mNeed)) {
+    return false;
+  }
+  const auto mayUseReserved =
+    aUse == RoomUse::Reserved || HasReservation(aWorker, aTask, aNow);
+  const auto reserved =
+    mayUseReserved ? Resources{} : ReservedForOthers(aWorker, aTask, aNow);
   // Best-effort tasks reserve no CPU, and leave it when it is used.
   const auto cpu =
     aSpec.mIsBestEffort ? 0 : aSpec.mNeed.mCpuMillis + reserved.mCpuMillis;
@@ -227,11 +237,12 @@
 {
   const auto& service = aTask.mJob->mStored.mQueue.mService;
   const auto name = aSpec.mIsLongRunning ? TaskName(aTask) : std::string();
+  const auto use = RoomUseOf(aTask);
   Worker* best = nullptr;
   auto bestCost = std::numeric_limits<double>::max();
   for (auto& [id, worker] : aCell.mWorkers) {
     if (!IsOfKind(*worker, service, aSpec.mRequiredLabel) ||
-        !HasRoom(aCell, *worker, aSpec, name, aNow) ||
+        !HasRoom(aCell, *worker, aSpec, name, use, aNow) ||
         !IsUsable(aCell, *worker, aNow)) {
       continue;
     }
--- a/src/cell/internal/workerchoice.h
+++ b/src/cell/internal/workerchoice.h
@@ -19,13 +19,28 @@
 auto ToleranceOf(const Task& aTask, MonotonicTime aNow)
   -> InterferenceTolerance;
 
-/** Whether a worker has the free resources for a task; apart from those that
- * are reserved for others, unless it has a reservation there itself. aTask:
- * name of a long-running task; empty for other tasks. */
+/** Which free resources a task may use. */
+enum class RoomUse : std::uint8_t
+{
+  /** Those that are not reserved for others. */
+  Unreserved,
+  /** Also reserved ones, as long as all reservations of the worker still fit
+   * beside its long-running runs: the task's and the others' need not wait for
+   * each other. */
+  Reserved,
+};
+
+/** Restarts of long-running tasks may use reserved resources. */
+auto RoomUseOf(const Task& aTask) -> RoomUse;
+
+/** Whether a worker has the free resources for a task. A task may always use
+ * those that are reserved for it. aTask: name of a long-running task; empty for
+ * other tasks. */
 auto HasRoom(const CellState& aCell,
              const Worker& aWorker,
              const StepSpec& aSpec,
              std::string_view aTask,
+             RoomUse aUse,
              MonotonicTime aNow) -> bool;
 
 /** The capacity by which tasks are placed on a worker. */
@@ -48,6 +63,12 @@
 auto ReservedForOthers(const Worker& aWorker,
                        std::string_view aTask,
                        MonotonicTime aNow) -> Resources;
+/** What a worker has for one more long-running task once its short tasks have
+ * ended. */
+auto CapacityFor(const CellState& aCell,
+                 const Worker& aWorker,
+                 std::string_view aTask,
+                 MonotonicTime aNow) -> Resources;
 
 /** Whether capacity of a worker is reserved for a task. */
 auto HasReservation(const Worker& aWorker,
--- a/src/cell/tests/reservations_tests.cpp
+++ b/src/cell/tests/reservations_tests.cpp
@@ -229,6 +229,32 @@
   BOOST_TEST(CountRunning("a") == 4U);
 }
 
+// Capacity that was free, but not enough for the task that had reserved it, was
+// kept from a smaller task that had lost its run too.
+BOOST_AUTO_TEST_CASE(
+  restart_uses_capacity_in_which_a_larger_one_does_not_fit_yet)
+{
+  AddWorker("w1", 12000);
+  Add(MakeJob("s", MakeStep(1, 7000)));
+  const auto starts = Start();
+  BOOST_REQUIRE(starts.size() == 1U);
+  AddLongRunning("large", MakeStep(1, 6000));
+  AddLongRunning("small", MakeStep(1, 4000));
+
+  const auto early = Start();
+  BOOST_REQUIRE(early.size() == 1U);
+  BOOST_TEST(early[0].mTask == "small.0.0.0");
+
+  // The room of the larger one is complete once the short run has ended.
+  Report("w1",
+         { { early[0].mTask, early[0].mAttempt, "", 100, 0 } },
+         { { 1, starts[0].mTask, starts[0].mAttempt, EndKind::Done, "" } });
+  Advance(Milliseconds(100));
+  const auto late = Start();
+  BOOST_REQUIRE(late.size() == 1U);
+  BOOST_TEST(late[0].mTask == "large.0.0.0");
+}
+
 // A host cell without reservable capacity kept short tasks waiting in vain.
 BOOST_AUTO_TEST_CASE(capacity_of_longrunning_runs_is_not_reserved_for_others)
 {
