Place long-running tasks of an inherited job first if all its runs were lost

A job whose tasks ran on one or two workers lost all of them with its holder.

Cause: a task counted as a restart only if its job was known to have started. The next holder learns that from a run that a worker lists or from stored progress; with all workers of the job lost there is neither. Its tasks came after all short tasks and could reserve capacity for two at a time.

Tasks that may have run under a previous holder are restarts now. Price: tasks of an inherited job that has in truth never run go first as well.

Test: reservations (tasks_of_inherited_job_without_known_runs_all_reserve; two of four reserved before).

--- a/src/cell/internal/queueorder.cpp
+++ b/src/cell/internal/queueorder.cpp
@@ -25,8 +25,7 @@
 
 auto IsRestart(const Task& aTask) -> bool
 {
-  return SpecOf(aTask).mIsLongRunning && aTask.mJob->mHasStarted &&
-         aTask.mMayHaveRun;
+  return SpecOf(aTask).mIsLongRunning && aTask.mMayHaveRun;
 }
 
 namespace {
--- a/src/cell/internal/queueorder.h
+++ b/src/cell/internal/queueorder.h
@@ -4,8 +4,9 @@
 
 namespace eelgrasspost::cell {
 
-/** Whether a long-running task belongs to a job that was started before, by
- * this holder or a previous one. Its users have no service until it runs again.
+/** Whether a long-running task was started before, by this holder or, as far as
+ * is known, by a previous one: if all workers with a job's runs are lost,
+ * nothing tells that it has run. Its users have no service until it runs again.
  */
 auto IsRestart(const Task& aTask) -> bool;
 
--- a/src/cell/tests/reservations_tests.cpp
+++ b/src/cell/tests/reservations_tests.cpp
@@ -400,6 +400,22 @@
   BOOST_TEST(CountReservations() == 3U);
 }
 
+// Nothing tells a new holder that a job has run if all workers with its runs
+// are lost. Two of its tasks reserved, and all of them came after the short
+// tasks.
+BOOST_AUTO_TEST_CASE(tasks_of_inherited_job_without_known_runs_all_reserve)
+{
+  AddFullWorkers(4);
+  auto& job = Add(MakeJob("a", MakeLongRunning(4, 3000)), {}, true);
+  for (auto& it : TasksOf(job)) {
+    it.mMayBeRunning = false;
+  }
+
+  BOOST_TEST(Start().empty());
+
+  BOOST_TEST(CountReservations() == 4U);
+}
+
 // Guards against a limit on hosted tasks, which may have lost runs elsewhere.
 BOOST_AUTO_TEST_CASE(hosted_tasks_all_reserve)
 {
