Let settled tasks wait for capacity in their own cell before they move

A hosted task was returned in the same tick in which it could start, at 20.2 s, and started at 27.2 s.

Cause: the wait for workers that do not answer counted as a wait for capacity. A task is moved after 1 s and returned after 1 or 3 s without capacity, and the tick that settles the last worker moves tasks before the next decision places them.

The time of a long-running task now starts when it may start. Reservations of tasks that leave for another cell end at once; they were kept for up to 1.5 s. A task that is gone when its move begins is left alone; it was read without a check.

--- a/src/cell/internal/hostedtasks.cpp
+++ b/src/cell/internal/hostedtasks.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "cellinternal.h"
+#include "workerchoice.h"
 
 namespace eelgrasspost::cell {
 
@@ -16,6 +16,7 @@
   -> void
 {
   std::erase(aCell.mReady, &aTask);
+  RemoveReservation(aCell, TaskName(aTask));
   aTask.mPhase = TaskPhase::Remote;
   aTask.mHostCell = aHost;
   MarkDirty(aCell, *aTask.mJob);
@@ -80,6 +81,7 @@
           MakeReady(aCell, it, aNow);
         } else if (it.mPhase == TaskPhase::Ready && !isHosted) {
           std::erase(aCell.mReady, &it);
+          RemoveReservation(aCell, TaskName(it));
           it.mPhase = TaskPhase::Remote;
           it.mIsReturning = false;
         } else if (it.mPhase == TaskPhase::Placed && !isHosted) {
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -128,7 +128,8 @@
 
 auto MarkReconciled(CellState& aCell,
                     const std::string& aId,
-                    std::string_view aEvidence) -> void
+                    std::string_view aEvidence,
+                    MonotonicTime aNow) -> void
 {
   if (aCell.mUnreconciledWorkers.erase(aId) == 0) {
     return;
@@ -147,6 +148,10 @@
     for (auto& [number, occurrence] : job->mOccurrences) {
       for (auto& step : occurrence->mSteps) {
         for (auto& it : step.mTasks) {
+          if (it.mMayBeRunning && SpecOf(it).mIsLongRunning) {
+            // It has not waited for capacity yet, so it is not moved at once.
+            it.mReadyAt = aNow;
+          }
           it.mMayBeRunning = false;
         }
       }
@@ -195,8 +200,10 @@
   aWorker.mStoredEnds = 0;
   aWorker.mForeignEnds.clear();
   aWorker.mLastClockMs = 0;
-  MarkReconciled(
-    aCell, aWorker.mRecord.mId, base::NameOf(kRunsLostReasonNames, aReason));
+  MarkReconciled(aCell,
+                 aWorker.mRecord.mId,
+                 base::NameOf(kRunsLostReasonNames, aReason),
+                 aNow);
 }
 
 namespace {
@@ -327,7 +334,7 @@
   }
   if (!aReport.mMayHaveMoreEnds) {
     DropVanishedRuns(aCell, aWorker, listed, aSentAt, aNow);
-    MarkReconciled(aCell, aWorker.mRecord.mId, "reported");
+    MarkReconciled(aCell, aWorker.mRecord.mId, "reported", aNow);
   }
   if (aWorker.mConsecutiveFailures >= aCell.mPolicy.mProbationFailures) {
     aWorker.mProbationUntil = aNow + aCell.mPolicy.mProbation;
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -166,6 +166,10 @@
   const auto self = shared_from_this();
   const auto now = base::MonotonicClock::now();
   auto* task = cell::FindTask(mState, aTask);
+  if (!task) {
+    mMovingTasks.erase(aTask);
+    co_return;
+  }
   const auto mayWait = !cell::FindReservedWorker(mState, aTask, now) ||
                        now - task->mReadyAt > kOwnReservationWait;
   const auto host = co_await ReserveInOtherCell(cell::NeedOf(*task), mayWait);
