--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -379,8 +379,7 @@
   std::int64_t mClockMs = 0;
   std::vector<RunningRow> mRunning;
   std::vector<EndRow> mEnds;
-  /** The list of ends may be cut off; the rest is listed once these are
-   * acknowledged. */
+  /** More ends may be listed once these are acknowledged. */
   bool mMayHaveMoreEnds = false;
 };
 
@@ -434,8 +433,7 @@
   StartRefused,
   /** A worker still has an earlier run of it. */
   EarlierRunStops,
-  /** No usable worker of its service has the resources, also without the short
-   * tasks that run there. */
+  /** No worker of its service could hold it, even without short tasks. */
   NoRoom,
   /** The resources are reserved on a worker and not free there yet. */
   RoomReserved,
