Log free, reserved and excluded capacity apart while long-running tasks wait

Event 956 tells, for up to six workers of a cell in which tasks wait, or which has refused capacity within the last second, what is free, what is reserved, for whom, since when and what that task still lacks, and why a worker gets no starts. Event 946 has the largest free CPU of a worker whether reserved or not, and that of workers that are excluded; up to 16 tasks are logged a second instead of 8. The reason for an exclusion and the decision to use a worker are now one function.

--- a/src/cell/include/eelgrasspost/cell/room.h
+++ b/src/cell/include/eelgrasspost/cell/room.h
@@ -60,6 +60,61 @@
 auto FindWaiting(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
   -> std::vector<WaitingTask>;
 
+/** Why nothing is started on a worker, whatever is free there. */
+enum class WorkerExclusion : std::uint8_t
+{
+  None,
+  /** It has not reported to this holder. */
+  NotKnown,
+  Unlisted,
+  Transferring,
+  MayHaveRestarted,
+  Draining,
+  /** A start was refused or not answered a moment ago. */
+  StartFailed,
+  Probation,
+  Silent,
+  /** It has a run whose need is not known. */
+  RunOfUnknownNeed,
+};
+
+inline constexpr auto kWorkerExclusionNames = std::array{
+  base::EnumName<WorkerExclusion>{ WorkerExclusion::None, "none" },
+  base::EnumName<WorkerExclusion>{ WorkerExclusion::NotKnown, "not_known" },
+  base::EnumName<WorkerExclusion>{ WorkerExclusion::Unlisted, "unlisted" },
+  base::EnumName<WorkerExclusion>{ WorkerExclusion::Transferring,
+                                   "transferring" },
+  base::EnumName<WorkerExclusion>{ WorkerExclusion::MayHaveRestarted,
+                                   "may_have_restarted" },
+  base::EnumName<WorkerExclusion>{ WorkerExclusion::Draining, "draining" },
+  base::EnumName<WorkerExclusion>{ WorkerExclusion::StartFailed,
+                                   "start_failed" },
+  base::EnumName<WorkerExclusion>{ WorkerExclusion::Probation, "probation" },
+  base::EnumName<WorkerExclusion>{ WorkerExclusion::Silent, "silent" },
+  base::EnumName<WorkerExclusion>{ WorkerExclusion::RunOfUnknownNeed,
+                                   "run_of_unknown_need" },
+};
+
+/** Free resources of a worker, and what keeps tasks from them. */
+struct FreeCapacity
+{
+  const Worker* mWorker = nullptr;
+  /** Not used by runs; may be reserved. */
+  Resources mFree;
+  Resources mReserved;
+  /** The task that has reserved capacity for longest; empty if there is none.
+   */
+  std::string mReservedFor;
+  Milliseconds mReservedTime{ 0 };
+  /** CPU millis that this task still lacks on the worker. */
+  std::int64_t mMissingCpuMillis = 0;
+  WorkerExclusion mExclusion = WorkerExclusion::None;
+};
+/** The workers with free CPU: those that may get tasks first, and those with
+ * more of it first. */
+auto FindFreeCapacity(const CellState& aCell, MonotonicTime aNow)
+  -> std::vector<FreeCapacity>;
+
 /** The least used worker that has no long-running run and the capacity for
  * aNeed; null when there is none. */
 auto FindTransferable(CellState& aCell,
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -102,7 +102,10 @@
                const Task& aTask,
                MonotonicTime aNow) -> void;
 
-/** Whether a worker may be given new work. */
+auto ExclusionOf(const CellState& aCell,
+                 const Worker& aWorker,
+                 MonotonicTime aNow) -> WorkerExclusion;
+/** Whether a worker may be given new work that fits beside its runs. */
 auto IsUsable(const CellState& aCell, const Worker& aWorker, MonotonicTime aNow)
   -> bool;
 
--- a/src/cell/internal/waiting.cpp
+++ b/src/cell/internal/waiting.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "cellinternal.h"
 #include "workerchoice.h"
@@ -66,6 +67,46 @@
 
 } // namespace
 
+auto FindFreeCapacity(const CellState& aCell, MonotonicTime aNow)
+  -> std::vector<FreeCapacity>
+{
+  std::vector<FreeCapacity> out;
+  for (const auto& [id, worker] : aCell.mWorkers) {
+    const auto& capacity = worker->mRecord.mCapacity;
+    const auto& used = worker->mUsed;
+    FreeCapacity it;
+    it.mWorker = worker.get();
+    it.mFree = { capacity.mCpuMillis - used.mCpuMillis,
+                 capacity.mMemoryMb - used.mMemoryMb,
+                 capacity.mAccelerators - used.mAccelerators };
+    if (it.mFree.mCpuMillis <= 0) {
+      continue;
+    }
+    it.mReserved = ReservedForOthers(*worker, {}, aNow);
+    it.mExclusion = ExclusionOf(aCell, *worker, aNow);
+    for (const auto& [task, reservation] : worker->mReservations) {
+      const auto time =
+        std::chrono::duration_cast<Milliseconds>(aNow - reservation.mSince);
+      if (aNow < reservation.mUntil &&
+          (it.mReservedFor.empty() || time > it.mReservedTime)) {
+        it.mReservedFor = task;
+        it.mReservedTime = time;
+        it.mMissingCpuMillis = std::max<std::int64_t>(
+          0, reservation.mNeed.mCpuMillis - it.mFree.mCpuMillis);
+      }
+    }
+    out.push_back(std::move(it));
+  }
+  const auto key = [](const FreeCapacity& aItem) {
+    return std::pair(aItem.mExclusion != WorkerExclusion::None,
+                     -aItem.mFree.mCpuMillis);
+  };
+  std::sort(out.begin(), out.end(), [&](const auto& aLeft, const auto& aRight) {
+    return key(aLeft) < key(aRight);
+  });
+  return out;
+}
+
 auto FindWaiting(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
   -> std::vector<WaitingTask>
 {
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -305,14 +305,44 @@
   return other && other != &aWorker;
 }
 
+auto ExclusionOf(const CellState& aCell,
+                 const Worker& aWorker,
+                 MonotonicTime aNow) -> WorkerExclusion
+{
+  if (!aWorker.mIsKnown) {
+    return WorkerExclusion::NotKnown;
+  }
+  if (!aWorker.mIsListed) {
+    return WorkerExclusion::Unlisted;
+  }
+  if (aWorker.mIsTransferring) {
+    return WorkerExclusion::Transferring;
+  }
+  if (aWorker.mMayHaveRestartedSince) {
+    return WorkerExclusion::MayHaveRestarted;
+  }
+  if (aWorker.mRecord.mState != WorkerState::Ready) {
+    return WorkerExclusion::Draining;
+  }
+  if (aNow < aWorker.mSuspectUntil) {
+    return WorkerExclusion::StartFailed;
+  }
+  if (aNow < aWorker.mProbationUntil) {
+    return WorkerExclusion::Probation;
+  }
+  if (aNow - aWorker.mLastContact >= aCell.mPolicy.mSilenceLimit) {
+    return WorkerExclusion::Silent;
+  }
+  return aWorker.mRunsOfUnknownNeed > 0 ? WorkerExclusion::RunOfUnknownNeed
+                                        : WorkerExclusion::None;
+}
+
 auto IsUsable(const CellState& aCell, const Worker& aWorker, MonotonicTime aNow)
   -> bool
 {
-  return aWorker.mIsKnown && aWorker.mIsListed && !aWorker.mIsTransferring &&
-         !aWorker.mMayHaveRestartedSince &&
-         aWorker.mRecord.mState == WorkerState::Ready &&
-         aNow >= aWorker.mSuspectUntil && aNow >= aWorker.mProbationUntil &&
-         aNow - aWorker.mLastContact < aCell.mPolicy.mSilenceLimit;
+  const auto exclusion = ExclusionOf(aCell, aWorker, aNow);
+  return exclusion == WorkerExclusion::None ||
+         exclusion == WorkerExclusion::RunOfUnknownNeed;
 }
 
 } // namespace eelgrasspost::cell
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -274,6 +274,15 @@
   "none",
 };
 
+inline constexpr auto kFreeCapacity = base::LogEvent{
+  956,
+  base::LogLevel::Info,
+  "a worker has free CPU while long-running tasks wait",
+  "see what keeps tasks from it: reserved_for names the task that has reserved "
+  "it for longest, missing_cpu_millis what that task still lacks, exclusion "
+  "why nothing is started there",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -310,7 +319,8 @@
                                                        kEndWithoutJob,
                                                        kHolderRefused,
                                                        kWorkerLent,
-                                                       kTransferRead };
+                                                       kTransferRead,
+                                                       kFreeCapacity };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -207,6 +207,8 @@
   auto RequestWorker(CapacityRequest aRequest) -> net::Task<void>;
   auto TransferWorker(JobCommand aCommand) -> net::Task<JobReply>;
   auto LogWaitingTasks() -> void;
+  auto LogFreeCapacity(const std::vector<cell::FreeCapacity>& aCapacity)
+    -> void;
   auto MoveStarvedTasks() -> void;
   auto MoveTask(std::string aTask) -> net::Task<void>;
   auto ReserveInOtherCell(cell::LongRunningNeed aNeed, bool aMayWait)
@@ -324,6 +326,9 @@
   /** Cells that declined jobs that were to migrate. */
   Refusals mImportRefusals;
   MonotonicTime mNextWaitLogAt{};
+  /** A request for capacity was refused since waiting tasks were last logged.
+   */
+  bool mHasRefusedRequest = false;
   MonotonicTime mNextNoHostLogAt{};
   bool mIsRequestingWorker = false;
   MonotonicTime mWorkerRequestedAt{};
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -34,7 +34,8 @@
 /** Tasks that wait for this time are logged, at most once per interval. */
 constexpr auto kLoggedWait = Milliseconds(1500);
 constexpr auto kWaitLogInterval = Milliseconds(1000);
-constexpr std::size_t kMaxLoggedWaits = 8;
+constexpr std::size_t kMaxLoggedWaits = 16;
+constexpr std::size_t kMaxLoggedWorkers = 6;
 /** How often a host cell checks whether a hosted job still exists; well below
  * the 3 s within which a cancelled job has to end. */
 constexpr auto kHostedJobCheckInterval = Milliseconds(1000);
@@ -55,10 +56,20 @@
     return;
   }
   const auto waiting = cell::FindWaiting(mState, now, kLoggedWait);
-  if (waiting.empty()) {
+  if (waiting.empty() && !mHasRefusedRequest) {
     return;
   }
   mNextWaitLogAt = now + kWaitLogInterval;
+  mHasRefusedRequest = false;
+  const auto capacity = cell::FindFreeCapacity(mState, now);
+  LogFreeCapacity(capacity);
+  const auto largest = [&](bool aIsExcluded) -> std::int64_t {
+    const auto it =
+      std::find_if(capacity.begin(), capacity.end(), [&](const auto& aItem) {
+        return aIsExcluded == (aItem.mExclusion != cell::WorkerExclusion::None);
+      });
+    return it == capacity.end() ? 0 : it->mFree.mCpuMillis;
+  };
   const auto room = cell::RoomOf(mState, now);
   const auto n = std::min(waiting.size(), kMaxLoggedWaits);
   for (std::size_t i = 0; i < n; ++i) {
@@ -76,6 +87,8 @@
         { "need_cpu_millis", need.mCpuMillis },
         { "need_memory_mb", need.mMemoryMb },
         { "largest_free_cpu_millis", room.mLargestCpuMillis },
+        { "largest_free_or_reserved_cpu_millis", largest(false) },
+        { "largest_excluded_cpu_millis", largest(true) },
         { "free_cpu_millis", room.mFree.mCpuMillis },
         { "largest_reservable_cpu_millis", room.mLargestReservableCpuMillis },
         { "reserved_on", worker ? worker->mRecord.mId : std::string() },
@@ -89,6 +102,27 @@
   }
 }
 
+auto CellHolder::LogFreeCapacity(
+  const std::vector<cell::FreeCapacity>& aCapacity) -> void
+{
+  const auto n = std::min(aCapacity.size(), kMaxLoggedWorkers);
+  for (std::size_t i = 0; i < n; ++i) {
+    const auto& it = aCapacity[i];
+    mContext.mLog.Record(
+      kFreeCapacity,
+      { { "cell", mRow.mName },
+        { "worker", it.mWorker->mRecord.mId },
+        { "free_cpu_millis", it.mFree.mCpuMillis },
+        { "free_memory_mb", it.mFree.mMemoryMb },
+        { "reserved_cpu_millis", it.mReserved.mCpuMillis },
+        { "reserved_for", it.mReservedFor },
+        { "reserved_ms", it.mReservedTime.count() },
+        { "missing_cpu_millis", it.mMissingCpuMillis },
+        { "exclusion",
+          base::NameOf(cell::kWorkerExclusionNames, it.mExclusion) } });
+  }
+}
+
 /** Moves long-running tasks for which this cell has no capacity to other
  * cells. */
 auto CellHolder::MoveStarvedTasks() -> void
@@ -281,6 +315,7 @@
     !mIsShuttingDown && CanSendOrders() &&
     mState.mUnreconciledWorkers.empty() &&
     cell::ReserveCapacity(mState, aRequest.mNeed, aRequest.mMayWait, now);
+  mHasRefusedRequest = mHasRefusedRequest || !isReserved;
   return { isReserved ? JobOutcome::Done : JobOutcome::Refused };
 }
 
