Let reservations that are not complete give way to lost runs that fit now

A refusal of capacity that had to become free also kept a cell from being asked for capacity that is free, for 1 s.

Now a reservation that has not become complete within 700 ms gives way to a task that lost its run and fits in what is free, in its own cell and in others: cells report the largest CPU that such a task can have, requests for capacity say whether they are for one, and refusals of free capacity and of reservations are kept apart. A complete reservation, as of a hosted task that is about to arrive, stays. The displaced task reserves anew and is protected for 700 ms again. Tasks that have not run displace nothing. Event 957 tells of it.

Ruled out by events 946 and 956: excluded workers and runs of unknown need.

--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -398,6 +398,7 @@
   CapacityChanged,
   CrashCounted,
   EndWithoutJob,
+  ReservationDisplaced,
 };
 
 /** What a long-running task needs of a worker. */
@@ -410,51 +411,17 @@
   std::string mRequiredLabel;
   /** Maximum number of tasks of its step on one worker; 0: no limit. */
   std::uint32_t mMaxPerWorker = 0;
+  /** It has run before, or may have. */
+  bool mIsRestart = false;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mTask, mService, mResources, mRequiredLabel, mMaxPerWorker);
+    archive(mIsRestart);
   }
 };
 
-/** Why a long-running task that is ready is not started. */
-enum class WaitReason : std::uint8_t
-{
-  /** A previous holder may have started it. */
-  MayBeRunning,
-  /** Its job migrates, or the outcome of a migration is not known. */
-  JobMigrates,
-  /** It is being returned to the cell that owns it. */
-  Returns,
-  /** Crashes under it are not stored yet. */
-  CrashesUnstored,
-  /** A worker refused to start it a moment ago. */
-  StartRefused,
-  /** A worker still has an earlier run of it. */
-  EarlierRunStops,
-  /** No worker of its service could hold it, even without short tasks. */
-  NoRoom,
-  /** The resources are reserved on a worker and not free there yet. */
-  RoomReserved,
-  /** Workers with the resources don't suit for another reason. */
-  NoSuitableWorker,
-};
-
-inline constexpr auto kWaitReasonNames = std::array{
-  base::EnumName<WaitReason>{ WaitReason::MayBeRunning, "may_be_running" },
-  base::EnumName<WaitReason>{ WaitReason::JobMigrates, "job_migrates" },
-  base::EnumName<WaitReason>{ WaitReason::Returns, "returns" },
-  base::EnumName<WaitReason>{ WaitReason::CrashesUnstored, "crashes_unstored" },
-  base::EnumName<WaitReason>{ WaitReason::StartRefused, "start_refused" },
-  base::EnumName<WaitReason>{ WaitReason::EarlierRunStops,
-                              "earlier_run_stops" },
-  base::EnumName<WaitReason>{ WaitReason::NoRoom, "no_room" },
-  base::EnumName<WaitReason>{ WaitReason::RoomReserved, "room_reserved" },
-  base::EnumName<WaitReason>{ WaitReason::NoSuitableWorker,
-                              "no_suitable_worker" },
-};
-
 /** Why the runs on a worker are considered ended. */
 enum class RunsLostReason : std::uint8_t
 {
--- a/src/cell/include/eelgrasspost/cell/room.h
+++ b/src/cell/include/eelgrasspost/cell/room.h
@@ -12,8 +12,9 @@
 auto NeedOf(const Task& aTask) -> LongRunningNeed;
 
 /** Reserves capacity for a long-running task of another cell on a usable
- * worker, for a limited time; false when no worker can hold it. aMayWait: also
- * where it has room only after short tasks have ended. */
+ * worker, for a limited time; false when no worker can hold it. A restart may
+ * displace incomplete reservations. aMayWait: also where it has room only after
+ * short tasks have ended. */
 auto ReserveCapacity(CellState& aCell,
                      const LongRunningNeed& aNeed,
                      bool aMayWait,
@@ -44,6 +45,43 @@
 auto FindStarved(const CellState& aCell, MonotonicTime aNow, Milliseconds aWait)
   -> std::vector<const Task*>;
 
+/** Why a long-running task that is ready is not started. */
+enum class WaitReason : std::uint8_t
+{
+  /** A previous holder may have started it. */
+  MayBeRunning,
+  /** Its job migrates, or the outcome of a migration is not known. */
+  JobMigrates,
+  /** It is being returned to the cell that owns it. */
+  Returns,
+  /** Crashes under it are not stored yet. */
+  CrashesUnstored,
+  /** A worker refused to start it a moment ago. */
+  StartRefused,
+  /** A worker still has an earlier run of it. */
+  EarlierRunStops,
+  /** No worker of its service could hold it, even without short tasks. */
+  NoRoom,
+  /** The resources are reserved on a worker and not free there yet. */
+  RoomReserved,
+  /** Workers with the resources don't suit for another reason. */
+  NoSuitableWorker,
+};
+
+inline constexpr auto kWaitReasonNames = std::array{
+  base::EnumName<WaitReason>{ WaitReason::MayBeRunning, "may_be_running" },
+  base::EnumName<WaitReason>{ WaitReason::JobMigrates, "job_migrates" },
+  base::EnumName<WaitReason>{ WaitReason::Returns, "returns" },
+  base::EnumName<WaitReason>{ WaitReason::CrashesUnstored, "crashes_unstored" },
+  base::EnumName<WaitReason>{ WaitReason::StartRefused, "start_refused" },
+  base::EnumName<WaitReason>{ WaitReason::EarlierRunStops,
+                              "earlier_run_stops" },
+  base::EnumName<WaitReason>{ WaitReason::NoRoom, "no_room" },
+  base::EnumName<WaitReason>{ WaitReason::RoomReserved, "room_reserved" },
+  base::EnumName<WaitReason>{ WaitReason::NoSuitableWorker,
+                              "no_suitable_worker" },
+};
+
 struct WaitingTask
 {
   const Task* mTask = nullptr;
@@ -141,6 +179,9 @@
   Resources mFree;
   /** Largest unreserved CPU millis of one worker. */
   std::int64_t mLargestCpuMillis = 0;
+  /** Largest CPU millis of one worker for a long-running task that has lost its
+   * run, before which incomplete reservations give way. */
+  std::int64_t mLargestForRestartCpuMillis = 0;
   /** Largest CPU millis that one worker has for a long-running task once its
    * short tasks have ended. */
   std::int64_t mLargestReservableCpuMillis = 0;
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -240,10 +240,16 @@
     auto* worker = isSearchFutile
                      ? FindWorkerWithReservedRoom(aCell, *it, aNow)
                      : FindWorker(aCell, *it, spec, tolerance, aNow);
+    if (!worker && !isSearchFutile && IsRestart(*it)) {
+      worker = FindWorkerToDisplace(aCell, *it, spec, aNow);
+    }
     if (worker && HasUntrackedRun(aCell, *it)) {
       continue;
     }
     if (worker) {
+      if (IsRestart(*it)) {
+        DisplaceReservations(aCell, *worker, NeedOf(*it), aNow);
+      }
       aOrders.push_back(
         PlaceTask(aCell, *it, *worker, NextAttempt(aCell), aNow));
       continue;
--- a/src/cell/internal/reservations.cpp
+++ b/src/cell/internal/reservations.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "queueorder.h"
 #include "workerchoice.h"
 
 namespace eelgrasspost::cell {
@@ -10,6 +11,9 @@
 constexpr auto kReservationTime = Milliseconds(1500);
 /** Time that another cell has until its task is known here. */
 constexpr auto kHostReservationTime = Milliseconds(3000);
+/** A reservation that has not become complete for this time gives way to tasks
+ * that could start at once. */
+constexpr auto kExclusiveTime = Milliseconds(700);
 
 auto Subtract(Resources& aFrom, const Resources& aLess) -> void
 {
@@ -18,6 +22,30 @@
   aFrom.mAccelerators -= aLess.mAccelerators;
 }
 
+auto Add(Resources& aTo, const Resources& aMore) -> void
+{
+  aTo.mCpuMillis += aMore.mCpuMillis;
+  aTo.mMemoryMb += aMore.mMemoryMb;
+  aTo.mAccelerators += aMore.mAccelerators;
+}
+
+/** What no run of a worker has reserved. */
+auto FreeNow(const CellState& aCell, const Worker& aWorker) -> Resources
+{
+  auto out = UsableCapacity(aCell, aWorker);
+  Subtract(out, aWorker.mUsed);
+  return out;
+}
+
+/** Whether a task may start although a reservation does not fit beside it. */
+auto MayDisplace(const Reservation& aReservation,
+                 const Resources& aFree,
+                 MonotonicTime aNow) -> bool
+{
+  return !Contains(aFree, aReservation.mNeed) &&
+         aNow - aReservation.mSince >= kExclusiveTime;
+}
+
 /** The worker whose room for a long-running task is complete soonest: the one
  * with the most free CPU among those that can hold it. */
 auto FindWorkerToReserve(const CellState& aCell,
@@ -72,6 +100,25 @@
   return worker;
 }
 
+/** A worker that could start a task of another cell at once. */
+auto FindWorkerWithRoom(const CellState& aCell,
+                        const LongRunningNeed& aNeed,
+                        RoomUse aUse,
+                        MonotonicTime aNow) -> Worker*
+{
+  StepSpec spec;
+  spec.mNeed = aNeed.mResources;
+  spec.mIsLongRunning = true;
+  for (const auto& [id, worker] : aCell.mWorkers) {
+    if (IsUsable(aCell, *worker, aNow) && Suits(*worker, aNeed) &&
+        aNow >= worker->mIsolatedUntil &&
+        HasRoom(aCell, *worker, spec, aNeed.mTask, aUse, aNow)) {
+      return worker.get();
+    }
+  }
+  return nullptr;
+}
+
 } // namespace
 
 auto Contains(const Resources& aCapacity, const Resources& aNeed) -> bool
@@ -84,11 +131,9 @@
 auto NeedOf(const Task& aTask) -> LongRunningNeed
 {
   const auto& spec = SpecOf(aTask);
-  return { TaskName(aTask),
-           aTask.mJob->mStored.mQueue.mService,
-           spec.mNeed,
-           spec.mRequiredLabel,
-           spec.mMaxPerWorker };
+  return { TaskName(aTask),    aTask.mJob->mStored.mQueue.mService,
+           spec.mNeed,         spec.mRequiredLabel,
+           spec.mMaxPerWorker, IsRestart(aTask) };
 }
 
 auto Suits(const Worker& aWorker, const LongRunningNeed& aNeed) -> bool
@@ -121,9 +166,7 @@
   Resources out;
   for (const auto& [name, it] : aWorker.mReservations) {
     if (aNow < it.mUntil && name != aTask) {
-      out.mCpuMillis += it.mNeed.mCpuMillis;
-      out.mMemoryMb += it.mNeed.mMemoryMb;
-      out.mAccelerators += it.mNeed.mAccelerators;
+      Add(out, it.mNeed);
     }
   }
   return out;
@@ -171,6 +214,69 @@
   }
 }
 
+auto RoomForRestart(const CellState& aCell,
+                    const Worker& aWorker,
+                    std::string_view aTask,
+                    MonotonicTime aNow) -> Resources
+{
+  if (aWorker.mRunsOfUnknownNeed > 0) {
+    return {};
+  }
+  auto free = FreeNow(aCell, aWorker);
+  auto lasting = CapacityFor(aCell, aWorker, aTask, aNow);
+  Resources complete;
+  for (const auto& [name, it] : aWorker.mReservations) {
+    if (aNow >= it.mUntil || name == aTask) {
+      continue;
+    }
+    if (MayDisplace(it, free, aNow)) {
+      Add(lasting, it.mNeed);
+    } else if (Contains(free, it.mNeed)) {
+      Add(complete, it.mNeed);
+    }
+  }
+  Subtract(free, complete);
+  return { std::min(free.mCpuMillis, lasting.mCpuMillis),
+           std::min(free.mMemoryMb, lasting.mMemoryMb),
+           std::min(free.mAccelerators, lasting.mAccelerators) };
+}
+
+auto DisplaceReservations(CellState& aCell,
+                          Worker& aWorker,
+                          const LongRunningNeed& aNeed,
+                          MonotonicTime aNow) -> void
+{
+  const auto free = FreeNow(aCell, aWorker);
+  auto& reservations = aWorker.mReservations;
+  while (!Contains(CapacityFor(aCell, aWorker, aNeed.mTask, aNow),
+                   aNeed.mResources)) {
+    // The one that lacks most is the furthest from a start.
+    auto displaced = reservations.end();
+    for (auto it = reservations.begin(); it != reservations.end(); ++it) {
+      const auto mayDisplace =
+        it->first != aNeed.mTask && MayDisplace(it->second, free, aNow);
+      if (mayDisplace &&
+          (displaced == reservations.end() ||
+           it->second.mNeed.mCpuMillis > displaced->second.mNeed.mCpuMillis)) {
+        displaced = it;
+      }
+    }
+    if (displaced == reservations.end()) {
+      return;
+    }
+    const auto time =
+      std::chrono::duration_cast<Milliseconds>(aNow - displaced->second.mSince);
+    AddEvent(aCell,
+             { CellEventKind::ReservationDisplaced,
+               displaced->first,
+               aWorker.mRecord.mId,
+               0,
+               "for_restart",
+               static_cast<double>(time.count()) });
+    reservations.erase(displaced);
+  }
+}
+
 auto RemoveExpiredReservations(CellState& aCell, MonotonicTime aNow) -> void
 {
   for (auto& [id, worker] : aCell.mWorkers) {
@@ -193,19 +299,17 @@
                      bool aMayWait,
                      MonotonicTime aNow) -> bool
 {
-  StepSpec spec;
-  spec.mNeed = aNeed.mResources;
-  spec.mIsLongRunning = true;
-  for (auto& [id, worker] : aCell.mWorkers) {
-    if (IsUsable(aCell, *worker, aNow) && Suits(*worker, aNeed) &&
-        aNow >= worker->mIsolatedUntil &&
-        HasRoom(aCell, *worker, spec, aNeed.mTask, RoomUse::Unreserved, aNow)) {
-      RemoveReservation(aCell, aNeed.mTask);
-      worker->mReservations[aNeed.mTask] = { aNeed.mResources,
-                                             aNow + kHostReservationTime,
-                                             aNow };
-      return true;
-    }
+  auto* worker = FindWorkerWithRoom(aCell, aNeed, RoomUse::Unreserved, aNow);
+  if (!worker && aNeed.mIsRestart) {
+    worker = FindWorkerWithRoom(aCell, aNeed, RoomUse::Displacing, aNow);
+  }
+  if (worker) {
+    DisplaceReservations(aCell, *worker, aNeed, aNow);
+    RemoveReservation(aCell, aNeed.mTask);
+    worker->mReservations[aNeed.mTask] = { aNeed.mResources,
+                                           aNow + kHostReservationTime,
+                                           aNow };
+    return true;
   }
   return aMayWait && Reserve(aCell, aNeed, kHostReservationTime, aNow);
 }
--- a/src/cell/internal/room.cpp
+++ b/src/cell/internal/room.cpp
@@ -148,6 +148,9 @@
         kMaxCount,
         count + std::max<std::int64_t>(0, startable) / kTaskSizes.at(i)));
     }
+    out.mLargestForRestartCpuMillis =
+      std::max(out.mLargestForRestartCpuMillis,
+               RoomForRestart(aCell, *it, {}, aNow).mCpuMillis);
     out.mLargestReservableCpuMillis = std::max(
       out.mLargestReservableCpuMillis, LargestReservableCpu(aCell, *it, aNow));
     out.mCapacityCpuMillis += it->mRecord.mCapacity.mCpuMillis;
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -199,6 +199,9 @@
   if (aWorker.mRunsOfUnknownNeed > 0) {
     return false;
   }
+  if (aUse == RoomUse::Displacing) {
+    return Contains(RoomForRestart(aCell, aWorker, aTask, aNow), aSpec.mNeed);
+  }
   const auto& capacity = UsableCapacity(aCell, aWorker);
   const auto& used = aWorker.mUsed;
   if (aSpec.mIsLongRunning && !aWorker.mReservations.empty() &&
@@ -233,16 +236,16 @@
                   const StepSpec& aSpec,
                   InterferenceTolerance aTolerance,
                   WorkerSearch aSearch,
+                  RoomUse aUse,
                   MonotonicTime aNow) -> Worker*
 {
   const auto& service = aTask.mJob->mStored.mQueue.mService;
   const auto name = aSpec.mIsLongRunning ? TaskName(aTask) : std::string();
-  const auto use = RoomUseOf(aTask);
   Worker* best = nullptr;
   auto bestCost = std::numeric_limits<double>::max();
   for (auto& [id, worker] : aCell.mWorkers) {
     if (!IsOfKind(*worker, service, aSpec.mRequiredLabel) ||
-        !HasRoom(aCell, *worker, aSpec, name, use, aNow) ||
+        !HasRoom(aCell, *worker, aSpec, name, aUse, aNow) ||
         !IsUsable(aCell, *worker, aNow)) {
       continue;
     }
@@ -280,8 +283,27 @@
                 InterferenceTolerance aTolerance,
                 MonotonicTime aNow) -> Worker*
 {
-  return FindCheapest(
-    aCell, aTask, aSpec, aTolerance, WorkerSearch::ForStart, aNow);
+  return FindCheapest(aCell,
+                      aTask,
+                      aSpec,
+                      aTolerance,
+                      WorkerSearch::ForStart,
+                      RoomUseOf(aTask),
+                      aNow);
+}
+
+auto FindWorkerToDisplace(CellState& aCell,
+                          const Task& aTask,
+                          const StepSpec& aSpec,
+                          MonotonicTime aNow) -> Worker*
+{
+  return FindCheapest(aCell,
+                      aTask,
+                      aSpec,
+                      ToleranceOf(aTask, aNow),
+                      WorkerSearch::ForStart,
+                      RoomUse::Displacing,
+                      aNow);
 }
 
 auto FindWorkerToIsolate(CellState& aCell,
@@ -290,8 +312,13 @@
                          InterferenceTolerance aTolerance,
                          MonotonicTime aNow) -> Worker*
 {
-  return FindCheapest(
-    aCell, aTask, aSpec, aTolerance, WorkerSearch::ToIsolate, aNow);
+  return FindCheapest(aCell,
+                      aTask,
+                      aSpec,
+                      aTolerance,
+                      WorkerSearch::ToIsolate,
+                      RoomUseOf(aTask),
+                      aNow);
 }
 
 auto HasBetterWorker(CellState& aCell,
--- a/src/cell/internal/workerchoice.h
+++ b/src/cell/internal/workerchoice.h
@@ -28,6 +28,8 @@
    * beside its long-running runs: the task's and the others' need not wait for
    * each other. */
   Reserved,
+  /** Also those of reservations that may be displaced. */
+  Displacing,
 };
 
 /** Restarts of long-running tasks may use reserved resources. */
@@ -77,6 +79,20 @@
 
 auto RemoveReservation(CellState& aCell, const std::string& aTask) -> void;
 
+/** What a worker has now for a long-running task that has lost its run. A
+ * reservation that has not become complete for some time gives way to it: the
+ * resources that are free would otherwise stand idle. */
+auto RoomForRestart(const CellState& aCell,
+                    const Worker& aWorker,
+                    std::string_view aTask,
+                    MonotonicTime aNow) -> Resources;
+/** Removes reservations for which a worker has no capacity beside a task that
+ * is placed there; see RoomForRestart. */
+auto DisplaceReservations(CellState& aCell,
+                          Worker& aWorker,
+                          const LongRunningNeed& aNeed,
+                          MonotonicTime aNow) -> void;
+
 /** Reserves capacity for a long-running task of the cell, or extends its
  * reservation; null when no worker can hold it. */
 auto ReserveForTask(CellState& aCell, const Task& aTask, MonotonicTime aNow)
@@ -95,6 +111,13 @@
                 InterferenceTolerance aTolerance,
                 MonotonicTime aNow) -> Worker*;
 
+/** The worker with the lowest cost on which a long-running task that has lost
+ * its run can start if reservations give way to it; null when there is none. */
+auto FindWorkerToDisplace(CellState& aCell,
+                          const Task& aTask,
+                          const StepSpec& aSpec,
+                          MonotonicTime aNow) -> Worker*;
+
 /** The worker with the lowest cost for a suspect task, whatever was started
  * there recently; null when none has room. */
 auto FindWorkerToIsolate(CellState& aCell,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -283,6 +283,14 @@
   "why nothing is started there",
 };
 
+inline constexpr auto kReservationDisplaced = base::LogEvent{
+  957,
+  base::LogLevel::Info,
+  "a reservation that has not become complete gives way to a task that can "
+  "start at once",
+  "none; the subject waits for capacity on another worker",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -320,7 +328,8 @@
                                                        kHolderRefused,
                                                        kWorkerLent,
                                                        kTransferRead,
-                                                       kFreeCapacity };
+                                                       kFreeCapacity,
+                                                       kReservationDisplaced };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
@@ -352,6 +361,8 @@
       return &kCrashCounted;
     case cell::CellEventKind::EndWithoutJob:
       return &kEndWithoutJob;
+    case cell::CellEventKind::ReservationDisplaced:
+      return &kReservationDisplaced;
   }
   return &kJobEnded;
 }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -66,6 +66,9 @@
   std::int64_t mWaitingCpuMillis = 0;
   /** Largest free CPU on a single worker. */
   std::int64_t mLargestCpuMillis = 0;
+  /** Largest CPU on a single worker that a long-running task which has lost its
+   * run can have at once, as incomplete reservations give way to it. */
+  std::int64_t mLargestForRestartCpuMillis = 0;
   /** Largest CPU on a single worker that a long-running task can have once the
    * short tasks there have ended. */
   std::int64_t mLargestReservableCpuMillis = 0;
@@ -76,7 +79,8 @@
   auto serialize(Archive& archive) -> void
   {
     archive(mName, mToken, mIsActive, mLargestCpuMillis);
-    archive(mLargestReservableCpuMillis, mStartable);
+    archive(mLargestForRestartCpuMillis, mLargestReservableCpuMillis);
+    archive(mStartable);
     archive(mFreeCpuMillis, mFreeMemoryMb, mCapacityCpuMillis);
     archive(mBestEffortCpuMillis, mLeftoverCpuMillis, mWaitingCpuMillis);
   }
--- a/src/dispatch/internal/cellchoice.cpp
+++ b/src/dispatch/internal/cellchoice.cpp
@@ -81,6 +81,7 @@
   out.mLeftoverCpuMillis = room.mLeftoverCpuMillis;
   out.mWaitingCpuMillis = room.mWaitingCpuMillis;
   out.mLargestCpuMillis = room.mLargestCpuMillis;
+  out.mLargestForRestartCpuMillis = room.mLargestForRestartCpuMillis;
   out.mLargestReservableCpuMillis = room.mLargestReservableCpuMillis;
   out.mStartable = room.mStartable;
   return out;
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -321,8 +321,10 @@
     MonotonicTime mAt{};
   };
   std::map<std::string, HostedSync> mHostedSyncs;
-  /** Cells that refused to host long-running tasks. */
+  /** Cells that had no room for long-running tasks at once, */
   Refusals mHostRefusals;
+  /** and those that had none for them once their short tasks have ended. */
+  Refusals mReservationRefusals;
   /** Cells that declined jobs that were to migrate. */
   Refusals mImportRefusals;
   MonotonicTime mNextWaitLogAt{};
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -18,10 +18,10 @@
 /** A task for which capacity is reserved in its own cell moves to a cell that
  * has to free capacity as well only after this time. */
 constexpr auto kOwnReservationWait = Milliseconds(2500);
-/** A cell that refused is not asked again for this time. Its status lags, and
- * counts capacity that is scattered over workers. */
+/** A cell that could not reserve capacity is not asked to do so again for this
+ * time. Its status lags, and counts capacity that is scattered over workers. */
 constexpr auto kRefusingHostDelay = Milliseconds(1000);
-/** The same where the capacity had to be free at once, which changes with each
+/** The same for capacity that has to be free at once, which changes with each
  * status. */
 constexpr auto kStatusInterval = Milliseconds(300);
 /** Holders reply to a request for capacity without calls of their own. */
@@ -148,10 +148,13 @@
 {
   for (std::size_t i = 0; i < kMaxHostsAsked; ++i) {
     const auto now = base::MonotonicClock::now();
+    const std::vector<TaskNeed> needs = { NeedOf(aNeed) };
     const auto host = mContext.mFindHostCell(
       { aNeed.mResources,
-        FindRefusingCells(mHostRefusals, { NeedOf(aNeed) }, now),
-        aMayWait });
+        FindRefusingCells(mHostRefusals, needs, now),
+        FindRefusingCells(mReservationRefusals, needs, now),
+        aMayWait,
+        aNeed.mIsRestart });
     if (!host) {
       if (now >= mNextNoHostLogAt) {
         mNextNoHostLogAt = now + kWaitLogInterval;
@@ -178,11 +181,12 @@
     if (mPhase != HolderPhase::Active) {
       co_return std::nullopt;
     }
-    mHostRefusals.push_back(
-      { *host,
-        { NeedOf(aNeed) },
-        base::MonotonicClock::now() +
-          (aMayWait ? kRefusingHostDelay : kStatusInterval) });
+    const auto refusedAt = base::MonotonicClock::now();
+    mHostRefusals.push_back({ *host, needs, refusedAt + kStatusInterval });
+    if (aMayWait) {
+      mReservationRefusals.push_back(
+        { *host, needs, refusedAt + kRefusingHostDelay });
+    }
     mContext.mLog.Record(
       kHostRefused,
       { { "task", aNeed.mTask },
--- a/src/dispatch/internal/holderreturns.cpp
+++ b/src/dispatch/internal/holderreturns.cpp
@@ -233,9 +233,11 @@
   const auto now = base::MonotonicClock::now();
   for (const auto& it : aCommand.mJob.mHostedTasks) {
     auto& task = *cell::FindTask(*job, it);
-    mHostRefusals.push_back({ host.mCell,
-                              { NeedOf(cell::NeedOf(task)) },
-                              now + kReturnRetryInterval });
+    const Refusal refusal{ host.mCell,
+                           { NeedOf(cell::NeedOf(task)) },
+                           now + kReturnRetryInterval };
+    mHostRefusals.push_back(refusal);
+    mReservationRefusals.push_back(refusal);
     // It has waited in the host cell and may move on at once.
     cell::TakeTaskBack(mState, task, now, kReturnDelay);
   }
--- a/src/dispatch/tests/hostchoice_tests.cpp
+++ b/src/dispatch/tests/hostchoice_tests.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include <utility>
+#include <set>
 
 #include "internal/hostchoice.h"
 
@@ -26,13 +26,20 @@
     mCells.push_back(out);
   }
 
-  auto Choose(bool aMayWait, std::set<std::string> aExcluded = {}) const
+  HostQuery mQuery{ { 4000, 1000, 0 } };
+
+  auto Choose() const -> std::string
+  {
+    return ChooseHostCell(mCells, "a/0", mQuery).value_or("none");
+  }
+
+  auto Choose(bool aMayWait, const std::set<std::string>& aExcluded = {})
     -> std::string
   {
-    return ChooseHostCell(mCells,
-                          "a/0",
-                          { { 4000, 1000, 0 }, std::move(aExcluded), aMayWait })
-      .value_or("none");
+    mQuery.mExcluded = aExcluded;
+    mQuery.mExcludedIfWaiting = aExcluded;
+    mQuery.mMayWait = aMayWait;
+    return Choose();
   }
 };
 
@@ -78,4 +85,31 @@
   BOOST_TEST(Choose(true) == "none");
 }
 
+// Guards against a task without a run that asked no cell: what stood free on
+// their workers was reserved.
+BOOST_AUTO_TEST_CASE(cell_whose_free_cpu_is_reserved_is_chosen_for_a_restart)
+{
+  AddCell("b/0", 20000, 500, 3000);
+  mCells.back().mLargestForRestartCpuMillis = 4500;
+  BOOST_TEST(Choose() == "none");
+  mQuery.mIsRestart = true;
+  BOOST_TEST(Choose() == "b/0");
+  AddCell("c/0", 5000, 4000, 4000);
+  BOOST_TEST(Choose() == "c/0");
+}
+
+// Guards against a refusal of capacity that has to become free, after which the
+// cell was not asked for capacity that is free.
+BOOST_AUTO_TEST_CASE(cell_that_could_not_reserve_is_chosen_once_it_has_room)
+{
+  mQuery.mMayWait = true;
+  mQuery.mExcludedIfWaiting = { "b/0" };
+  AddCell("b/0", 20000, 3000, 12000);
+  BOOST_TEST(Choose() == "none");
+  mCells.back().mLargestCpuMillis = 4000;
+  BOOST_TEST(Choose() == "b/0");
+  mQuery.mExcluded = { "b/0" };
+  BOOST_TEST(Choose() == "none");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
