Return a hosted task from its reservation only if another cell has room

Cause: the return after 3 s did not ask whether the task would be better off elsewhere. A host cell now returns a task that has a reservation only when another cell reports free capacity for it. One without a reservation is returned after 1 s as before.

Test: reservedcapacity/hosted_task_waits_for_its_reservation_if_no_cell_has_room (the hosted job's row was rewritten after 3 s without the change).

--- a/src/dispatch/internal/holderreturns.cpp
+++ b/src/dispatch/internal/holderreturns.cpp
@@ -12,7 +12,8 @@
 
 /** A hosted task that no worker can hold is returned after this time, */
 constexpr auto kReturnDelay = Milliseconds(1000);
-/** and one for which capacity is reserved, but not free, after this time. */
+/** and one for which capacity is reserved, but not free, after this time if
+ * another cell reports capacity that is free. */
 constexpr auto kReservedReturnDelay = Milliseconds(3000);
 /** Interval between two attempts to return a task. */
 constexpr auto kReturnRetryInterval = Milliseconds(1000);
@@ -29,10 +30,15 @@
   }
   std::map<std::string, std::vector<cell::TaskPosition>> byJob;
   for (const auto* it : cell::FindStarved(mState, now, kReturnDelay)) {
+    if (!cell::IsHostedJob(*it->mJob) || now < it->mNextReturnAt) {
+      continue;
+    }
     const auto isDue =
-      now - it->mReadyAt > kReservedReturnDelay ||
-      !cell::FindReservedWorker(mState, cell::TaskName(*it), now);
-    if (cell::IsHostedJob(*it->mJob) && isDue && now >= it->mNextReturnAt) {
+      !cell::FindReservedWorker(mState, cell::TaskName(*it), now) ||
+      (now - it->mReadyAt > kReservedReturnDelay &&
+       mContext.mFindHostCell(
+         { cell::SpecOf(*it).mNeed, {}, {}, false, true }));
+    if (isDue) {
       byJob[it->mJob->mStored.mSpec.mId].push_back(
         { it->mOccurrence, it->mStep, it->mIndex });
     }
--- a/src/dispatch/tests/reservedcapacity_tests.cpp
+++ b/src/dispatch/tests/reservedcapacity_tests.cpp
@@ -113,6 +113,17 @@
     }));
     Do([&] { mWorkers.End(aTask, cell::EndKind::Stopped); });
   }
+
+  auto HostedRowVersion(const std::string& aKey) -> std::uint64_t
+  {
+    std::uint64_t out = 0;
+    Do([&] {
+      for (const auto& [key, it] : mStore.mRows) {
+        out = it.mTable == kJobTable && it.mKey == aKey ? it.mVersion : out;
+      }
+    });
+    return out;
+  }
 };
 
 } // namespace
@@ -142,4 +153,31 @@
   BOOST_TEST(RunsWithin(task, "w3", kStartLimit));
 }
 
+// Guards against a hosted task that is returned although its capacity becomes
+// free there and no other cell has any, and that comes back after a detour.
+BOOST_AUTO_TEST_CASE(hosted_task_waits_for_its_reservation_if_no_cell_has_room)
+{
+  AddCell("a/0", { { "w1", 16000 } });
+  AddCell("b/0", { { "w2", 16000 } });
+  const auto shortTask = Submit("b/0", 8000, false);
+  BOOST_REQUIRE(RunsWithin(shortTask, "w2", kStartLimit));
+  const auto first = Submit("a/0", 10000, true, 2);
+  const auto id = first.substr(0, first.find('.'));
+  const auto task = id + ".0.0.1";
+  const auto row = "b/0/" + id;
+  BOOST_REQUIRE(Until([&] {
+    return mCells.at("b/0")->State().mWorkers.at("w2")->mReservations.contains(
+             task) &&
+           mCells.at("b/0")->State().mJobs.contains(id);
+  }));
+  const auto version = HostedRowVersion(row);
+  BOOST_REQUIRE(version > 0U);
+
+  Wait(net::Sleep(Milliseconds(5000)), true);
+
+  BOOST_TEST(HostedRowVersion(row) == version);
+  Do([&] { mWorkers.End(shortTask, cell::EndKind::Done); });
+  BOOST_TEST(RunsWithin(task, "w2", kStartLimit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
