Host tasks in a cell that is being taken over

Cause: a holder refused all capacity until every worker of its cell had replied or its leases had expired, since an earlier holder could read the row of a task that is hosted later and start it on a worker that has not replied.

A holder that reads hosted tasks it does not know now reads its fence after them and leaves them alone unless it still holds it. A row that was written after a holder had raised the fence is therefore started by no earlier one: its tasks start at once, and the holder grants capacity of the workers that have replied. Rows written before that wait as they did. Store versions increase with each transaction, over all partitions.

The test nexthost_worker_silent_starts_no_hosted_task required the superseded holder to start the task. It is replaced by two that are as strict on a single run: one where the row is written before the takeover and the next holder waits, and one where it is written afterwards, the earlier holder starts nothing and the next one starts it once.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -371,10 +371,12 @@
 /** The tasks of a job that other cells run, by host cell. */
 auto RemoteTasksByHost(const Job& aJob)
   -> std::map<std::string, std::vector<TaskPosition>>;
-/** Sets which tasks of another cell's job run here. */
+/** Sets which tasks of another cell's job run here. aMayBeRunning: a previous
+ * holder may have started the added ones. */
 auto SetHostedTasks(CellState& aCell,
                     Job& aJob,
                     std::vector<TaskPosition> aTasks,
+                    bool aMayBeRunning,
                     MonotonicTime aNow) -> void;
 
 /** Removes a job and requests that its runs are stopped. */
--- a/src/cell/internal/hostedtasks.cpp
+++ b/src/cell/internal/hostedtasks.cpp
@@ -68,6 +68,7 @@
 auto SetHostedTasks(CellState& aCell,
                     Job& aJob,
                     std::vector<TaskPosition> aTasks,
+                    bool aMayBeRunning,
                     MonotonicTime aNow) -> void
 {
   aJob.mStored.mHostedTasks = std::move(aTasks);
@@ -76,7 +77,8 @@
       for (auto& it : step.mTasks) {
         const auto isHosted = IsHostedTask(aJob, it);
         if (it.mPhase == TaskPhase::Remote && isHosted) {
-          it.mMayBeRunning = !aCell.mUnreconciledWorkers.empty();
+          it.mMayBeRunning =
+            aMayBeRunning && !aCell.mUnreconciledWorkers.empty();
           it.mMayHaveRun = true;
           MakeReady(aCell, it, aNow);
         } else if (it.mPhase == TaskPhase::Ready && !isHosted) {
--- a/src/cell/tests/reservations_tests.cpp
+++ b/src/cell/tests/reservations_tests.cpp
@@ -423,7 +423,8 @@
   auto stored = MakeJob("a", MakeLongRunning(4, 3000));
   stored.mHostedTasks = { { 0, 0, 1 }, { 0, 0, 2 } };
   auto& job = Add(stored);
-  SetHostedTasks(mCell, job, { { 0, 0, 1 }, { 0, 0, 2 }, { 0, 0, 3 } }, mNow);
+  SetHostedTasks(
+    mCell, job, { { 0, 0, 1 }, { 0, 0, 2 }, { 0, 0, 3 } }, false, mNow);
 
   BOOST_TEST(Start().empty());
 
--- a/src/cell/tests/takeover_tests.cpp
+++ b/src/cell/tests/takeover_tests.cpp
@@ -199,7 +199,7 @@
   const auto first = Start();
   BOOST_REQUIRE(first.size() == 1U);
   BOOST_TEST(first[0].mTask == "j.0.0.1");
-  SetHostedTasks(mCell, job, { { 0, 0, 1 }, { 0, 0, 2 } }, mNow);
+  SetHostedTasks(mCell, job, { { 0, 0, 1 }, { 0, 0, 2 } }, false, mNow);
   const auto second = Start();
   BOOST_REQUIRE(second.size() == 1U);
   BOOST_TEST(second[0].mTask == "j.0.0.2");
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -228,12 +228,20 @@
     -> net::Task<void>;
   auto NotifyHost(std::string aId, std::string aHost) -> net::Task<void>;
   auto ReserveCapacity(const CapacityRequest& aRequest) -> JobReply;
-  auto HoldsFence(std::string aId) -> net::Task<bool>;
+  /** Whether no later holder has raised the fence of a job's partition; nothing
+   * if it could not be read. */
+  auto HoldsFence(std::string aId) -> net::Task<std::optional<bool>>;
   auto ConfirmHostedTasks(JobCommand aCommand) -> net::Task<JobReply>;
   auto IsNewestSync(const std::string& aId,
                     std::uint64_t aVersion,
                     MonotonicTime aNow) -> bool;
-  auto SyncHostedJob(std::string aId) -> net::Task<JobReply>;
+  /** aMustHoldFence: the outcome is Done only if no later holder had raised the
+   * fence after the row was read. */
+  auto SyncHostedJob(std::string aId, bool aMustHoldFence = false)
+    -> net::Task<JobReply>;
+  auto ApplyHostedJob(const std::string& aId,
+                      const StoreReply& aReply,
+                      std::optional<cell::StoredJob> aStored) -> void;
   auto WatchHostedJob(std::string aId) -> net::Task<void>;
   auto ReportGivenUpJob(const cell::Job& aJob) -> void;
   auto NotifyOwner(std::string aId) -> net::Task<void>;
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -40,6 +40,12 @@
  * the 3 s within which a cancelled job has to end. */
 constexpr auto kHostedJobCheckInterval = Milliseconds(1000);
 
+auto Contains(const std::vector<cell::TaskPosition>& aTasks,
+              const cell::TaskPosition& aTask) -> bool
+{
+  return std::find(aTasks.begin(), aTasks.end(), aTask) != aTasks.end();
+}
+
 } // namespace
 
 auto CellHolder::FindOwnJob(const std::string& aId) -> cell::Job*
@@ -273,9 +279,9 @@
   }
 }
 
-/** Whether no later holder has raised the fence. One that raises it from now on
- * reads the job's rows afterwards. */
-auto CellHolder::HoldsFence(std::string aId) -> net::Task<bool>
+/** A holder that raises the fence from now on reads the job's rows afterwards.
+ */
+auto CellHolder::HoldsFence(std::string aId) -> net::Task<std::optional<bool>>
 {
   RangeQuery query;
   query.mTable = std::string(kFenceTable);
@@ -284,8 +290,10 @@
   query.mLimit = 1;
   const auto reply = co_await mContext.mStore.ReadRange(
     query, base::MonotonicClock::now() + kStoreTimeout);
-  co_return reply.mOutcome == StoreOutcome::Done && !reply.mRows.empty() &&
-    reply.mRows[0].mKey == mRow.mName &&
+  if (reply.mOutcome != StoreOutcome::Done) {
+    co_return std::nullopt;
+  }
+  co_return !reply.mRows.empty() && reply.mRows[0].mKey == mRow.mName &&
     reply.mRows[0].mVersion == mFences.at(PartitionOf(aId));
 }
 
@@ -293,18 +301,13 @@
 auto CellHolder::ConfirmHostedTasks(JobCommand aCommand) -> net::Task<JobReply>
 {
   const auto& id = aCommand.mJobId;
-  const auto reply = co_await SyncHostedJob(id);
-  if (reply.mOutcome == JobOutcome::Done && !co_await HoldsFence(id)) {
-    co_return JobReply{ JobOutcome::CellNotHeld };
-  }
+  const auto reply = co_await SyncHostedJob(id, true);
   const auto* job = cell::FindJob(mState, id);
   const auto isComplete =
     job && std::all_of(aCommand.mJob.mHostedTasks.begin(),
                        aCommand.mJob.mHostedTasks.end(),
                        [&](const cell::TaskPosition& aTask) {
-                         const auto& known = job->mStored.mHostedTasks;
-                         return std::find(known.begin(), known.end(), aTask) !=
-                                known.end();
+                         return Contains(job->mStored.mHostedTasks, aTask);
                        });
   co_return reply.mOutcome == JobOutcome::Done && !isComplete
     ? JobReply{ JobOutcome::NotInCell }
@@ -314,10 +317,8 @@
 auto CellHolder::ReserveCapacity(const CapacityRequest& aRequest) -> JobReply
 {
   const auto now = base::MonotonicClock::now();
-  // While runs of a previous holder are unknown, the task could not start here.
   const auto isReserved =
     !mIsShuttingDown && CanSendOrders() &&
-    mState.mUnreconciledWorkers.empty() &&
     cell::ReserveCapacity(mState, aRequest.mNeed, aRequest.mMayWait, now);
   mHasRefusedRequest = mHasRefusedRequest || !isReserved;
   return { isReserved ? JobOutcome::Done : JobOutcome::Refused };
@@ -341,7 +342,8 @@
 
 /** Reads the hosted tasks from the store only, so delayed or duplicate messages
  * do no harm. */
-auto CellHolder::SyncHostedJob(std::string aId) -> net::Task<JobReply>
+auto CellHolder::SyncHostedJob(std::string aId, bool aMustHoldFence)
+  -> net::Task<JobReply>
 {
   RangeQuery query;
   query.mTable = std::string(kJobTable);
@@ -353,37 +355,81 @@
   if (reply.mOutcome != StoreOutcome::Done || mPhase != HolderPhase::Active) {
     co_return JobReply{ JobOutcome::Uncertain };
   }
-  const auto now = base::MonotonicClock::now();
-  if (!IsNewestSync(aId, reply.mVersion, now)) {
+  std::optional<cell::StoredJob> stored;
+  if (!reply.mRows.empty() && reply.mRows[0].mKey == JobKey(aId)) {
+    auto decoded = net::Decode<cell::StoredJob>(reply.mRows[0].mValue);
+    if (!decoded.ok() || decoded->mHostedTasks.empty()) {
+      co_return JobReply{ JobOutcome::Refused };
+    }
+    stored = *std::move(decoded);
+  }
+  auto outcome = JobOutcome::Done;
+  const auto* job = cell::FindJob(mState, aId);
+  const auto addsTasks =
+    stored && std::any_of(stored->mHostedTasks.begin(),
+                          stored->mHostedTasks.end(),
+                          [&](const cell::TaskPosition& aTask) {
+                            return !job ||
+                                   !Contains(job->mStored.mHostedTasks, aTask);
+                          });
+  if (aMustHoldFence || addsTasks) {
+    // A later holder, which may start them too, expects that tasks which were
+    // written after its fence do not run under an earlier one.
+    const auto isHeld = co_await HoldsFence(aId);
+    if (mPhase != HolderPhase::Active) {
+      co_return JobReply{ JobOutcome::Uncertain };
+    }
+    outcome = !isHeld   ? JobOutcome::Uncertain
+              : *isHeld ? JobOutcome::Done
+                        : JobOutcome::CellNotHeld;
+  }
+  if (!IsNewestSync(aId, reply.mVersion, base::MonotonicClock::now())) {
     // A later read arrived first.
     co_return JobReply{ JobOutcome::Uncertain };
   }
-  const auto exists =
-    !reply.mRows.empty() && reply.mRows[0].mKey == JobKey(aId);
+  if (outcome == JobOutcome::Done || !stored) {
+    ApplyHostedJob(aId, reply, std::move(stored));
+  } else if (auto* known = cell::FindJob(mState, aId); known && stored) {
+    // Tasks that are hosted no more must not be started in any case.
+    auto tasks = known->mStored.mHostedTasks;
+    std::erase_if(tasks, [&](const cell::TaskPosition& aTask) {
+      return !Contains(stored->mHostedTasks, aTask);
+    });
+    cell::SetHostedTasks(
+      mState, *known, std::move(tasks), false, base::MonotonicClock::now());
+  }
+  co_return JobReply{ outcome };
+}
+
+/** Applies what was read of a hosted job; nothing if it has no row. */
+auto CellHolder::ApplyHostedJob(const std::string& aId,
+                                const StoreReply& aReply,
+                                std::optional<cell::StoredJob> aStored) -> void
+{
   auto* known = cell::FindJob(mState, aId);
-  if (!exists) {
+  if (!aStored) {
     if (known && cell::IsHostedJob(*known)) {
       DropJob(aId);
       ScheduleDecision();
     }
-    co_return JobReply{ JobOutcome::Done };
-  }
-  auto stored = net::Decode<cell::StoredJob>(reply.mRows[0].mValue);
-  if (!stored.ok() || stored->mHostedTasks.empty()) {
-    co_return JobReply{ JobOutcome::Refused };
+    return;
   }
-  mRows[aId].mJobVersion = reply.mRows[0].mVersion;
+  const auto now = base::MonotonicClock::now();
+  const auto version = aReply.mRows[0].mVersion;
+  mRows[aId].mJobVersion = version;
+  // Earlier holders start no task of a row that was written after the fence.
+  const auto mayBeRunning = version < mFences.at(PartitionOf(aId));
   if (known) {
-    cell::SetHostedTasks(mState, *known, std::move(stored->mHostedTasks), now);
+    cell::SetHostedTasks(
+      mState, *known, std::move(aStored->mHostedTasks), mayBeRunning, now);
   } else {
-    // The previous holder may have read the row first and started its tasks.
-    const auto isInherited = !mState.mUnreconciledWorkers.empty();
+    const auto isInherited =
+      mayBeRunning && !mState.mUnreconciledWorkers.empty();
     cell::AddJob(
-      mState, *std::move(stored), {}, isInherited, now, base::WallClockMs());
+      mState, *std::move(aStored), {}, isInherited, now, base::WallClockMs());
     net::SpawnTask(mContext.mExecutor, WatchHostedJob(aId));
   }
   ScheduleDecision();
-  co_return JobReply{ JobOutcome::Done };
 }
 
 /** Stops the hosted tasks when the job's rows are removed, as after its
--- a/src/dispatch/tests/takeover_tests.cpp
+++ b/src/dispatch/tests/takeover_tests.cpp
@@ -330,48 +330,122 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-// Guards against a second run of a hosted task that the previous holder of the
-// host cell started after the next one had read the cell's jobs.
-BOOST_FIXTURE_TEST_SUITE(hosted_tasks, HolderFixture)
+/** A hosted task whose job is written before or after the next holder of the
+ * host cell takes over, while the previous one still gets commands. */
+struct HostedTaskAtTakeover : HolderFixture
+{
+  const std::string mId = "0000000000000001";
+  std::shared_ptr<CellHolder> mFirst;
+  std::shared_ptr<CellHolder> mNext;
+  JobCommand mSync = MakeSubmission(mId);
+
+  HostedTaskAtTakeover()
+  {
+    mSync.mKind = JobCommandKind::SyncHostedJob;
+    mFirst = MakeHolder(1, "b/0", { "w1", "w2" });
+    BOOST_REQUIRE(Until([&] {
+      const auto& workers = mFirst->State().mWorkers;
+      return workers.size() == 2 && workers.at("w1")->mIsKnown &&
+             workers.at("w2")->mIsKnown;
+    }));
+  }
+
+  ~HostedTaskAtTakeover()
+  {
+    Do([&] {
+      mFirst->End();
+      mNext->End();
+    });
+    StopPool();
+  }
+
+  auto TakeOver() -> void
+  {
+    Do([&] { mWorkers.mUnresponsive = { "w1", "w2" }; });
+    mNext = MakeHolder(2, "b/0", { "w1", "w2" });
+    BOOST_REQUIRE(Until([&] { return mNext->Phase() == HolderPhase::Active; }));
+  }
+
+  auto WriteHostedJob() -> void
+  {
+    auto hosted = mSync.mJob;
+    hosted.mSpec.mSteps[0].mIsLongRunning = true;
+    hosted.mHostedTasks = { { 0, 0, 0 } };
+    StoreTransaction transaction;
+    transaction.mPartition = PartitionName(HashOf(mId) % 2);
+    transaction.mWrites.push_back(
+      { { std::string(kJobTable), "b/0/" + mId }, net::Encode(hosted) });
+    Wait(mStore.Commit(std::move(transaction), {}));
+  }
+
+  /** All workers reply; the task has had one run. */
+  auto CheckSingleRun() -> void
+  {
+    Do([&] { mWorkers.mUnresponsive.clear(); });
+    BOOST_TEST(
+      Until([&] { return mNext->State().mUnreconciledWorkers.empty(); }));
+    Wait(net::Sleep(3 * kSettlingTime), true);
+    BOOST_TEST(mWorkers.mStarts.size() == 1U);
+    BOOST_TEST(mWorkers.mOverlaps == 0U);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(hosted_tasks, HostedTaskAtTakeover)
 
-BOOST_AUTO_TEST_CASE(nexthost_worker_silent_starts_no_hosted_task)
+// Guards against a second run of a hosted task that the previous holder of the
+// host cell has started.
+BOOST_AUTO_TEST_CASE(nexthost_worker_silent_starts_no_task_of_previous_holder)
 {
-  const std::string id = "0000000000000001";
-  const auto first = MakeHolder(1, "b/0", { "w1", "w2" });
-  BOOST_REQUIRE(Until([&] {
-    const auto& workers = first->State().mWorkers;
-    return workers.size() == 2 && workers.at("w1")->mIsKnown &&
-           workers.at("w2")->mIsKnown;
-  }));
-  auto sync = MakeSubmission(id);
-  sync.mKind = JobCommandKind::SyncHostedJob;
-  auto hosted = sync.mJob;
-  hosted.mSpec.mSteps[0].mIsLongRunning = true;
-  hosted.mHostedTasks = { { 0, 0, 0 } };
+  WriteHostedJob();
   Do([&] { mWorkers.mUnresponsive = { "w1", "w2" }; });
-  const auto next = MakeHolder(2, "b/0", { "w1", "w2" });
-  BOOST_REQUIRE(Until([&] { return next->Phase() == HolderPhase::Active; }));
-  StoreTransaction transaction;
-  transaction.mPartition = PartitionName(HashOf(id) % 2);
-  transaction.mWrites.push_back(
-    { { std::string(kJobTable), "b/0/" + id }, net::Encode(hosted) });
-  Wait(mStore.Commit(std::move(transaction), {}));
-  Wait(first->Execute(sync));
+  Wait(mFirst->Execute(mSync));
   BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 1; }));
-
+  TakeOver();
   const auto used = mWorkers.mStarts.front().mWorker;
   Do([&] { mWorkers.mUnresponsive = { used }; });
-  Wait(next->Execute(sync));
+  Wait(mNext->Execute(mSync));
   Wait(net::Sleep(3 * kSettlingTime), true);
 
   BOOST_TEST(mWorkers.mStarts.size() == 1U);
-  Do([&] { mWorkers.mUnresponsive.clear(); });
-  BOOST_TEST(Until([&] { return next->State().mUnreconciledWorkers.empty(); }));
-  BOOST_TEST(mWorkers.mOverlaps == 0U);
-  Do([&] {
-    first->End();
-    next->End();
-  });
+  CheckSingleRun();
+}
+
+// Guards against a hosted task that the previous holder of the host cell starts
+// after the next one has read the cell's jobs, and against a host cell that
+// starts no hosted task until all its workers have replied.
+BOOST_AUTO_TEST_CASE(task_hosted_after_a_takeover_is_started_by_nextholder_only)
+{
+  TakeOver();
+  WriteHostedJob();
+  BOOST_TEST((Wait(mFirst->Execute(mSync)).mOutcome != JobOutcome::Done));
+  Wait(net::Sleep(3 * kSettlingTime), true);
+  BOOST_TEST(mWorkers.mStarts.empty());
+
+  Do([&] { mWorkers.mUnresponsive = { "w1" }; });
+  Wait(mNext->Execute(mSync));
+  BOOST_TEST(Until([&] { return mWorkers.mStarts.size() == 1; }));
+  BOOST_TEST(!mNext->State().mUnreconciledWorkers.empty());
+  CheckSingleRun();
+}
+
+// Guards against a cell that refuses capacity for as long as one of its workers
+// does not reply after a takeover.
+BOOST_AUTO_TEST_CASE(nextholder_worker_silent_reserves_capacity_on_another)
+{
+  TakeOver();
+  Do([&] { mWorkers.mUnresponsive = { "w1" }; });
+  BOOST_REQUIRE(
+    Until([&] { return mNext->State().mWorkers.at("w2")->mIsKnown; }));
+  JobCommand command;
+  command.mKind = JobCommandKind::ReserveCapacity;
+  command.mCell = "b/0";
+  command.mTimeoutMs = 400;
+  command.mRequest.mNeed = { "0000000000000002.0.0.0",
+                             "service",
+                             { 1000, 1000, 0 } };
+
+  BOOST_TEST((Wait(mNext->Execute(command)).mOutcome == JobOutcome::Done));
+  BOOST_TEST(!mNext->State().mUnreconciledWorkers.empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
