Count waiting jobs of cells whose holders are not heard

Cause: an entry added up the counts of the peers whose heartbeats arrive. The jobs of a cell whose holder is lost, or cannot be heard, were in no sum until the next holder had loaded them; while it loads them, only a part was counted.

Heartbeats now tell the counts by cell, and an entry keeps what the last active holder of a cell reported until the next one is active, by the token of the claim.

--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -86,16 +86,18 @@
   }
 };
 
-/** Number of jobs of one queue that have not started yet. */
+/** Number of jobs of one queue in one cell that have not started yet. */
 struct PendingCount
 {
+  /** Position of the cell in the heartbeat. */
+  std::uint16_t mCell = 0;
   std::uint64_t mQueueHash = 0;
   std::uint32_t mCount = 0;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mQueueHash, mCount);
+    archive(mCell, mQueueHash, mCount);
   }
 };
 
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -143,7 +143,12 @@
   net::SpawnTask(executor, WatchControl());
   net::SpawnTask(executor, WatchWorkers());
   net::SpawnTask(executor, WriteEntryRow());
-  net::SpawnTask(executor, mPeers.Run([this] { return MakeHeartbeat(); }));
+  net::SpawnTask(executor, mPeers.Run([this] {
+    auto out = MakeHeartbeat();
+    // The counts stay known if another entry takes a cell over.
+    RecordPending(mPendingCounts, out);
+    return out;
+  }));
   net::SpawnTask(executor, ManageCells());
   net::SpawnTask(executor, FlushLog());
   mLog.Record(kEntryStarted,
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -10,6 +10,7 @@
 #include "eelgrasspost/dispatch/dispatchmodule.h"
 #include "eelgrasspost/net/iopool.h"
 #include "peers.h"
+#include "pendingcounts.h"
 #include "storeaccess.h"
 #include "tablewatch.h"
 
@@ -164,6 +165,7 @@
   };
   /** Expected content of the next heartbeats; choosing a cell adds to it. */
   mutable std::map<std::string, UnreportedWork> mUnreportedWork;
+  PendingCounts mPendingCounts;
   std::set<std::string> mCellsInTransition;
   /** Cells that are claimed and whose holders are about to start. */
   std::set<std::string> mCellsInAdoption;
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -53,6 +53,7 @@
       mUnreportedWork.erase(sent);
     }
   }
+  RecordPending(mPendingCounts, aHeartbeat);
   for (const auto& [name, it] : mHolders) {
     it->ImportEstimates(aHeartbeat.mEstimates);
   }
@@ -205,20 +206,15 @@
   -> std::uint64_t
 {
   std::uint64_t out = 0;
+  std::set<std::string> own;
   for (const auto& [name, it] : mHolders) {
-    out += cell::CountPending(it->State(), aQueue);
-  }
-  const auto hash = HashOf(aQueue);
-  const auto now = base::MonotonicClock::now();
-  for (const auto& [name, it] : mPeers.All()) {
-    if (!mPeers.IsAlive(it, now)) {
-      continue;
-    }
-    for (const auto& pending : it.mLastHeartbeat.mPending) {
-      out += pending.mQueueHash == hash ? pending.mCount : 0;
+    // The jobs of a cell that is being taken over are not all loaded yet.
+    if (it->Phase() == HolderPhase::Active) {
+      out += cell::CountPending(it->State(), aQueue);
+      own.insert(name);
     }
   }
-  return out;
+  return out + dispatch::CountPending(mPendingCounts, own, HashOf(aQueue));
 }
 
 auto DispatchEntry::MakeHeartbeat() const -> Heartbeat
@@ -231,12 +227,12 @@
   out.mCpuShare = mSettings.mCpuShare;
   out.mIsLeaving = mIsLeaving;
   out.mReachesStore = mStore.IsDirectlyReachable();
-  std::map<std::uint64_t, std::uint32_t> pending;
   for (const auto& [name, it] : mHolders) {
     if (it->Phase() == HolderPhase::Ended) {
       continue;
     }
     out.mCells.push_back(it->GetStatus());
+    std::map<std::uint64_t, std::uint32_t> pending;
     const auto estimates = it->ExportEstimates(
       std::max<std::size_t>(1, kMaxEstimates / mHolders.size()));
     for (const auto& [other, holder] : mHolders) {
@@ -251,9 +247,10 @@
         ++pending[HashOf(job->mStored.mQueue.mName)];
       }
     }
-  }
-  for (const auto& [hash, n] : pending) {
-    out.mPending.push_back({ hash, n });
+    for (const auto& [hash, n] : pending) {
+      out.mPending.push_back(
+        { static_cast<std::uint16_t>(out.mCells.size() - 1), hash, n });
+    }
   }
   const auto now = base::BootNow();
   for (const auto& [version, it] : mOwnClaimEnds) {
