--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -71,6 +71,8 @@
   dispatch::kHolderRefused,
   dispatch::kWorkerLent,
   dispatch::kTransferRead,
+  dispatch::kFreeCapacity,
+  dispatch::kReservationDisplaced,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
