--- a/tests/harness/childprocess.cpp
+++ b/tests/harness/childprocess.cpp
@@ -12,9 +12,22 @@
 
 namespace eelgrasspost::harness {
 
+namespace {
+
+auto AppendTo(posix_spawn_file_actions_t& aActions,
+              int aFd,
+              const std::string& aPath) -> void
+{
+  posix_spawn_file_actions_addopen(
+    &aActions, aFd, aPath.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+}
+
+} // namespace
+
 ChildProcess::ChildProcess(const std::string& aProgram,
                            const std::vector<std::string>& aArguments,
-                           const std::string& aStderrPath)
+                           const std::string& aStderrPath,
+                           const std::string& aStdoutPath)
 {
   int pipeFds[2];
   if (pipe2(pipeFds, O_CLOEXEC) != 0) {
@@ -22,12 +35,12 @@
   }
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, pipeFds[1], STDOUT_FILENO);
-  posix_spawn_file_actions_addopen(&actions,
-                                   STDERR_FILENO,
-                                   aStderrPath.c_str(),
-                                   O_CREAT | O_WRONLY | O_APPEND,
-                                   0600);
+  if (aStdoutPath.empty()) {
+    posix_spawn_file_actions_adddup2(&actions, pipeFds[1], STDOUT_FILENO);
+  } else {
+    AppendTo(actions, STDOUT_FILENO, aStdoutPath);
+  }
+  AppendTo(actions, STDERR_FILENO, aStderrPath);
   std::vector<char*> arguments;
   arguments.push_back(const_cast<char*>(aProgram.c_str()));
   for (const auto& it : aArguments) {
--- a/tests/harness/childprocess.h
+++ b/tests/harness/childprocess.h
@@ -11,10 +11,12 @@
 class ChildProcess
 {
 public:
-  /** Starts a program; appends its standard error to a file. */
+  /** Starts a program; appends its standard error to a file, and its standard
+   * output as well if a path is given for it. Otherwise ReadLine() reads it. */
   ChildProcess(const std::string& aProgram,
                const std::vector<std::string>& aArguments,
-               const std::string& aStderrPath);
+               const std::string& aStderrPath,
+               const std::string& aStdoutPath = {});
   /** Kills the process if it still runs. */
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
