Log how long lost runs were out of contact and who refused an order

An operator who saw a long-running task start late could not tell the end of the worker's lease from a wait for capacity, nor whether a refused order (931) had reached the worker. No decision changes.

--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -60,6 +60,8 @@
   bool mIsReturning = false;
   MonotonicTime mNextReturnAt{};
   MonotonicTime mReadyAt{};
+  /** When the worker of its last run replied last, if the run was lost. */
+  std::optional<MonotonicTime> mLastContact;
   /** Not started before this time; set after a refused start. */
   MonotonicTime mNotBefore{};
 };
@@ -433,10 +435,12 @@
                      MonotonicTime aNow) -> bool;
 /** The highest number up to which the ends of a worker need no other cell. */
 auto HighestSettledEnd(const Worker& aWorker) -> std::uint64_t;
+/** aDetail: the reason for an order that was not executed, for the log. */
 auto ApplyOutcome(CellState& aCell,
                   const Order& aOrder,
                   OrderOutcome aOutcome,
-                  MonotonicTime aNow) -> void;
+                  MonotonicTime aNow,
+                  std::string_view aDetail = {}) -> void;
 
 /** Returns the orders that are due; each one counts as sent. */
 auto CollectOrders(CellState& aCell, MonotonicTime aNow) -> std::vector<Order>;
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -452,6 +452,11 @@
   std::string_view mReason;
   /** Value behind the decision; its meaning depends on the kind and reason. */
   double mValue = 0;
+  /** Time since the worker, or the last run of the task, was heard of; only for
+   * a worker that does not reply and for a task whose run was lost. */
+  std::optional<Milliseconds> mSinceContact;
+  /** What the worker or the connection gave as the reason, if anything. */
+  std::string mDetail;
 };
 
 inline constexpr auto kEndKindNames = std::array{
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -28,6 +28,10 @@
 /** Marks a task as done and opens the steps that depended on it. */
 auto MarkTaskDone(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void;
 
+/** The time since the last contact, for events. */
+auto SinceContact(const std::optional<MonotonicTime>& aLastContact,
+                  MonotonicTime aNow) -> std::optional<Milliseconds>;
+
 /** Marks a run to be stopped; CollectOrders sends the order. */
 auto RequestStop(Run& aRun) -> void;
 
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -194,7 +194,8 @@
 auto ApplyOutcome(CellState& aCell,
                   const Order& aOrder,
                   OrderOutcome aOutcome,
-                  MonotonicTime aNow) -> void
+                  MonotonicTime aNow,
+                  std::string_view aDetail) -> void
 {
   Worker* worker = nullptr;
   auto* run = FindRun(aCell, aOrder, worker);
@@ -211,7 +212,9 @@
                aOrder.mWorker,
                aOrder.mAttempt,
                base::NameOf(kOrderOutcomeNames, aOutcome),
-               static_cast<double>(aOrder.mKind) });
+               static_cast<double>(aOrder.mKind),
+               SinceContact(worker->mLastContact, aNow),
+               std::string(aDetail) });
     if (aOutcome == OrderOutcome::Unknown ||
         aOutcome == OrderOutcome::Refused) {
       SuspectRestart(*worker, aNow);
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -49,7 +49,9 @@
              order.mWorker,
              aAttempt,
              job.mStored.mQueue.mName,
-             static_cast<double>(waited.count()) });
+             static_cast<double>(waited.count()),
+             SinceContact(aTask.mLastContact, aNow) });
+  aTask.mLastContact.reset();
   return order;
 }
 
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -174,7 +174,8 @@
                aWorker.mRecord.mId,
                0,
                base::NameOf(kRunsLostReasonNames, aReason),
-               static_cast<double>(runs.size()) });
+               static_cast<double>(runs.size()),
+               SinceContact(aWorker.mLastContact, aNow) });
   }
   if (aReason != RunsLostReason::LeaseExpired || aWorker.mIsReplaced) {
     CountCrashes(aCell, aWorker, runs, aNow);
@@ -190,6 +191,7 @@
     ++aCell.mEndsLost;
     if (run.mTask) {
       auto& task = *run.mTask;
+      task.mLastContact = aWorker.mLastContact;
       RequeueTask(aCell, task, aWorker, run.mAttempt, aNow);
       if (SpecOf(task).mIsGang && task.mPhase != TaskPhase::Done) {
         StopGang(task);
--- a/src/cell/internal/runs.cpp
+++ b/src/cell/internal/runs.cpp
@@ -4,6 +4,14 @@
 
 namespace eelgrasspost::cell {
 
+auto SinceContact(const std::optional<MonotonicTime>& aLastContact,
+                  MonotonicTime aNow) -> std::optional<Milliseconds>
+{
+  return aLastContact ? std::optional(std::chrono::duration_cast<Milliseconds>(
+                          aNow - *aLastContact))
+                      : std::nullopt;
+}
+
 auto RequestStop(Run& aRun) -> void
 {
   if (aRun.mPhase != RunPhase::Stopping) {
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -96,14 +96,15 @@
   930,
   base::LogLevel::Info,
   "a task is started on a worker",
-  "none; value is the task's waiting time in ms",
+  "none; value is the task's waiting time in ms; since_contact_ms is the time "
+  "since its lost run was heard of",
 };
 
 inline constexpr auto kOrderFailed = base::LogEvent{
   931,
   base::LogLevel::Warn,
   "a worker did not execute an order",
-  "see the reason; value is the kind of the order",
+  "see the reason and the detail; value is the kind of the order",
 };
 
 inline constexpr auto kRunEnded = base::LogEvent{
--- a/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
@@ -181,6 +181,8 @@
   cell::OrderOutcome mOutcome = cell::OrderOutcome::Unknown;
   /** The worker's clock; 0 if the reply does not contain it. */
   std::int64_t mClockMs = 0;
+  /** Why the order was not executed, for the log. */
+  std::string mDetail;
 };
 
 struct LeaseRenewal
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -288,6 +288,8 @@
   };
 
   HolderContext mContext;
+  /** From the last contact with a lost run to the next start of its task. */
+  base::Histogram& mLostRunTime;
   CellRow mRow;
   std::uint64_t mRowVersion = 0;
   HolderPhase mPhase = HolderPhase::TakingOver;
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -28,6 +28,7 @@
                        CellRow aRow,
                        std::uint64_t aRowVersion)
   : mContext(std::move(aContext))
+  , mLostRunTime(mContext.mMetrics.FindHistogram("lost_run_time_us"))
   , mRow(std::move(aRow))
   , mRowVersion(aRowVersion)
   , mLastOrderAt(mContext.mBootNow())
--- a/src/framework/base/include/eelgrasspost/base/eventlog.h
+++ b/src/framework/base/include/eelgrasspost/base/eventlog.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -30,6 +31,11 @@
   explicit EventLog(std::string aProcess);
 
   auto Record(const LogEvent& aEvent, std::initializer_list<EventField> aFields)
+    -> void
+  {
+    Record(aEvent, std::span(aFields.begin(), aFields.size()));
+  }
+  auto Record(const LogEvent& aEvent, std::span<const EventField> aFields)
     -> void;
   /** Writes as much of the buffer as standard output takes without blocking. */
   auto Flush() -> void;
--- a/src/framework/base/internal/eventlog.cpp
+++ b/src/framework/base/internal/eventlog.cpp
@@ -82,7 +82,7 @@
 }
 
 auto EventLog::Record(const LogEvent& aEvent,
-                      std::initializer_list<EventField> aFields) -> void
+                      std::span<const EventField> aFields) -> void
 {
   const auto steadyMs = SteadyMs();
   if (IsOverRate(aEvent.mNumber, steadyMs) ||
