Let the leases of lost workers end sooner

Cause: such a task may start again once the lease of its worker has certainly ended. Leases were granted for the longest time that workers accept, 6 s, and calls to the lost worker extended them: each start that was sent before its loss was noticed, for up to 2 s if it was silent, and renewals for 1 s if its address refused connections. Placement, or a move to another cell, came on top. The class is a time limit that is the sum of several waits, none of which knows of it.

Change: leases are granted for 4 s. Renewals wait 0.75 s instead of 1.5 s, so that a cell that loses its holder has 3.25 s or more of its leases left. An entry that lost its holder claims the cell again after a lease by the workers' slowest clock.

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -164,6 +164,8 @@
   auto UpdateWorkerListState() -> void;
   auto LogEvents() -> void;
   auto Tick() -> net::Task<void>;
+  auto LeaseEndOfStart(const std::string& aWorker, MonotonicTime aNow) const
+    -> std::int64_t;
 
   auto FlushLoop() -> net::Task<void>;
   auto Flush() -> net::Task<bool>;
@@ -288,6 +290,8 @@
   };
 
   HolderContext mContext;
+    /** The last renewal got no reply. */
+    bool mIsUnresponsive = false;
   /** From the last contact with a lost run to the next start of its task. */
   base::Histogram& mLostRunTime;
   CellRow mRow;
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -67,7 +67,7 @@
   for (const auto& [name, it] : mCells) {
     out.mCells.push_back(it.mRow);
   }
-  out.mUnheldClaimDelay = Milliseconds(mSettings.mLeaseMs) + kLeaseMargin;
+  out.mUnheldClaimDelay = MaxLocalDuration(LeaseTime(mSettings)) + kLeaseMargin;
   for (const auto& [name, since] : mUnheldSince) {
     out.mSinceHolderEnded[name] =
       std::chrono::duration_cast<Milliseconds>(aNow - since);
--- a/src/dispatch/internal/holderorders.cpp
+++ b/src/dispatch/internal/holderorders.cpp
@@ -12,7 +12,22 @@
   }
   const auto since =
     std::chrono::duration_cast<Milliseconds>(aNow - it->second.mAt);
-  return it->second.mClockMs + since.count() + mContext.mSettings.mLeaseMs;
+  return it->second.mClockMs + since.count() +
+         LeaseTime(mContext.mSettings).count();
+}
+
+/** A start carries the lease that the worker has: one that is sent to a worker
+ * that was lost unnoticed must not delay the restart of the worker's tasks.
+ * Half a lease is granted, so that the task outlives a renewal without a reply.
+ */
+auto CellHolder::LeaseEndOfStart(const std::string& aWorker,
+                                 MonotonicTime aNow) const -> std::int64_t
+{
+  const auto it = mClocks.find(aWorker);
+  const auto granted = it == mClocks.end() ? 0 : it->second.mLeaseEndMs;
+  return std::max(granted,
+                  LeaseEnd(aWorker, aNow) -
+                    LeaseTime(mContext.mSettings).count() / 2);
 }
 
 /** Whether a worker's clock can have the given value now. A clock that starts
@@ -44,8 +59,8 @@
   auto& clock = mClocks[aWorker];
   if (clock.mClockMs == 0 && aClockMs > 0) {
     // A previous holder may have granted a lease until then.
-    clock.mLeaseEndMs =
-      std::max(clock.mLeaseEndMs, aClockMs + mContext.mSettings.mLeaseMs);
+    clock.mLeaseEndMs = std::max(
+      clock.mLeaseEndMs, aClockMs + LeaseTime(mContext.mSettings).count());
   }
   if (aClockMs > 0 && aClockMs >= clock.mClockMs) {
     clock.mClockMs = aClockMs;
@@ -84,7 +99,7 @@
   call.mToken = TokenFor(aOrder.mWorker);
   call.mDeadline = now + kOrderTimeout;
   const auto step = TokenStepOf(aOrder.mWorker);
-  const auto leaseEnd = LeaseEnd(aOrder.mWorker, now);
+  const auto leaseEnd = LeaseEndOfStart(aOrder.mWorker, now);
   if (aOrder.mKind == cell::OrderKind::Start) {
     auto& clock = mClocks[aOrder.mWorker];
     clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, leaseEnd);
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -38,7 +38,7 @@
 {
   mState.mName = mRow.mName;
   mState.mAttemptBase = mRow.mTerm * kAttemptsPerTerm;
-  mState.mPolicy.mLeaseMs = mContext.mSettings.mLeaseMs;
+  mState.mPolicy.mLeaseMs = LeaseTime(mContext.mSettings).count();
   mState.mPolicy.mPlacementDelay = kPlacementDelay;
   // Half of the limit leaves a margin for clock differences.
   mState.mPolicy.mEarlyMs = mContext.mSettings.mEarlyMs / 2;
@@ -214,7 +214,7 @@
   const auto now = base::MonotonicClock::now();
   const auto left = std::chrono::duration_cast<Milliseconds>(
     mEarlierHoldersActUntil - mContext.mBootNow());
-  const auto lease = Milliseconds(mContext.mSettings.mLeaseMs);
+  const auto lease = LeaseTime(mContext.mSettings);
   // Each worker has the time to reply to a poll and to a repeated one.
   return std::max(now + left + MaxLocalDuration(lease) + kLeaseMargin,
                   now + 2 * kOrderTimeout);
--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
 #include "eelgrasspost/base/clock.h"
+#include "eelgrasspost/dispatch/dispatchtypes.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -18,13 +20,14 @@
  * for long. */
 inline constexpr auto kOrderTimeout = Milliseconds(500);
 /** Longest time that a renewal waits for a run to end. */
-inline constexpr std::int64_t kRenewalWaitMs = 1500;
-/** The lease of a worker that has not replied for this time is not renewed;
- * renewals normally follow each other without a pause. */
-inline constexpr auto kRenewalCutoff = Milliseconds(1000);
+inline constexpr std::int64_t kRenewalWaitMs = 750;
 /** Workers with best-effort tasks are polled twice a second, as the load
  * figures of serving tasks cover the last half second. */
 inline constexpr std::int64_t kBestEffortPollWaitMs = 500;
+/** Time for which leases are granted, unless workers grant less. The tasks of a
+ * lost worker start again after it; a takeover has to be complete within it.
+ * All entries must use the same, as the next holder of a cell relies on it. */
+inline constexpr auto kLeaseTime = Milliseconds(4000);
 /** Tails are reported for the last half second. */
 inline constexpr auto kTailReportDelay = Milliseconds(500);
 /** A worker replies at once while it lists unacknowledged ends; the interval is
@@ -65,3 +68,9 @@
 auto PartitionName(std::uint32_t aPartition) -> std::string;
 
 } // namespace eelgrasspost::dispatch
+/** Time for which holders grant leases. */
+inline auto LeaseTime(const DispatchSettings& aSettings) -> Milliseconds
+{
+  return std::min(kLeaseTime, Milliseconds(aSettings.mLeaseMs));
+}
+
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -104,13 +104,11 @@
     found->second->mIsKnown && !found->second->mMayHaveRestartedSince;
   renewal.mStoredEnds = mayAcknowledge ? found->second->mStoredEnds : 0;
   // A renewal without a reply may still be applied. A worker that does not
-  // reply gets no further renewal, so that the end of its lease is known.
-  const auto isUnresponsive =
-    sentAt - found->second->mLastContact > kRenewalCutoff;
-  if (CanSendOrders() && !isUnresponsive) {
+  // reply gets no further renewal, so that its lease ends soon.
+  auto& clock = mClocks[aWorker];
+  if (CanSendOrders() && !clock.mIsUnresponsive) {
     renewal.mLeaseEndMs = LeaseEnd(aWorker, sentAt);
     mLastOrderAt = mContext.mBootNow();
-    auto& clock = mClocks[aWorker];
     clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, renewal.mLeaseEndMs);
     UpdateClock(aWorker, 0, sentAt);
   }
@@ -149,6 +147,7 @@
       mClocks.erase(aWorker);
       ScheduleDecision();
       co_return false;
+      mClocks[aWorker].mIsUnresponsive = true;
     default:
       worker.mMayHaveRestartedSince = now;
       if (now < call.mDeadline) {
@@ -162,6 +161,7 @@
   }
   worker.mRepliedFrom = call.mAddress;
   const auto seen = worker.mSeenEnds;
+  mClocks[aWorker].mIsUnresponsive = false;
   cell::ApplyReport(mState, worker, reply.mReport, sentAt, now);
   UpdateClock(aWorker, reply.mReport.mClockMs, now);
   ScheduleDecision();
