Let the next holder count on the workers that follow it

Cause: a holder may act for 10 s after the store last confirmed its claim, so that a domain that is cut off serves on, and the next holder waited for that and a lease. Nothing but the end of the previous process, or its own word, shortened it, though the previous holder could reach hardly any worker any more.

Change: a holder sends no orders and renews no leases either once neither the store nor five eighths of its members have replied for 2.5 s. Store replies are confirmed claims and writes that expect its fences; a worker counts only if its incarnation replied before the last of them, as a restarted one has forgotten the token of a later holder. The next holder raises the fences, then polls the members; when more than half of them follow its token, the previous holder can have no majority any more, and acts for 2.5 s at most. Earlier claims than the previous one wait in full, as their members may have been fewer. A holder reads the row of its cell if nothing else confirmed the claim for 1.7 s, and after a worker has restarted. Event 958 tells that most workers follow the new holder. A domain that is cut off with its workers serves on as before.

Ruled out: a shorter confirmation time alone, which would stop domains that are cut off; the heartbeats of peers as evidence, as an entry that is not heard may be with the previous holder.

FakeStore counts no reads by which holders check their claims: the test of the reads of cancellations counts those of cancellations. FakeWorkers keep the leases that they were sent, so that the tests notice a start within one.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -73,6 +73,7 @@
   dispatch::kTransferRead,
   dispatch::kFreeCapacity,
   dispatch::kReservationDisplaced,
+  dispatch::kMajorityAccepted,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -292,6 +292,15 @@
   "none; the subject waits for capacity on another worker",
 };
 
+inline constexpr auto kMajorityAccepted = base::LogEvent{
+  958,
+  base::LogLevel::Info,
+  "most workers of a cell that is taken over follow the new holder",
+  "none; the previous holder sends no orders 2.5 s later, and the leases that "
+  "it "
+  "granted to the other workers end after that",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -330,7 +339,8 @@
                                                        kWorkerLent,
                                                        kTransferRead,
                                                        kFreeCapacity,
-                                                       kReservationDisplaced };
+                                                       kReservationDisplaced,
+                                                       kMajorityAccepted };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -16,6 +16,7 @@
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "hostchoice.h"
 #include "refusals.h"
+#include "workercontacts.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -108,6 +109,9 @@
   /** Earlier holders of the cell send no orders and no renewals after the given
    * time. */
   auto BoundEarlierHolders(base::BootTime aUntil) -> void;
+  /** The previous holder of the cell sends no orders and no renewals after this
+   * time, if that is known from the workers that follow this holder. */
+  auto PreviousHolderActsUntil() const -> std::optional<base::BootTime>;
   /** When this holder last sent an order or a renewal. */
   auto LastOrderAt() const -> base::BootTime { return mLastOrderAt; }
   /** Confirms that no other entry had claimed the cell at the given time. */
@@ -144,6 +148,16 @@
   auto TakeOver() -> net::Task<bool>;
 
   auto CanSendOrders() const -> bool;
+  /** The latest time at which no later holder can have replaced this one. */
+  auto UnchallengedAt() const -> base::BootTime;
+  auto MajoritySince(base::BootTime aConfirmedAt) const -> base::BootTime;
+  /** A write that expects a fence of this holder succeeded. */
+  auto NoteFencedWrite(base::BootTime aSentAt) -> void;
+  /** Reads the row of the cell if the claim was not confirmed lately. */
+  auto CheckClaimIfDue(MonotonicTime aNow) -> void;
+  auto ReadClaim() -> net::Task<void>;
+  /** A worker has accepted this holder's fencing token. */
+  auto NoteAccepted(const std::string& aWorker) -> void;
   auto EndAsRefused(const WorkerCall& aCall) -> void;
   auto StartPolling(const std::string& aWorker) -> void;
   auto PollLoop(std::string aWorker) -> net::Task<void>;
@@ -153,6 +167,8 @@
   auto SendOrder(cell::Order aOrder) -> net::Task<void>;
   auto LeaseEnd(const std::string& aWorker, MonotonicTime aNow) const
     -> std::int64_t;
+  auto LeaseEndOfStart(const std::string& aWorker, MonotonicTime aNow) const
+    -> std::int64_t;
   auto FitsClock(const std::string& aWorker,
                  std::int64_t aClockMs,
                  MonotonicTime aNow) const -> bool;
@@ -164,8 +180,6 @@
   auto UpdateWorkerListState() -> void;
   auto LogEvents() -> void;
   auto Tick() -> net::Task<void>;
-  auto LeaseEndOfStart(const std::string& aWorker, MonotonicTime aNow) const
-    -> std::int64_t;
 
   auto FlushLoop() -> net::Task<void>;
   auto Flush() -> net::Task<bool>;
@@ -279,6 +293,8 @@
     MonotonicTime mAt{};
     /** Latest lease end that was sent to the worker. */
     std::int64_t mLeaseEndMs = 0;
+    /** The last renewal got no reply. */
+    bool mIsUnresponsive = false;
   };
 
   /** Position of a worker's fencing token among those of this holder. */
@@ -290,8 +306,6 @@
   };
 
   HolderContext mContext;
-    /** The last renewal got no reply. */
-    bool mIsUnresponsive = false;
   /** From the last contact with a lost run to the next start of its task. */
   base::Histogram& mLostRunTime;
   CellRow mRow;
@@ -354,7 +368,23 @@
   bool mIsFlushing = false;
   /** Smoothed duration of a commit; the flush delay grows with it. */
   Milliseconds mCommitTime{ 10 };
+  /** When the store was last known to name this holder in the cell's row, */
   base::BootTime mConfirmedAt{};
+  /** and when a write that expects a fence of this holder was sent that
+   * succeeded. */
+  base::BootTime mFencedWriteAt{};
+  WorkerContacts mContacts;
+  /** Since when most members have replied, as of the given time. */
+  mutable base::BootTime mMajoritySince{};
+  mutable base::BootTime mMajorityReadAt{};
+  bool mIsReadingClaim = false;
+  MonotonicTime mNextClaimCheckAt{};
+  /** The members of the cell when it was taken over, and those of them that
+   * have accepted the token of this holder. */
+  std::set<std::string> mInheritedMembers;
+  std::set<std::string> mAcceptedBy;
+  /** Since when most of them have. */
+  std::optional<base::BootTime> mMajorityAcceptedAt;
   std::unique_ptr<net::asio::steady_timer> mFlushTimer;
 };
 
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -32,6 +32,8 @@
   {
     CellRow mRow;
     std::uint64_t mVersion = 0;
+    /** Version of the row before it. */
+    std::uint64_t mPreviousVersion = 0;
     base::BootTime mReadAt{};
     base::BootTime mEarlierHoldersActUntil{};
     std::vector<EarlierClaim> mEarlierClaims;
--- a/src/dispatch/internal/entryclaims.cpp
+++ b/src/dispatch/internal/entryclaims.cpp
@@ -68,11 +68,19 @@
 auto DispatchEntry::BoundEarlierHolders(CellHolder& aHolder) -> void
 {
   const auto it = mCells.find(aHolder.Name());
-  if (it != mCells.end() && it->second.mVersion == aHolder.RowVersion()) {
-    aHolder.BoundEarlierHolders(EarlierClaimsEndAt(
-      it->second.mEarlierClaims,
-      [this](const EarlierClaim& aClaim) { return FindEndOfClaim(aClaim); }));
+  if (it == mCells.end() || it->second.mVersion != aHolder.RowVersion()) {
+    return;
   }
+  const auto& known = it->second;
+  const auto findEnd = [&](const EarlierClaim& aClaim) {
+    const auto end = FindEndOfClaim(aClaim);
+    // The majority of a holder before the previous one may be of fewer members.
+    return !end && aClaim.mVersion == known.mPreviousVersion
+             ? aHolder.PreviousHolderActsUntil()
+             : end;
+  };
+  aHolder.BoundEarlierHolders(
+    EarlierClaimsEndAt(known.mEarlierClaims, findEnd));
 }
 
 auto DispatchEntry::NoteOwnClaimEnd(const CellHolder& aHolder) -> void
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -84,6 +84,7 @@
     aRow, isHolderGone, known.mEarlierHoldersActUntil, now);
   NoteEarlierClaim(known, aRow, now);
   known.mRow = aRow;
+  known.mPreviousVersion = known.mVersion;
   known.mVersion = aVersion;
   known.mReadAt = now;
   known.mEarlierHoldersActUntil = until;
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -140,6 +140,7 @@
                             net::Encode(aJob) } };
   auto isOutcomeUnknown = false;
   while (true) {
+    const auto sentAt = mContext.mBootNow();
     const auto reply = co_await mContext.mStore.Commit(transaction, aDeadline);
     isOutcomeUnknown =
       isOutcomeUnknown || reply.mOutcome == StoreOutcome::Unknown;
@@ -153,6 +154,7 @@
                           mRow.mName };
     }
     if (reply.mOutcome == StoreOutcome::Done) {
+      NoteFencedWrite(sentAt);
       mRows[id].mJobVersion = reply.mVersion;
       cell::AddJob(mState,
                    aJob,
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -197,9 +197,13 @@
       continue;
     }
     const auto sentAt = base::MonotonicClock::now();
+    const auto sentAtBoot = mContext.mBootNow();
     const auto reply =
       co_await mContext.mStore.Commit(transaction, sentAt + kFlushTimeout);
     UpdateCommitTime(sentAt);
+    if (reply.mOutcome == StoreOutcome::Done) {
+      NoteFencedWrite(sentAtBoot);
+    }
     if (mPhase == HolderPhase::Ended) {
       co_return false;
     }
@@ -380,10 +384,12 @@
   if (written.empty() && removed.empty()) {
     co_return;
   }
+  const auto sentAt = mContext.mBootNow();
   const auto reply = co_await mContext.mStore.Commit(
     std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
   switch (reply.mOutcome) {
     case StoreOutcome::Done:
+      NoteFencedWrite(sentAt);
       for (const auto& it : written) {
         mMembers[it] = { reply.mVersion, false };
       }
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -97,9 +97,11 @@
   const auto key = RowKey{ std::string(kFenceTable), mRow.mName };
   transaction.mExpected.push_back({ key, version });
   transaction.mWrites.push_back({ key, base::Cat(mRow.mTerm) });
+  const auto sentAt = mContext.mBootNow();
   const auto reply = co_await mContext.mStore.Commit(
     std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
   if (reply.mOutcome == StoreOutcome::Done) {
+    NoteFencedWrite(sentAt);
     mFences[aPartition] = reply.mVersion;
     co_return FenceResult{ true, false };
   }
@@ -184,6 +186,7 @@
     co_return false;
   }
   mMembers.clear();
+  mInheritedMembers.clear();
   const auto now = base::MonotonicClock::now();
   mEarlierHoldersActUntil = std::min(
     mEarlierHoldersActUntil,
@@ -196,6 +199,7 @@
       continue;
     }
     mMembers[record->mId] = { it.mVersion, false };
+    mInheritedMembers.insert(record->mId);
     mState.mUnreconciledWorkers.insert(record->mId);
     const auto isNew = !mState.mWorkers.contains(record->mId);
     auto& worker = isNew ? cell::UpdateWorker(mState, *record, now)
--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -14,20 +14,30 @@
 /** A holder that has not confirmed its claim with the store for this time sends
  * no orders and renews no leases; longer than usual outages of the store. */
 inline constexpr auto kConfirmationTimeout = Milliseconds(10000);
+/** A holder to which neither the store nor most of its workers have replied for
+ * this time sends no orders and renews no leases either: a later holder that
+ * most workers follow need not wait longer for it. */
+inline constexpr auto kIsolationTimeout = Milliseconds(2500);
+/** A holder reads the row of its cell if its claim was not confirmed in another
+ * way for this time. */
+inline constexpr auto kClaimCheckDelay = Milliseconds(1700);
+inline constexpr auto kClaimCheckInterval = Milliseconds(400);
+/** Short, as the next attempt may get a reply within the isolation timeout. */
+inline constexpr auto kClaimReadTimeout = Milliseconds(500);
 /** Added to the end of a lease before it is considered expired. */
 inline constexpr auto kLeaseMargin = Milliseconds(150);
 /** Workers reply to orders within a few ms; a lost reply must not delay a task
  * for long. */
 inline constexpr auto kOrderTimeout = Milliseconds(500);
+/** Time for which leases are granted, unless workers grant less. The tasks of a
+ * lost worker start again after it; a takeover has to be complete within it.
+ * All entries must use the same, as the next holder of a cell relies on it. */
+inline constexpr auto kLeaseTime = Milliseconds(4000);
 /** Longest time that a renewal waits for a run to end. */
 inline constexpr std::int64_t kRenewalWaitMs = 750;
 /** Workers with best-effort tasks are polled twice a second, as the load
  * figures of serving tasks cover the last half second. */
 inline constexpr std::int64_t kBestEffortPollWaitMs = 500;
-/** Time for which leases are granted, unless workers grant less. The tasks of a
- * lost worker start again after it; a takeover has to be complete within it.
- * All entries must use the same, as the next holder of a cell relies on it. */
-inline constexpr auto kLeaseTime = Milliseconds(4000);
 /** Tails are reported for the last half second. */
 inline constexpr auto kTailReportDelay = Milliseconds(500);
 /** A worker replies at once while it lists unacknowledged ends; the interval is
@@ -64,13 +74,13 @@
   return Milliseconds(aSpan.count() * kPercent / kSlowestPercent);
 }
 
-/** Returns the name of a store partition. */
-auto PartitionName(std::uint32_t aPartition) -> std::string;
-
-} // namespace eelgrasspost::dispatch
 /** Time for which holders grant leases. */
 inline auto LeaseTime(const DispatchSettings& aSettings) -> Milliseconds
 {
   return std::min(kLeaseTime, Milliseconds(aSettings.mLeaseMs));
 }
 
+/** Returns the name of a store partition. */
+auto PartitionName(std::uint32_t aPartition) -> std::string;
+
+} // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -9,17 +9,6 @@
 
 namespace eelgrasspost::dispatch {
 
-auto CellHolder::CanSendOrders() const -> bool
-{
-  const auto age = mContext.mBootNow() - mConfirmedAt;
-  return mPhase == HolderPhase::Active && age < kConfirmationTimeout;
-}
-
-auto CellHolder::ConfirmClaim(base::BootTime aAt) -> void
-{
-  mConfirmedAt = std::max(mConfirmedAt, aAt);
-}
-
 auto CellHolder::End() -> void
 {
   mPhase = HolderPhase::Ended;
@@ -97,16 +86,18 @@
     co_return false;
   }
   const auto sentAt = base::MonotonicClock::now();
+  const auto sentAtBoot = mContext.mBootNow();
   LeaseRenewal renewal;
   renewal.mWaitMs = aWaitMs;
   // The next incarnation would forget its own ends of these numbers.
   const auto mayAcknowledge =
     found->second->mIsKnown && !found->second->mMayHaveRestartedSince;
   renewal.mStoredEnds = mayAcknowledge ? found->second->mStoredEnds : 0;
-  // A renewal without a reply may still be applied. A worker that does not
-  // reply gets no further renewal, so that its lease ends soon.
+  // A renewal without a reply may still be applied. After a call without a
+  // reply the worker gets no further renewal, so that its lease ends soon.
   auto& clock = mClocks[aWorker];
-  if (CanSendOrders() && !clock.mIsUnresponsive) {
+  if (CanSendOrders() && !clock.mIsUnresponsive &&
+      !found->second->mMayHaveRestartedSince) {
     renewal.mLeaseEndMs = LeaseEnd(aWorker, sentAt);
     mLastOrderAt = mContext.mBootNow();
     clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, renewal.mLeaseEndMs);
@@ -129,6 +120,14 @@
   }
   auto& worker = *it->second;
   const auto now = base::MonotonicClock::now();
+  if (reply.mOutcome == cell::OrderOutcome::Done) {
+    NoteContact(mContacts,
+                aWorker,
+                reply.mReport.mIncarnationStartMs,
+                sentAtBoot,
+                mContext.mBootNow());
+    NoteAccepted(aWorker);
+  }
   switch (reply.mOutcome) {
     case cell::OrderOutcome::Done:
       break;
@@ -147,9 +146,9 @@
       mClocks.erase(aWorker);
       ScheduleDecision();
       co_return false;
-      mClocks[aWorker].mIsUnresponsive = true;
     default:
       worker.mMayHaveRestartedSince = now;
+      mClocks[aWorker].mIsUnresponsive = true;
       if (now < call.mDeadline) {
         cell::NoteUnreachable(worker, now);
       }
@@ -161,9 +160,9 @@
   }
   worker.mRepliedFrom = call.mAddress;
   const auto seen = worker.mSeenEnds;
-  mClocks[aWorker].mIsUnresponsive = false;
   cell::ApplyReport(mState, worker, reply.mReport, sentAt, now);
   UpdateClock(aWorker, reply.mReport.mClockMs, now);
+  mClocks[aWorker].mIsUnresponsive = false;
   ScheduleDecision();
   constexpr auto kImmediateReply = Milliseconds(20);
   const auto isRelisted =
@@ -316,6 +315,7 @@
                 std::chrono::duration<double>(kTickInterval).count());
     cell::RemoveExpiredReservations(mState, now);
     RemoveDepartedMembers(now);
+    CheckClaimIfDue(now);
     MigrateJobs();
     RequestWorkers();
     MoveStarvedTasks();
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -5,7 +5,7 @@
 #include <tuple>
 #include <vector>
 
-#include "eelgrasspost/dispatch/iplatform.h"
+#include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "eelgrasspost/net/iopool.h"
 
 namespace eelgrasspost::dispatch::testing {
@@ -47,7 +47,8 @@
   bool mHoldsFeeds = false;
   /** Durations of the next range reads, in order. */
   std::deque<Milliseconds> mReadDelays;
-  /** Number of range reads so far. */
+  /** Number of range reads so far, without those by which holders check their
+   * claims. */
   std::size_t mReads = 0;
   /** Calls that are still to be applied. */
   std::vector<StoreTransaction> mLateCalls;
@@ -109,7 +110,7 @@
   auto ReadRange(RangeQuery aQuery, MonotonicTime)
     -> net::Task<StoreReply> override
   {
-    ++mReads;
+    mReads += aQuery.mTable == kControlTable ? 0 : 1;
     if (!mReadDelays.empty()) {
       const auto delay = mReadDelays.front();
       mReadDelays.pop_front();
--- a/src/dispatch/tests/fakeworkers.h
+++ b/src/dispatch/tests/fakeworkers.h
@@ -75,6 +75,10 @@
   std::map<std::string, std::uint64_t> mLowestHeardTokens;
   /** The workers' clocks show the time; otherwise each call advances them. */
   bool mHasRealClock = false;
+  /** By worker: the latest lease end that it was sent, also without a reply. */
+  std::map<std::string, std::int64_t> mLeaseEnds;
+  /** When a lease was sent last. */
+  MonotonicTime mLeaseSentAt{};
 
   auto End(const std::string& aTask, cell::EndKind aKind) -> void
   {
@@ -87,9 +91,13 @@
       { worker, { ++mLastEnds[worker], aTask, attempt, aKind, "" } });
   }
 
-  auto Send(WorkerCall aCall, const cell::Order& aOrder, std::int64_t)
-    -> net::Task<OrderReply> override
+  auto Send(WorkerCall aCall,
+            const cell::Order& aOrder,
+            std::int64_t aLeaseEndMs) -> net::Task<OrderReply> override
   {
+    if (aOrder.mKind == cell::OrderKind::Start) {
+      NoteLease(aCall.mWorker, aLeaseEndMs);
+    }
     if (!Hears(aCall)) {
       co_await net::Sleep(Milliseconds(100));
       co_return OrderReply{ cell::OrderOutcome::Unknown };
@@ -161,6 +169,7 @@
   auto Renew(WorkerCall aCall, LeaseRenewal aRenewal)
     -> net::Task<LeaseRenewalReply> override
   {
+    NoteLease(aCall.mWorker, aRenewal.mLeaseEndMs);
     co_await net::Sleep(Milliseconds(5));
     LeaseRenewalReply out;
     if (mWaitsForEnds && !mUnresponsive.contains(aCall.mWorker) &&
@@ -268,6 +277,15 @@
   }
 
 private:
+  auto NoteLease(const std::string& aWorker, std::int64_t aEndMs) -> void
+  {
+    if (aEndMs > 0) {
+      auto& end = mLeaseEnds[aWorker];
+      end = std::max(end, aEndMs);
+      mLeaseSentAt = base::MonotonicClock::now();
+    }
+  }
+
   auto AcceptToken(const WorkerCall& aCall) -> bool
   {
     auto& token = mTokens[aCall.mWorker];
--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -59,6 +59,8 @@
     [this](JobCommand aCommand) { return ExecuteInCell(std::move(aCommand)); };
   /** Labels of workers. */
   std::map<std::string, std::vector<std::string>> mLabels;
+  /** Whether the next holders know that the previous process has ended. */
+  bool mIsPreviousHolderGone = true;
   /** Time for which the VM of the holders was suspended. */
   Milliseconds mSuspended{ 0 };
 
@@ -126,7 +128,8 @@
       workers.push_back(MakeRecord(it));
     }
     mPool.Spawn(mPool.Executor(0), WriteCellRow(row, aTerm * 1000));
-    mPool.Spawn(mPool.Executor(0), out->Run(std::move(workers), true));
+    mPool.Spawn(mPool.Executor(0),
+                out->Run(std::move(workers), mIsPreviousHolderGone));
     return out;
   }
 
