Repeat the release of a cell until the store has taken it

An entry that leaves wrote the release of a cell once. If the store refused it or its reply was lost, the row went on naming the entry, whose heartbeats kept other entries from claiming the cell for as long as it forwarded requests, 2.6 s or more, and 1.2 s after that. Nobody renewed the leases of the cell meanwhile, which have 3.25 s left.

The release is repeated until it is done or the row has changed, and the end of the claim is noted at once. The new test of dispatch_entry (a store that refuses the first attempts) fails without the change.

--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -287,14 +287,23 @@
 {
   if (const auto holder = FindHolder(aCell)) {
     co_await holder->Shutdown();
+    NoteOwnClaimEnd(*holder);
     auto row = holder->Row();
     row.mHolder.clear();
     StoreTransaction transaction;
     const auto key = RowKey{ std::string(kControlTable), CellKey(aCell) };
     transaction.mExpected.push_back({ key, holder->RowVersion() });
     transaction.mWrites.push_back({ key, net::Encode(row) });
-    co_await mStore.Commit(std::move(transaction),
-                           base::MonotonicClock::now() + kStoreTimeout);
+    // Until then other entries consider the cell held.
+    while (true) {
+      const auto reply = co_await mStore.Commit(
+        transaction, base::MonotonicClock::now() + kStoreTimeout);
+      if (reply.mOutcome == StoreOutcome::Done ||
+          reply.mOutcome == StoreOutcome::Conflict) {
+        break;
+      }
+      co_await net::Sleep(kRetryInterval);
+    }
     mHolders.erase(aCell);
   }
   mCellsInTransition.erase(aCell);
--- a/src/dispatch/tests/earlierclaims_tests.cpp
+++ b/src/dispatch/tests/earlierclaims_tests.cpp
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
+
 #include "entryfixture.h"
 
 namespace {
@@ -27,12 +29,16 @@
 
   ~LostWorker() { StopPool(); }
 
+  /** On the pool's thread. */
+  auto HolderInStore() -> std::string
+  {
+    const auto* row = mStore.Find(std::string(kControlTable), "", "cell/a/0");
+    return net::Decode<CellRow>(row->mValue)->mHolder;
+  }
+
   auto WaitForClaim() -> void
   {
-    BOOST_REQUIRE(Until([&] {
-      const auto* row = mStore.Find(std::string(kControlTable), "", "cell/a/0");
-      return net::Decode<CellRow>(row->mValue)->mHolder == "entry";
-    }));
+    BOOST_REQUIRE(Until([&] { return HolderInStore() == "entry"; }));
   }
 
   auto WriteEntry(std::uint64_t aIncarnation) -> void
@@ -77,4 +83,26 @@
   BOOST_TEST(CountStarts() == 0U);
 }
 
+// Guards against LOST: the tasks of a cell lapse, as an entry that leaves
+// writes its release only once, and others consider the cell held until the
+// entry has gone.
+BOOST_AUTO_TEST_CASE(entry_leaves_release_refused_is_repeated)
+{
+  StartEntry("other");
+  WaitForClaim();
+  Settle();
+  Set(mStore.mIsUnavailable, true);
+  std::raise(SIGTERM);
+  Settle();
+  Set(mStore.mIsUnavailable, false);
+  Settle();
+
+  std::string holder;
+  Until([&] {
+    holder = HolderInStore();
+    return true;
+  });
+  BOOST_TEST(holder.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
