Give reads of a claim as long as a slow store takes

A read by which a holder checks its claim timed out after 0.5 s. On a store that takes 0.5 to 0.8 s for a read two of them would have counted as failures, and the entry would have relayed or refused its calls although the store serves it. The reads now wait for 0.8 s, as the probe of the store does.

--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -22,8 +22,8 @@
  * way for this time. */
 inline constexpr auto kClaimCheckDelay = Milliseconds(1700);
 inline constexpr auto kClaimCheckInterval = Milliseconds(400);
-/** Short, as the next attempt may get a reply within the isolation timeout. */
-inline constexpr auto kClaimReadTimeout = Milliseconds(500);
+/** About twice the time that a slow store takes for a read. */
+inline constexpr auto kClaimReadTimeout = Milliseconds(800);
 /** Added to the end of a lease before it is considered expired. */
 inline constexpr auto kLeaseMargin = Milliseconds(150);
 /** Workers reply to orders within a few ms; a lost reply must not delay a task
