Go on renewing the leases of workers that refuse orders

Renewals were withheld while a refused order left open whether the worker had restarted. A worker that refuses several orders in a row would have lost its lease. Only an order without a reply, or one that could not be sent, ends the renewals now, until the worker replies to a poll.

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -293,7 +293,7 @@
     MonotonicTime mAt{};
     /** Latest lease end that was sent to the worker. */
     std::int64_t mLeaseEndMs = 0;
-    /** The last renewal got no reply. */
+    /** The last renewal, or an order since, got no reply. */
     bool mIsUnresponsive = false;
   };
 
--- a/src/dispatch/internal/holderorders.cpp
+++ b/src/dispatch/internal/holderorders.cpp
@@ -126,6 +126,13 @@
     }
     co_return;
   }
+  const auto isWithoutReply =
+    reply.mOutcome == cell::OrderOutcome::Unknown ||
+    (reply.mOutcome == cell::OrderOutcome::Refused && reply.mClockMs == 0);
+  if (const auto clock = mClocks.find(aOrder.mWorker);
+      isWithoutReply && clock != mClocks.end()) {
+    clock->second.mIsUnresponsive = true;
+  }
   const auto repliedAt = base::MonotonicClock::now();
   if (FitsClock(aOrder.mWorker, reply.mClockMs, repliedAt)) {
     UpdateClock(aOrder.mWorker, reply.mClockMs, repliedAt);
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -96,8 +96,7 @@
   // A renewal without a reply may still be applied. After a call without a
   // reply the worker gets no further renewal, so that its lease ends soon.
   auto& clock = mClocks[aWorker];
-  if (CanSendOrders() && !clock.mIsUnresponsive &&
-      !found->second->mMayHaveRestartedSince) {
+  if (CanSendOrders() && !clock.mIsUnresponsive) {
     renewal.mLeaseEndMs = LeaseEnd(aWorker, sentAt);
     mLastOrderAt = mContext.mBootNow();
     clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, renewal.mLeaseEndMs);
