Release cells that were claimed while an entry leaves

A claim that succeeded after the stop signal was kept until the process ended, 2.6 s or more, though the entry takes no decisions for it. Nobody renewed the leases of the cell, which have 3.25 s left.

--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -193,16 +193,7 @@
 {
   mIsLeaving = true;
   const auto startedAt = base::MonotonicClock::now();
-  std::vector<std::string> held;
-  held.reserve(mHolders.size());
-  for (const auto& [name, it] : mHolders) {
-    held.push_back(name);
-  }
-  for (const auto& it : held) {
-    if (mCellsInTransition.insert(it).second) {
-      net::SpawnTask(mPool.Executor(0), ReleaseCell(it));
-    }
-  }
+  ReleaseAllCells();
   co_await net::Sleep(kLoadBalancerDrainTime);
   mHttpServer.StopAccepting();
   const auto last = startedAt + Milliseconds(mSettings.mGracePeriodMs) * 4 / 5;
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -62,6 +62,7 @@
   auto FindUnheldCells(MonotonicTime aNow) -> void;
   auto ClaimCell(std::string aCell) -> net::Task<void>;
   auto ReleaseCell(std::string aCell) -> net::Task<void>;
+  auto ReleaseAllCells() -> void;
   auto AdoptCell(CellRow aRow,
                  std::uint64_t aVersion,
                  bool aIsPreviousHolderGone) -> net::Task<void>;
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -125,6 +125,10 @@
         }
       }
     }
+    if (mIsLeaving) {
+      // A claim may have succeeded since the stop signal.
+      ReleaseAllCells();
+    }
     for (const auto& it : CellsToRelease(view)) {
       if (mCellsInTransition.insert(it).second) {
         net::SpawnTask(mPool.Executor(0), ReleaseCell(it));
@@ -309,6 +313,20 @@
   mCellsInTransition.erase(aCell);
 }
 
+auto DispatchEntry::ReleaseAllCells() -> void
+{
+  std::vector<std::string> held;
+  held.reserve(mHolders.size());
+  for (const auto& [name, it] : mHolders) {
+    held.push_back(name);
+  }
+  for (const auto& it : held) {
+    if (mCellsInTransition.insert(it).second) {
+      net::SpawnTask(mPool.Executor(0), ReleaseCell(it));
+    }
+  }
+}
+
 auto DispatchEntry::FindHolder(const std::string& aCell) const
   -> std::shared_ptr<CellHolder>
 {
--- a/src/dispatch/tests/earlierclaims_tests.cpp
+++ b/src/dispatch/tests/earlierclaims_tests.cpp
@@ -105,4 +105,28 @@
   BOOST_TEST(holder.empty());
 }
 
+// Guards against LOST: an entry that leaves keeps a cell that it claimed right
+// before, and nobody renews the leases there until the entry has gone.
+BOOST_AUTO_TEST_CASE(entry_leaves_cell_claimed_meanwhile_is_released)
+{
+  StartEntry("other");
+  Settle();
+  Until([&] {
+    mStore.mHoldsFeeds = true;
+    mStore.mReplyDelays = { Milliseconds(500) };
+    return true;
+  });
+  WaitForClaim();
+  std::raise(SIGTERM);
+  Settle();
+  Settle();
+
+  std::string holder;
+  Until([&] {
+    holder = HolderInStore();
+    return true;
+  });
+  BOOST_TEST(holder.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
