--- a/tests/standin/proxylink.cpp
+++ b/tests/standin/proxylink.cpp
@@ -276,14 +276,25 @@
 
 auto StartLink(net::IoPool& aPool, const ProxyLinkPtr& aLink) -> void
 {
+  constexpr int kAttempts = 100;
   const auto executor = aPool.Executor(0);
   const auto ip = asio::ip::make_address(aLink->mListen.mIp);
-  auto acceptor =
-    Tcp::acceptor(executor, Tcp::endpoint(ip, aLink->mListen.mPort));
-  const auto port = acceptor.local_endpoint().port();
-  auto socket =
-    std::make_shared<Udp::socket>(executor, Udp::endpoint(ip, port));
-  aLink->mListen.mPort = port;
+  const auto listen = Tcp::endpoint(ip, aLink->mListen.mPort);
+  auto acceptor = Tcp::acceptor(executor, listen);
+  auto socket = std::make_shared<Udp::socket>(executor, Udp::v4());
+  boost::system::error_code ec;
+  // A port that is free for TCP may be in use for UDP.
+  for (auto i = 0; i < kAttempts; ++i) {
+    socket->bind(Udp::endpoint(ip, acceptor.local_endpoint().port()), ec);
+    if (!ec || listen.port() != 0) {
+      break;
+    }
+    acceptor = Tcp::acceptor(executor, listen);
+  }
+  if (ec) {
+    throw boost::system::system_error(ec);
+  }
+  aLink->mListen.mPort = acceptor.local_endpoint().port();
   net::SpawnTask(executor, AcceptTcp(aLink, std::move(acceptor)));
   net::SpawnTask(executor, RelayDatagrams(aLink, std::move(socket)));
 }
