--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -74,6 +74,7 @@
   dispatch::kFreeCapacity,
   dispatch::kReservationDisplaced,
   dispatch::kMajorityAccepted,
+  dispatch::kWorkerRestarted,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -301,6 +301,14 @@
   "granted to the other workers end after that",
 };
 
+inline constexpr auto kWorkerRestarted = base::LogEvent{
+  959,
+  base::LogLevel::Info,
+  "a worker has restarted under its id",
+  "none; lease_calls above 0: its new incarnation may have received a lease "
+  "that was meant for the former one, and keeps it for up to lease_ms",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -340,7 +348,8 @@
                                                        kTransferRead,
                                                        kFreeCapacity,
                                                        kReservationDisplaced,
-                                                       kMajorityAccepted };
+                                                       kMajorityAccepted,
+                                                       kWorkerRestarted };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -268,7 +268,9 @@
   /** Whether a report is the first one of a new incarnation. Raises the token
    * then, so that the worker refuses what was sent to earlier incarnations. */
   auto RaiseTokenForIncarnation(cell::Worker& aWorker,
-                                std::int64_t aIncarnationStartMs) -> bool;
+                                const cell::WorkerReport& aReport) -> bool;
+  auto LogRestart(const cell::Worker& aWorker,
+                  const cell::WorkerReport& aReport) -> void;
   auto MigrateJobs() -> void;
   /** Starts the migration of a job if a suitable cell is found. */
   auto TryMigration(cell::MigratableJob aJob) -> bool;
@@ -293,6 +295,8 @@
     MonotonicTime mAt{};
     /** Latest lease end that was sent to the worker. */
     std::int64_t mLeaseEndMs = 0;
+    /** Calls with the end of a lease that were sent since the last reply. */
+    std::int64_t mLeaseCalls = 0;
     /** The last renewal, or an order since, got no reply. */
     bool mIsUnresponsive = false;
   };
--- a/src/dispatch/internal/holderorders.cpp
+++ b/src/dispatch/internal/holderorders.cpp
@@ -65,6 +65,7 @@
   if (aClockMs > 0 && aClockMs >= clock.mClockMs) {
     clock.mClockMs = aClockMs;
     clock.mAt = aNow;
+    clock.mLeaseCalls = 0;
   }
   if (clock.mClockMs == 0) {
     return;
@@ -103,6 +104,7 @@
   if (aOrder.mKind == cell::OrderKind::Start) {
     auto& clock = mClocks[aOrder.mWorker];
     clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, leaseEnd);
+    ++clock.mLeaseCalls;
     UpdateClock(aOrder.mWorker, 0, now);
     cell::NoteLateStart(*found->second, call.mDeadline);
   }
--- a/src/dispatch/internal/holdertransfers.cpp
+++ b/src/dispatch/internal/holdertransfers.cpp
@@ -45,23 +45,44 @@
 }
 
 auto CellHolder::RaiseTokenForIncarnation(cell::Worker& aWorker,
-                                          std::int64_t aIncarnationStartMs)
+                                          const cell::WorkerReport& aReport)
   -> bool
 {
+  const auto startMs = aReport.mIncarnationStartMs;
   auto& step = mTokenSteps[aWorker.mRecord.mId];
-  const auto isNew = aWorker.mIncarnationStartMs != 0 &&
-                     aIncarnationStartMs != 0 &&
-                     aIncarnationStartMs != aWorker.mIncarnationStartMs &&
-                     aIncarnationStartMs != step.mIncarnationStartMs;
+  const auto isNew = aWorker.mIncarnationStartMs != 0 && startMs != 0 &&
+                     startMs != aWorker.mIncarnationStartMs &&
+                     startMs != step.mIncarnationStartMs;
   if (isNew) {
+    LogRestart(aWorker, aReport);
     ++step.mStep;
-    step.mIncarnationStartMs = aIncarnationStartMs;
+    step.mIncarnationStartMs = startMs;
     aWorker.mIsKnown = false;
     mClocks.erase(aWorker.mRecord.mId);
   }
   return isNew;
 }
 
+auto CellHolder::LogRestart(const cell::Worker& aWorker,
+                            const cell::WorkerReport& aReport) -> void
+{
+  const auto& id = aWorker.mRecord.mId;
+  const auto clock = mClocks.find(id);
+  const auto sinceContact = std::chrono::duration_cast<Milliseconds>(
+    base::MonotonicClock::now() - aWorker.mLastContact);
+  mContext.mLog.Record(
+    kWorkerRestarted,
+    { { "cell", mRow.mName },
+      { "worker", id },
+      { "former_start_ms", aWorker.mIncarnationStartMs },
+      { "start_ms", aReport.mIncarnationStartMs },
+      { "clock_ms", aReport.mClockMs },
+      { "since_contact_ms", sinceContact.count() },
+      { "lease_calls", clock == mClocks.end() ? 0 : clock->second.mLeaseCalls },
+      { "runs", static_cast<std::int64_t>(aReport.mRunning.size()) },
+      { "lease_ms", mContext.mSettings.mLeaseMs } });
+}
+
 auto CellHolder::RequestWorkers() -> void
 {
   const auto now = base::MonotonicClock::now();
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -100,6 +100,7 @@
     renewal.mLeaseEndMs = LeaseEnd(aWorker, sentAt);
     mLastOrderAt = mContext.mBootNow();
     clock.mLeaseEndMs = std::max(clock.mLeaseEndMs, renewal.mLeaseEndMs);
+    clock.mLeaseCalls += renewal.mLeaseEndMs > 0 ? 1 : 0;
     UpdateClock(aWorker, 0, sentAt);
   }
   const auto step = TokenStepOf(aWorker);
@@ -153,7 +154,7 @@
       }
       co_return false;
   }
-  if (RaiseTokenForIncarnation(worker, reply.mReport.mIncarnationStartMs)) {
+  if (RaiseTokenForIncarnation(worker, reply.mReport)) {
     // What runs there is known once it has accepted the new token.
     co_return co_await PollWorker(aWorker, 0);
   }
