Reproduce runs that a restarted worker keeps for longer than counted

The fake workers have a clock and a lease of their own for each incarnation, shorten leases to 6 s and never shorten them again; calls in flight end with the incarnation.

--- a/src/dispatch/tests/fakeworkers.h
+++ b/src/dispatch/tests/fakeworkers.h
@@ -79,6 +79,12 @@
   std::map<std::string, std::int64_t> mLeaseEnds;
   /** When a lease was sent last. */
   MonotonicTime mLeaseSentAt{};
+  /** By worker: when the lease of its incarnation ends, as the worker counts
+   * it; only with real clocks. */
+  std::map<std::string, MonotonicTime> mLeasesEndAt;
+  /** Lease ends, received by a worker, that only the clock of a former
+   * incarnation explains. */
+  std::size_t mForeignLeases = 0;
 
   auto End(const std::string& aTask, cell::EndKind aKind) -> void
   {
@@ -97,6 +103,7 @@
   {
     if (aOrder.mKind == cell::OrderKind::Start) {
       NoteLease(aCall.mWorker, aLeaseEndMs);
+      mLeaseEndsOfStarts[{ aOrder.mTask, aOrder.mAttempt }] = aLeaseEndMs;
     }
     if (!Hears(aCall)) {
       co_await net::Sleep(Milliseconds(100));
@@ -140,6 +147,10 @@
                          ClockOf(aCall.mWorker) };
     }
     auto& settled = mSettledAttempts[aCall.mWorker][aOrder.mTask];
+    if (aOrder.mKind == cell::OrderKind::Start) {
+      ExtendLease(aCall.mWorker,
+                  mLeaseEndsOfStarts[{ aOrder.mTask, aOrder.mAttempt }]);
+    }
     if (aOrder.mKind == cell::OrderKind::Start && aOrder.mAttempt <= settled) {
       return OrderReply{ cell::OrderOutcome::Refused, ClockOf(aCall.mWorker) };
     }
@@ -150,7 +161,8 @@
       mStarts.push_back(aOrder);
       CheckCapacity(aCall, aOrder);
       mOverlaps += mRunning.contains(aOrder.mTask) &&
-                       mWorkerOf.at(aOrder.mTask) != aCall.mWorker
+                       mWorkerOf.at(aOrder.mTask) != aCall.mWorker &&
+                       !HasLapsed(mWorkerOf.at(aOrder.mTask))
                      ? 1
                      : 0;
       mWorkerOf[aOrder.mTask] = aCall.mWorker;
@@ -170,6 +182,7 @@
     -> net::Task<LeaseRenewalReply> override
   {
     NoteLease(aCall.mWorker, aRenewal.mLeaseEndMs);
+    const auto incarnation = IncarnationOf(aCall.mWorker);
     co_await net::Sleep(Milliseconds(5));
     LeaseRenewalReply out;
     if (mWaitsForEnds && !mUnresponsive.contains(aCall.mWorker) &&
@@ -179,6 +192,10 @@
     if (mUnresponsive.contains(aCall.mWorker) || !Hears(aCall)) {
       co_return out;
     }
+    if (mHasRealClock && incarnation != IncarnationOf(aCall.mWorker)) {
+      // The connection has ended with the former incarnation.
+      co_return out;
+    }
     if (mPorts.contains(aCall.mWorker) &&
         mPorts.at(aCall.mWorker) != aCall.mAddress.mPort) {
       out.mOutcome = cell::OrderOutcome::OtherIncarnation;
@@ -193,6 +210,7 @@
       out.mOutcome = cell::OrderOutcome::Superseded;
       co_return out;
     }
+    ExtendLease(aCall.mWorker, aRenewal.mLeaseEndMs);
     mAcknowledged = std::max(mAcknowledged, aRenewal.mStoredEnds);
     std::erase_if(mEnds, [&](const FakeEnd& aEnd) {
       return aEnd.mWorker == aCall.mWorker &&
@@ -227,7 +245,8 @@
     mIncarnations[aWorker] = IncarnationOf(aWorker) + 1;
     mTokens.erase(aWorker);
     mSettledAttempts.erase(aWorker);
-    mStartedAtMs[aWorker] = mClockMs;
+    mLeasesEndAt.erase(aWorker);
+    mStartedAtMs[aWorker] = mHasRealClock ? RealClockMs() : mClockMs;
     mLastEnds.erase(aWorker);
     mAcknowledged = 0;
     std::erase_if(mEnds,
@@ -240,13 +259,17 @@
   /** A worker's clock, which starts anew with each incarnation. */
   auto ClockOf(const std::string& aWorker) const -> std::int64_t
   {
-    if (mHasRealClock) {
-      return std::chrono::duration_cast<Milliseconds>(
-               base::MonotonicClock::now().time_since_epoch())
-        .count();
-    }
+    const auto now = mHasRealClock ? RealClockMs() : mClockMs;
     const auto it = mStartedAtMs.find(aWorker);
-    return it == mStartedAtMs.end() ? mClockMs : mClockMs - it->second + 1;
+    return it == mStartedAtMs.end() ? now : now - it->second + 1;
+  }
+
+  /** Whether the runs of a worker have ended with its lease. */
+  auto HasLapsed(const std::string& aWorker) const -> bool
+  {
+    const auto it = mLeasesEndAt.find(aWorker);
+    return it != mLeasesEndAt.end() &&
+           base::MonotonicClock::now() >= it->second;
   }
 
   auto HasEnds(const std::string& aWorker) const -> bool
@@ -286,6 +309,29 @@
     }
   }
 
+  static auto RealClockMs() -> std::int64_t
+  {
+    return std::chrono::duration_cast<Milliseconds>(
+             base::MonotonicClock::now().time_since_epoch())
+      .count();
+  }
+
+  /** A lease beyond the longest one is shortened to it, and no lease is
+   * shortened afterwards. */
+  auto ExtendLease(const std::string& aWorker, std::int64_t aEndMs) -> void
+  {
+    constexpr std::int64_t kMaxLeaseMs = 6000;
+    if (!mHasRealClock || aEndMs <= 0) {
+      return;
+    }
+    const auto left = aEndMs - ClockOf(aWorker);
+    mForeignLeases += left > kMaxLeaseMs ? 1 : 0;
+    auto& end = mLeasesEndAt[aWorker];
+    end = std::max(end,
+                   base::MonotonicClock::now() +
+                     Milliseconds(std::min(kMaxLeaseMs, left)));
+  }
+
   auto AcceptToken(const WorkerCall& aCall) -> bool
   {
     auto& token = mTokens[aCall.mWorker];
@@ -331,6 +377,9 @@
   }
 
   std::map<std::string, std::uint64_t> mLastEnds;
+  /** By task and attempt: the lease end that the start carries. */
+  std::map<std::pair<std::string, std::uint64_t>, std::int64_t>
+    mLeaseEndsOfStarts;
 };
 
 } // namespace eelgrasspost::dispatch::testing
