Send leases and orders only to the incarnation they are meant for

Callers saw TWICE: a task of a worker that restarted under its id and was cut off ran on two workers for up to 2 s. Cause: calls carry the end of a lease on the worker's clock. A new connection may reach the next incarnation, whose clock starts anew; it shortens the end, which lies far ahead, to the longest lease that it grants (6 s) and never shortens it again. Its holder, or the next one, counts on the 4 s that it granted. The header that names the worker cannot tell the incarnations apart.

A restarted process has none of its former connections. The HTTP client now notes which incarnation has responded on a connection; a call with a time or with numbers that the worker counts goes out only on a connection of the incarnation that it names. On a new one a renewal that grants and acknowledges nothing asks first. Another incarnation is reported as 'restarted', nothing sent; the holder polls it at once.

--- a/src/cell/include/eelgrasspost/cell/ordertypes.h
+++ b/src/cell/include/eelgrasspost/cell/ordertypes.h
@@ -42,6 +42,8 @@
   Superseded,
   /** The address belongs to another incarnation of a worker. */
   OtherIncarnation,
+  /** The worker has restarted; the new incarnation has not received it. */
+  Restarted,
   /** The ticket is missing or has expired. */
   BadTicket,
   /** No answer: the worker may carry it out now, later or never. */
@@ -54,6 +56,7 @@
   base::EnumName<OrderOutcome>{ OrderOutcome::NoRoom, "no_room" },
   base::EnumName<OrderOutcome>{ OrderOutcome::Superseded, "superseded" },
   base::EnumName<OrderOutcome>{ OrderOutcome::OtherIncarnation, "other_life" },
+  base::EnumName<OrderOutcome>{ OrderOutcome::Restarted, "restarted" },
   base::EnumName<OrderOutcome>{ OrderOutcome::BadTicket, "bad_ticket" },
   base::EnumName<OrderOutcome>{ OrderOutcome::Unknown, "no_answer" },
 };
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -75,6 +75,7 @@
       aWorker.mSuspectUntil = aNow + kNoRoomBackoff;
       [[fallthrough]];
     case OrderOutcome::Superseded:
+    case OrderOutcome::Restarted:
     case OrderOutcome::BadTicket:
       WithdrawStart(aCell, aWorker, aOrder, aRun, aNow);
       return;
@@ -216,7 +217,8 @@
                SinceContact(worker->mLastContact, aNow),
                std::string(aDetail) });
     if (aOutcome == OrderOutcome::Unknown ||
-        aOutcome == OrderOutcome::Refused) {
+        aOutcome == OrderOutcome::Refused ||
+        aOutcome == OrderOutcome::Restarted) {
       SuspectRestart(*worker, aNow);
     }
   }
--- a/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
@@ -174,6 +174,10 @@
   std::string mWorker;
   std::uint64_t mToken = 0;
   MonotonicTime mDeadline;
+  /** The incarnation that may receive the call; 0 for any. A call with a time
+   * on the worker's clock or a number that the worker counts names one: to
+   * another incarnation they mean something else. */
+  std::int64_t mIncarnationStartMs = 0;
 };
 
 struct OrderReply
--- a/src/dispatch/internal/holderorders.cpp
+++ b/src/dispatch/internal/holderorders.cpp
@@ -99,6 +99,7 @@
   call.mWorker = aOrder.mWorker;
   call.mToken = TokenFor(aOrder.mWorker);
   call.mDeadline = now + kOrderTimeout;
+  call.mIncarnationStartMs = found->second->mIncarnationStartMs;
   const auto step = TokenStepOf(aOrder.mWorker);
   const auto leaseEnd = LeaseEndOfStart(aOrder.mWorker, now);
   if (aOrder.mKind == cell::OrderKind::Start) {
@@ -130,6 +131,7 @@
   }
   const auto isWithoutReply =
     reply.mOutcome == cell::OrderOutcome::Unknown ||
+    reply.mOutcome == cell::OrderOutcome::Restarted ||
     (reply.mOutcome == cell::OrderOutcome::Refused && reply.mClockMs == 0);
   if (const auto clock = mClocks.find(aOrder.mWorker);
       isWithoutReply && clock != mClocks.end()) {
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -109,6 +109,9 @@
   call.mWorker = aWorker;
   call.mToken = TokenFor(aWorker);
   call.mDeadline = sentAt + Milliseconds(aWaitMs) + kOrderTimeout;
+  if (renewal.mLeaseEndMs > 0 || renewal.mStoredEnds > 0) {
+    call.mIncarnationStartMs = found->second->mIncarnationStartMs;
+  }
   const auto reply = co_await mContext.mWorkers.Renew(call, renewal);
   const auto it = mState.mWorkers.find(aWorker);
   if (mPhase == HolderPhase::Ended || it == mState.mWorkers.end()) {
@@ -146,6 +149,11 @@
       mClocks.erase(aWorker);
       ScheduleDecision();
       co_return false;
+    case cell::OrderOutcome::Restarted:
+      worker.mMayHaveRestartedSince = now;
+      mClocks[aWorker].mIsUnresponsive = true;
+      // Without a lease, the next poll is for any incarnation.
+      co_return co_await PollWorker(aWorker, 0);
     default:
       worker.mMayHaveRestartedSince = now;
       mClocks[aWorker].mIsUnresponsive = true;
--- a/src/dispatch/tests/fakeworkers.h
+++ b/src/dispatch/tests/fakeworkers.h
@@ -109,6 +109,9 @@
       co_await net::Sleep(Milliseconds(100));
       co_return OrderReply{ cell::OrderOutcome::Unknown };
     }
+    if (!IsForIncarnation(aCall)) {
+      co_return OrderReply{ cell::OrderOutcome::Restarted };
+    }
     if (mHoldsOrders || mHoldingWorkers.contains(aCall.mWorker)) {
       mHeldOrders.emplace_back(aCall, aOrder);
       co_return OrderReply{ cell::OrderOutcome::Unknown };
@@ -185,6 +188,11 @@
     const auto incarnation = IncarnationOf(aCall.mWorker);
     co_await net::Sleep(Milliseconds(5));
     LeaseRenewalReply out;
+    if (!mUnresponsive.contains(aCall.mWorker) && Hears(aCall) &&
+        !IsForIncarnation(aCall)) {
+      out.mOutcome = cell::OrderOutcome::Restarted;
+      co_return out;
+    }
     if (mWaitsForEnds && !mUnresponsive.contains(aCall.mWorker) &&
         !HasEnds(aCall.mWorker)) {
       co_await net::Sleep(Milliseconds(aRenewal.mWaitMs));
@@ -309,6 +317,13 @@
     }
   }
 
+  /** The platform's calls reach the incarnation that they name, or none. */
+  auto IsForIncarnation(const WorkerCall& aCall) const -> bool
+  {
+    return aCall.mIncarnationStartMs == 0 ||
+           aCall.mIncarnationStartMs == IncarnationOf(aCall.mWorker);
+  }
+
   static auto RealClockMs() -> std::int64_t
   {
     return std::chrono::duration_cast<Milliseconds>(
--- a/src/framework/net/include/eelgrasspost/net/http.h
+++ b/src/framework/net/include/eelgrasspost/net/http.h
@@ -61,8 +61,27 @@
 {
   absl::Status mStatus;
   SendProgress mProgress = SendProgress::NothingSent;
-  /** Valid only when mStatus is ok. */
+  /** Valid only when mStatus is ok; if nothing was sent, the response to the
+   * query of a ServerCheck. */
   HttpResponse mResponse;
+  /** Another incarnation of the server than the expected one has responded. */
+  bool mIsOtherServer = false;
+};
+
+/**
+ * Limits a request to one incarnation of its server. A server that restarts at
+ * its address has none of its former connections: on a connection on which an
+ * incarnation has responded, no other one can receive a request.
+ */
+struct ServerCheck
+{
+  /** The incarnation that may receive the request; empty for any. */
+  std::string mExpected;
+  /** Makes a request that asks for the incarnation, without effects; it is sent
+   * first on a connection whose incarnation is not known. */
+  std::function<HttpRequest()> mMakeQuery;
+  /** Returns the incarnation that a response names; empty for none. */
+  std::function<std::string(const HttpResponse&)> mReadIncarnation;
 };
 
 /** Limits of the HTTP client; sizes in bytes. */
@@ -93,6 +112,12 @@
   auto Exchange(const Address& aAddress,
                 const HttpRequest& aRequest,
                 base::MonotonicTime aDeadline) -> Task<HttpExchange>;
+  /** The same, for one incarnation of the server. If another one responds to
+   * the query, or none is named, the request is not sent. */
+  auto Exchange(const Address& aAddress,
+                const HttpRequest& aRequest,
+                base::MonotonicTime aDeadline,
+                const ServerCheck& aCheck) -> Task<HttpExchange>;
   /** Number of responses that echoed another request's id. */
   auto MismatchedResponses() const -> std::uint64_t;
 
--- a/src/framework/net/internal/httpclient.cpp
+++ b/src/framework/net/internal/httpclient.cpp
@@ -31,6 +31,11 @@
   beast::flat_buffer mBuffer;
   /** When a response was last complete. */
   base::MonotonicTime mLastResponseAt{};
+  /** Whether it can be used again: its last exchange succeeded, and the server
+   * keeps it open. */
+  bool mIsKeptAlive = true;
+  /** The incarnation of the server; empty if it is not known. */
+  std::string mIncarnation;
 };
 
 using ConnectionPtr = std::unique_ptr<Connection>;
@@ -167,19 +172,33 @@
     });
   }
 
-  auto TakeIdle(const Address& aAddress) -> ConnectionPtr
+  /** Returns a connection to the expected incarnation, if one is named, or to
+   * one that is not known. Closes those to other ones. */
+  auto TakeIdle(const Address& aAddress, std::string_view aIncarnation)
+    -> ConnectionPtr
   {
     auto& idle = mIdle[ThisThreadIndex()][aAddress];
     while (!idle.empty()) {
       auto connection = std::move(idle.back());
       idle.pop_back();
-      if (IsReusable(*connection)) {
+      const auto& known = connection->mIncarnation;
+      const auto isExpected =
+        aIncarnation.empty() || known.empty() || known == aIncarnation;
+      if (isExpected && IsReusable(*connection)) {
         return connection;
       }
     }
     return nullptr;
   }
 
+  auto SendOn(Connection& aConnection,
+              const Address& aAddress,
+              const HttpRequest& aRequest) -> Task<HttpExchange>;
+  /** Sends the query of a check and sets the connection's incarnation. */
+  auto AskIncarnation(Connection& aConnection,
+                      const Address& aAddress,
+                      const ServerCheck& aCheck) -> Task<HttpExchange>;
+
   auto KeepIdle(const Address& aAddress, ConnectionPtr aConnection) -> void
   {
     auto& idle = mIdle[ThisThreadIndex()][aAddress];
@@ -204,26 +223,15 @@
   return mImpl->mMismatched;
 }
 
-auto HttpClient::Exchange(const Address& aAddress,
-                          const HttpRequest& aRequest,
-                          base::MonotonicTime aDeadline) -> Task<HttpExchange>
+auto HttpClient::Impl::SendOn(Connection& aConnection,
+                              const Address& aAddress,
+                              const HttpRequest& aRequest) -> Task<HttpExchange>
 {
-  error_code ec;
-  auto connection = mImpl->TakeIdle(aAddress);
-  if (!connection) {
-    connection =
-      std::make_unique<Connection>(co_await asio::this_coro::executor);
-    connection->mStream.expires_at(aDeadline);
-    ec = co_await Connect(*connection, aAddress, mImpl->mOptions.mBindIp);
-    if (ec) {
-      co_return FailedExchange(
-        "cannot connect to", aAddress, ec, SendProgress::NothingSent);
-    }
-  }
-  auto& stream = connection->mStream;
-  stream.expires_at(aDeadline);
+  auto& stream = aConnection.mStream;
+  aConnection.mIsKeptAlive = false;
   const auto sentAt = base::MonotonicClock::now();
   const auto message = ToBeast(aRequest, aAddress);
+  error_code ec;
   co_await http::async_write(
     stream, message, asio::redirect_error(asio::use_awaitable, ec));
   if (ec) {
@@ -231,23 +239,23 @@
       "cannot send to", aAddress, ec, SendProgress::MaybeSent);
   }
   http::response_parser<http::string_body> parser;
-  parser.body_limit(mImpl->mOptions.mBodyLimit);
+  parser.body_limit(mOptions.mBodyLimit);
   parser.skip(aRequest.mMethod == "HEAD");
   co_await http::async_read(stream,
-                            connection->mBuffer,
+                            aConnection.mBuffer,
                             parser,
                             asio::redirect_error(asio::use_awaitable, ec));
   if (ec) {
     if (ec == beast::error::timeout) {
-      mImpl->DropUnconfirmed(aAddress, sentAt);
+      DropUnconfirmed(aAddress, sentAt);
     }
     co_return FailedExchange(
       "no response from", aAddress, ec, SendProgress::MaybeSent);
   }
-  connection->mLastResponseAt = base::MonotonicClock::now();
+  aConnection.mLastResponseAt = base::MonotonicClock::now();
   auto response = parser.release();
-  if (IsMismatched(mImpl->mOptions.mEchoField, aRequest, response)) {
-    ++mImpl->mMismatched;
+  if (IsMismatched(mOptions.mEchoField, aRequest, response)) {
+    ++mMismatched;
     co_return HttpExchange{
       absl::DataLossError(
         base::Cat(ToString(aAddress),
@@ -256,12 +264,83 @@
       {}
     };
   }
-  if (response.keep_alive() && connection->mBuffer.size() == 0) {
-    mImpl->KeepIdle(aAddress, std::move(connection));
-  }
+  aConnection.mIsKeptAlive =
+    response.keep_alive() && aConnection.mBuffer.size() == 0;
   co_return HttpExchange{ absl::OkStatus(),
                           SendProgress::MaybeSent,
                           FromBeast(std::move(response)) };
 }
 
+auto HttpClient::Impl::AskIncarnation(Connection& aConnection,
+                                      const Address& aAddress,
+                                      const ServerCheck& aCheck)
+  -> Task<HttpExchange>
+{
+  const auto query = aCheck.mMakeQuery();
+  auto out = co_await SendOn(aConnection, aAddress, query);
+  out.mProgress = SendProgress::NothingSent;
+  if (out.mStatus.ok()) {
+    aConnection.mIncarnation = aCheck.mReadIncarnation(out.mResponse);
+    out.mIsOtherServer = !aConnection.mIncarnation.empty() &&
+                         aConnection.mIncarnation != aCheck.mExpected;
+  }
+  co_return out;
+}
+
+auto HttpClient::Exchange(const Address& aAddress,
+                          const HttpRequest& aRequest,
+                          base::MonotonicTime aDeadline) -> Task<HttpExchange>
+{
+  static const ServerCheck kNoCheck;
+  return Exchange(aAddress, aRequest, aDeadline, kNoCheck);
+}
+
+auto HttpClient::Exchange(const Address& aAddress,
+                          const HttpRequest& aRequest,
+                          base::MonotonicTime aDeadline,
+                          const ServerCheck& aCheck) -> Task<HttpExchange>
+{
+  const auto startedAt = base::MonotonicClock::now();
+  auto connection = mImpl->TakeIdle(aAddress, aCheck.mExpected);
+  if (!connection) {
+    connection =
+      std::make_unique<Connection>(co_await asio::this_coro::executor);
+    connection->mStream.expires_at(aDeadline);
+    const auto ec =
+      co_await Connect(*connection, aAddress, mImpl->mOptions.mBindIp);
+    if (ec) {
+      co_return FailedExchange(
+        "cannot connect to", aAddress, ec, SendProgress::NothingSent);
+    }
+  }
+  connection->mStream.expires_at(aDeadline);
+  auto& incarnation = connection->mIncarnation;
+  HttpExchange out;
+  auto mayReceive = aCheck.mExpected.empty() || incarnation == aCheck.mExpected;
+  if (!mayReceive) {
+    out = co_await mImpl->AskIncarnation(*connection, aAddress, aCheck);
+    mayReceive = incarnation == aCheck.mExpected;
+    const auto now = base::MonotonicClock::now();
+    const auto hasTime = aDeadline - now > now - startedAt;
+    if (mayReceive && !(hasTime && connection->mIsKeptAlive)) {
+      // The request may take as long; the next one finds this connection.
+      out = { absl::DeadlineExceededError(base::Cat(
+                "no time is left after the query to ", ToString(aAddress))),
+              SendProgress::NothingSent,
+              {} };
+      mayReceive = false;
+    }
+  }
+  if (mayReceive) {
+    out = co_await mImpl->SendOn(*connection, aAddress, aRequest);
+    if (out.mStatus.ok() && incarnation.empty() && aCheck.mReadIncarnation) {
+      incarnation = aCheck.mReadIncarnation(out.mResponse);
+    }
+  }
+  if (connection->mIsKeptAlive) {
+    mImpl->KeepIdle(aAddress, std::move(connection));
+  }
+  co_return out;
+}
+
 } // namespace eelgrasspost::net
