Count the longest lease after the first reply of an incarnation

The same fault on a rarer path: a call without a reply may be executed seconds later, by the next incarnation if that has not seen the raised fencing token yet. A start of the former incarnation then gives it a lease of 6 s, of which its holder counted 4 s.

From the first reply under the holder's token on, later calls of others are refused, so what they granted ends 6 s (lease_ms) after that reply at the latest. The holder counts on that apart from the leases that it grants: starts carry only the latter. A task of a worker that is lost within 2 s of its first reply starts up to 2 s later than before.

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -269,6 +269,8 @@
    * then, so that the worker refuses what was sent to earlier incarnations. */
   auto RaiseTokenForIncarnation(cell::Worker& aWorker,
                                 const cell::WorkerReport& aReport) -> bool;
+  auto CountLateLeases(cell::Worker& aWorker, const cell::WorkerReport& aReport)
+    -> void;
   auto LogRestart(const cell::Worker& aWorker,
                   const cell::WorkerReport& aReport) -> void;
   auto MigrateJobs() -> void;
@@ -295,6 +297,8 @@
     MonotonicTime mAt{};
     /** Latest lease end that was sent to the worker. */
     std::int64_t mLeaseEndMs = 0;
+    /** Latest end of the leases that this holder did not grant. */
+    std::int64_t mForeignLeaseEndMs = 0;
     /** Calls with the end of a lease that were sent since the last reply. */
     std::int64_t mLeaseCalls = 0;
     /** The last renewal, or an order since, got no reply. */
--- a/src/dispatch/internal/holderorders.cpp
+++ b/src/dispatch/internal/holderorders.cpp
@@ -58,9 +58,9 @@
   }
   auto& clock = mClocks[aWorker];
   if (clock.mClockMs == 0 && aClockMs > 0) {
-    // A previous holder may have granted a lease until then.
-    clock.mLeaseEndMs = std::max(
-      clock.mLeaseEndMs, aClockMs + LeaseTime(mContext.mSettings).count());
+    // A previous holder may have granted a lease, or a late call to the former
+    // incarnation, whose lease end lies far ahead on the clock of this one.
+    clock.mForeignLeaseEndMs = aClockMs + mContext.mSettings.mLeaseMs;
   }
   if (aClockMs > 0 && aClockMs >= clock.mClockMs) {
     clock.mClockMs = aClockMs;
@@ -70,8 +70,9 @@
   if (clock.mClockMs == 0) {
     return;
   }
+  const auto leaseEnd = std::max(clock.mLeaseEndMs, clock.mForeignLeaseEndMs);
   const auto left =
-    Milliseconds(std::max<std::int64_t>(0, clock.mLeaseEndMs - clock.mClockMs));
+    Milliseconds(std::max<std::int64_t>(0, leaseEnd - clock.mClockMs));
   const auto expiredAt = clock.mAt + MaxLocalDuration(left) + kLeaseMargin;
   auto& worker = *found->second;
   // Earlier leases of a worker whose runs are not known may last longer.
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -234,10 +234,12 @@
   for (const auto& id : mState.mUnreconciledWorkers) {
     const auto worker = mState.mWorkers.find(id);
     const auto clock = mClocks.find(id);
-    // This holder grants no lease to a worker whose clock it does not know.
-    const auto hasOwnLease =
-      clock != mClocks.end() && clock->second.mClockMs > 0;
-    if (worker != mState.mWorkers.end() && !hasOwnLease) {
+    // This holder grants no lease to a worker whose clock it does not know. One
+    // that has replied after a restart may have a lease from a late call.
+    const auto mayHaveOtherLease =
+      TokenStepOf(id) > 0 ||
+      (clock != mClocks.end() && clock->second.mClockMs > 0);
+    if (worker != mState.mWorkers.end() && !mayHaveOtherLease) {
       auto& expiredAt = worker->second->mLeasesExpiredAt;
       expiredAt = std::min(expiredAt, expireAt);
     }
--- a/src/dispatch/internal/holdertransfers.cpp
+++ b/src/dispatch/internal/holdertransfers.cpp
@@ -59,10 +59,24 @@
     step.mIncarnationStartMs = startMs;
     aWorker.mIsKnown = false;
     mClocks.erase(aWorker.mRecord.mId);
+    CountLateLeases(aWorker, aReport);
   }
   return isNew;
 }
 
+/** A call to the former incarnation that was executed late may have given the
+ * new one a lease, also if it never replies again. */
+auto CellHolder::CountLateLeases(cell::Worker& aWorker,
+                                 const cell::WorkerReport& aReport) -> void
+{
+  const auto now = base::MonotonicClock::now();
+  if (!aReport.mRunning.empty() || now < aWorker.mLateStartsUntil) {
+    const auto longest = Milliseconds(mContext.mSettings.mLeaseMs);
+    aWorker.mLeasesExpiredAt = std::max(
+      aWorker.mLeasesExpiredAt, now + MaxLocalDuration(longest) + kLeaseMargin);
+  }
+}
+
 auto CellHolder::LogRestart(const cell::Worker& aWorker,
                             const cell::WorkerReport& aReport) -> void
 {
--- a/src/dispatch/tests/fakeworkers.h
+++ b/src/dispatch/tests/fakeworkers.h
@@ -73,6 +73,8 @@
   std::vector<std::string> mExcessiveStarts;
   /** By worker: calls with lower tokens are lost. */
   std::map<std::string, std::uint64_t> mLowestHeardTokens;
+  /** By worker: calls with higher tokens are lost. */
+  std::map<std::string, std::uint64_t> mHighestHeardTokens;
   /** The workers' clocks show the time; otherwise each call advances them. */
   bool mHasRealClock = false;
   /** By worker: the latest lease end that it was sent, also without a reply. */
@@ -359,6 +361,11 @@
 
   auto Hears(const WorkerCall& aCall) const -> bool
   {
+    const auto highest = mHighestHeardTokens.find(aCall.mWorker);
+    if (highest != mHighestHeardTokens.end() &&
+        aCall.mToken > highest->second) {
+      return false;
+    }
     const auto it = mLowestHeardTokens.find(aCall.mWorker);
     return it == mLowestHeardTokens.end() || aCall.mToken >= it->second;
   }
--- a/src/dispatch/tests/restarts_tests.cpp
+++ b/src/dispatch/tests/restarts_tests.cpp
@@ -191,4 +191,25 @@
   BOOST_TEST(mWorkers.mOverlaps == 0U);
 }
 
+// The same; no call with the raised token reaches the worker.
+BOOST_AUTO_TEST_CASE(late_start_worker_cut_off_after_its_first_reply_no_overlap)
+{
+  Do([&] { mWorkers.mHoldingWorkers = { "w1" }; });
+  SubmitLongRunningTask();
+  BOOST_REQUIRE(Until([&] { return !mWorkers.mHeldOrders.empty(); }));
+  Do([&] {
+    mWorkers.mHighestHeardTokens["w1"] =
+      mHolder->RowVersion() * kTokensPerVersion;
+    mWorkers.Restart("w1");
+    mWorkers.ExecuteHeldOrders("w1");
+  });
+  BOOST_REQUIRE(
+    Until([&] { return !mHolder->State().mWorkers.at("w1")->mIsKnown; }));
+  Do([&] { CutOff(); });
+  AdmitOtherWorker(*mHolder);
+
+  BOOST_TEST(WaitForRunElsewhere());
+  BOOST_TEST(mWorkers.mOverlaps == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
