--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -305,8 +305,9 @@
   959,
   base::LogLevel::Info,
   "a worker has restarted under its id",
-  "none; lease_calls above 0: its new incarnation may have received a lease "
-  "that was meant for the former one, and keeps it for up to lease_ms",
+  "none; lease_calls counts the calls with a lease since the last reply of the "
+  "former incarnation; what a late one grants to the new one ends after "
+  "lease_ms",
 };
 
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
