Evacuate failure domains on the operator's request

Cause: the operator's request to send nothing more to a failure domain was not read anywhere.

Ruled out: a check before each order is sent (decided and withdrawn in a loop, and capacity that may not be used is reported as free); moving the cells (their workers stay in the domain).

Change: entries follow the requests with the feed of the configuration and pass them on in heartbeats; cells leave the workers of these domains out of every search for a worker; closed cells get no new jobs, and their waiting jobs leave.

Tests: cell (evacuation_tests.cpp), dispatch_evacuations (request before the start, during runs, withdrawn; feeds refused at a takeover; notices of peers; all cells closed), adapter.

--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -102,6 +102,12 @@
          "3000",
          kDayMs,
          "time after a heartbeat from which a reduced capacity is kept to"),
+  Number("bounds",
+         "evacuation_ms",
+         "0",
+         kDayMs,
+         "time within which nothing starts any more in a failure domain whose "
+         "evacuation is requested; 0: such requests are not followed"),
   Number("bounds",
          "status_s",
          "120",
@@ -147,6 +153,7 @@
   out.mGracePeriodMs = values->Integer("bounds", "grace_s") * kMsPerSecond;
   out.mDrainMs = values->Integer("bounds", "drain_ms");
   out.mCapacityMs = values->Integer("bounds", "capacity_ms");
+  out.mEvacuationMs = values->Integer("bounds", "evacuation_ms");
   out.mStatusRetentionMs = values->Integer("bounds", "status_s") * kMsPerSecond;
   return out;
 }
--- a/src/cell/include/eelgrasspost/cell/room.h
+++ b/src/cell/include/eelgrasspost/cell/room.h
@@ -106,6 +106,8 @@
   NotKnown,
   Unlisted,
   Transferring,
+  /** Its failure domain is being evacuated. */
+  Evacuated,
   MayHaveRestarted,
   Draining,
   /** A start was refused or not answered a moment ago. */
@@ -122,6 +124,7 @@
   base::EnumName<WorkerExclusion>{ WorkerExclusion::Unlisted, "unlisted" },
   base::EnumName<WorkerExclusion>{ WorkerExclusion::Transferring,
                                    "transferring" },
+  base::EnumName<WorkerExclusion>{ WorkerExclusion::Evacuated, "evacuated" },
   base::EnumName<WorkerExclusion>{ WorkerExclusion::MayHaveRestarted,
                                    "may_have_restarted" },
   base::EnumName<WorkerExclusion>{ WorkerExclusion::Draining, "draining" },
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -106,6 +106,10 @@
                const Task& aTask,
                MonotonicTime aNow) -> void;
 
+/** Whether a worker of the cell may get runs once it is free and replies. */
+auto MayServe(const CellState& aCell, const Worker& aWorker) -> bool;
+/** Counts a task that found no worker, if an evacuation is in force. */
+auto NoteHeldBack(CellState& aCell, Task& aTask) -> void;
 auto ExclusionOf(const CellState& aCell,
                  const Worker& aWorker,
                  MonotonicTime aNow) -> WorkerExclusion;
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -256,6 +256,7 @@
         PlaceTask(aCell, *it, *worker, NextAttempt(aCell), aNow));
       continue;
     }
+    NoteHeldBack(aCell, *it);
     if (!isSearchFutile) {
       unplaced.push_back({ it, &spec, tolerance });
     }
--- a/src/cell/internal/suitability.cpp
+++ b/src/cell/internal/suitability.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "eelgrasspost/cell/evacuation.h"
 #include "eelgrasspost/cell/room.h"
 #include "workerchoice.h"
 
@@ -26,13 +27,6 @@
   return std::min(out, static_cast<std::int64_t>(aStep.mCount));
 }
 
-auto MayServe(const Worker& aWorker) -> bool
-{
-  return aWorker.mIsListed && !aWorker.mIsReplaced &&
-         !aWorker.mIsTransferring &&
-         aWorker.mRecord.mState == WorkerState::Ready;
-}
-
 /** Whether not every worker of the service may run the tasks of a step, or not
  * any number of them, so that a cell's free CPU tells little about it. */
 auto RestrictsWorkers(const StepSpec& aStep) -> bool
@@ -66,6 +60,13 @@
 
 } // namespace
 
+auto MayServe(const CellState& aCell, const Worker& aWorker) -> bool
+{
+  return aWorker.mIsListed && !aWorker.mIsReplaced &&
+         !aWorker.mIsTransferring && !IsEvacuated(aCell, aWorker) &&
+         aWorker.mRecord.mState == WorkerState::Ready;
+}
+
 auto CanRunStep(const CellState& aCell,
                 const std::string& aService,
                 const StepSpec& aStep) -> bool
@@ -73,7 +74,7 @@
   const std::int64_t needed = aStep.mIsGang ? aStep.mCount : 1;
   std::int64_t places = 0;
   for (const auto& [id, it] : aCell.mWorkers) {
-    if (MayServe(*it) && IsOfKind(*it, aService, aStep.mRequiredLabel)) {
+    if (MayServe(aCell, *it) && IsOfKind(*it, aService, aStep.mRequiredLabel)) {
       places += CountFitting(it->mRecord.mCapacity, aStep);
     }
     if (places >= needed) {
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "besteffort.h"
+#include "eelgrasspost/cell/evacuation.h"
 #include "queueorder.h"
 
 namespace eelgrasspost::cell {
@@ -345,6 +346,9 @@
   if (aWorker.mIsTransferring) {
     return WorkerExclusion::Transferring;
   }
+  if (IsEvacuated(aCell, aWorker)) {
+    return WorkerExclusion::Evacuated;
+  }
   if (aWorker.mMayHaveRestartedSince) {
     return WorkerExclusion::MayHaveRestarted;
   }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -310,6 +310,29 @@
   "lease_ms",
 };
 
+inline constexpr auto kEvacuationRequested = base::LogEvent{
+  960,
+  base::LogLevel::Info,
+  "the operator requests the evacuation of a failure domain",
+  "none; source tells whether the entry read it from the store or heard of it "
+  "from a peer; requested_at is the version of the request",
+};
+
+inline constexpr auto kEvacuationApplied = base::LogEvent{
+  961,
+  base::LogLevel::Info,
+  "a cell follows the evacuations that are in force",
+  "none; domains is empty once all are withdrawn; runs go on; held_back_starts "
+  "counts the tasks that found no worker since the first evacuation",
+};
+
+inline constexpr auto kEvacuationWithdrawn = base::LogEvent{
+  962,
+  base::LogLevel::Info,
+  "the evacuation of a failure domain is withdrawn",
+  "none; tasks start there again",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -350,7 +373,10 @@
                                                        kFreeCapacity,
                                                        kReservationDisplaced,
                                                        kMajorityAccepted,
-                                                       kWorkerRestarted };
+                                                       kWorkerRestarted,
+                                                       kEvacuationRequested,
+                                                       kEvacuationApplied,
+                                                       kEvacuationWithdrawn };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -46,6 +46,9 @@
   /** Time after its heartbeat from which a worker's reduced capacity must not
    * be exceeded. */
   std::int64_t mCapacityMs = 3000;
+  /** Time within which a request to evacuate a failure domain has to be in
+   * force; 0 if such requests are not followed. */
+  std::int64_t mEvacuationMs = 0;
   /** How long the state of a finished job is kept. */
   std::int64_t mStatusRetentionMs = 120000;
 };
@@ -56,6 +59,8 @@
   std::string mName;
   std::uint64_t mToken = 0;
   bool mIsActive = false;
+  /** An evacuation leaves it no worker that may start anything. */
+  bool mIsClosed = false;
   std::int64_t mFreeCpuMillis = 0;
   std::int64_t mFreeMemoryMb = 0;
   std::int64_t mCapacityCpuMillis = 0;
@@ -78,7 +83,7 @@
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mName, mToken, mIsActive, mLargestCpuMillis);
+    archive(mName, mToken, mIsActive, mIsClosed, mLargestCpuMillis);
     archive(mLargestForRestartCpuMillis, mLargestReservableCpuMillis);
     archive(mStartable);
     archive(mFreeCpuMillis, mFreeMemoryMb, mCapacityCpuMillis);
@@ -136,6 +141,25 @@
   }
 };
 
+/** What is known of the operator's requests to evacuate a failure domain. The
+ * versions are those of the store, so the newest of several notices holds. */
+struct EvacuationNotice
+{
+  std::string mDomain;
+  /** Version at which the newest request was written. */
+  std::uint64_t mRequestedAt = 0;
+  /** Version at which no request existed any more. */
+  std::uint64_t mWithdrawnAt = 0;
+
+  auto operator==(const EvacuationNotice&) const -> bool = default;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mDomain, mRequestedAt, mWithdrawnAt);
+  }
+};
+
 /** Datagram that an entry sends to its peers periodically. */
 struct Heartbeat
 {
@@ -152,13 +176,15 @@
   std::vector<InterferenceEstimate> mEstimates;
   /** Its own claims that have ended a short time ago. */
   std::vector<EndedClaim> mEndedClaims;
+  /** For entries whose view of the operator's requests is older. */
+  std::vector<EvacuationNotice> mEvacuations;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mName, mIncarnation, mDomain, mPeers, mCpuShare);
     archive(mIsLeaving, mReachesStore);
-    archive(mCells, mPending, mEstimates, mEndedClaims);
+    archive(mCells, mPending, mEstimates, mEndedClaims, mEvacuations);
   }
 };
 
--- a/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
@@ -300,6 +300,10 @@
 
   virtual auto ConfigurationTable() const -> std::string = 0;
   virtual auto ConfigurationKey() const -> std::string = 0;
+  /** The failure domain that a row of the configuration table requests to
+   * evacuate, if that is what it does. */
+  virtual auto DecodeEvacuation(std::string_view aKey) const
+    -> std::optional<std::string> = 0;
   virtual auto WorkerTable() const -> std::string = 0;
   virtual auto DecodeConfiguration(std::string_view aValue) const
     -> absl::StatusOr<Configuration> = 0;
--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -19,6 +19,8 @@
 /** Retry delay sent with refused requests; a takeover or a short outage is
  * usually over by then. */
 constexpr auto kRetryAfter = Milliseconds(1000);
+/** An evacuation lasts for longer than a fault. */
+constexpr auto kEvacuationRetryAfter = Milliseconds(5000);
 /** A planned release of a cell and its claim by the next holder take at most
  * this long; waiting for them is faster than the caller's retry. */
 constexpr auto kCellReleaseTimeout = Milliseconds(400);
@@ -91,9 +93,13 @@
   auto isRefused = false;
   command.mMustBeAbleToRun = true;
   while (true) {
+    const auto cells = mContext.mCells();
+    if (AreAllClosed(cells) && !isOutcomeUnknown) {
+      co_return co_await RefuseWhileEvacuated(aRequest.mJobId, aDeadline);
+    }
     auto isDeclinedByAll = true;
     for (const auto& it :
-         PlanOffers(mContext.mCells(), command.mJob.mSpec, mContext.mDomain)) {
+         PlanOffers(cells, command.mJob.mSpec, mContext.mDomain)) {
       command.mCell = it.mCell;
       command.mMustStartAtOnce = it.mMustStartAtOnce;
       command.mTimeoutMs = RemainingTimeoutMs(aDeadline);
@@ -150,6 +156,26 @@
   }
 }
 
+/** Responds to a submission while no cell may start anything. The job may have
+ * been accepted before. */
+auto CallerHandler::RefuseWhileEvacuated(std::string aId,
+                                         MonotonicTime aDeadline)
+  -> net::Task<CallerResponse>
+{
+  const auto location = co_await Locate(aId, aDeadline);
+  if (location.mExists && !WasPrevented(location)) {
+    mAccepted.Add();
+    CallerResponse out;
+    out.mOutcome = CallerOutcome::Accepted;
+    co_return out;
+  }
+  mRefused.Add();
+  auto out = MakeNotRunResponse(
+    "all failure domains that can be reached are being evacuated; retry later");
+  out.mRetryAfter = kEvacuationRetryAfter;
+  co_return out;
+}
+
 auto CallerHandler::PartitionOf(const std::string& aId) const -> std::string
 {
   return PartitionName(
--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -53,6 +53,8 @@
   auto Submit(const CallerRequest& aRequest,
               const std::string& aBody,
               MonotonicTime aDeadline) -> net::Task<CallerResponse>;
+  auto RefuseWhileEvacuated(std::string aId, MonotonicTime aDeadline)
+    -> net::Task<CallerResponse>;
   auto GetState(std::string aId, MonotonicTime aDeadline)
     -> net::Task<CallerResponse>;
   /** Cancels a job. One whose cancellation is not certain by the deadline is
--- a/src/dispatch/internal/cellchoice.cpp
+++ b/src/dispatch/internal/cellchoice.cpp
@@ -6,6 +6,7 @@
 
 #include "claiming.h"
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/cell/evacuation.h"
 #include "eelgrasspost/cell/room.h"
 
 namespace eelgrasspost::dispatch {
@@ -74,6 +75,7 @@
   const auto room = cell::RoomOf(aCell, aNow);
   CellStatus out;
   out.mName = aCell.mName;
+  out.mIsClosed = cell::IsClosed(aCell);
   out.mFreeCpuMillis = room.mFree.mCpuMillis;
   out.mFreeMemoryMb = room.mFree.mMemoryMb;
   out.mCapacityCpuMillis = room.mCapacityCpuMillis;
@@ -144,6 +146,9 @@
   std::vector<std::pair<std::tuple<bool, double>, const CellStatus*>> order;
   order.reserve(aCells.size());
   for (const auto& it : aCells) {
+    if (it.mIsClosed) {
+      continue;
+    }
     order.emplace_back(std::tuple(!it.mIsActive, -RankOf(it, aJob, aDomain)),
                        &it);
   }
@@ -163,9 +168,18 @@
   return out;
 }
 
+auto AreAllClosed(const std::vector<CellStatus>& aCells) -> bool
+{
+  return !aCells.empty() &&
+         std::all_of(aCells.begin(), aCells.end(), [](const auto& aCell) {
+           return aCell.mIsClosed;
+         });
+}
+
 auto IsMigrationDue(const cell::MigratableJob& aJob) -> bool
 {
-  return aJob.mWaited > (aJob.mReservingTasks > 0 ? kMigrationDelay
+  return !aJob.mCanRunHere ||
+         aJob.mWaited > (aJob.mReservingTasks > 0 ? kMigrationDelay
                                                   : kBestEffortMigrationDelay);
 }
 
@@ -177,7 +191,7 @@
   std::optional<std::string> out;
   std::int64_t mostCapacity = 0;
   for (const auto& it : aCells) {
-    if (it.mName == aFrom || !it.mIsActive ||
+    if (it.mName == aFrom || !it.mIsActive || it.mIsClosed ||
         aJob.mExcludedCells.contains(it.mName)) {
       continue;
     }
@@ -217,7 +231,8 @@
   for (const auto& it : aCells) {
     if (it.mName == aFrom) {
       own = freeShare(it, 0);
-    } else if (it.mIsActive && !aJob.mExcludedCells.contains(it.mName)) {
+    } else if (it.mIsActive && !it.mIsClosed &&
+               !aJob.mExcludedCells.contains(it.mName)) {
       const auto share = freeShare(it, aJob.mReservingCpuMillis);
       if (!out || share > best) {
         out = it.mName;
--- a/src/dispatch/internal/cellchoice.h
+++ b/src/dispatch/internal/cellchoice.h
@@ -15,6 +15,8 @@
 inline constexpr auto kBestEffortMigrationDelay = base::Milliseconds(1200);
 /** Maximum number of jobs that migrate away per tick. */
 inline constexpr std::size_t kMigrationsPerTick = 3;
+/** The same for a cell that may not start anything. */
+inline constexpr std::size_t kMigrationsPerTickOfClosedCell = 24;
 
 /** The status of a cell as its holder reports it, except for its token and
  * whether it is active. */
@@ -41,6 +43,9 @@
                 const cell::JobSpec& aJob,
                 const std::string& aDomain) -> std::vector<Offer>;
 
+/** Whether evacuations close all cells that can be reached. */
+auto AreAllClosed(const std::vector<CellStatus>& aCells) -> bool;
+
 /** Whether a job without any run has waited long enough for another cell. */
 auto IsMigrationDue(const cell::MigratableJob& aJob) -> bool;
 
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -104,6 +104,8 @@
   /** Sets the minimum fencing token of orders to a transferred worker. */
   auto RaiseMinToken(const std::string& aWorker, std::uint64_t aToken) -> void;
   auto UnlistWorker(const std::string& aId) -> void;
+  /** Sets on the workers of which failure domains nothing is started. */
+  auto SetEvacuatedDomains(const cell::DomainSet& aDomains) -> void;
   /** Sets when the cell was claimed, before Run. */
   auto SetClaimTime(base::BootTime aAt) -> void { mConfirmedAt = aAt; }
   /** Earlier holders of the cell send no orders and no renewals after the given
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -94,11 +94,16 @@
         constexpr unsigned kUnavailable = 503;
         co_return net::HttpResponse{ IsReady() ? kOk : kUnavailable, {}, {} };
       })
-  , mMetricsServer(aPool,
-                   {},
-                   [this](net::HttpRequest) -> net::Task<net::HttpResponse> {
-                     co_return net::HttpResponse{ 200, {}, mMetrics.Render() };
-                   })
+  , mMetricsServer(
+      aPool,
+      {},
+      [this](net::HttpRequest aRequest) -> net::Task<net::HttpResponse> {
+        co_return net::HttpResponse{ 200,
+                                     {},
+                                     aRequest.mTarget == "/evacuations"
+                                       ? RenderEvacuations()
+                                       : mMetrics.Render() };
+      })
   , mSignals(aPool.Executor(0), SIGTERM, SIGINT, SIGHUP)
   , mWorkersChangedAt(mStartedAt)
 {
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -9,6 +9,7 @@
 #include "claiming.h"
 #include "eelgrasspost/dispatch/dispatchmodule.h"
 #include "eelgrasspost/net/iopool.h"
+#include "evacuations.h"
 #include "peers.h"
 #include "pendingcounts.h"
 #include "storeaccess.h"
@@ -54,6 +55,18 @@
   auto GetWorkerListState() const -> cell::WorkerListState;
   auto WriteEntryRow() -> net::Task<void>;
 
+  auto FollowsEvacuations() const -> bool;
+  auto OnEvacuationRequested(const std::string& aDomain, std::uint64_t aVersion)
+    -> void;
+  auto OnEvacuationRemoved(const std::string& aDomain, std::uint64_t aVersion)
+    -> void;
+  auto OnEvacuationNotices(const std::vector<EvacuationNotice>& aNotices)
+    -> void;
+  /** Tells the holders which domains are being evacuated. aSource: from where a
+   * change became known. */
+  auto ApplyEvacuations(std::string_view aSource) -> void;
+  auto RenderEvacuations() const -> std::string;
+
   auto ManageCells() -> net::Task<void>;
   auto ManageLayouts(const ClaimView& aView, MonotonicTime aNow) -> void;
   auto CreateLayout(std::string aDomain, std::uint32_t aCells)
@@ -169,6 +182,9 @@
   /** Expected content of the next heartbeats; choosing a cell adds to it. */
   mutable std::map<std::string, UnreportedWork> mUnreportedWork;
   PendingCounts mPendingCounts;
+  Evacuations mEvacuations;
+  /** The domains whose evacuation is in force. */
+  cell::DomainSet mEvacuatedDomains;
   std::set<std::string> mCellsInTransition;
   /** Cells that are claimed and whose holders are about to start. */
   std::set<std::string> mCellsInAdoption;
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -111,8 +111,11 @@
     RemoveOldClaimEnds(base::BootNow());
     FindUnheldCells(now);
     const auto view = MakeClaimView(now);
+    // A holder must not start anything before it knows what is evacuated.
+    const auto mayClaim =
+      !mIsLeaving && (!FollowsEvacuations() || mConfigurationWatch.IsLoaded());
     const auto claims =
-      mIsLeaving ? std::vector<std::string>() : CellsToClaim(view);
+      mayClaim ? CellsToClaim(view) : std::vector<std::string>();
     const auto mustCreateLayout =
       !mLayouts.contains(mSettings.mDomain) && IsFirstClaimant(view);
     mWorkerWatch.SetActive(!mHolders.empty() || !claims.empty() ||
@@ -282,6 +285,7 @@
     }
   }
   holder->SetClaimTime(aClaimedAt);
+  holder->SetEvacuatedDomains(mEvacuatedDomains);
   BoundEarlierHolders(*holder);
   net::SpawnTask(mPool.Executor(0),
                  holder->Run(std::move(workers), aIsPreviousHolderGone));
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -54,6 +54,7 @@
     }
   }
   RecordPending(mPendingCounts, aHeartbeat);
+  OnEvacuationNotices(aHeartbeat.mEvacuations);
   for (const auto& [name, it] : mHolders) {
     it->ImportEstimates(aHeartbeat.mEstimates);
   }
@@ -252,6 +253,9 @@
         { static_cast<std::uint16_t>(out.mCells.size() - 1), hash, n });
     }
   }
+  for (const auto& [domain, it] : mEvacuations) {
+    out.mEvacuations.push_back(it);
+  }
   const auto now = base::BootNow();
   for (const auto& [version, it] : mOwnClaimEnds) {
     const auto since =
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -27,6 +27,10 @@
 auto DispatchEntry::WatchConfiguration() -> net::Task<void>
 {
   const auto onRow = [this](const StoreRow& aRow) {
+    if (const auto domain = mPlatform.mFormats.DecodeEvacuation(aRow.mKey)) {
+      OnEvacuationRequested(*domain, aRow.mVersion);
+      return;
+    }
     if (aRow.mKey != mPlatform.mFormats.ConfigurationKey()) {
       return;
     }
@@ -44,8 +48,13 @@
             static_cast<std::int64_t>(mConfiguration->mQueues.size()) } });
     }
   };
-  co_await mConfigurationWatch.Run(
-    onRow, [](const std::string&) {}, [] {});
+  const auto onRemoved = [this](const std::string& aKey,
+                                std::uint64_t aVersion) {
+    if (const auto domain = mPlatform.mFormats.DecodeEvacuation(aKey)) {
+      OnEvacuationRemoved(*domain, aVersion);
+    }
+  };
+  co_await mConfigurationWatch.Run(onRow, onRemoved, [] {});
 }
 
 auto DispatchEntry::OnControlRow(const StoreRow& aRow) -> void
@@ -116,7 +125,7 @@
   };
   co_await mControlWatch.Run(
     [this](const StoreRow& aRow) { OnControlRow(aRow); },
-    [this](const std::string& aKey) {
+    [this](const std::string& aKey, std::uint64_t) {
       constexpr std::string_view kPrefix = "entry/";
       if (aKey.starts_with(kPrefix)) {
         mPeers.Remove(aKey.substr(kPrefix.size()));
@@ -179,7 +188,7 @@
 auto DispatchEntry::WatchWorkers() -> net::Task<void>
 {
   co_await mWorkerWatch.Run([this](const StoreRow& aRow) { OnWorkerRow(aRow); },
-                            [this](const std::string& aKey) {
+                            [this](const std::string& aKey, std::uint64_t) {
                               mWorkers.erase(aKey);
                               for (const auto& [name, it] : mHolders) {
                                 it->UnlistWorker(aKey);
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -3,6 +3,7 @@
 #include "cellchoice.h"
 #include "cellholder.h"
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/cell/evacuation.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
@@ -107,6 +108,7 @@
     co_return JobReply{ JobOutcome::CellNotHeld };
   }
   const auto isDeclined =
+    cell::IsClosed(mState) ||
     (aCommand.mMustStartAtOnce && !CanStartAtOnce(aCommand.mJob)) ||
     (aCommand.mMustBeAbleToRun && !cell::CanRunJob(mState, aCommand.mJob));
   if (isDeclined) {
--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -1,6 +1,7 @@
 #include "cellchoice.h"
 #include "cellholder.h"
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/cell/evacuation.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
@@ -45,9 +46,11 @@
   for (const auto& it : cell::FindDelayedJobs(mState, now)) {
     TryMigration(it);
   }
+  const auto maxMoves = cell::IsClosed(mState) ? kMigrationsPerTickOfClosedCell
+                                               : kMigrationsPerTick;
   std::size_t moves = 0;
   for (const auto& it : cell::FindMigratable(mState, now, kMigrationDelay)) {
-    if (moves >= kMigrationsPerTick) {
+    if (moves >= maxMoves) {
       return;
     }
     moves += IsMigrationDue(it) && TryMigration(it) ? 1 : 0;
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -3,6 +3,8 @@
 
 #include "cellchoice.h"
 #include "cellholder.h"
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/cell/evacuation.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
@@ -71,6 +73,25 @@
   }
 }
 
+auto CellHolder::SetEvacuatedDomains(const cell::DomainSet& aDomains) -> void
+{
+  if (aDomains == mState.mEvacuatedDomains) {
+    return;
+  }
+  cell::SetEvacuatedDomains(mState, aDomains);
+  const auto summary = cell::SummarizeEvacuation(mState);
+  mContext.mLog.Record(
+    kEvacuationApplied,
+    { { "cell", mRow.mName },
+      { "domains", base::Join({ aDomains.begin(), aDomains.end() }, ",") },
+      { "workers", static_cast<std::int64_t>(summary.mWorkers) },
+      { "runs", static_cast<std::int64_t>(summary.mRuns) },
+      { "waiting_tasks", static_cast<std::int64_t>(summary.mWaitingTasks) },
+      { "held_back_starts",
+        static_cast<std::int64_t>(summary.mHeldBackStarts) } });
+  ScheduleDecision();
+}
+
 auto CellHolder::StartPolling(const std::string& aWorker) -> void
 {
   if (mPolledWorkers.insert(aWorker).second) {
--- a/src/dispatch/internal/tablewatch.cpp
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -37,11 +37,12 @@
 {
 }
 
-auto TableWatch::Apply(const StoreRow& aRow) -> void
+auto TableWatch::Apply(const StoreRow& aRow, std::uint64_t aReplyVersion)
+  -> void
 {
   if (aRow.mIsRemoved) {
     if (mVersions.erase(aRow.mKey) > 0) {
-      mOnRemoved(aRow.mKey);
+      mOnRemoved(aRow.mKey, aRow.mVersion > 0 ? aRow.mVersion : aReplyVersion);
     }
     return;
   }
@@ -71,7 +72,7 @@
     version = version == 0 ? reply.mVersion : version;
     for (const auto& it : reply.mRows) {
       seen.insert(it.mKey);
-      Apply(it);
+      Apply(it, reply.mVersion);
     }
     hasMore = reply.mHasMore && !reply.mRows.empty();
     if (hasMore) {
@@ -88,7 +89,7 @@
   }
   for (const auto& it : removed) {
     mVersions.erase(it);
-    mOnRemoved(it);
+    mOnRemoved(it, version);
   }
   mAfter = version;
   mIsLoaded = true;
@@ -144,7 +145,7 @@
   if (reply.mOutcome == StoreOutcome::Done) {
     mConfirmedAt = sentAt;
     for (const auto& it : reply.mRows) {
-      Apply(it);
+      Apply(it, reply.mVersion);
     }
     mAfter = std::max(mAfter, reply.mVersion);
     mOnAnswer();
--- a/src/dispatch/internal/tablewatch.h
+++ b/src/dispatch/internal/tablewatch.h
@@ -22,8 +22,10 @@
 public:
   /** Called for each new or changed row. */
   using OnRow = std::function<void(const StoreRow&)>;
-  /** Called for each removed row. */
-  using OnRemoved = std::function<void(const std::string& aKey)>;
+  /** Called for each removed row. aVersion: the row is known to be absent at
+   * this version of the store. */
+  using OnRemoved =
+    std::function<void(const std::string& aKey, std::uint64_t aVersion)>;
   /** Called after each successful reply of the store. */
   using OnAnswer = std::function<void()>;
 
@@ -41,6 +43,8 @@
   auto SetActive(bool aIsActive) -> void;
   /** Whether the table has been read since the watch was last resumed. */
   auto IsLoaded() const -> bool { return mIsActive && mIsLoaded; }
+  /** All changes up to this version of the store are known. */
+  auto KnownVersion() const -> std::uint64_t { return mAfter; }
   /** Time at which the last successful call was sent. */
   auto ConfirmedAt() const -> base::BootTime { return mConfirmedAt; }
   /** Time at which the last failed call was sent. */
@@ -49,7 +53,8 @@
 private:
   auto ReadTable() -> net::Task<bool>;
   auto FollowFeed() -> net::Task<void>;
-  auto Apply(const StoreRow& aRow) -> void;
+  /** aReplyVersion: version of the store as of the reply with the row. */
+  auto Apply(const StoreRow& aRow, std::uint64_t aReplyVersion) -> void;
 
   ISharedStore& mStore;
   std::string mTable;
--- a/src/dispatch/tests/cancellationfixture.h
+++ b/src/dispatch/tests/cancellationfixture.h
@@ -18,6 +18,11 @@
 
   auto ConfigurationTable() const -> std::string override { return "settings"; }
   auto ConfigurationKey() const -> std::string override { return "current"; }
+  auto DecodeEvacuation(std::string_view) const
+    -> std::optional<std::string> override
+  {
+    return std::nullopt;
+  }
   auto WorkerTable() const -> std::string override { return "workers"; }
   auto DecodeConfiguration(std::string_view) const
     -> absl::StatusOr<Configuration> override
@@ -73,6 +78,8 @@
   std::shared_ptr<CellHolder> mSecond;
   /** The cells that the entry offers jobs to. */
   std::vector<std::string> mOffered{ "a/0" };
+  /** Evacuations close all of them. */
+  bool mAreClosed = false;
   bool mIsOver = false;
 
   CallersAndCells()
@@ -116,6 +123,7 @@
       CellStatus status;
       status.mName = it;
       status.mIsActive = true;
+      status.mIsClosed = mAreClosed;
       status.mCapacityCpuMillis = 16000;
       status.mFreeCpuMillis = 16000;
       out.push_back(status);
--- a/src/dispatch/tests/entryfixture.h
+++ b/src/dispatch/tests/entryfixture.h
@@ -17,6 +17,14 @@
 public:
   auto ConfigurationTable() const -> std::string override { return "settings"; }
   auto ConfigurationKey() const -> std::string override { return "current"; }
+  auto DecodeEvacuation(std::string_view aKey) const
+    -> std::optional<std::string> override
+  {
+    constexpr std::string_view kPrefix = "evacuate ";
+    return aKey.starts_with(kPrefix)
+             ? std::optional(std::string(aKey.substr(kPrefix.size())))
+             : std::nullopt;
+  }
   auto WorkerTable() const -> std::string override { return "workers"; }
   auto DecodeConfiguration(std::string_view) const
     -> absl::StatusOr<Configuration> override
@@ -70,6 +78,7 @@
   FakeFormats mFormats;
   std::unique_ptr<IDispatchEntry> mEntry;
   std::int64_t mLeaseMs = 6000;
+  std::int64_t mEvacuationMs = 0;
 
   ~EntryFixture() { StopPool(); }
 
@@ -132,6 +141,7 @@
     settings.mMetrics = address;
     settings.mCapacityMs = kCapacityMs;
     settings.mLeaseMs = mLeaseMs;
+    settings.mEvacuationMs = mEvacuationMs;
     // One partition.
     settings.mStoreWritesPerS = 100;
     settings.mStorePartitionWritesPerS = 100;
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -52,6 +52,8 @@
   std::size_t mReads = 0;
   /** Calls that are still to be applied. */
   std::vector<StoreTransaction> mLateCalls;
+  /** Removals, as feeds report them. */
+  std::vector<StoreRow> mRemoved;
 
   auto ApplyLateCalls() -> void
   {
@@ -139,7 +141,6 @@
     co_return out;
   }
 
-  /** Removed rows are not reported. */
   auto ReadFeed(FeedQuery aQuery, MonotonicTime)
     -> net::Task<StoreReply> override
   {
@@ -159,6 +160,17 @@
         out.mRows.push_back(it);
       }
     }
+    for (const auto& it : mRemoved) {
+      if (it.mTable == aQuery.mTable && it.mPartition.empty() &&
+          it.mVersion > aQuery.mAfter) {
+        out.mRows.push_back(it);
+      }
+    }
+    std::sort(out.mRows.begin(),
+              out.mRows.end(),
+              [](const StoreRow& aLeft, const StoreRow& aRight) {
+                return aLeft.mVersion < aRight.mVersion;
+              });
     co_return out;
   }
 
@@ -189,6 +201,13 @@
       };
     }
     for (const auto& it : aTransaction.mRemovals) {
+      StoreRow removed;
+      removed.mTable = it.mTable;
+      removed.mPartition = aTransaction.mPartition;
+      removed.mKey = it.mKey;
+      removed.mVersion = mVersion;
+      removed.mIsRemoved = true;
+      mRemoved.push_back(std::move(removed));
       mRows.erase({ it.mTable, aTransaction.mPartition, it.mKey });
     }
     out.mRows.clear();
