Settle the outcome of submissions without a reply

Ruled out: reading the row of the id only, as an attempt that is under way may still be executed.

Change: shortly before the caller's deadline the entry writes a withheld row of the id on the condition that there is none. Attempts that are under way then fail, and the caller is told that the job has not run; a later submission replaces the row. Acts only where submission.settle_ms is set. Submissions are in a file of their own.

Tests: dispatch_submission.

--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -108,6 +108,12 @@
          kDayMs,
          "time within which nothing starts any more in a failure domain whose "
          "evacuation is requested; 0: such requests are not followed"),
+  Number("submission",
+         "settle_ms",
+         "0",
+         kDayMs,
+         "time before a caller's deadline at which the outcome of a submission "
+         "without a reply is settled in the store; 0: it stays unknown"),
   Number("bounds",
          "status_s",
          "120",
@@ -154,6 +160,7 @@
   out.mDrainMs = values->Integer("bounds", "drain_ms");
   out.mCapacityMs = values->Integer("bounds", "capacity_ms");
   out.mEvacuationMs = values->Integer("bounds", "evacuation_ms");
+  out.mSettleMs = values->Integer("submission", "settle_ms");
   out.mStatusRetentionMs = values->Integer("bounds", "status_s") * kMsPerSecond;
   return out;
 }
--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -78,6 +78,7 @@
   dispatch::kEvacuationRequested,
   dispatch::kEvacuationApplied,
   dispatch::kEvacuationWithdrawn,
+  dispatch::kSubmissionSettled,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -333,6 +333,15 @@
   "none; tasks start there again",
 };
 
+inline constexpr auto kSubmissionSettled = base::LogEvent{
+  975,
+  base::LogLevel::Info,
+  "a submission got no reply from the holder of a cell",
+  "none if is_settled is 1: is_accepted tells whether the job is in the cell "
+  "named by owner; otherwise check the store, the caller was told that the "
+  "outcome is unknown",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -376,7 +385,8 @@
                                                        kWorkerRestarted,
                                                        kEvacuationRequested,
                                                        kEvacuationApplied,
-                                                       kEvacuationWithdrawn };
+                                                       kEvacuationWithdrawn,
+                                                       kSubmissionSettled };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -49,6 +49,9 @@
   /** Time within which a request to evacuate a failure domain has to be in
    * force; 0 if such requests are not followed. */
   std::int64_t mEvacuationMs = 0;
+  /** Time before a caller's deadline at which the outcome of a submission
+   * without a reply is settled in the store; 0 if it stays unknown. */
+  std::int64_t mSettleMs = 0;
   /** How long the state of a finished job is kept. */
   std::int64_t mStatusRetentionMs = 120000;
 };
@@ -239,6 +242,9 @@
 /** Row that makes a job's id unique and keeps its last stored state. */
 struct JobIdRow
 {
+  /** Empty for a job that was cancelled before it was accepted, and for one
+   * that was withheld: submissions that were under way when this row was
+   * written are not accepted any more. */
   std::string mCell;
   cell::JobState mState = cell::JobState::Queued;
   std::int64_t mChangedMs = 0;
@@ -250,6 +256,11 @@
   }
 };
 
+inline auto IsWithheld(const JobIdRow& aRow) -> bool
+{
+  return aRow.mCell.empty() && !cell::IsFinal(aRow.mState);
+}
+
 enum class JobCommandKind : std::uint8_t
 {
   Submit,
@@ -330,6 +341,9 @@
   MigrationSource mSource;
   /** Used by TransferWorker and ReserveCapacity. */
   CapacityRequest mRequest;
+  /** Used by Submit: version that the row of the job's id must have; 0 if there
+   * must be none. */
+  std::uint64_t mIdVersion = 0;
   /** Used by Submit and ImportJob: the cell declines a job whose first, or
    * waiting, tasks it cannot start at once. */
   bool mMustStartAtOnce = false;
@@ -343,7 +357,8 @@
   auto serialize(Archive& archive) -> void
   {
     archive(mKind, mCell, mJobId, mJob, mTimeoutMs, mProgress, mSource);
-    archive(mRequest, mMustStartAtOnce, mMustBeAbleToRun, mWaitingSteps);
+    archive(mRequest, mIdVersion, mMustStartAtOnce, mMustBeAbleToRun);
+    archive(mWaitingSteps);
   }
 };
 
@@ -360,6 +375,9 @@
   /** The cell cannot start the job at once, or not run it at all; the command
    * had no effect. */
   Declined,
+  /** The row of the job's id has another version, as the job was withheld; the
+   * command had no effect and will have none. */
+  Withheld,
 };
 
 struct JobReply
@@ -368,11 +386,13 @@
   cell::JobState mState = cell::JobState::Queued;
   /** The cell that has the job, if known. */
   std::string mCell;
+  /** Version of the row of a withheld job. */
+  std::uint64_t mIdVersion = 0;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mOutcome, mState, mCell);
+    archive(mOutcome, mState, mCell, mIdVersion);
   }
 };
 
--- a/src/dispatch/internal/callercancellation.cpp
+++ b/src/dispatch/internal/callercancellation.cpp
@@ -76,9 +76,10 @@
   auto location = co_await Locate(aId, aDeadline);
   CallerResponse out;
   while (location.mIsCertain && !cell::IsFinal(location.mState)) {
-    const auto isDone = location.mExists
-                          ? co_await CancelInCell(aId, location, aDeadline)
-                          : co_await PreventSubmission(aId, aDeadline);
+    const auto isDone =
+      location.mExists
+        ? co_await CancelInCell(aId, location, aDeadline)
+        : co_await PreventSubmission(aId, location.mIdVersion, aDeadline);
     if (isDone) {
       out.mOutcome =
         location.mExists ? CallerOutcome::Cancelled : CallerOutcome::UnknownJob;
@@ -111,13 +112,15 @@
   co_return reply.mOutcome == JobOutcome::Done;
 }
 
-auto CallerHandler::PreventSubmission(std::string aId, MonotonicTime aDeadline)
+auto CallerHandler::PreventSubmission(std::string aId,
+                                      std::uint64_t aIdVersion,
+                                      MonotonicTime aDeadline)
   -> net::Task<bool>
 {
   const auto key = RowKey{ std::string(kIdTable), aId };
   StoreTransaction transaction;
   transaction.mPartition = PartitionOf(aId);
-  transaction.mExpected = { { key, 0 } };
+  transaction.mExpected = { { key, aIdVersion } };
   transaction.mWrites = { { key,
                             net::Encode(JobIdRow{ {},
                                                   cell::JobState::Cancelled,
--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -16,27 +16,8 @@
 
 namespace {
 
-/** Retry delay sent with refused requests; a takeover or a short outage is
- * usually over by then. */
-constexpr auto kRetryAfter = Milliseconds(1000);
-/** An evacuation lasts for longer than a fault. */
-constexpr auto kEvacuationRetryAfter = Milliseconds(5000);
-/** A planned release of a cell and its claim by the next holder take at most
- * this long; waiting for them is faster than the caller's retry. */
-constexpr auto kCellReleaseTimeout = Milliseconds(400);
-/** With less time left than this, the retry is left to the caller. */
-constexpr std::int64_t kMinRetryBudgetMs = 250;
 /** Maximum number of cached job locations; each takes about 100 bytes. */
 constexpr std::size_t kMaxLocations = 20000;
-auto MakeNotRunResponse(std::string aError) -> CallerResponse
-{
-  CallerResponse out;
-  out.mOutcome = CallerOutcome::NotRun;
-  out.mRetryAfter = kRetryAfter;
-  out.mError = std::move(aError);
-  return out;
-}
-
 auto MakeStateResponse(cell::JobState aState) -> CallerResponse
 {
   CallerResponse out;
@@ -58,6 +39,7 @@
       mContext.mMetrics.FindCounter("cancellations_deferred_total"))
   , mUncertain(
       mContext.mMetrics.FindCounter("submissions_total{outcome=\"uncertain\"}"))
+  , mSettled(mContext.mMetrics.FindCounter("submissions_settled_total"))
   , mDeclinedOffers(mContext.mMetrics.FindCounter("offers_declined_total"))
 {
 }
@@ -71,111 +53,6 @@
   mCellByJob[aId] = aCell;
 }
 
-auto CallerHandler::Submit(const CallerRequest& aRequest,
-                           const std::string& aBody,
-                           MonotonicTime aDeadline) -> net::Task<CallerResponse>
-{
-  auto spec = mContext.mFormats.DecodeJob(aRequest.mJobId, aBody);
-  if (!spec.ok()) {
-    CallerResponse out;
-    out.mOutcome = CallerOutcome::BadRequest;
-    out.mError = std::string(base::MessageOf(spec.status()));
-    co_return out;
-  }
-  JobCommand command;
-  command.mKind = JobCommandKind::Submit;
-  command.mJobId = aRequest.mJobId;
-  command.mJob.mQueue = *aRequest.mQueue;
-  command.mJob.mSpec = *std::move(spec);
-  command.mJob.mAcceptedMs = base::WallClockMs();
-  const auto startedAt = base::MonotonicClock::now();
-  auto isOutcomeUnknown = false;
-  auto isRefused = false;
-  command.mMustBeAbleToRun = true;
-  while (true) {
-    const auto cells = mContext.mCells();
-    if (AreAllClosed(cells) && !isOutcomeUnknown) {
-      co_return co_await RefuseWhileEvacuated(aRequest.mJobId, aDeadline);
-    }
-    auto isDeclinedByAll = true;
-    for (const auto& it :
-         PlanOffers(cells, command.mJob.mSpec, mContext.mDomain)) {
-      command.mCell = it.mCell;
-      command.mMustStartAtOnce = it.mMustStartAtOnce;
-      command.mTimeoutMs = RemainingTimeoutMs(aDeadline);
-      const auto reply = co_await mContext.mExecute(command);
-      if (reply.mOutcome == JobOutcome::Declined) {
-        mDeclinedOffers.Add();
-        continue;
-      }
-      isDeclinedByAll = false;
-      if (reply.mOutcome == JobOutcome::Done && reply.mCell.empty()) {
-        mRefused.Add();
-        auto out = MakeNotRunResponse("the job was cancelled before");
-        // It is refused again at any time.
-        out.mRetryAfter = {};
-        co_return out;
-      }
-      if (reply.mOutcome == JobOutcome::Done) {
-        CacheLocation(aRequest.mJobId, reply.mCell);
-        mAccepted.Add();
-        CallerResponse out;
-        out.mOutcome = CallerOutcome::Accepted;
-        co_return out;
-      }
-      if (reply.mOutcome == JobOutcome::Uncertain) {
-        isOutcomeUnknown = true;
-      }
-      isRefused = reply.mOutcome == JobOutcome::Refused && !isOutcomeUnknown;
-      if (isRefused || reply.mOutcome == JobOutcome::Uncertain) {
-        break;
-      }
-    }
-    if (isDeclinedByAll && command.mMustBeAbleToRun) {
-      // Suitable workers may join later; the job then migrates to their cell.
-      command.mMustBeAbleToRun = false;
-      continue;
-    }
-    if (isOutcomeUnknown) {
-      // A retry with the same id finds the same rows and resolves the outcome.
-      if (RemainingTimeoutMs(aDeadline) > kMinRetryBudgetMs) {
-        co_await net::Sleep(kHolderRetryInterval);
-        continue;
-      }
-      mUncertain.Add();
-      co_return MakeUncertainResponse();
-    }
-    if (!isRefused &&
-        base::MonotonicClock::now() - startedAt < kCellReleaseTimeout &&
-        RemainingTimeoutMs(aDeadline) > kCellReleaseTimeout.count()) {
-      co_await net::Sleep(kHolderRetryInterval);
-      continue;
-    }
-    mRefused.Add();
-    co_return MakeNotRunResponse("no cell can take the job now; retry later");
-  }
-}
-
-/** Responds to a submission while no cell may start anything. The job may have
- * been accepted before. */
-auto CallerHandler::RefuseWhileEvacuated(std::string aId,
-                                         MonotonicTime aDeadline)
-  -> net::Task<CallerResponse>
-{
-  const auto location = co_await Locate(aId, aDeadline);
-  if (location.mExists && !WasPrevented(location)) {
-    mAccepted.Add();
-    CallerResponse out;
-    out.mOutcome = CallerOutcome::Accepted;
-    co_return out;
-  }
-  mRefused.Add();
-  auto out = MakeNotRunResponse(
-    "all failure domains that can be reached are being evacuated; retry later");
-  out.mRetryAfter = kEvacuationRetryAfter;
-  co_return out;
-}
-
 auto CallerHandler::PartitionOf(const std::string& aId) const -> std::string
 {
   return PartitionName(
@@ -207,7 +84,8 @@
     co_return out;
   }
   const auto row = net::Decode<JobIdRow>(reply.mRows[0].mValue);
-  out.mExists = true;
+  out.mIdVersion = reply.mRows[0].mVersion;
+  out.mExists = !row.ok() || !IsWithheld(*row);
   if (row.ok()) {
     out.mCell = row->mCell;
     out.mState = row->mState;
--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -23,6 +24,8 @@
   base::EventLog& mLog;
   std::uint32_t mPartitions = 4;
   std::string mDomain;
+  /** See DispatchSettings. */
+  std::int64_t mSettleMs = 0;
   /** Returns null before the first configuration. */
   std::function<std::shared_ptr<const Configuration>()> mConfiguration;
   /** Status of the reachable cells, held locally or by peers. */
@@ -53,6 +56,19 @@
   auto Submit(const CallerRequest& aRequest,
               const std::string& aBody,
               MonotonicTime aDeadline) -> net::Task<CallerResponse>;
+  struct Submission;
+  /** Offers a job to cells, one after the other, until one has accepted it;
+   * nothing if none has. */
+  auto OfferToCells(Submission& aSubmission,
+                    const std::vector<CellStatus>& aCells)
+    -> net::Task<std::optional<CallerResponse>>;
+  /** Settles the outcome of offers without a reply; nothing if the job may be
+   * offered again. */
+  auto SettleOutcome(Submission& aSubmission)
+    -> net::Task<std::optional<CallerResponse>>;
+  auto Accept(const std::string& aId, const std::string& aCell)
+    -> CallerResponse;
+  auto RefuseAsCancelled() -> CallerResponse;
   auto RefuseWhileEvacuated(std::string aId, MonotonicTime aDeadline)
     -> net::Task<CallerResponse>;
   auto GetState(std::string aId, MonotonicTime aDeadline)
@@ -67,17 +83,27 @@
                  Milliseconds aRetryInterval) -> net::Task<CallerResponse>;
   /** Writes a final state for a job that has no row, so that the write of a
    * submission in progress fails. */
-  auto PreventSubmission(std::string aId, MonotonicTime aDeadline)
-    -> net::Task<bool>;
+  auto PreventSubmission(std::string aId,
+                         std::uint64_t aIdVersion,
+                         MonotonicTime aDeadline) -> net::Task<bool>;
   auto CompleteCancellation(std::string aId) -> net::Task<void>;
   /** The cell that has a job, or the final state of a finished job. */
   struct Location
   {
     bool mIsCertain = false;
+    /** False for a job that was withheld. */
     bool mExists = false;
     std::string mCell;
     cell::JobState mState = cell::JobState::Queued;
+    /** Version of the row of the job's id; 0 if there is none. */
+    std::uint64_t mIdVersion = 0;
   };
+  /** Withholds a job so that no submission which is under way can be accepted
+   * any more, unless one has been. The returned location is certain if that is
+   * settled. */
+  auto WithholdJob(std::string aId,
+                   std::uint64_t aIdVersion,
+                   MonotonicTime aDeadline) -> net::Task<Location>;
   auto CancelInCell(std::string aId,
                     Location aLocation,
                     MonotonicTime aDeadline) -> net::Task<bool>;
@@ -102,6 +128,8 @@
   base::Histogram& mRequestTime;
   base::Counter& mDeferredCancellations;
   base::Counter& mUncertain;
+  /** Outcomes without a reply that were settled in the store. */
+  base::Counter& mSettled;
   base::Counter& mDeclinedOffers;
 };
 
--- /dev/null
+++ b/src/dispatch/internal/callersubmission.cpp
@@ -0,0 +1,239 @@
+#include <algorithm>
+
+#include "callerhandler.h"
+#include "callerresponses.h"
+#include "cellchoice.h"
+#include "eelgrasspost/base/text.h"
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
+#include "eelgrasspost/net/codec.h"
+#include "eelgrasspost/net/iopool.h"
+#include "storeaccess.h"
+
+namespace eelgrasspost::dispatch {
+
+namespace {
+
+/** An evacuation lasts for longer than a fault. */
+constexpr auto kEvacuationRetryAfter = Milliseconds(5000);
+/** A planned release of a cell and its claim by the next holder take at most
+ * this long; waiting for them is faster than the caller's retry. */
+constexpr auto kCellReleaseTimeout = Milliseconds(400);
+/** With less time left than this, the retry is left to the caller. */
+constexpr std::int64_t kMinRetryBudgetMs = 250;
+constexpr auto kSettleRetryInterval = Milliseconds(40);
+
+} // namespace
+
+/** A job on its way into a cell. */
+struct CallerHandler::Submission
+{
+  JobCommand mCommand;
+  MonotonicTime mDeadline;
+  /** Time before the deadline in which no cell is asked any more. */
+  std::int64_t mSettleMs = 0;
+  /** An offer got no reply, so that the job may be accepted. */
+  bool mIsOutcomeUnknown = false;
+  /** The store refused to take the job. */
+  bool mIsRefused = false;
+
+  auto OfferTimeMs() const -> std::int64_t
+  {
+    return std::max<std::int64_t>(0, RemainingTimeoutMs(mDeadline) - mSettleMs);
+  }
+};
+
+auto CallerHandler::Accept(const std::string& aId, const std::string& aCell)
+  -> CallerResponse
+{
+  CacheLocation(aId, aCell);
+  mAccepted.Add();
+  return MakeAcceptedResponse();
+}
+
+auto CallerHandler::RefuseAsCancelled() -> CallerResponse
+{
+  mRefused.Add();
+  auto out = MakeNotRunResponse("the job was cancelled before");
+  // It is refused again at any time.
+  out.mRetryAfter = {};
+  return out;
+}
+
+auto CallerHandler::OfferToCells(Submission& aSubmission,
+                                 const std::vector<CellStatus>& aCells)
+  -> net::Task<std::optional<CallerResponse>>
+{
+  auto& command = aSubmission.mCommand;
+  aSubmission.mIsRefused = false;
+  auto isDeclinedByAll = true;
+  for (const auto& it :
+       PlanOffers(aCells, command.mJob.mSpec, mContext.mDomain)) {
+    command.mCell = it.mCell;
+    command.mMustStartAtOnce = it.mMustStartAtOnce;
+    command.mTimeoutMs = aSubmission.OfferTimeMs();
+    auto reply = co_await mContext.mExecute(command);
+    if (reply.mOutcome == JobOutcome::Withheld) {
+      // An earlier request for the same job was told that it has not run.
+      command.mIdVersion = reply.mIdVersion;
+      reply = co_await mContext.mExecute(command);
+    }
+    if (reply.mOutcome == JobOutcome::Declined) {
+      mDeclinedOffers.Add();
+      continue;
+    }
+    isDeclinedByAll = false;
+    if (reply.mOutcome == JobOutcome::Done) {
+      co_return reply.mCell.empty() ? RefuseAsCancelled()
+                                    : Accept(command.mJobId, reply.mCell);
+    }
+    const auto isUnknown = reply.mOutcome == JobOutcome::Uncertain;
+    aSubmission.mIsOutcomeUnknown = aSubmission.mIsOutcomeUnknown || isUnknown;
+    aSubmission.mIsRefused =
+      reply.mOutcome == JobOutcome::Refused && !aSubmission.mIsOutcomeUnknown;
+    if (aSubmission.mIsRefused || isUnknown) {
+      break;
+    }
+  }
+  if (isDeclinedByAll && command.mMustBeAbleToRun) {
+    // Suitable workers may join later; the job then migrates to their cell.
+    command.mMustBeAbleToRun = false;
+    co_return co_await OfferToCells(aSubmission, aCells);
+  }
+  co_return std::nullopt;
+}
+
+auto CallerHandler::Submit(const CallerRequest& aRequest,
+                           const std::string& aBody,
+                           MonotonicTime aDeadline) -> net::Task<CallerResponse>
+{
+  auto spec = mContext.mFormats.DecodeJob(aRequest.mJobId, aBody);
+  if (!spec.ok()) {
+    CallerResponse out;
+    out.mOutcome = CallerOutcome::BadRequest;
+    out.mError = std::string(base::MessageOf(spec.status()));
+    co_return out;
+  }
+  Submission submission;
+  submission.mDeadline = aDeadline;
+  submission.mSettleMs = mContext.mSettleMs;
+  auto& command = submission.mCommand;
+  command.mKind = JobCommandKind::Submit;
+  command.mJobId = aRequest.mJobId;
+  command.mJob.mQueue = *aRequest.mQueue;
+  command.mJob.mSpec = *std::move(spec);
+  command.mJob.mAcceptedMs = base::WallClockMs();
+  command.mMustBeAbleToRun = true;
+  const auto startedAt = base::MonotonicClock::now();
+  while (true) {
+    const auto cells = mContext.mCells();
+    if (AreAllClosed(cells) && !submission.mIsOutcomeUnknown) {
+      co_return co_await RefuseWhileEvacuated(aRequest.mJobId, aDeadline);
+    }
+    if (auto response = co_await OfferToCells(submission, cells)) {
+      co_return *std::move(response);
+    }
+    if (submission.mIsOutcomeUnknown) {
+      // A retry with the same id finds the same rows and resolves the outcome.
+      if (submission.OfferTimeMs() > kMinRetryBudgetMs) {
+        co_await net::Sleep(kHolderRetryInterval);
+        continue;
+      }
+      if (auto response = co_await SettleOutcome(submission)) {
+        co_return *std::move(response);
+      }
+    }
+    if (!submission.mIsRefused &&
+        base::MonotonicClock::now() - startedAt < kCellReleaseTimeout &&
+        submission.OfferTimeMs() > kCellReleaseTimeout.count()) {
+      co_await net::Sleep(kHolderRetryInterval);
+      continue;
+    }
+    mRefused.Add();
+    co_return MakeNotRunResponse("no cell can take the job now; retry later");
+  }
+}
+
+auto CallerHandler::SettleOutcome(Submission& aSubmission)
+  -> net::Task<std::optional<CallerResponse>>
+{
+  auto& command = aSubmission.mCommand;
+  Location location;
+  if (aSubmission.mSettleMs > 0) {
+    location = co_await WithholdJob(
+      command.mJobId, command.mIdVersion, aSubmission.mDeadline);
+  }
+  mContext.mLog.Record(
+    kSubmissionSettled,
+    { { "job", command.mJobId },
+      { "cell", command.mCell },
+      { "is_settled", static_cast<std::int64_t>(location.mIsCertain ? 1 : 0) },
+      { "is_accepted", static_cast<std::int64_t>(location.mExists ? 1 : 0) },
+      { "owner", location.mCell } });
+  if (!location.mIsCertain) {
+    mUncertain.Add();
+    co_return MakeUncertainResponse();
+  }
+  mSettled.Add();
+  if (location.mExists) {
+    co_return WasPrevented(location) ? RefuseAsCancelled()
+                                     : Accept(command.mJobId, location.mCell);
+  }
+  command.mIdVersion = location.mIdVersion;
+  aSubmission.mIsOutcomeUnknown = false;
+  co_return std::nullopt;
+}
+
+auto CallerHandler::WithholdJob(std::string aId,
+                                std::uint64_t aIdVersion,
+                                MonotonicTime aDeadline) -> net::Task<Location>
+{
+  const auto key = RowKey{ std::string(kIdTable), aId };
+  Location out;
+  out.mIdVersion = aIdVersion;
+  while (RemainingTimeoutMs(aDeadline) > 0) {
+    StoreTransaction transaction;
+    transaction.mPartition = PartitionOf(aId);
+    transaction.mExpected = { { key, out.mIdVersion } };
+    transaction.mWrites = { { key,
+                              net::Encode(JobIdRow{ {},
+                                                    cell::JobState::Queued,
+                                                    base::WallClockMs() }) } };
+    const auto storeDeadline = base::MonotonicClock::now() + kStoreTimeout;
+    const auto reply = co_await mContext.mStore.Commit(
+      std::move(transaction), std::min(storeDeadline, aDeadline));
+    if (reply.mOutcome == StoreOutcome::Done) {
+      out.mIsCertain = true;
+      out.mIdVersion = reply.mVersion;
+      co_return out;
+    }
+    // The row, or a newer one of another entry, decides.
+    const auto row = co_await ReadIdRow(aId, aDeadline);
+    if (row.mIsCertain && row.mExists) {
+      co_return row;
+    }
+    if (row.mIsCertain) {
+      out.mIdVersion = row.mIdVersion;
+    }
+    co_await net::Sleep(kSettleRetryInterval);
+  }
+  co_return out;
+}
+
+/** Responds to a submission while no cell may start anything. The job may have
+ * been accepted before. */
+auto CallerHandler::RefuseWhileEvacuated(std::string aId,
+                                         MonotonicTime aDeadline)
+  -> net::Task<CallerResponse>
+{
+  const auto location = co_await Locate(aId, aDeadline);
+  if (location.mExists && !WasPrevented(location)) {
+    co_return Accept(aId, location.mCell);
+  }
+  mRefused.Add();
+  auto out = MakeNotRunResponse(
+    "all failure domains that can be reached are being evacuated; retry later");
+  out.mRetryAfter = kEvacuationRetryAfter;
+  co_return out;
+}
+
+} // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -284,9 +284,12 @@
   auto DropJob(const std::string& aId) -> void;
   auto Cancel(std::string aId, MonotonicTime aDeadline) -> net::Task<JobReply>;
   auto GetState(const std::string& aId) -> JobReply;
-  auto CommitJob(const cell::StoredJob& aJob, MonotonicTime aDeadline)
-    -> net::Task<JobReply>;
-  auto ResolveSubmission(cell::StoredJob aJob) -> net::Task<void>;
+  /** aIdVersion: version that the row of the job's id must have. */
+  auto CommitJob(const cell::StoredJob& aJob,
+                 std::uint64_t aIdVersion,
+                 MonotonicTime aDeadline) -> net::Task<JobReply>;
+  auto ResolveSubmission(cell::StoredJob aJob, std::uint64_t aIdVersion)
+    -> net::Task<void>;
 
   auto PartitionOf(std::string_view aId) const -> std::uint32_t;
   auto FenceOf(std::uint32_t aPartition) const -> RowExpectation;
--- a/src/dispatch/internal/holdercommands.cpp
+++ b/src/dispatch/internal/holdercommands.cpp
@@ -115,10 +115,11 @@
     co_return JobReply{ JobOutcome::Declined };
   }
   mUnresolvedJobs.insert(id);
-  auto reply = co_await CommitJob(aCommand.mJob, deadline);
+  auto reply = co_await CommitJob(aCommand.mJob, aCommand.mIdVersion, deadline);
   if (reply.mOutcome == JobOutcome::Uncertain) {
-    net::SpawnTask(mContext.mExecutor,
-                   ResolveSubmission(std::move(aCommand.mJob)));
+    net::SpawnTask(
+      mContext.mExecutor,
+      ResolveSubmission(std::move(aCommand.mJob), aCommand.mIdVersion));
     co_return reply;
   }
   mUnresolvedJobs.erase(id);
@@ -126,15 +127,16 @@
 }
 
 /** Writes a job's rows and retries while the outcome is unknown. */
-auto CellHolder::CommitJob(const cell::StoredJob& aJob, MonotonicTime aDeadline)
-  -> net::Task<JobReply>
+auto CellHolder::CommitJob(const cell::StoredJob& aJob,
+                           std::uint64_t aIdVersion,
+                           MonotonicTime aDeadline) -> net::Task<JobReply>
 {
   const auto id = aJob.mSpec.mId;
   const auto partition = PartitionOf(id);
   StoreTransaction transaction;
   transaction.mPartition = PartitionName(partition);
   const auto idKey = RowKey{ std::string(kIdTable), id };
-  transaction.mExpected = { FenceOf(partition), { idKey, 0 } };
+  transaction.mExpected = { FenceOf(partition), { idKey, aIdVersion } };
   const auto row =
     JobIdRow{ mRow.mName, cell::JobState::Queued, base::WallClockMs() };
   transaction.mWrites = { { idKey, net::Encode(row) },
@@ -176,6 +178,15 @@
           continue;
         }
         const auto found = net::Decode<JobIdRow>(it.mValue);
+        if (found.ok() && IsWithheld(*found)) {
+          if (it.mVersion == aIdVersion) {
+            // The fence has been raised.
+            continue;
+          }
+          co_return JobReply{
+            JobOutcome::Withheld, cell::JobState::Queued, {}, it.mVersion
+          };
+        }
         const auto isOurs = found.ok() && found->mCell == mRow.mName &&
                             !cell::IsFinal(found->mState);
         if (isOurs && mPhase == HolderPhase::Active &&
@@ -203,16 +214,18 @@
   }
 }
 
-auto CellHolder::ResolveSubmission(cell::StoredJob aJob) -> net::Task<void>
+auto CellHolder::ResolveSubmission(cell::StoredJob aJob,
+                                   std::uint64_t aIdVersion) -> net::Task<void>
 {
   const auto self = shared_from_this();
   const auto id = aJob.mSpec.mId;
   auto isResolved = false;
   while (!isResolved && mPhase == HolderPhase::Active) {
     co_await net::Sleep(kRetryInterval);
-    const auto reply =
-      co_await CommitJob(aJob, base::MonotonicClock::now() + kStoreTimeout);
-    isResolved = reply.mOutcome == JobOutcome::Done;
+    const auto reply = co_await CommitJob(
+      aJob, aIdVersion, base::MonotonicClock::now() + kStoreTimeout);
+    isResolved = reply.mOutcome == JobOutcome::Done ||
+                 reply.mOutcome == JobOutcome::Withheld;
   }
   mUnresolvedJobs.erase(id);
 }
--- a/src/dispatch/tests/cancellationfixture.h
+++ b/src/dispatch/tests/cancellationfixture.h
@@ -82,7 +82,8 @@
   bool mAreClosed = false;
   bool mIsOver = false;
 
-  CallersAndCells()
+  /** aSettleMs: see DispatchSettings. */
+  explicit CallersAndCells(std::int64_t aSettleMs = 0)
   {
     const auto submission = MakeSubmission(kId);
     mFormats.mQueue = submission.mJob.mQueue;
@@ -98,6 +99,7 @@
       mLog,
       kPartitions,
       "a",
+      aSettleMs,
       [] { return std::make_shared<const Configuration>(); },
       [this] { return OfferedCells(); },
       [this](JobCommand aCommand) { return mExecute(std::move(aCommand)); },
--- /dev/null
+++ b/src/dispatch/tests/submission_tests.cpp
@@ -0,0 +1,150 @@
+#define BOOST_TEST_MODULE dispatch_submission
+#include <boost/test/unit_test.hpp>
+
+#include "cancellationfixture.h"
+
+namespace eelgrasspost::dispatch::testing {
+
+namespace {
+
+constexpr std::int64_t kSettleMs = 500;
+constexpr auto kCallerTimeout = Milliseconds(1200);
+
+/** An entry whose submissions get no reply from the holder of the cell. */
+struct LostReplyFixture : CallersAndCells
+{
+  /** Submissions that have not reached the holder. */
+  std::vector<JobCommand> mUndelivered;
+
+  explicit LostReplyFixture(std::int64_t aSettleMs = kSettleMs)
+    : CallersAndCells(aSettleMs)
+  {
+  }
+
+  auto LoseSubmissions() -> void
+  {
+    Do([&] {
+      mExecute = [this](JobCommand aCommand) -> net::Task<JobReply> {
+        mUndelivered.push_back(std::move(aCommand));
+        co_return JobReply{ JobOutcome::Uncertain };
+      };
+    });
+  }
+
+  auto LoseReplies() -> void
+  {
+    Do([&] {
+      mExecute = [this](JobCommand aCommand) -> net::Task<JobReply> {
+        co_await ExecuteInCell(std::move(aCommand));
+        co_return JobReply{ JobOutcome::Uncertain };
+      };
+    });
+  }
+
+  auto Deliver() -> void
+  {
+    Do([&] {
+      mExecute = [this](JobCommand aCommand) {
+        return ExecuteInCell(std::move(aCommand));
+      };
+    });
+  }
+
+  auto Submit() -> CallerOutcome { return Request("POST", kCallerTimeout); }
+};
+
+struct UnsettledFixture : LostReplyFixture
+{
+  UnsettledFixture()
+    : LostReplyFixture(0)
+  {
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(lost_reply, LostReplyFixture)
+
+BOOST_AUTO_TEST_CASE(submission_not_received_is_refused_in_time_as_not_run)
+{
+  LoseSubmissions();
+  const auto start = base::MonotonicClock::now();
+  BOOST_CHECK(Submit() == CallerOutcome::NotRun);
+  BOOST_CHECK(base::MonotonicClock::now() - start < kCallerTimeout);
+  BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
+}
+
+BOOST_AUTO_TEST_CASE(submission_received_after_refusal_is_not_accepted)
+{
+  LoseSubmissions();
+  BOOST_REQUIRE(Submit() == CallerOutcome::NotRun);
+  BOOST_REQUIRE(!mUndelivered.empty());
+  for (auto& it : mUndelivered) {
+    const auto reply = Wait(ExecuteInCell(std::move(it)));
+    BOOST_CHECK(reply.mOutcome == JobOutcome::Withheld);
+  }
+  BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
+  BOOST_CHECK_EQUAL(mWorkers.CountStarts(mTask), 0);
+}
+
+BOOST_AUTO_TEST_CASE(refused_job_submitted_again_is_accepted_and_runs_once)
+{
+  LoseSubmissions();
+  BOOST_REQUIRE(Submit() == CallerOutcome::NotRun);
+  Deliver();
+  SubmitAndStart();
+  for (auto& it : mUndelivered) {
+    Wait(ExecuteInCell(std::move(it)));
+  }
+  BOOST_CHECK_EQUAL(CountRows(kJobTable), 1);
+  BOOST_CHECK_EQUAL(mWorkers.CountStarts(mTask), 1);
+}
+
+BOOST_AUTO_TEST_CASE(submission_accepted_without_reply_is_confirmed)
+{
+  LoseReplies();
+  BOOST_CHECK(Submit() == CallerOutcome::Accepted);
+  BOOST_CHECK_EQUAL(CountRows(kJobTable), 1);
+}
+
+BOOST_AUTO_TEST_CASE(store_unavailable_outcome_stays_uncertain)
+{
+  LoseSubmissions();
+  Do([&] { mStore.mIsUnavailable = true; });
+  BOOST_CHECK(Submit() == CallerOutcome::Uncertain);
+  Do([&] { mStore.mIsUnavailable = false; });
+}
+
+BOOST_AUTO_TEST_CASE(reply_to_settling_write_lost_is_settled_again)
+{
+  LoseSubmissions();
+  Do([&] { mStore.mFaults.push_back(FakeFault::LoseReply); });
+  BOOST_CHECK(Submit() == CallerOutcome::NotRun);
+  BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
+}
+
+BOOST_AUTO_TEST_CASE(refused_job_cancelled_is_unknown_and_stays_refused)
+{
+  LoseSubmissions();
+  BOOST_REQUIRE(Submit() == CallerOutcome::NotRun);
+  BOOST_CHECK(Request("GET", kCallerTimeout) == CallerOutcome::UnknownJob);
+  BOOST_CHECK(Request("DELETE", kCallerTimeout) == CallerOutcome::UnknownJob);
+  Deliver();
+  BOOST_CHECK(Submit() == CallerOutcome::NotRun);
+  BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(unsettled_reply, UnsettledFixture)
+
+BOOST_AUTO_TEST_CASE(setting_absent_outcome_is_uncertain)
+{
+  LoseSubmissions();
+  BOOST_CHECK(Submit() == CallerOutcome::Uncertain);
+  BOOST_CHECK_EQUAL(CountRows(kIdTable), 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace eelgrasspost::dispatch::testing
