--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -108,6 +108,12 @@
          kDayMs,
          "time within which nothing starts any more in a failure domain whose "
          "evacuation is requested; 0: such requests are not followed"),
+  Number("admission",
+         "enabled",
+         "0",
+         1,
+         "1: jobs that no cell could do while they are of use are refused at "
+         "once"),
   Number("submission",
          "settle_ms",
          "0",
@@ -160,6 +166,7 @@
   out.mDrainMs = values->Integer("bounds", "drain_ms");
   out.mCapacityMs = values->Integer("bounds", "capacity_ms");
   out.mEvacuationMs = values->Integer("bounds", "evacuation_ms");
+  out.mHasAdmission = values->Integer("admission", "enabled") != 0;
   out.mSettleMs = values->Integer("submission", "settle_ms");
   out.mStatusRetentionMs = values->Integer("bounds", "status_s") * kMsPerSecond;
   return out;
--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -79,6 +79,7 @@
   dispatch::kEvacuationApplied,
   dispatch::kEvacuationWithdrawn,
   dispatch::kSubmissionSettled,
+  dispatch::kJobNotAdmitted,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "eelgrasspost/admission/admission.h"
 #include "eelgrasspost/cell/cellpolicy.h"
 #include "eelgrasspost/cell/celltypes.h"
 #include "eelgrasspost/cell/interference.h"
@@ -41,6 +42,9 @@
   std::uint64_t mHeldBackStarts = 0;
   std::set<std::string> mDirty;
   Interference mInterference;
+  /** Work that was done lately, in reserved CPU and in what is left over. */
+  admission::RateMeter mReservedRate;
+  admission::RateMeter mLeftoverRate;
   /** Tasks that may be started once there is room. */
   std::vector<Task*> mReady;
   /** A task became ready since tasks were last placed. */
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -25,6 +25,9 @@
 /** Queues a task for placement. */
 auto MakeReady(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void;
 
+/** Records the work of a task that is done. */
+auto NoteDone(CellState& aCell, const StepSpec& aStep) -> void;
+
 /** Marks a task as done and opens the steps that depended on it. */
 auto MarkTaskDone(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void;
 
--- a/src/cell/internal/ends.cpp
+++ b/src/cell/internal/ends.cpp
@@ -67,6 +67,7 @@
 {
   ++aCell.mEndsDone;
   const auto& spec = SpecOf(aTask);
+  NoteDone(aCell, spec);
   if (!spec.mIsGang) {
     if (aTask.mPhase == TaskPhase::Placed && aTask.mWorker) {
       const auto run = aTask.mWorker->mRuns.find(TaskName(aTask));
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -2,6 +2,7 @@
 
 #include "cellinternal.h"
 #include "eelgrasspost/base/text.h"
+#include "joblength.h"
 
 namespace eelgrasspost::cell {
 
@@ -275,39 +276,6 @@
   return out;
 }
 
-/** Length of the critical path through the steps that have tasks left, by
- * estimated run times. */
-auto CriticalPathMs(const JobSpec& aSpec,
-                    const std::vector<std::uint32_t>& aTasks) -> double
-{
-  std::vector<double> ends(aSpec.mSteps.size(), 0.0);
-  auto out = 0.0;
-  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
-    auto start = 0.0;
-    for (const auto before : aSpec.mSteps[i].mAfter) {
-      start = before < i ? std::max(start, ends[before]) : start;
-    }
-    const auto estimated =
-      aTasks[i] > 0 ? static_cast<double>(aSpec.mSteps[i].mEstimatedMs) : 0.0;
-    ends[i] = start + estimated;
-    out = std::max(out, ends[i]);
-  }
-  return out;
-}
-
-auto ObjectiveMs(const Job& aJob) -> double
-{
-  const auto& spec = aJob.mStored.mSpec;
-  const auto& queue = aJob.mStored.mQueue;
-  std::vector<std::uint32_t> all;
-  all.reserve(spec.mSteps.size());
-  for (const auto& it : spec.mSteps) {
-    all.push_back(it.mCount);
-  }
-  return queue.mStretch * CriticalPathMs(spec, all) +
-         static_cast<double>(queue.mExtraMs);
-}
-
 auto RemainingWork(const Job& aJob, const std::vector<std::uint32_t>& aTasks)
   -> double
 {
@@ -326,12 +294,11 @@
 
 auto RankJob(const Job& aJob, MonotonicTime aNow) -> JobRank
 {
-  constexpr double kWorthlessFactor = 3.0;
   // Run times are estimated roughly; a job is late only when it misses its
   // objective even if the rest takes this share of the estimate.
   constexpr double kOptimisticShare = 0.7;
   const auto remaining = RemainingTasks(aJob);
-  const auto objective = ObjectiveMs(aJob);
+  const auto objective = ObjectiveMs(aJob.mStored.mSpec, aJob.mStored.mQueue);
   const auto age = static_cast<double>(
     std::chrono::duration_cast<Milliseconds>(aNow - aJob.mAddedAt).count());
   const auto end =
--- /dev/null
+++ b/src/cell/internal/load.cpp
@@ -0,0 +1,162 @@
+#include "eelgrasspost/cell/load.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+#include "besteffort.h"
+#include "cellinternal.h"
+#include "joblength.h"
+
+namespace eelgrasspost::cell {
+
+namespace {
+
+using admission::RoomKind;
+
+constexpr double kMillisPerCore = 1000;
+
+auto KindOf(const StepSpec& aStep) -> RoomKind
+{
+  return aStep.mIsBestEffort ? RoomKind::Leftover : RoomKind::Reserved;
+}
+
+/** CPU milliseconds of one task, by its estimate. */
+auto CpuMsOf(const StepSpec& aStep) -> double
+{
+  return static_cast<double>(aStep.mNeed.mCpuMillis) / kMillisPerCore *
+         static_cast<double>(aStep.mEstimatedMs);
+}
+
+auto CpuMsOf(const JobSpec& aJob) -> double
+{
+  auto out = 0.0;
+  for (const auto& it : aJob.mSteps) {
+    out += static_cast<double>(it.mCount) * CpuMsOf(it);
+  }
+  return out;
+}
+
+using BacklogKey = std::tuple<RoomKind, std::int64_t, std::uint32_t>;
+
+auto AddBacklog(const Job& aJob,
+                std::map<BacklogKey, admission::Backlog>& aBacklogs) -> void
+{
+  const auto& spec = aJob.mStored.mSpec;
+  const auto priority = aJob.mStored.mQueue.mPriority;
+  const auto sizeClass = admission::SizeClassOf(CpuMsOf(spec));
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::size_t i = 0; i < spec.mSteps.size(); ++i) {
+      const auto& step = spec.mSteps[i];
+      const auto kind = KindOf(step);
+      auto& backlog = aBacklogs[{ kind, priority, sizeClass }];
+      backlog.mKind = kind;
+      backlog.mPriority = priority;
+      backlog.mSizeClass = sizeClass;
+      for (const auto& it : occurrence->mSteps[i].mTasks) {
+        if (it.mPhase == TaskPhase::Waiting || it.mPhase == TaskPhase::Ready) {
+          backlog.mWaitingCpuMs += CpuMsOf(step);
+        } else if (it.mPhase == TaskPhase::Placed) {
+          backlog.mRunningCpuMs += CpuMsOf(step);
+        }
+      }
+    }
+  }
+}
+
+/** Whether tasks of a kind wait for room. */
+auto IsSaturated(const CellState& aCell, RoomKind aKind, MonotonicTime aNow)
+  -> bool
+{
+  constexpr auto kWaitForRoom = Milliseconds(200);
+  return std::any_of(
+    aCell.mReady.begin(), aCell.mReady.end(), [&](const Task* aTask) {
+      const auto& step = SpecOf(*aTask);
+      return !step.mIsLongRunning && KindOf(step) == aKind &&
+             aNow - aTask->mReadyAt > kWaitForRoom;
+    });
+}
+
+} // namespace
+
+auto DemandOf(const JobSpec& aJob, const Queue& aQueue) -> admission::JobDemand
+{
+  const auto milliseconds = [](double aMs) {
+    return Milliseconds(static_cast<std::int64_t>(aMs));
+  };
+  const auto objective = ObjectiveMs(aJob, aQueue);
+  admission::JobDemand out;
+  out.mKind =
+    aJob.mSteps.empty() ? RoomKind::Reserved : KindOf(aJob.mSteps.front());
+  out.mPriority = aQueue.mPriority;
+  out.mCpuMs = CpuMsOf(aJob);
+  out.mChain = milliseconds(CriticalPathMs(aJob));
+  out.mObjective = milliseconds(objective);
+  out.mLatestUse = milliseconds(kWorthlessFactor * objective);
+  return out;
+}
+
+auto IsSubjectToAdmission(const JobSpec& aJob) -> bool
+{
+  return aJob.mRepeatCount == 0 &&
+         std::none_of(
+           aJob.mSteps.begin(), aJob.mSteps.end(), [](const StepSpec& aStep) {
+             return aStep.mIsLongRunning || aStep.mIsGang;
+           });
+}
+
+auto MeasureLoad(const CellState& aCell, MonotonicTime aNow)
+  -> admission::CellLoad
+{
+  admission::CellLoad out;
+  for (const auto& [id, it] : aCell.mWorkers) {
+    if (!IsUsable(aCell, *it, aNow)) {
+      continue;
+    }
+    auto lasting = std::int64_t{ 0 };
+    for (const auto& [name, run] : it->mRuns) {
+      lasting += run.mIsLongRunning ? run.mNeed.mCpuMillis : 0;
+    }
+    const auto reservable =
+      std::max<std::int64_t>(0, it->mRecord.mCapacity.mCpuMillis - lasting);
+    out.mReserved.mCores += static_cast<double>(reservable) / kMillisPerCore;
+    out.mLeftover.mCores += std::max(0.0, LeftoverCpu(*it)) / kMillisPerCore;
+  }
+  out.mReserved.mSaturatedRate = aCell.mReservedRate.mRate;
+  out.mLeftover.mSaturatedRate = aCell.mLeftoverRate.mRate;
+  std::map<BacklogKey, admission::Backlog> backlogs;
+  for (const auto& [id, it] : aCell.mJobs) {
+    const auto isOfUse = !IsFinal(it->mState) && !it->mIsMigrating &&
+                         IsSubjectToAdmission(it->mStored.mSpec) &&
+                         RankJob(*it, aNow).mLateness != Lateness::Worthless;
+    if (isOfUse) {
+      AddBacklog(*it, backlogs);
+    }
+  }
+  for (const auto& [key, it] : backlogs) {
+    if (it.mWaitingCpuMs + it.mRunningCpuMs > 0) {
+      out.mBacklogs.push_back(it);
+    }
+  }
+  return out;
+}
+
+auto UpdateRates(CellState& aCell, MonotonicTime aNow) -> void
+{
+  admission::UpdateRate(
+    aCell.mReservedRate, IsSaturated(aCell, RoomKind::Reserved, aNow), aNow);
+  admission::UpdateRate(
+    aCell.mLeftoverRate, IsSaturated(aCell, RoomKind::Leftover, aNow), aNow);
+}
+
+auto NoteDone(CellState& aCell, const StepSpec& aStep) -> void
+{
+  if (!aStep.mIsLongRunning) {
+    admission::AddDone(KindOf(aStep) == RoomKind::Reserved
+                         ? aCell.mReservedRate
+                         : aCell.mLeftoverRate,
+                       CpuMsOf(aStep));
+  }
+}
+
+} // namespace eelgrasspost::cell
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -333,6 +333,14 @@
   "none; tasks start there again",
 };
 
+inline constexpr auto kJobNotAdmitted = base::LogEvent{
+  963,
+  base::LogLevel::Info,
+  "a job is refused, as no cell could do it while it is of use",
+  "none at a short crest; add workers if this lasts; expected_wait_ms is the "
+  "shortest wait of all cells, max_wait_ms the longest that would do",
+};
+
 inline constexpr auto kSubmissionSettled = base::LogEvent{
   975,
   base::LogLevel::Info,
@@ -386,7 +394,8 @@
                                                        kEvacuationRequested,
                                                        kEvacuationApplied,
                                                        kEvacuationWithdrawn,
-                                                       kSubmissionSettled };
+                                                       kSubmissionSettled,
+                                                       kJobNotAdmitted };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -49,6 +49,8 @@
   /** Time within which a request to evacuate a failure domain has to be in
    * force; 0 if such requests are not followed. */
   std::int64_t mEvacuationMs = 0;
+  /** Jobs that no cell could do while they are of use are refused. */
+  bool mHasAdmission = false;
   /** Time before a caller's deadline at which the outcome of a submission
    * without a reply is settled in the store; 0 if it stays unknown. */
   std::int64_t mSettleMs = 0;
@@ -82,6 +84,10 @@
   std::int64_t mLargestReservableCpuMillis = 0;
   /** Tasks of each size that could be started at once. */
   cell::TaskCounts mStartable{};
+  /** Empty unless the holder's settings have admission. */
+  admission::CellLoad mLoad;
+  /** Since the holder reported this; not sent. */
+  Milliseconds mAge{ 0 };
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
@@ -91,6 +97,7 @@
     archive(mStartable);
     archive(mFreeCpuMillis, mFreeMemoryMb, mCapacityCpuMillis);
     archive(mBestEffortCpuMillis, mLeftoverCpuMillis, mWaitingCpuMillis);
+    archive(mLoad);
   }
 };
 
--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -26,6 +26,7 @@
   std::string mDomain;
   /** See DispatchSettings. */
   std::int64_t mSettleMs = 0;
+  bool mHasAdmission = false;
   /** Returns null before the first configuration. */
   std::function<std::shared_ptr<const Configuration>()> mConfiguration;
   /** Status of the reachable cells, held locally or by peers. */
@@ -69,6 +70,15 @@
   auto Accept(const std::string& aId, const std::string& aCell)
     -> CallerResponse;
   auto RefuseAsCancelled() -> CallerResponse;
+  /** Refuses a job that no cell could do while it is of use, unless it has been
+   * accepted before. */
+  auto DecideOnAdmission(const Submission& aSubmission,
+                         const std::vector<CellStatus>& aCells)
+    -> net::Task<std::optional<CallerResponse>>;
+  /** Responds to a submission that is not offered to any cell: the job may have
+   * been accepted before. */
+  auto Refuse(std::string aId, MonotonicTime aDeadline, CallerResponse aRefusal)
+    -> net::Task<CallerResponse>;
   auto RefuseWhileEvacuated(std::string aId, MonotonicTime aDeadline)
     -> net::Task<CallerResponse>;
   auto GetState(std::string aId, MonotonicTime aDeadline)
@@ -130,6 +140,9 @@
   base::Counter& mUncertain;
   /** Outcomes without a reply that were settled in the store. */
   base::Counter& mSettled;
+  base::Counter& mOverloaded;
+  base::Histogram& mExpectedWait;
+  admission::ShareTable mShares;
   base::Counter& mDeclinedOffers;
 };
 
--- a/src/dispatch/internal/callersubmission.cpp
+++ b/src/dispatch/internal/callersubmission.cpp
@@ -4,6 +4,7 @@
 #include "callerresponses.h"
 #include "cellchoice.h"
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/cell/load.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
@@ -35,6 +36,8 @@
   bool mIsOutcomeUnknown = false;
   /** The store refused to take the job. */
   bool mIsRefused = false;
+  /** Admission has decided for it. */
+  bool mIsAdmitted = false;
 
   auto OfferTimeMs() const -> std::int64_t
   {
@@ -129,6 +132,10 @@
     if (AreAllClosed(cells) && !submission.mIsOutcomeUnknown) {
       co_return co_await RefuseWhileEvacuated(aRequest.mJobId, aDeadline);
     }
+    if (auto response = co_await DecideOnAdmission(submission, cells)) {
+      co_return *std::move(response);
+    }
+    submission.mIsAdmitted = true;
     if (auto response = co_await OfferToCells(submission, cells)) {
       co_return *std::move(response);
     }
@@ -219,21 +226,74 @@
   co_return out;
 }
 
-/** Responds to a submission while no cell may start anything. The job may have
- * been accepted before. */
+auto CallerHandler::Refuse(std::string aId,
+                           MonotonicTime aDeadline,
+                           CallerResponse aRefusal) -> net::Task<CallerResponse>
+{
+  const auto location = co_await Locate(aId, aDeadline);
+  if (location.mExists) {
+    co_return WasPrevented(location) ? RefuseAsCancelled()
+                                     : Accept(aId, location.mCell);
+  }
+  if (!location.mIsCertain) {
+    co_return MakeNotRunResponse("the store does not respond; retry");
+  }
+  co_return aRefusal;
+}
+
 auto CallerHandler::RefuseWhileEvacuated(std::string aId,
                                          MonotonicTime aDeadline)
   -> net::Task<CallerResponse>
 {
-  const auto location = co_await Locate(aId, aDeadline);
-  if (location.mExists && !WasPrevented(location)) {
-    co_return Accept(aId, location.mCell);
-  }
   mRefused.Add();
   auto out = MakeNotRunResponse(
     "all failure domains that can be reached are being evacuated; retry later");
   out.mRetryAfter = kEvacuationRetryAfter;
-  co_return out;
+  co_return co_await Refuse(std::move(aId), aDeadline, std::move(out));
+}
+
+auto CallerHandler::DecideOnAdmission(const Submission& aSubmission,
+                                      const std::vector<CellStatus>& aCells)
+  -> net::Task<std::optional<CallerResponse>>
+{
+  const auto& command = aSubmission.mCommand;
+  const auto& job = command.mJob;
+  if (!mContext.mHasAdmission || aSubmission.mIsOutcomeUnknown ||
+      aSubmission.mIsAdmitted || !cell::IsSubjectToAdmission(job.mSpec)) {
+    co_return std::nullopt;
+  }
+  std::vector<admission::KnownLoad> loads;
+  loads.reserve(aCells.size());
+  for (const auto& it : aCells) {
+    loads.push_back({ it.mLoad, it.mAge, it.mIsActive && !it.mIsClosed });
+  }
+  const auto demand = cell::DemandOf(job.mSpec, job.mQueue);
+  const auto key = admission::ShareKey{ job.mQueue.mName,
+                                        mContext.mDomain,
+                                        admission::SizeClassOf(demand.mCpuMs) };
+  const auto decision = admission::Decide(
+    loads, demand, key, command.mJobId, mShares, base::MonotonicClock::now());
+  mExpectedWait.Record(static_cast<double>(
+    std::chrono::duration_cast<base::Microseconds>(decision.mWait).count()));
+  if (decision.mVerdict == admission::Verdict::Accept) {
+    co_return std::nullopt;
+  }
+  mOverloaded.Add();
+  mContext.mLog.Record(
+    kJobNotAdmitted,
+    { { "job", command.mJobId },
+      { "queue", job.mQueue.mName },
+      { "size_class", static_cast<std::int64_t>(key.mSizeClass) },
+      { "room", base::NameOf(admission::kRoomKindNames, demand.mKind) },
+      { "expected_wait_ms", decision.mWait.count() },
+      { "max_wait_ms", decision.mMaxWait.count() },
+      { "retry_after_ms", decision.mRetryAfter.count() } });
+  CallerResponse out;
+  out.mOutcome = CallerOutcome::Overloaded;
+  out.mRetryAfter = decision.mRetryAfter;
+  out.mError = "no cell could do the job in time; retry later";
+  co_return co_await Refuse(
+    command.mJobId, aSubmission.mDeadline, std::move(out));
 }
 
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -329,6 +329,8 @@
   base::BootTime mEarlierHoldersActUntil = base::BootTime::max();
   base::BootTime mLastOrderAt;
   cell::CellState mState;
+  /** Measured at each tick. */
+  admission::CellLoad mLoad;
   std::map<std::uint32_t, std::uint64_t> mFences;
   std::unordered_map<std::string, WorkerClock> mClocks;
   std::set<std::string> mPolledWorkers;
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -188,6 +188,8 @@
       for (const auto& cell : it.mLastHeartbeat.mCells) {
         if (!FindHolder(cell.mName)) {
           out.push_back(cell);
+          out.back().mAge =
+            std::chrono::duration_cast<Milliseconds>(now - it.mLastHeartbeatAt);
         }
       }
     }
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -5,6 +5,7 @@
 #include "cellholder.h"
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/cell/evacuation.h"
+#include "eelgrasspost/cell/load.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
@@ -343,6 +344,10 @@
     cell::Decay(mState.mInterference,
                 std::chrono::duration<double>(kTickInterval).count());
     cell::RemoveExpiredReservations(mState, now);
+    if (mContext.mSettings.mHasAdmission) {
+      cell::UpdateRates(mState, now);
+      mLoad = cell::MeasureLoad(mState, now);
+    }
     RemoveDepartedMembers(now);
     CheckClaimIfDue(now);
     MigrateJobs();
@@ -409,6 +414,7 @@
 {
   auto out = MakeCellStatus(mState, base::MonotonicClock::now());
   out.mToken = mRowVersion;
+  out.mLoad = mLoad;
   out.mIsActive = CanSendOrders() && !mIsShuttingDown;
   return out;
 }
--- a/src/dispatch/tests/cancellationfixture.h
+++ b/src/dispatch/tests/cancellationfixture.h
@@ -82,8 +82,9 @@
   bool mAreClosed = false;
   bool mIsOver = false;
 
-  /** aSettleMs: see DispatchSettings. */
-  explicit CallersAndCells(std::int64_t aSettleMs = 0)
+  /** See DispatchSettings. */
+  explicit CallersAndCells(std::int64_t aSettleMs = 0,
+                           bool aHasAdmission = false)
   {
     const auto submission = MakeSubmission(kId);
     mFormats.mQueue = submission.mJob.mQueue;
@@ -100,6 +101,7 @@
       kPartitions,
       "a",
       aSettleMs,
+      aHasAdmission,
       [] { return std::make_shared<const Configuration>(); },
       [this] { return OfferedCells(); },
       [this](JobCommand aCommand) { return mExecute(std::move(aCommand)); },
