Gather room for large tasks that wait; tests of admission at callers

Cause: small jobs leave gaps that large ones cannot use, and large ones wait long (the operators' wish).

Ruled out: reservations as for long-running tasks (they block a worker also for what ends in time); preemption.

Change: cells learn how long tasks of a queue run against their estimates, expect the ends of runs, keep the worker on which the room for a large task is complete soonest, and start beside it only what ends before or needs nothing of it. Acts only where placement.look_ahead is set.

--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -114,6 +114,13 @@
          1,
          "1: jobs that no cell could do while they are of use are refused at "
          "once"),
+  Number(
+    "placement",
+    "look_ahead",
+    "0",
+    1,
+    "1: room is gathered for large tasks that wait, and small ones fill it "
+    "until then"),
   Number("submission",
          "settle_ms",
          "0",
@@ -167,6 +174,7 @@
   out.mCapacityMs = values->Integer("bounds", "capacity_ms");
   out.mEvacuationMs = values->Integer("bounds", "evacuation_ms");
   out.mHasAdmission = values->Integer("admission", "enabled") != 0;
+  out.mLooksAhead = values->Integer("placement", "look_ahead") != 0;
   out.mSettleMs = values->Integer("submission", "settle_ms");
   out.mStatusRetentionMs = values->Integer("bounds", "status_s") * kMsPerSecond;
   return out;
--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -80,6 +80,7 @@
   dispatch::kEvacuationWithdrawn,
   dispatch::kSubmissionSettled,
   dispatch::kJobNotAdmitted,
+  dispatch::kGatheredTaskStarted,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/cellpolicy.h
+++ b/src/cell/include/eelgrasspost/cell/cellpolicy.h
@@ -25,6 +25,8 @@
    * probation. */
   std::uint32_t mProbationFailures = 3;
   Milliseconds mProbation{ 3000 };
+  /** Room is gathered for large tasks that wait; see lookahead.h. */
+  bool mLooksAhead = false;
   /** Scheduled occurrences may be opened this much before their time. */
   std::int64_t mEarlyMs = 0;
   /** Delay before new long-running tasks are placed. Tasks that arrive together
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -45,6 +45,8 @@
   /** Work that was done lately, in reserved CPU and in what is left over. */
   admission::RateMeter mReservedRate;
   admission::RateMeter mLeftoverRate;
+  /** Ratio of actual to estimated run times, by queue. */
+  std::map<std::string, double> mRunTimeRatios;
   /** Tasks that may be started once there is room. */
   std::vector<Task*> mReady;
   /** A task became ready since tasks were last placed. */
@@ -60,6 +62,8 @@
   std::uint64_t mEndsFailed = 0;
   std::uint64_t mEndsLost = 0;
   std::uint64_t mStalls = 0;
+  /** Tasks for which room was gathered before they were started. */
+  std::uint64_t mGatheredStarts = 0;
 };
 
 /** Appends an event for the log. */
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -399,6 +399,7 @@
   CrashCounted,
   EndWithoutJob,
   ReservationDisplaced,
+  GatheredTaskStarted,
 };
 
 /** What a long-running task needs of a worker. */
--- a/src/cell/include/eelgrasspost/cell/jobtypes.h
+++ b/src/cell/include/eelgrasspost/cell/jobtypes.h
@@ -56,6 +56,8 @@
    * started here. */
   bool mIsReturning = false;
   MonotonicTime mNextReturnAt{};
+  /** Room was gathered for it. */
+  bool mHasGathered = false;
   /** It is counted among the starts that an evacuation has held back. */
   bool mIsHeldBack = false;
   MonotonicTime mReadyAt{};
--- a/src/cell/include/eelgrasspost/cell/workertypes.h
+++ b/src/cell/include/eelgrasspost/cell/workertypes.h
@@ -67,6 +67,15 @@
   MonotonicTime mSince{};
 };
 
+/** Room that a worker keeps for a waiting short task. */
+struct Gathering
+{
+  std::string mTask;
+  Resources mNeed;
+  /** When it is expected to be complete. */
+  MonotonicTime mCompleteAt{};
+};
+
 struct Worker
 {
   WorkerRecord mRecord;
@@ -127,6 +136,8 @@
   /** Resources that other tasks leave free for waiting long-running ones, by
    * the names of these. All of them fit beside the long-running runs. */
   std::map<std::string, Reservation, std::less<>> mReservations;
+  /** Planned anew in each round of placement; see lookahead.h. */
+  std::optional<Gathering> mGathering;
   /** A new report is needed to find out what became of a run. */
   bool mNeedsPoll = false;
   /** Since when a call without a reply, or a reply that does not fit its clock,
--- a/src/cell/internal/ends.cpp
+++ b/src/cell/internal/ends.cpp
@@ -2,6 +2,7 @@
 
 #include "cellinternal.h"
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/cell/lookahead.h"
 
 namespace eelgrasspost::cell {
 
@@ -138,6 +139,9 @@
   const auto isRun =
     it != aWorker.mRuns.end() && it->second.mAttempt == aEnd.mAttempt;
   if (isRun) {
+    if (aEnd.mKind == EndKind::Done && it->second.mTask) {
+      LearnRunTime(aCell, *it->second.mTask, it->second, aNow);
+    }
     EraseRun(aWorker, aEnd.mTask);
   }
   AddEvent(aCell,
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "besteffort.h"
+#include "eelgrasspost/cell/lookahead.h"
 #include "queueorder.h"
 #include "workerchoice.h"
 
@@ -51,6 +52,17 @@
              job.mStored.mQueue.mName,
              static_cast<double>(waited.count()),
              SinceContact(aTask.mLastContact, aNow) });
+  if (aTask.mHasGathered) {
+    ++aCell.mGatheredStarts;
+    AddEvent(aCell,
+             { CellEventKind::GatheredTaskStarted,
+               order.mTask,
+               order.mWorker,
+               aAttempt,
+               job.mStored.mQueue.mName,
+               static_cast<double>(waited.count()) });
+    aTask.mHasGathered = false;
+  }
   aTask.mLastContact.reset();
   return order;
 }
@@ -145,6 +157,10 @@
  * block short tasks. Restarts are not limited. */
 constexpr std::size_t kMaxReservations = 2;
 
+/** Maximum number of tasks for which room is gathered in a round; more would
+ * leave too much room idle. */
+constexpr std::size_t kMaxGatherings = 3;
+
 /** The worker on which capacity is reserved for a long-running task, if the
  * task fits there now. */
 auto FindWorkerWithReservedRoom(CellState& aCell,
@@ -213,6 +229,8 @@
   }
   std::sort(ready.begin(), ready.end(), ComesBefore);
   RemoveExpiredReservations(aCell, aNow);
+  ClearGatherings(aCell);
+  std::size_t gatherings = 0;
   std::size_t reservations = 0;
   // The step that no worker can hold; its other tasks follow it in the order.
   const StepSpec* unreservable = nullptr;
@@ -260,6 +278,11 @@
     if (!isSearchFutile) {
       unplaced.push_back({ it, &spec, tolerance });
     }
+    if (!isSearchFutile && gatherings < kMaxGatherings &&
+        MayGather(aCell, *it) && Gather(aCell, *it, aNow)) {
+      it->mHasGathered = true;
+      ++gatherings;
+    }
     const auto mayReserve = spec.mIsLongRunning &&
                             (&spec != unreservable ||
                              FindReservedWorker(aCell, TaskName(*it), aNow)) &&
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -5,6 +5,7 @@
 
 #include "besteffort.h"
 #include "eelgrasspost/cell/evacuation.h"
+#include "eelgrasspost/cell/lookahead.h"
 #include "queueorder.h"
 
 namespace eelgrasspost::cell {
@@ -256,7 +257,9 @@
         : aNow >= worker->mIsolatedUntil && !worker->mUnreachableSince;
     const auto isFull = aSpec.mMaxPerWorker > 0 &&
                         CountRunsOfStep(*worker, aTask) >= aSpec.mMaxPerWorker;
-    if (!mayUse || isFull) {
+    const auto delaysOther = aSearch == WorkerSearch::ForStart &&
+                             !MayBackfill(aCell, *worker, aTask, aNow);
+    if (!mayUse || isFull || delaysOther) {
       continue;
     }
     const auto cost = PlacementCost(aCell, *worker, aTask, aSpec, aTolerance);
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -341,6 +341,13 @@
   "shortest wait of all cells, max_wait_ms the longest that would do",
 };
 
+inline constexpr auto kGatheredTaskStarted = base::LogEvent{
+  966,
+  base::LogLevel::Info,
+  "a large task starts for which room was gathered",
+  "none; value is the task's waiting time in ms",
+};
+
 inline constexpr auto kSubmissionSettled = base::LogEvent{
   975,
   base::LogLevel::Info,
@@ -395,7 +402,8 @@
                                                        kEvacuationApplied,
                                                        kEvacuationWithdrawn,
                                                        kSubmissionSettled,
-                                                       kJobNotAdmitted };
+                                                       kJobNotAdmitted,
+                                                       kGatheredTaskStarted };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
@@ -429,6 +437,8 @@
       return &kEndWithoutJob;
     case cell::CellEventKind::ReservationDisplaced:
       return &kReservationDisplaced;
+    case cell::CellEventKind::GatheredTaskStarted:
+      return &kGatheredTaskStarted;
   }
   return &kJobEnded;
 }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -49,6 +49,8 @@
   /** Time within which a request to evacuate a failure domain has to be in
    * force; 0 if such requests are not followed. */
   std::int64_t mEvacuationMs = 0;
+  /** Room is gathered for large tasks that wait. */
+  bool mLooksAhead = false;
   /** Jobs that no cell could do while they are of use are refused. */
   bool mHasAdmission = false;
   /** Time before a caller's deadline at which the outcome of a submission
--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -39,10 +39,10 @@
       mContext.mMetrics.FindCounter("cancellations_deferred_total"))
   , mUncertain(
       mContext.mMetrics.FindCounter("submissions_total{outcome=\"uncertain\"}"))
+  , mSettled(mContext.mMetrics.FindCounter("submissions_settled_total"))
   , mOverloaded(mContext.mMetrics.FindCounter(
       "submissions_total{outcome=\"overloaded\"}"))
   , mExpectedWait(mContext.mMetrics.FindHistogram("expected_wait_us"))
-  , mSettled(mContext.mMetrics.FindCounter("submissions_settled_total"))
   , mDeclinedOffers(mContext.mMetrics.FindCounter("offers_declined_total"))
 {
 }
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -40,6 +40,7 @@
   mState.mAttemptBase = mRow.mTerm * kAttemptsPerTerm;
   mState.mPolicy.mLeaseMs = LeaseTime(mContext.mSettings).count();
   mState.mPolicy.mPlacementDelay = kPlacementDelay;
+  mState.mPolicy.mLooksAhead = mContext.mSettings.mLooksAhead;
   // Half of the limit leaves a margin for clock differences.
   mState.mPolicy.mEarlyMs = mContext.mSettings.mEarlyMs / 2;
   mState.mPolicy.mMaxOverTarget =
--- a/src/dispatch/tests/cancellationfixture.h
+++ b/src/dispatch/tests/cancellationfixture.h
@@ -80,6 +80,7 @@
   std::vector<std::string> mOffered{ "a/0" };
   /** Evacuations close all of them. */
   bool mAreClosed = false;
+  admission::CellLoad mLoad;
   bool mIsOver = false;
 
   /** See DispatchSettings. */
@@ -128,6 +129,7 @@
       status.mName = it;
       status.mIsActive = true;
       status.mIsClosed = mAreClosed;
+      status.mLoad = mLoad;
       status.mCapacityCpuMillis = 16000;
       status.mFreeCpuMillis = 16000;
       out.push_back(status);
--- a/src/dispatch/tests/submission_tests.cpp
+++ b/src/dispatch/tests/submission_tests.cpp
@@ -16,8 +16,9 @@
   /** Submissions that have not reached the holder. */
   std::vector<JobCommand> mUndelivered;
 
-  explicit LostReplyFixture(std::int64_t aSettleMs = kSettleMs)
-    : CallersAndCells(aSettleMs)
+  explicit LostReplyFixture(std::int64_t aSettleMs = kSettleMs,
+                            bool aHasAdmission = false)
+    : CallersAndCells(aSettleMs, aHasAdmission)
   {
   }
 
@@ -61,6 +62,32 @@
   }
 };
 
+/** An entry with admission whose cells have work for a minute before any new
+ * job. */
+struct OverloadFixture : LostReplyFixture
+{
+  OverloadFixture()
+    : LostReplyFixture(kSettleMs, true)
+  {
+    auto& step = mFormats.mSpec.mSteps[0];
+    step.mEstimatedMs = 1000;
+    step.mNeed.mCpuMillis = 1000;
+    mFormats.mQueue.mStretch = 2;
+  }
+
+  auto Overload() -> void
+  {
+    constexpr double kCores = 16;
+    constexpr double kMinuteMs = 60000;
+    Do([&] {
+      mLoad.mReserved = { kCores, kCores };
+      mLoad.mBacklogs = {
+        { admission::RoomKind::Reserved, 0, 0, kCores * kMinuteMs, 0 }
+      };
+    });
+  }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(lost_reply, LostReplyFixture)
@@ -147,4 +174,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(overload, OverloadFixture)
+
+BOOST_AUTO_TEST_CASE(job_that_cannot_be_done_in_time_is_refused_unstored)
+{
+  Overload();
+  BOOST_CHECK(Submit() == CallerOutcome::Overloaded);
+  BOOST_CHECK_EQUAL(CountRows(kIdTable), 0);
+  BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
+}
+
+BOOST_AUTO_TEST_CASE(job_accepted_before_the_overload_stays_accepted)
+{
+  SubmitAndStart();
+  Overload();
+  BOOST_CHECK(Submit() == CallerOutcome::Accepted);
+}
+
+BOOST_AUTO_TEST_CASE(long_running_job_is_accepted_under_overload)
+{
+  Overload();
+  Do([&] { mFormats.mSpec.mSteps[0].mIsLongRunning = true; });
+  BOOST_CHECK(Submit() == CallerOutcome::Accepted);
+}
+
+BOOST_AUTO_TEST_CASE(refused_job_submitted_after_the_overload_is_accepted)
+{
+  Overload();
+  BOOST_REQUIRE(Submit() == CallerOutcome::Overloaded);
+  Do([&] { mLoad = {}; });
+  BOOST_CHECK(Submit() == CallerOutcome::Accepted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace eelgrasspost::dispatch::testing
