Weigh moves of throttled best-effort runs against what they discard

Ruled out: never moving (a paused run may wait longer than its job is of use).

Change: a run moves only if it saves more than twice what it discards; runs beside serving tasks near their target are paused on workers that do not report for a third of harm_ms. Acts only where placement.checkpoint_s is set.

--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -28,6 +28,7 @@
 
 constexpr std::int64_t kDayMs = 86'400'000;
 constexpr std::int64_t kMaxCores = 1024;
+constexpr std::int64_t kMaxCheckpointS = 3600;
 constexpr std::int64_t kMaxPerSecond = 1'000'000;
 
 constexpr auto kFields = std::array{
@@ -121,6 +122,20 @@
     1,
     "1: room is gathered for large tasks that wait, and small ones fill it "
     "until then"),
+  SettingField{ "placement",
+                "checkpoint_s",
+                SettingKind::Decimal,
+                "0",
+                0,
+                kMaxCheckpointS,
+                "seconds of work between two checkpoints of a task; moves of "
+                "best-effort tasks are weighed against it; 0: they are not" },
+  Number("placement",
+         "restore_ms",
+         "0",
+         kDayMs,
+         "time that a task which resumes from a checkpoint needs before it "
+         "works"),
   Number("submission",
          "settle_ms",
          "0",
@@ -175,6 +190,10 @@
   out.mEvacuationMs = values->Integer("bounds", "evacuation_ms");
   out.mHasAdmission = values->Integer("admission", "enabled") != 0;
   out.mLooksAhead = values->Integer("placement", "look_ahead") != 0;
+  out.mCheckpointMs =
+    static_cast<std::int64_t>(values->Decimal("placement", "checkpoint_s") *
+                              static_cast<double>(kMsPerSecond));
+  out.mRestoreMs = values->Integer("placement", "restore_ms");
   out.mSettleMs = values->Integer("submission", "settle_ms");
   out.mStatusRetentionMs = values->Integer("bounds", "status_s") * kMsPerSecond;
   return out;
--- a/src/cell/include/eelgrasspost/cell/cellpolicy.h
+++ b/src/cell/include/eelgrasspost/cell/cellpolicy.h
@@ -36,6 +36,14 @@
   /** Best-effort tasks are paused when a serving tail beside them has been over
    * its target for this time. */
   Milliseconds mMaxOverTarget{ 1500 };
+  /** Longest work of a best-effort task that a stop discards, if it saves
+   * checkpoints; zero: moves of throttled runs are not weighed. */
+  Milliseconds mCheckpointInterval{ 0 };
+  /** Time in which a task that resumes from a checkpoint does no work. */
+  Milliseconds mRestoreTime{ 0 };
+  /** Best-effort tasks beside serving ones near their target are paused when
+   * their worker has not reported for this time; zero: they are not. */
+  Milliseconds mMaxUnreported{ 0 };
   /** A crash of a worker is counted for the tasks that were started on it less
    * than this time before. */
   Milliseconds mCrashWindow{ 150 };
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -64,6 +64,8 @@
   std::uint64_t mStalls = 0;
   /** Tasks for which room was gathered before they were started. */
   std::uint64_t mGatheredStarts = 0;
+  /** Best-effort runs that were paused as their worker did not report. */
+  std::uint64_t mUnreportedPauses = 0;
 };
 
 /** Appends an event for the log. */
--- a/src/cell/internal/besteffort.cpp
+++ b/src/cell/internal/besteffort.cpp
@@ -6,6 +6,7 @@
 
 #include "cellinternal.h"
 #include "eelgrasspost/base/text.h"
+#include "runmoves.h"
 
 namespace eelgrasspost::cell {
 
@@ -330,7 +331,7 @@
                             ? std::min(estimated, aWorker.mBestEffortCpuShare)
                             : estimated;
     const auto isAlmostStopped = run.mWantedCpuShare < kMoveBelowPercent;
-    if (isAlmostStopped && isThrottledLong &&
+    if (isAlmostStopped && isThrottledLong && IsMoveWorthIt(aCell, run, aNow) &&
         HasBetterWorker(aCell, aWorker, run, aNow)) {
       run.mTask->mAvoidedWorker = aWorker.mRecord.mId;
       AddEvent(aCell,
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "cellinternal.h"
+#include "runmoves.h"
 
 namespace eelgrasspost::cell {
 
@@ -244,6 +245,7 @@
 
 auto CheckRuns(CellState& aCell, MonotonicTime aNow) -> void
 {
+  PauseUnreported(aCell, aNow);
   for (auto& [id, worker] : aCell.mWorkers) {
     for (auto& [name, run] : worker->mRuns) {
       CheckRun(aCell, *worker, run, aNow);
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -51,6 +51,11 @@
   std::int64_t mEvacuationMs = 0;
   /** Room is gathered for large tasks that wait. */
   bool mLooksAhead = false;
+  /** Work that a stop of a best-effort task may discard, if it saves
+   * checkpoints; 0: whether a move is worth that is not weighed. */
+  std::int64_t mCheckpointMs = 0;
+  /** Time that a resumed task needs before it does work. */
+  std::int64_t mRestoreMs = 0;
   /** Jobs that no cell could do while they are of use are refused. */
   bool mHasAdmission = false;
   /** Time before a caller's deadline at which the outcome of a submission
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -40,6 +40,13 @@
   mState.mAttemptBase = mRow.mTerm * kAttemptsPerTerm;
   mState.mPolicy.mLeaseMs = LeaseTime(mContext.mSettings).count();
   mState.mPolicy.mPlacementDelay = kPlacementDelay;
+  mState.mPolicy.mCheckpointInterval =
+    Milliseconds(mContext.mSettings.mCheckpointMs);
+  mState.mPolicy.mRestoreTime = Milliseconds(mContext.mSettings.mRestoreMs);
+  if (mContext.mSettings.mCheckpointMs > 0) {
+    mState.mPolicy.mMaxUnreported =
+      Milliseconds(mContext.mSettings.mHarmMs / kUnreportedPartOfHarm);
+  }
   mState.mPolicy.mLooksAhead = mContext.mSettings.mLooksAhead;
   // Half of the limit leaves a margin for clock differences.
   mState.mPolicy.mEarlyMs = mContext.mSettings.mEarlyMs / 2;
--- a/src/dispatch/internal/holdertimes.h
+++ b/src/dispatch/internal/holdertimes.h
@@ -40,6 +40,9 @@
 inline constexpr std::int64_t kBestEffortPollWaitMs = 500;
 /** Tails are reported for the last half second. */
 inline constexpr auto kTailReportDelay = Milliseconds(500);
+/** Part of the time for which a serving task may be over its target in which a
+ * worker has to report, so that a pause takes effect in time. */
+inline constexpr std::int64_t kUnreportedPartOfHarm = 3;
 /** A worker replies at once while it lists unacknowledged ends; the interval is
  * about half of the time until they are stored. */
 inline constexpr auto kUnstoredEndsPollInterval = Milliseconds(45);
