Count only jobs that can be in time before a new one

Change: backlogs tell jobs that can meet their objective from late ones; a job is refused if it could neither start in time nor be of use behind all late jobs.

--- a/src/admission/include/eelgrasspost/admission/admission.h
+++ b/src/admission/include/eelgrasspost/admission/admission.h
@@ -8,11 +8,19 @@
 
 namespace eelgrasspost::admission {
 
-/** Shortest time after which a job of a demand would start to run in a cell, if
- * all estimates of run times may be too long by the factor kEstimateError. Zero
- * for a cell of which too little is known. */
-auto ExpectedWait(const KnownLoad& aCell, const JobDemand& aDemand)
-  -> Milliseconds;
+/** When a job would start to run in a cell. */
+struct ExpectedWait
+{
+  /** After the jobs that are started before it while it can meet its
+   * objective, */
+  Milliseconds mInTime{ 0 };
+  /** and after all jobs that are of use, once it cannot. */
+  Milliseconds mLate{ 0 };
+};
+
+/** The shortest waits if all estimates of run times may be too long by a factor
+ * of two. Zero for a cell of which too little is known. */
+auto WaitIn(const KnownLoad& aCell, const JobDemand& aDemand) -> ExpectedWait;
 
 /** Work of one key that was asked for and granted lately; it decays. */
 struct Share
--- a/src/admission/include/eelgrasspost/admission/admissiontypes.h
+++ b/src/admission/include/eelgrasspost/admission/admissiontypes.h
@@ -40,16 +40,17 @@
   std::int64_t mPriority = 0;
   /** Size of its jobs; see SizeClassOf. */
   std::uint32_t mSizeClass = 0;
-  /** CPU milliseconds of tasks that wait, without jobs that are done too late
-   * to be of use, */
+  /** CPU milliseconds of tasks that wait and whose jobs can meet their
+   * objective, */
   double mWaitingCpuMs = 0;
-  /** and of those that run. */
-  double mRunningCpuMs = 0;
+  /** and of those whose jobs are late, but still of use; they are started after
+   * all others. */
+  double mLateCpuMs = 0;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
-    archive(mKind, mPriority, mSizeClass, mWaitingCpuMs, mRunningCpuMs);
+    archive(mKind, mPriority, mSizeClass, mWaitingCpuMs, mLateCpuMs);
   }
 };
 
@@ -136,9 +137,13 @@
 {
   Verdict mVerdict = Verdict::Accept;
   /** Expected wait in the cell with the shortest one, and the longest wait with
-   * which the job would have been accepted. */
+   * which the job would have met its objective. */
   Milliseconds mWait{ 0 };
   Milliseconds mMaxWait{ 0 };
+  /** Expected wait behind all late jobs, and the longest one with which the job
+   * would have been of use. */
+  Milliseconds mLateWait{ 0 };
+  Milliseconds mMaxLateWait{ 0 };
   /** When a refused caller should come back; 0 if it was accepted. */
   Milliseconds mRetryAfter{ 0 };
 };
--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -90,16 +90,21 @@
          GrantedShare(aShare.mGrantedCpuMs, aShare.mAskedCpuMs);
 }
 
-/** The longest wait with which a job of a key is accepted. A key that has been
- * granted less than others is accepted with up to an objective more. */
-auto MaxWait(const JobDemand& aDemand, double aDeficit) -> Milliseconds
+/** The duration of a job's chain, if its estimates may be too long. */
+auto ShortestChain(const JobDemand& aDemand) -> Milliseconds
 {
-  const auto chain = Milliseconds(static_cast<std::int64_t>(
+  return Milliseconds(static_cast<std::int64_t>(
     static_cast<double>(aDemand.mChain.count()) / kEstimateError));
-  const auto useful = std::max(Milliseconds(0), aDemand.mLatestUse - chain);
+}
+
+/** The longest wait after which a chain ends in the given time. A key that has
+ * been granted less than others gets up to an objective more. */
+auto MaxWait(const JobDemand& aDemand, Milliseconds aEnd, double aDeficit)
+  -> Milliseconds
+{
   const auto favour =
     aDeficit > kFairDifference ? aDemand.mObjective : Milliseconds(0);
-  return useful + favour;
+  return std::max(Milliseconds(0), aEnd - ShortestChain(aDemand)) + favour;
 }
 
 /** A part of the time until return that depends on the job, from 0 to 1. */
@@ -123,18 +128,22 @@
 
 } // namespace
 
-auto ExpectedWait(const KnownLoad& aCell, const JobDemand& aDemand)
-  -> Milliseconds
+auto WaitIn(const KnownLoad& aCell, const JobDemand& aDemand) -> ExpectedWait
 {
   const auto rate = DrainRate(RateOf(aCell.mLoad, aDemand.mKind));
   if (aCell.mAge > kMaxReportAge || rate <= 0) {
-    return Milliseconds(0);
+    return {};
   }
   auto ahead = 0.0;
+  auto late = 0.0;
   for (const auto& it : aCell.mLoad.mBacklogs) {
-    ahead += Precedes(it, aDemand) ? it.mWaitingCpuMs : 0.0;
+    if (it.mKind == aDemand.mKind && it.mPriority <= aDemand.mPriority) {
+      ahead += Precedes(it, aDemand) ? it.mWaitingCpuMs : 0.0;
+      late += it.mWaitingCpuMs + it.mLateCpuMs;
+    }
   }
-  return Milliseconds(static_cast<std::int64_t>(ahead / rate));
+  return { Milliseconds(static_cast<std::int64_t>(ahead / rate)),
+           Milliseconds(static_cast<std::int64_t>(late / rate)) };
 }
 
 auto SizeClassOf(double aCpuMs) -> std::uint32_t
@@ -158,34 +167,42 @@
   for (auto& [key, it] : aShares) {
     Decay(it, aNow);
   }
+  const auto deficit = Deficit(aShares, share);
   Decision out;
+  out.mMaxWait = MaxWait(aDemand, aDemand.mObjective, deficit);
+  out.mMaxLateWait = MaxWait(aDemand, aDemand.mLatestUse, deficit);
+  const auto bound = [&](Milliseconds aWait) {
+    return share.mIsRefusing
+             ? Milliseconds(static_cast<std::int64_t>(
+                 static_cast<double>(aWait.count()) * kResumeShare))
+             : aWait;
+  };
   auto isKnown = false;
+  auto canBeDone = false;
   for (const auto& it : aCells) {
-    if (it.mIsActive) {
-      const auto wait = ExpectedWait(it, aDemand);
-      out.mWait = isKnown ? std::min(out.mWait, wait) : wait;
-      isKnown = true;
+    if (!it.mIsActive) {
+      continue;
     }
+    const auto wait = WaitIn(it, aDemand);
+    canBeDone = canBeDone || wait.mInTime <= bound(out.mMaxWait) ||
+                wait.mLate <= bound(out.mMaxLateWait);
+    out.mWait = isKnown ? std::min(out.mWait, wait.mInTime) : wait.mInTime;
+    out.mLateWait = isKnown ? std::min(out.mLateWait, wait.mLate) : wait.mLate;
+    isKnown = true;
   }
-  out.mMaxWait = MaxWait(aDemand, Deficit(aShares, share));
-  const auto bound =
-    share.mIsRefusing
-      ? Milliseconds(static_cast<std::int64_t>(
-          static_cast<double>(out.mMaxWait.count()) * kResumeShare))
-      : out.mMaxWait;
   ++share.mAsked;
   share.mAskedCpuMs += aDemand.mCpuMs;
   const auto mayRefuse =
     share.mRefused + 1 <=
     kMaxRefusedShare * std::max(share.mAsked, kMinAskedForShare);
-  share.mIsRefusing = isKnown && out.mWait > bound;
+  share.mIsRefusing = isKnown && !canBeDone;
   if (!share.mIsRefusing || !mayRefuse) {
     share.mGrantedCpuMs += aDemand.mCpuMs;
     return out;
   }
   ++share.mRefused;
   out.mVerdict = Verdict::TooLate;
-  out.mRetryAfter = RetryAfter(out.mWait, bound, aJob);
+  out.mRetryAfter = RetryAfter(out.mWait, out.mMaxWait, aJob);
   return out;
 }
 
--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -106,6 +106,15 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(late_jobs_do_not_delay_one_that_can_be_in_time)
+{
+  auto cell = MakeCell(0);
+  cell.mLoad.mBacklogs = { { RoomKind::Reserved, 0, 0, 0, Backlogged(60000) } };
+  BOOST_CHECK(IsAccepted({ cell }, MakeDemand(1000)));
+  cell.mLoad.mBacklogs[0].mWaitingCpuMs = Backlogged(2500);
+  BOOST_CHECK(!IsAccepted({ cell }, MakeDemand(1000)));
+}
+
 BOOST_AUTO_TEST_CASE(report_that_is_old_counts_as_room)
 {
   auto cell = MakeCell(Backlogged(60000));
--- a/src/cell/internal/load.cpp
+++ b/src/cell/internal/load.cpp
@@ -40,6 +40,7 @@
 using BacklogKey = std::tuple<RoomKind, std::int64_t, std::uint32_t>;
 
 auto AddBacklog(const Job& aJob,
+                bool aIsLate,
                 std::map<BacklogKey, admission::Backlog>& aBacklogs) -> void
 {
   const auto& spec = aJob.mStored.mSpec;
@@ -55,9 +56,8 @@
       backlog.mSizeClass = sizeClass;
       for (const auto& it : occurrence->mSteps[i].mTasks) {
         if (it.mPhase == TaskPhase::Waiting || it.mPhase == TaskPhase::Ready) {
-          backlog.mWaitingCpuMs += CpuMsOf(step);
-        } else if (it.mPhase == TaskPhase::Placed) {
-          backlog.mRunningCpuMs += CpuMsOf(step);
+          (aIsLate ? backlog.mLateCpuMs : backlog.mWaitingCpuMs) +=
+            CpuMsOf(step);
         }
       }
     }
@@ -126,15 +126,17 @@
   out.mLeftover.mSaturatedRate = aCell.mLeftoverRate.mRate;
   std::map<BacklogKey, admission::Backlog> backlogs;
   for (const auto& [id, it] : aCell.mJobs) {
-    const auto isOfUse = !IsFinal(it->mState) && !it->mIsMigrating &&
-                         IsSubjectToAdmission(it->mStored.mSpec) &&
-                         RankJob(*it, aNow).mLateness != Lateness::Worthless;
-    if (isOfUse) {
-      AddBacklog(*it, backlogs);
+    if (IsFinal(it->mState) || it->mIsMigrating ||
+        !IsSubjectToAdmission(it->mStored.mSpec)) {
+      continue;
+    }
+    const auto lateness = RankJob(*it, aNow).mLateness;
+    if (lateness != Lateness::Worthless) {
+      AddBacklog(*it, lateness == Lateness::Late, backlogs);
     }
   }
   for (const auto& [key, it] : backlogs) {
-    if (it.mWaitingCpuMs + it.mRunningCpuMs > 0) {
+    if (it.mWaitingCpuMs + it.mLateCpuMs > 0) {
       out.mBacklogs.push_back(it);
     }
   }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -338,7 +338,9 @@
   base::LogLevel::Info,
   "a job is refused, as no cell could do it while it is of use",
   "none at a short crest; add workers if this lasts; expected_wait_ms is the "
-  "shortest wait of all cells, max_wait_ms the longest that would do",
+  "shortest wait of all cells, max_wait_ms the longest with which the "
+  "objective "
+  "is met; the late waits are those behind all late jobs",
 };
 
 inline constexpr auto kGatheredTaskStarted = base::LogEvent{
--- a/src/dispatch/internal/callersubmission.cpp
+++ b/src/dispatch/internal/callersubmission.cpp
@@ -287,6 +287,8 @@
       { "room", base::NameOf(admission::kRoomKindNames, demand.mKind) },
       { "expected_wait_ms", decision.mWait.count() },
       { "max_wait_ms", decision.mMaxWait.count() },
+      { "expected_late_wait_ms", decision.mLateWait.count() },
+      { "max_late_wait_ms", decision.mMaxLateWait.count() },
       { "retry_after_ms", decision.mRetryAfter.count() } });
   CallerResponse out;
   out.mOutcome = CallerOutcome::Overloaded;
