Order log events by number in the catalogue

Cause: the page lists the events in the order of the code, which had the new ones out of order; app failed (pages/logeventspage_holds_every_event_as_in_code).

Change: the new events stand in the order of their numbers.

--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -403,9 +403,9 @@
                                                        kEvacuationRequested,
                                                        kEvacuationApplied,
                                                        kEvacuationWithdrawn,
-                                                       kSubmissionSettled,
                                                        kJobNotAdmitted,
-                                                       kGatheredTaskStarted };
+                                                       kGatheredTaskStarted,
+                                                       kSubmissionSettled };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
