--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -46,13 +46,11 @@
          aBacklog.mSizeClass <= SizeClassOf(aDemand.mCpuMs);
 }
 
-/** The rate at which a cell works off its backlog, at least. Zero if unknown.
- */
+/** The highest rate at which a cell may work off its backlog, if the estimates
+ * of what waits are too long. Zero if unknown. */
 auto DrainRate(const KindRate& aRate) -> double
 {
-  // The cores bound the rate from above only if estimates are not too long.
-  return aRate.mSaturatedRate ? std::max(*aRate.mSaturatedRate, 0.0)
-                              : aRate.mCores * kEstimateError;
+  return kEstimateError * aRate.mSaturatedRate.value_or(aRate.mCores);
 }
 
 auto Decay(Share& aShare, MonotonicTime aNow) -> void
