Withdraw requests of evacuation that only a peer told of

Cause: an entry whose reads failed from before a request until after its withdrawal knew the request from a peer only. The removal of a row that it had never read was ignored, and if the peer ended meanwhile, the domain stayed closed at this entry until a restart.

Change: after each reply the entry compares the requests in force with the rows that it has read; one from before that view which has no row is withdrawn.

Tests: dispatch_evacuations (request_known_from_peer_only_and_not_read_is_withdrawn; the function is new, so that it has no run on the former code).

--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -60,6 +60,8 @@
     -> void;
   auto OnEvacuationRemoved(const std::string& aDomain, std::uint64_t aVersion)
     -> void;
+  /** Called after each reply to a read of the operator's table. */
+  auto OnEvacuationsRead() -> void;
   auto OnEvacuationNotices(const std::vector<EvacuationNotice>& aNotices)
     -> void;
   /** Tells the holders which domains are being evacuated. aSource: from where a
@@ -183,6 +185,8 @@
   mutable std::map<std::string, UnreportedWork> mUnreportedWork;
   PendingCounts mPendingCounts;
   Evacuations mEvacuations;
+  /** The domains for which this entry itself has read a request. */
+  cell::DomainSet mRequestedDomains;
   /** The domains whose evacuation is in force. */
   cell::DomainSet mEvacuatedDomains;
   std::set<std::string> mCellsInTransition;
--- a/src/dispatch/internal/entryevacuations.cpp
+++ b/src/dispatch/internal/entryevacuations.cpp
@@ -27,6 +27,7 @@
 auto DispatchEntry::OnEvacuationRequested(const std::string& aDomain,
                                           std::uint64_t aVersion) -> void
 {
+  mRequestedDomains.insert(aDomain);
   if (FollowsEvacuations() && NoteRequest(mEvacuations, aDomain, aVersion)) {
     ApplyEvacuations("store");
   }
@@ -35,11 +36,23 @@
 auto DispatchEntry::OnEvacuationRemoved(const std::string& aDomain,
                                         std::uint64_t aVersion) -> void
 {
+  mRequestedDomains.erase(aDomain);
   if (FollowsEvacuations() && NoteWithdrawal(mEvacuations, aDomain, aVersion)) {
     ApplyEvacuations("store");
   }
 }
 
+auto DispatchEntry::OnEvacuationsRead() -> void
+{
+  const auto isChanged =
+    FollowsEvacuations() && NoteExisting(mEvacuations,
+                                         mRequestedDomains,
+                                         mConfigurationWatch.KnownVersion());
+  if (isChanged) {
+    ApplyEvacuations("store");
+  }
+}
+
 auto DispatchEntry::OnEvacuationNotices(
   const std::vector<EvacuationNotice>& aNotices) -> void
 {
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -54,7 +54,8 @@
       OnEvacuationRemoved(*domain, aVersion);
     }
   };
-  co_await mConfigurationWatch.Run(onRow, onRemoved, [] {});
+  co_await mConfigurationWatch.Run(
+    onRow, onRemoved, [this] { OnEvacuationsRead(); });
 }
 
 auto DispatchEntry::OnControlRow(const StoreRow& aRow) -> void
--- a/src/dispatch/internal/evacuations.cpp
+++ b/src/dispatch/internal/evacuations.cpp
@@ -45,6 +45,21 @@
   return IsInForce(notice) != wasInForce;
 }
 
+auto NoteExisting(Evacuations& aKnown,
+                  const cell::DomainSet& aExisting,
+                  std::uint64_t aVersion) -> bool
+{
+  auto out = false;
+  for (auto& [domain, it] : aKnown) {
+    if (IsInForce(it) && it.mRequestedAt <= aVersion &&
+        !aExisting.contains(domain)) {
+      it.mWithdrawnAt = aVersion;
+      out = true;
+    }
+  }
+  return out;
+}
+
 auto AdoptNotices(Evacuations& aKnown,
                   const std::vector<EvacuationNotice>& aNotices,
                   std::uint64_t aReadVersion) -> bool
--- a/src/dispatch/internal/evacuations.h
+++ b/src/dispatch/internal/evacuations.h
@@ -29,6 +29,13 @@
                     const std::string& aDomain,
                     std::uint64_t aVersion) -> bool;
 
+/** Records for which domains requests exist at a version of the store, all of
+ * which were read. Requests from before that only a peer has told of are
+ * withdrawn if they are not among them. */
+auto NoteExisting(Evacuations& aKnown,
+                  const cell::DomainSet& aExisting,
+                  std::uint64_t aVersion) -> bool;
+
 /** Adopts the notices of a peer. aReadVersion: the requests that exist at this
  * version were all read here, so that one which a peer still knows from before
  * and which is not among them has been withdrawn. */
--- a/src/dispatch/tests/evacuations_tests.cpp
+++ b/src/dispatch/tests/evacuations_tests.cpp
@@ -108,6 +108,24 @@
   BOOST_CHECK(!InForce());
 }
 
+BOOST_AUTO_TEST_CASE(request_known_from_peer_only_and_not_read_is_withdrawn)
+{
+  // The entry's own reads failed from before the request until after its
+  // withdrawal, and the peer ended in between.
+  BOOST_REQUIRE(AdoptNotices(mKnown, { { "a", 5, 0 }, { "b", 6, 0 } }, 3));
+  BOOST_CHECK(NoteExisting(mKnown, { "b" }, 8));
+  BOOST_CHECK((DomainsInForce(mKnown) == cell::DomainSet{ "b" }));
+  BOOST_CHECK(!NoteExisting(mKnown, { "b" }, 9));
+  BOOST_CHECK_EQUAL(mKnown.at("a").mWithdrawnAt, 8);
+}
+
+BOOST_AUTO_TEST_CASE(request_known_from_peer_newer_than_own_read_stays)
+{
+  BOOST_REQUIRE(AdoptNotices(mKnown, { { "a", 5, 0 } }, 3));
+  BOOST_CHECK(!NoteExisting(mKnown, {}, 4));
+  BOOST_CHECK(InForce());
+}
+
 BOOST_AUTO_TEST_CASE(closed_cell_gets_no_offers_and_no_migrations)
 {
   CellStatus open;
