Replace a withheld row only while there is time for an offer

Cause: a request that met a withheld row replaced it whenever it had been written. A caller whose connection broke asks again elsewhere while the first request goes on; the second settled the outcome and told that the job does not run, and the first then replaced its row and had the job accepted. The second offer also kept the timeout of the first, beyond the time at which the outcome is settled.

Ruled out: comparing the time of the row with that of the request (clocks differ).

Change: a row is replaced only before the time at which requests settle, and the offer has the time left.

--- a/src/dispatch/internal/callersubmission.cpp
+++ b/src/dispatch/internal/callersubmission.cpp
@@ -76,8 +76,14 @@
     command.mTimeoutMs = aSubmission.OfferTimeMs();
     auto reply = co_await mContext.mExecute(command);
     if (reply.mOutcome == JobOutcome::Withheld) {
+      if (aSubmission.OfferTimeMs() <= kMinRetryBudgetMs) {
+        // A later request for the same job may have withheld it just now, and
+        // its caller has been told that the job does not run.
+        co_return std::nullopt;
+      }
       // An earlier request for the same job was told that it has not run.
       command.mIdVersion = reply.mIdVersion;
+      command.mTimeoutMs = aSubmission.OfferTimeMs();
       reply = co_await mContext.mExecute(command);
     }
     if (reply.mOutcome == JobOutcome::Declined) {
--- a/src/dispatch/tests/submission_tests.cpp
+++ b/src/dispatch/tests/submission_tests.cpp
@@ -161,6 +161,39 @@
   BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
 }
 
+BOOST_AUTO_TEST_CASE(job_withheld_during_a_request_is_not_replaced_by_it)
+{
+  LoseSubmissions();
+  BOOST_REQUIRE(Submit() == CallerOutcome::NotRun);
+  // The row could as well have been written while this request waited.
+  Do([&] {
+    mExecute = [this](JobCommand aCommand) -> net::Task<JobReply> {
+      co_await net::Sleep(kCallerTimeout - Milliseconds(kSettleMs));
+      co_return co_await ExecuteInCell(std::move(aCommand));
+    };
+  });
+  BOOST_CHECK(Submit() == CallerOutcome::NotRun);
+  BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
+}
+
+BOOST_AUTO_TEST_CASE(withheld_job_is_offered_again_within_the_time_left)
+{
+  constexpr auto kReplyTime = Milliseconds(200);
+  LoseSubmissions();
+  BOOST_REQUIRE(Submit() == CallerOutcome::NotRun);
+  std::vector<std::int64_t> timeouts;
+  Do([&] {
+    mExecute = [&](JobCommand aCommand) -> net::Task<JobReply> {
+      timeouts.push_back(aCommand.mTimeoutMs);
+      co_await net::Sleep(kReplyTime);
+      co_return co_await ExecuteInCell(std::move(aCommand));
+    };
+  });
+  BOOST_CHECK(Submit() == CallerOutcome::Accepted);
+  BOOST_REQUIRE_EQUAL(timeouts.size(), 2);
+  BOOST_CHECK_LE(timeouts[1], timeouts[0] - kReplyTime.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(unsettled_reply, UnsettledFixture)
