Ask cells for half of a caller's time at least

Cause: with submission.settle_ms at or above a caller's patience the time left for offers was 0, so that no submission of such a caller could be accepted.

Change: at most half of the time until the deadline is left for settling. Callers that wait for 1.4 s and more see no difference at 700 ms.

Tests: dispatch_submission (impatient_caller_cells_have_half_of_its_time, which fails on: 0 ms for the offer).

--- a/src/dispatch/internal/callersubmission.cpp
+++ b/src/dispatch/internal/callersubmission.cpp
@@ -22,6 +22,8 @@
 /** With less time left than this, the retry is left to the caller. */
 constexpr std::int64_t kMinRetryBudgetMs = 250;
 constexpr auto kSettleRetryInterval = Milliseconds(40);
+/** At most half of the time until a caller's deadline is left for settling. */
+constexpr std::int64_t kSettleDivisor = 2;
 
 } // namespace
 
@@ -124,7 +126,8 @@
   }
   Submission submission;
   submission.mDeadline = aDeadline;
-  submission.mSettleMs = mContext.mSettleMs;
+  submission.mSettleMs = std::min(
+    mContext.mSettleMs, RemainingTimeoutMs(aDeadline) / kSettleDivisor);
   auto& command = submission.mCommand;
   command.mKind = JobCommandKind::Submit;
   command.mJobId = aRequest.mJobId;
--- a/src/dispatch/tests/submission_tests.cpp
+++ b/src/dispatch/tests/submission_tests.cpp
@@ -62,6 +62,16 @@
   }
 };
 
+/** Callers wait for less time than the entry would like to keep for settling.
+ */
+struct LongSettlingFixture : LostReplyFixture
+{
+  LongSettlingFixture()
+    : LostReplyFixture(4 * kCallerTimeout.count())
+  {
+  }
+};
+
 /** An entry with admission whose cells have work for a minute before any new
  * job. */
 struct OverloadFixture : LostReplyFixture
@@ -196,6 +206,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(long_settling, LongSettlingFixture)
+
+BOOST_AUTO_TEST_CASE(impatient_caller_cells_have_half_of_its_time)
+{
+  std::vector<std::int64_t> timeouts;
+  Do([&] {
+    mExecute = [&](JobCommand aCommand) -> net::Task<JobReply> {
+      timeouts.push_back(aCommand.mTimeoutMs);
+      co_return co_await ExecuteInCell(std::move(aCommand));
+    };
+  });
+  BOOST_CHECK(Submit() == CallerOutcome::Accepted);
+  BOOST_REQUIRE_EQUAL(timeouts.size(), 1);
+  constexpr std::int64_t kMinPart = 3;
+  BOOST_CHECK_GE(timeouts[0], kCallerTimeout.count() / kMinPart);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(unsettled_reply, UnsettledFixture)
 
 BOOST_AUTO_TEST_CASE(setting_absent_outcome_is_uncertain)
