Log settled submissions only where they are settled

Cause: with submission.settle_ms = 0 each submission without a reply logged E975, which nothing had logged before.

Change: without the setting the caller is told that the outcome is unknown, as before, and nothing is logged. No test: the tests do not capture the log.

--- a/src/dispatch/internal/callersubmission.cpp
+++ b/src/dispatch/internal/callersubmission.cpp
@@ -172,12 +172,13 @@
 auto CallerHandler::SettleOutcome(Submission& aSubmission)
   -> net::Task<std::optional<CallerResponse>>
 {
-  auto& command = aSubmission.mCommand;
-  Location location;
-  if (aSubmission.mSettleMs > 0) {
-    location = co_await WithholdJob(
-      command.mJobId, command.mIdVersion, aSubmission.mDeadline);
+  if (aSubmission.mSettleMs == 0) {
+    mUncertain.Add();
+    co_return MakeUncertainResponse();
   }
+  auto& command = aSubmission.mCommand;
+  const auto location = co_await WithholdJob(
+    command.mJobId, command.mIdVersion, aSubmission.mDeadline);
   mContext.mLog.Record(
     kSubmissionSettled,
     { { "job", command.mJobId },
