Tell uncertain outcomes of refusals where the store is silent

Cause: a submission that is refused without being offered, as all cells are closed or full, is looked up first, as it may have been accepted. If the store gave no answer, the caller was told that the job does not run, although it may be running. The refusal was also counted where the job turned out to be accepted.

Change: without an answer the outcome is uncertain. Refusals are counted as they are sent; E963 is still logged before the look-up.

--- a/src/dispatch/internal/callersubmission.cpp
+++ b/src/dispatch/internal/callersubmission.cpp
@@ -246,8 +246,11 @@
                                      : Accept(aId, location.mCell);
   }
   if (!location.mIsCertain) {
-    co_return MakeNotRunResponse("the store does not respond; retry");
+    mUncertain.Add();
+    co_return MakeUncertainResponse();
   }
+  (aRefusal.mOutcome == CallerOutcome::Overloaded ? mOverloaded : mRefused)
+    .Add();
   co_return aRefusal;
 }
 
@@ -255,7 +258,6 @@
                                          MonotonicTime aDeadline)
   -> net::Task<CallerResponse>
 {
-  mRefused.Add();
   auto out = MakeNotRunResponse(
     "all failure domains that can be reached are being evacuated; retry later");
   out.mRetryAfter = kEvacuationRetryAfter;
@@ -288,7 +290,6 @@
   if (decision.mVerdict == admission::Verdict::Accept) {
     co_return std::nullopt;
   }
-  mOverloaded.Add();
   mContext.mLog.Record(
     kJobNotAdmitted,
     { { "job", command.mJobId },
--- a/src/dispatch/tests/evacuations_tests.cpp
+++ b/src/dispatch/tests/evacuations_tests.cpp
@@ -217,6 +217,20 @@
   SubmitAndStart();
   CloseAll();
   BOOST_CHECK(Request("POST", Milliseconds(3000)) == CallerOutcome::Accepted);
+  const auto& refused =
+    mMetrics.FindCounter("submissions_total{outcome=\"refused\"}");
+  BOOST_CHECK_EQUAL(refused.Value(), 0);
+}
+
+BOOST_AUTO_TEST_CASE(store_unavailable_all_cells_closed_is_not_told_as_not_run)
+{
+  // Its caller got no reply, and this entry knows nothing of the job.
+  const auto reply = Wait(ExecuteInCell(MakeSubmission(kId)));
+  BOOST_REQUIRE(reply.mOutcome == JobOutcome::Done);
+  CloseAll();
+  Do([&] { mStore.mIsUnavailable = true; });
+  BOOST_CHECK(Request("POST", Milliseconds(1000)) == CallerOutcome::Uncertain);
+  Do([&] { mStore.mIsUnavailable = false; });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
