--- a/src/dispatch/internal/callersubmission.cpp
+++ b/src/dispatch/internal/callersubmission.cpp
@@ -22,6 +22,8 @@
 /** With less time left than this, the retry is left to the caller. */
 constexpr std::int64_t kMinRetryBudgetMs = 250;
 constexpr auto kSettleRetryInterval = Milliseconds(40);
+/** At most half of the time until a caller's deadline is left for settling. */
+constexpr std::int64_t kSettleDivisor = 2;
 
 } // namespace
 
@@ -76,8 +78,14 @@
     command.mTimeoutMs = aSubmission.OfferTimeMs();
     auto reply = co_await mContext.mExecute(command);
     if (reply.mOutcome == JobOutcome::Withheld) {
+      if (aSubmission.OfferTimeMs() <= kMinRetryBudgetMs) {
+        // A later request for the same job may have withheld it just now, and
+        // its caller has been told that the job does not run.
+        co_return std::nullopt;
+      }
       // An earlier request for the same job was told that it has not run.
       command.mIdVersion = reply.mIdVersion;
+      command.mTimeoutMs = aSubmission.OfferTimeMs();
       reply = co_await mContext.mExecute(command);
     }
     if (reply.mOutcome == JobOutcome::Declined) {
@@ -118,7 +126,8 @@
   }
   Submission submission;
   submission.mDeadline = aDeadline;
-  submission.mSettleMs = mContext.mSettleMs;
+  submission.mSettleMs = std::min(
+    mContext.mSettleMs, RemainingTimeoutMs(aDeadline) / kSettleDivisor);
   auto& command = submission.mCommand;
   command.mKind = JobCommandKind::Submit;
   command.mJobId = aRequest.mJobId;
@@ -163,12 +172,13 @@
 auto CallerHandler::SettleOutcome(Submission& aSubmission)
   -> net::Task<std::optional<CallerResponse>>
 {
-  auto& command = aSubmission.mCommand;
-  Location location;
-  if (aSubmission.mSettleMs > 0) {
-    location = co_await WithholdJob(
-      command.mJobId, command.mIdVersion, aSubmission.mDeadline);
+  if (aSubmission.mSettleMs == 0) {
+    mUncertain.Add();
+    co_return MakeUncertainResponse();
   }
+  auto& command = aSubmission.mCommand;
+  const auto location = co_await WithholdJob(
+    command.mJobId, command.mIdVersion, aSubmission.mDeadline);
   mContext.mLog.Record(
     kSubmissionSettled,
     { { "job", command.mJobId },
@@ -236,8 +246,11 @@
                                      : Accept(aId, location.mCell);
   }
   if (!location.mIsCertain) {
-    co_return MakeNotRunResponse("the store does not respond; retry");
+    mUncertain.Add();
+    co_return MakeUncertainResponse();
   }
+  (aRefusal.mOutcome == CallerOutcome::Overloaded ? mOverloaded : mRefused)
+    .Add();
   co_return aRefusal;
 }
 
@@ -245,7 +258,6 @@
                                          MonotonicTime aDeadline)
   -> net::Task<CallerResponse>
 {
-  mRefused.Add();
   auto out = MakeNotRunResponse(
     "all failure domains that can be reached are being evacuated; retry later");
   out.mRetryAfter = kEvacuationRetryAfter;
@@ -278,7 +290,6 @@
   if (decision.mVerdict == admission::Verdict::Accept) {
     co_return std::nullopt;
   }
-  mOverloaded.Add();
   mContext.mLog.Record(
     kJobNotAdmitted,
     { { "job", command.mJobId },
--- a/src/dispatch/tests/submission_tests.cpp
+++ b/src/dispatch/tests/submission_tests.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "cancellationfixture.h"
+#include "eelgrasspost/base/text.h"
 
 namespace eelgrasspost::dispatch::testing {
 
@@ -62,6 +63,16 @@
   }
 };
 
+/** Callers wait for less time than the entry would like to keep for settling.
+ */
+struct LongSettlingFixture : LostReplyFixture
+{
+  LongSettlingFixture()
+    : LostReplyFixture(4 * kCallerTimeout.count())
+  {
+  }
+};
+
 /** An entry with admission whose cells have work for a minute before any new
  * job. */
 struct OverloadFixture : LostReplyFixture
@@ -150,6 +161,31 @@
   BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
 }
 
+BOOST_AUTO_TEST_CASE(writes_executed_late_leave_the_outcome_that_was_told)
+{
+  constexpr std::size_t kMaxLateWrites = 7;
+  std::set<CallerOutcome> seen;
+  for (std::size_t n = 1; n <= kMaxLateWrites; ++n) {
+    const auto id = base::Cat("00000000000000b", n);
+    Do([&] { mStore.mFaults.assign(n, FakeFault::ApplyLate); });
+    const auto outcome = Request("POST", kCallerTimeout, id);
+    seen.insert(outcome);
+    Do([&] { mStore.mFaults.clear(); });
+    // The holder and the entry may go on for a while.
+    Wait(net::Sleep(Milliseconds(500)), true);
+    Do([&] { mStore.ApplyLateCalls(); });
+    const auto state = Request("GET", kCallerTimeout, id);
+    BOOST_TEST_CONTEXT("late writes " << n)
+    {
+      const auto isKnown = state == CallerOutcome::State;
+      BOOST_CHECK(outcome != CallerOutcome::Accepted || isKnown);
+      BOOST_CHECK(mWorkers.CountStarts(id + ".0.0.0") <= (isKnown ? 1U : 0U));
+    }
+  }
+  BOOST_CHECK(seen.contains(CallerOutcome::Accepted));
+  BOOST_CHECK(seen.contains(CallerOutcome::NotRun));
+}
+
 BOOST_AUTO_TEST_CASE(refused_job_cancelled_is_unknown_and_stays_refused)
 {
   LoseSubmissions();
@@ -161,6 +197,58 @@
   BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
 }
 
+BOOST_AUTO_TEST_CASE(job_withheld_during_a_request_is_not_replaced_by_it)
+{
+  LoseSubmissions();
+  BOOST_REQUIRE(Submit() == CallerOutcome::NotRun);
+  // The row could as well have been written while this request waited.
+  Do([&] {
+    mExecute = [this](JobCommand aCommand) -> net::Task<JobReply> {
+      co_await net::Sleep(kCallerTimeout - Milliseconds(kSettleMs));
+      co_return co_await ExecuteInCell(std::move(aCommand));
+    };
+  });
+  BOOST_CHECK(Submit() == CallerOutcome::NotRun);
+  BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
+}
+
+BOOST_AUTO_TEST_CASE(withheld_job_is_offered_again_within_the_time_left)
+{
+  constexpr auto kReplyTime = Milliseconds(200);
+  LoseSubmissions();
+  BOOST_REQUIRE(Submit() == CallerOutcome::NotRun);
+  std::vector<std::int64_t> timeouts;
+  Do([&] {
+    mExecute = [&](JobCommand aCommand) -> net::Task<JobReply> {
+      timeouts.push_back(aCommand.mTimeoutMs);
+      co_await net::Sleep(kReplyTime);
+      co_return co_await ExecuteInCell(std::move(aCommand));
+    };
+  });
+  BOOST_CHECK(Submit() == CallerOutcome::Accepted);
+  BOOST_REQUIRE_EQUAL(timeouts.size(), 2);
+  BOOST_CHECK_LE(timeouts[1], timeouts[0] - kReplyTime.count());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(long_settling, LongSettlingFixture)
+
+BOOST_AUTO_TEST_CASE(impatient_caller_cells_have_half_of_its_time)
+{
+  std::vector<std::int64_t> timeouts;
+  Do([&] {
+    mExecute = [&](JobCommand aCommand) -> net::Task<JobReply> {
+      timeouts.push_back(aCommand.mTimeoutMs);
+      co_return co_await ExecuteInCell(std::move(aCommand));
+    };
+  });
+  BOOST_CHECK(Submit() == CallerOutcome::Accepted);
+  BOOST_REQUIRE_EQUAL(timeouts.size(), 1);
+  constexpr std::int64_t kMinPart = 3;
+  BOOST_CHECK_GE(timeouts[0], kCallerTimeout.count() / kMinPart);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(unsettled_reply, UnsettledFixture)
