Adapt the test of table watches to removals with a version

The watch passes the version of a removal since evacuations follow it; the test did not build with it, so none of the dispatch tests ran. The cases are unchanged.

--- a/src/dispatch/tests/tablewatch_tests.cpp
+++ b/src/dispatch/tests/tablewatch_tests.cpp
@@ -45,7 +45,7 @@
     mPool.Spawn(
       mPool.Executor(0),
       mWatch.Run([this](const StoreRow& aRow) { mKeys.insert(aRow.mKey); },
-                 [this](const std::string& aKey) { mKeys.erase(aKey); },
+                 [this](const std::string& aKey, std::uint64_t) { mKeys.erase(aKey); },
                  [] {}));
   }
 
