Measure the rate of admission over the run time of tasks

A rate was measured over a second. After an idle time, or between the ends of tasks that take longer, hardly any work ends in a second, so that the rate fell to almost nothing and jobs were refused that would have been served in time. A period now lasts two mean run times at least. While a large task or one for few workers waits, others may find idle cores: the cores bound the rate of reserved work from below.

Ruled out: a bound by cores for work that uses CPU left over, as throttling may keep that from being used.

--- a/src/admission/include/eelgrasspost/admission/admission.h
+++ b/src/admission/include/eelgrasspost/admission/admission.h
@@ -61,8 +61,11 @@
 /** Records work that has ended. */
 auto AddDone(RateMeter& aMeter, double aCpuMs) -> void;
 /** Ends a period of measurement if it was long enough. aIsSaturated: tasks
- * waited all the time; otherwise the measurement starts anew. */
-auto UpdateRate(RateMeter& aMeter, bool aIsSaturated, MonotonicTime aNow)
-  -> void;
+ * waited all the time; otherwise the measurement starts anew. aRunTime: how
+ * long the tasks take that run; in a shorter period few or none of them end. */
+auto UpdateRate(RateMeter& aMeter,
+                bool aIsSaturated,
+                Milliseconds aRunTime,
+                MonotonicTime aNow) -> void;
 
 } // namespace eelgrasspost::admission
--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -46,13 +46,18 @@
          aBacklog.mSizeClass <= SizeClassOf(aDemand.mCpuMs);
 }
 
-/** The rate at which a cell works off its backlog, at least. Zero if unknown.
- */
-auto DrainRate(const KindRate& aRate) -> double
+/** The rate at which a cell works off its backlog, at most. Zero if unknown. */
+auto DrainRate(const CellLoad& aLoad, RoomKind aKind) -> double
 {
-  // The cores bound the rate from above only if estimates are not too long.
-  return aRate.mSaturatedRate ? std::max(*aRate.mSaturatedRate, 0.0)
-                              : aRate.mCores * kEstimateError;
+  const auto& rate = RateOf(aLoad, aKind);
+  if (!rate.mSaturatedRate) {
+    // The cores bound the rate from above only if estimates are not too long.
+    return rate.mCores * kEstimateError;
+  }
+  // While some tasks wait for a large gap or for few workers, others that fit
+  // may find idle cores. CPU that is left over may be of no use to them.
+  const auto floor = aKind == RoomKind::Reserved ? rate.mCores : 0.0;
+  return std::max(*rate.mSaturatedRate, floor);
 }
 
 auto Decay(Share& aShare, MonotonicTime aNow) -> void
@@ -130,7 +135,7 @@
 
 auto WaitIn(const KnownLoad& aCell, const JobDemand& aDemand) -> ExpectedWait
 {
-  const auto rate = DrainRate(RateOf(aCell.mLoad, aDemand.mKind));
+  const auto rate = DrainRate(aCell.mLoad, aDemand.mKind);
   if (aCell.mAge > kMaxReportAge || rate <= 0) {
     return {};
   }
@@ -211,10 +216,13 @@
   aMeter.mDoneCpuMs += aCpuMs;
 }
 
-auto UpdateRate(RateMeter& aMeter, bool aIsSaturated, MonotonicTime aNow)
-  -> void
+auto UpdateRate(RateMeter& aMeter,
+                bool aIsSaturated,
+                Milliseconds aRunTime,
+                MonotonicTime aNow) -> void
 {
-  constexpr auto kPeriod = Milliseconds(1000);
+  constexpr auto kMinPeriod = Milliseconds(1000);
+  constexpr int kRunsPerPeriod = 2;
   constexpr double kWeight = 0.5;
   if (!aIsSaturated || aMeter.mSince == MonotonicTime{}) {
     aMeter = { 0, aNow, std::nullopt };
@@ -222,7 +230,7 @@
   }
   const auto period =
     std::chrono::duration<double, std::milli>(aNow - aMeter.mSince);
-  if (aNow - aMeter.mSince < kPeriod) {
+  if (aNow - aMeter.mSince < std::max(kMinPeriod, kRunsPerPeriod * aRunTime)) {
     return;
   }
   const auto rate = aMeter.mDoneCpuMs / period.count();
--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -11,6 +11,7 @@
 using namespace eelgrasspost::admission;
 
 constexpr double kCores = 100;
+constexpr auto kBriefRun = Milliseconds(100);
 
 /** Cells with a backlog, and jobs that arrive at an entry. */
 struct AdmissionFixture
@@ -218,14 +219,39 @@
 BOOST_AUTO_TEST_CASE(rate_measured_only_while_work_waits)
 {
   RateMeter meter;
-  UpdateRate(meter, true, mNow);
+  UpdateRate(meter, true, kBriefRun, mNow);
   AddDone(meter, 50000);
   mNow += Milliseconds(1000);
-  UpdateRate(meter, true, mNow);
+  UpdateRate(meter, true, kBriefRun, mNow);
   BOOST_REQUIRE(meter.mRate);
   BOOST_CHECK_CLOSE(*meter.mRate, 50.0, 1e-6);
-  UpdateRate(meter, false, mNow);
+  UpdateRate(meter, false, kBriefRun, mNow);
   BOOST_CHECK(!meter.mRate);
 }
 
+// After an idle time all cores start tasks of 10 s at once, so that no work is
+// done for seconds.
+BOOST_AUTO_TEST_CASE(rate_of_long_tasks_does_not_fall_between_their_ends)
+{
+  constexpr auto kRun = Milliseconds(10000);
+  constexpr auto kTick = Milliseconds(200);
+  RateMeter meter;
+  for (auto time = Milliseconds(0); time < 12 * kRun; time += kTick) {
+    UpdateRate(meter, true, kRun, mNow + time);
+    BOOST_REQUIRE(!meter.mRate || *meter.mRate >= kCores / 2);
+    if (time.count() > 0 && time.count() % kRun.count() == 0) {
+      AddDone(meter, kCores * static_cast<double>(kRun.count()));
+    }
+  }
+  BOOST_CHECK(meter.mRate);
+}
+
+// Tasks of another size or on few workers wait while most cores are idle.
+BOOST_AUTO_TEST_CASE(low_rate_of_reserved_work_refuses_no_job_that_fits)
+{
+  constexpr double kLowRate = kCores / 50;
+  const auto cell = MakeCell(Backlogged(1000), kLowRate);
+  BOOST_CHECK(IsAccepted({ cell }, MakeDemand(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/cell/internal/load.cpp
+++ b/src/cell/internal/load.cpp
@@ -77,6 +77,38 @@
     });
 }
 
+/** Mean estimated run time of the short tasks of a kind that run, by the CPU
+ * that they use. */
+auto MeanRunTime(const CellState& aCell, RoomKind aKind) -> Milliseconds
+{
+  auto cpuMs = 0.0;
+  auto cores = 0.0;
+  for (const auto& [id, worker] : aCell.mWorkers) {
+    for (const auto& [name, run] : worker->mRuns) {
+      if (!run.mTask || run.mIsLongRunning ||
+          KindOf(SpecOf(*run.mTask)) != aKind) {
+        continue;
+      }
+      const auto& step = SpecOf(*run.mTask);
+      cpuMs += CpuMsOf(step);
+      cores += static_cast<double>(step.mNeed.mCpuMillis) / kMillisPerCore;
+    }
+  }
+  return Milliseconds(
+    static_cast<std::int64_t>(cores > 0 ? cpuMs / cores : 0.0));
+}
+
+auto UpdateRate(const CellState& aCell,
+                RoomKind aKind,
+                admission::RateMeter& aMeter,
+                MonotonicTime aNow) -> void
+{
+  admission::UpdateRate(aMeter,
+                        IsSaturated(aCell, aKind, aNow),
+                        MeanRunTime(aCell, aKind),
+                        aNow);
+}
+
 } // namespace
 
 auto DemandOf(const JobSpec& aJob, const Queue& aQueue) -> admission::JobDemand
@@ -145,10 +177,8 @@
 
 auto UpdateRates(CellState& aCell, MonotonicTime aNow) -> void
 {
-  admission::UpdateRate(
-    aCell.mReservedRate, IsSaturated(aCell, RoomKind::Reserved, aNow), aNow);
-  admission::UpdateRate(
-    aCell.mLeftoverRate, IsSaturated(aCell, RoomKind::Leftover, aNow), aNow);
+  UpdateRate(aCell, RoomKind::Reserved, aCell.mReservedRate, aNow);
+  UpdateRate(aCell, RoomKind::Leftover, aCell.mLeftoverRate, aNow);
 }
 
 auto NoteDone(CellState& aCell, const StepSpec& aStep) -> void
