Count a cell that is being taken over as room

The design says so, but cells whose holders send no orders yet were left out, so that a job was refused while the others were full. Closed cells stay left out.

--- a/src/admission/include/eelgrasspost/admission/admissiontypes.h
+++ b/src/admission/include/eelgrasspost/admission/admissiontypes.h
@@ -90,7 +90,7 @@
   CellLoad mLoad;
   /** Since the holder reported it. */
   Milliseconds mAge{ 0 };
-  /** The cell accepts jobs. */
+  /** Its holder sends orders; it may be about to, or be replaced, otherwise. */
   bool mIsActive = false;
 };
 
--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -136,7 +136,7 @@
 auto WaitIn(const KnownLoad& aCell, const JobDemand& aDemand) -> ExpectedWait
 {
   const auto rate = DrainRate(aCell.mLoad, aDemand.mKind);
-  if (aCell.mAge > kMaxReportAge || rate <= 0) {
+  if (!aCell.mIsActive || aCell.mAge > kMaxReportAge || rate <= 0) {
     return {};
   }
   auto ahead = 0.0;
@@ -185,9 +185,6 @@
   auto isKnown = false;
   auto canBeDone = false;
   for (const auto& it : aCells) {
-    if (!it.mIsActive) {
-      continue;
-    }
     const auto wait = WaitIn(it, aDemand);
     canBeDone = canBeDone || wait.mInTime <= bound(out.mMaxWait) ||
                 wait.mLate <= bound(out.mMaxLateWait);
--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -254,4 +254,12 @@
   BOOST_CHECK(IsAccepted({ cell }, MakeDemand(1000)));
 }
 
+BOOST_AUTO_TEST_CASE(cell_that_is_being_taken_over_counts_as_room)
+{
+  auto cell = MakeCell(Backlogged(60000));
+  cell.mIsActive = false;
+  BOOST_CHECK(
+    IsAccepted({ MakeCell(Backlogged(60000)), cell }, MakeDemand(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/internal/callersubmission.cpp
+++ b/src/dispatch/internal/callersubmission.cpp
@@ -265,7 +265,9 @@
   std::vector<admission::KnownLoad> loads;
   loads.reserve(aCells.size());
   for (const auto& it : aCells) {
-    loads.push_back({ it.mLoad, it.mAge, it.mIsActive && !it.mIsClosed });
+    if (!it.mIsClosed) {
+      loads.push_back({ it.mLoad, it.mAge, it.mIsActive });
+    }
   }
   const auto demand = cell::DemandOf(job.mSpec, job.mQueue);
   const auto key = admission::ShareKey{ job.mQueue.mName,
