Forget the shares of queues without submissions

The table grew with each queue that had ever existed, each decision went through all of it, and a refusal long ago still lowered the bound of a key. A key is forgotten once its refused callers would be back. The test of favoured domains gives the time of the last submission as well.

The comment on small numbers of refusals said that one job in a second is accepted, which never held; corrected.

--- a/src/admission/include/eelgrasspost/admission/admission.h
+++ b/src/admission/include/eelgrasspost/admission/admission.h
@@ -28,6 +28,8 @@
   double mAskedCpuMs = 0;
   double mGrantedCpuMs = 0;
   MonotonicTime mUpdatedAt{};
+  /** Last submission. */
+  MonotonicTime mAskedAt{};
   /** Refusals in the current second, and the submissions of it. */
   std::uint32_t mRefused = 0;
   std::uint32_t mAsked = 0;
--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -18,7 +18,8 @@
 /** Part of the submissions of a key that may be refused in a second; the others
  * show whether the estimate still holds. */
 constexpr double kMaxRefusedShare = 0.9;
-/** With fewer submissions in a second, all but one may be refused. */
+/** With fewer submissions in a second, that part of this number may be refused.
+ */
 constexpr std::uint32_t kMinAskedForShare = 10;
 constexpr auto kSecond = Milliseconds(1000);
 /** Time after which the shares of a key have fallen to 1/e. */
@@ -27,6 +28,7 @@
 constexpr double kFairDifference = 0.05;
 constexpr auto kMinRetryAfter = Milliseconds(1000);
 constexpr auto kMaxRetryAfter = Milliseconds(30000);
+constexpr auto kMaxUnused = kMaxRetryAfter;
 
 auto RateOf(const CellLoad& aLoad, RoomKind aKind) -> const KindRate&
 {
@@ -82,6 +84,15 @@
   return aAsked > 0 ? aGranted / aAsked : 1.0;
 }
 
+/** Forgets keys without a submission for so long that the refused callers are
+ * back, and with them that they were refused. */
+auto RemoveUnused(ShareTable& aShares, MonotonicTime aNow) -> void
+{
+  std::erase_if(aShares, [&](const auto& aItem) {
+    return aNow - aItem.second.mAskedAt > kMaxUnused;
+  });
+}
+
 /** How far the granted share of a key is below that of all keys. */
 auto Deficit(const ShareTable& aShares, const Share& aShare) -> double
 {
@@ -168,7 +179,9 @@
             ShareTable& aShares,
             MonotonicTime aNow) -> Decision
 {
+  RemoveUnused(aShares, aNow);
   auto& share = aShares[aKey];
+  share.mAskedAt = aNow;
   for (auto& [key, it] : aShares) {
     Decay(it, aNow);
   }
--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -209,8 +209,8 @@
 BOOST_AUTO_TEST_CASE(domain_granted_less_than_others_is_favoured)
 {
   const ShareKey favoured{ "queue", "b", 0 };
-  mShares[{ "queue", "a", 0 }] = { 1e6, 1e6, mNow };
-  mShares[favoured] = { 1e6, 0.4e6, mNow };
+  mShares[{ "queue", "a", 0 }] = { 1e6, 1e6, mNow, mNow };
+  mShares[favoured] = { 1e6, 0.4e6, mNow, mNow };
   const auto cells = std::vector{ MakeCell(Backlogged(6500)) };
   BOOST_CHECK(!IsAccepted(cells, MakeDemand(1000)));
   BOOST_CHECK(IsAccepted(cells, MakeDemand(1000), favoured));
@@ -262,4 +262,21 @@
     IsAccepted({ MakeCell(Backlogged(60000)), cell }, MakeDemand(1000)));
 }
 
+BOOST_AUTO_TEST_CASE(refusal_long_ago_does_not_lower_the_bound)
+{
+  const auto demand = MakeDemand(1000);
+  BOOST_REQUIRE(!IsAccepted({ MakeCell(Backlogged(6000)) }, demand));
+  mNow += Milliseconds(60000);
+  BOOST_CHECK(IsAccepted({ MakeCell(Backlogged(5300)) }, demand));
+}
+
+BOOST_AUTO_TEST_CASE(shares_of_queues_that_are_gone_are_forgotten)
+{
+  for (auto i = 0; i < 1000; ++i) {
+    mNow += Milliseconds(1000);
+    Ask({ MakeCell(0) }, MakeDemand(1000), { std::to_string(i), "a", 0 });
+  }
+  BOOST_TEST(mShares.size() < 50U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
