Report as backlog only what a new job waits behind

The load of a cell counted too much backlog and too few cores, so that jobs were refused that would have started at once: tasks of later steps, which wait for others of their job; tasks that are restricted to certain workers; after a takeover all inherited tasks, though most run, against the cores of the few workers that had reported; and no cores of workers that had refused a start a moment ago. In a cell with workers of several services the backlog of one was held against the others; such a cell now reports nothing, which counts as room.

--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -109,6 +109,9 @@
                const Task& aTask,
                MonotonicTime aNow) -> void;
 
+/** Whether not every worker of the service may run the tasks of a step, or not
+ * any number of them, so that a cell's free CPU tells little about it. */
+auto RestrictsWorkers(const StepSpec& aStep) -> bool;
 /** Whether a worker of the cell may get runs once it is free and replies. */
 auto MayServe(const CellState& aCell, const Worker& aWorker) -> bool;
 /** Counts a task that found no worker, if an evacuation is in force. */
--- a/src/cell/internal/load.cpp
+++ b/src/cell/internal/load.cpp
@@ -37,6 +37,32 @@
   return out;
 }
 
+/** Whether a task waits for room that any worker may have. */
+auto WaitsForRoom(const Task& aTask) -> bool
+{
+  return aTask.mPhase == TaskPhase::Ready && !aTask.mMayBeRunning &&
+         !RestrictsWorkers(SpecOf(aTask));
+}
+
+/** Whether a worker can be used, or may be as soon as more is known of it. */
+auto MayBeUsable(const CellState& aCell,
+                 const Worker& aWorker,
+                 MonotonicTime aNow) -> bool
+{
+  return MayServe(aCell, aWorker) &&
+         (!aWorker.mIsKnown ||
+          aNow - aWorker.mLastContact < aCell.mPolicy.mSilenceLimit);
+}
+
+auto HasOneService(const CellState& aCell) -> bool
+{
+  const auto& workers = aCell.mWorkers;
+  return std::all_of(workers.begin(), workers.end(), [&](const auto& aItem) {
+    return aItem.second->mRecord.mService ==
+           workers.begin()->second->mRecord.mService;
+  });
+}
+
 using BacklogKey = std::tuple<RoomKind, std::int64_t, std::uint32_t>;
 
 auto AddBacklog(const Job& aJob,
@@ -55,7 +81,7 @@
       backlog.mPriority = priority;
       backlog.mSizeClass = sizeClass;
       for (const auto& it : occurrence->mSteps[i].mTasks) {
-        if (it.mPhase == TaskPhase::Waiting || it.mPhase == TaskPhase::Ready) {
+        if (WaitsForRoom(it)) {
           (aIsLate ? backlog.mLateCpuMs : backlog.mWaitingCpuMs) +=
             CpuMsOf(step);
         }
@@ -73,7 +99,7 @@
     aCell.mReady.begin(), aCell.mReady.end(), [&](const Task* aTask) {
       const auto& step = SpecOf(*aTask);
       return !step.mIsLongRunning && KindOf(step) == aKind &&
-             aNow - aTask->mReadyAt > kWaitForRoom;
+             WaitsForRoom(*aTask) && aNow - aTask->mReadyAt > kWaitForRoom;
     });
 }
 
@@ -141,8 +167,11 @@
   -> admission::CellLoad
 {
   admission::CellLoad out;
+  if (!HasOneService(aCell)) {
+    return out;
+  }
   for (const auto& [id, it] : aCell.mWorkers) {
-    if (!IsUsable(aCell, *it, aNow)) {
+    if (!MayBeUsable(aCell, *it, aNow)) {
       continue;
     }
     auto lasting = std::int64_t{ 0 };
--- a/src/cell/internal/suitability.cpp
+++ b/src/cell/internal/suitability.cpp
@@ -27,14 +27,6 @@
   return std::min(out, static_cast<std::int64_t>(aStep.mCount));
 }
 
-/** Whether not every worker of the service may run the tasks of a step, or not
- * any number of them, so that a cell's free CPU tells little about it. */
-auto RestrictsWorkers(const StepSpec& aStep) -> bool
-{
-  return !aStep.mRequiredLabel.empty() || aStep.mMaxPerWorker > 0 ||
-         aStep.mIsGang || aStep.mNeed.mAccelerators > 0;
-}
-
 auto CountStartableNow(const CellState& aCell,
                        const std::string& aService,
                        const StepSpec& aStep,
@@ -60,6 +52,12 @@
 
 } // namespace
 
+auto RestrictsWorkers(const StepSpec& aStep) -> bool
+{
+  return !aStep.mRequiredLabel.empty() || aStep.mMaxPerWorker > 0 ||
+         aStep.mIsGang || aStep.mNeed.mAccelerators > 0;
+}
+
 auto MayServe(const CellState& aCell, const Worker& aWorker) -> bool
 {
   return aWorker.mIsListed && !aWorker.mIsReplaced &&
