Gather no room for tasks that lack none; let brief tasks fill gatherings

A task that one worker may run once only, and that its other limits kept from a worker with room, had that room gathered: it stood idle. And once a lengthy task had found no worker, as it would have delayed a gathering, the search was skipped for all tasks that need as much, also for brief ones that end before the room is complete. The search now goes on for tasks that end sooner, in rounds with gatherings.

--- a/src/cell/internal/lookahead.cpp
+++ b/src/cell/internal/lookahead.cpp
@@ -83,7 +83,8 @@
   return out;
 }
 
-/** When a worker has the resources, if nothing else starts there. */
+/** When a worker that lacks the resources has them, if nothing else starts
+ * there. */
 auto CompleteAt(const CellState& aCell,
                 const Worker& aWorker,
                 const Resources& aNeed,
@@ -91,7 +92,8 @@
 {
   auto free = FreeOn(aCell, aWorker, aNow);
   if (Contains(free, aNeed)) {
-    return aNow;
+    // A task that finds none here is held back by something else.
+    return std::nullopt;
   }
   std::vector<std::pair<MonotonicTime, const Run*>> ends;
   for (const auto& [name, run] : aWorker.mRuns) {
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -124,11 +124,15 @@
   const Task* mTask = nullptr;
   const StepSpec* mSpec = nullptr;
   InterferenceTolerance mTolerance = InterferenceTolerance::Avoid;
+  /** Expected, if it may have found no worker only since it would delay a
+   * gathering; zero otherwise. */
+  Milliseconds mRunTime{ 0 };
 };
 
 /** Whether a task needs at least as much as one that could not be placed, so
  * that the search for a worker can be skipped. */
-auto NeedsAtLeastUnplaced(const std::vector<UnplacedTask>& aUnplaced,
+auto NeedsAtLeastUnplaced(const CellState& aCell,
+                          const std::vector<UnplacedTask>& aUnplaced,
                           const Task& aTask,
                           const StepSpec& aSpec,
                           InterferenceTolerance aTolerance) -> bool
@@ -149,7 +153,11 @@
         aSpec.mNeed.mCpuMillis >= spec.mNeed.mCpuMillis &&
         aSpec.mNeed.mMemoryMb >= spec.mNeed.mMemoryMb &&
         aSpec.mNeed.mAccelerators >= spec.mNeed.mAccelerators;
-      return (isSameStep || isSimilar) && aOther.mTolerance >= aTolerance;
+      const auto endsSooner =
+        aOther.mRunTime > Milliseconds(0) &&
+        ExpectedRunTime(aCell, aTask) < aOther.mRunTime;
+      return (isSameStep || isSimilar) && aOther.mTolerance >= aTolerance &&
+             !endsSooner;
     });
 }
 
@@ -256,7 +264,7 @@
       continue;
     }
     const auto isSearchFutile =
-      NeedsAtLeastUnplaced(unplaced, *it, spec, tolerance);
+      NeedsAtLeastUnplaced(aCell, unplaced, *it, spec, tolerance);
     auto* worker = isSearchFutile
                      ? FindWorkerWithReservedRoom(aCell, *it, aNow)
                      : FindWorker(aCell, *it, spec, tolerance, aNow);
@@ -276,7 +284,9 @@
     }
     NoteHeldBack(aCell, *it);
     if (!isSearchFutile) {
-      unplaced.push_back({ it, &spec, tolerance });
+      const auto runTime =
+        gatherings > 0 ? ExpectedRunTime(aCell, *it) : Milliseconds(0);
+      unplaced.push_back({ it, &spec, tolerance, runTime });
     }
     if (!isSearchFutile && gatherings < kMaxGatherings &&
         MayGather(aCell, *it) && Gather(aCell, *it, aNow)) {
--- a/src/cell/tests/lookahead_tests.cpp
+++ b/src/cell/tests/lookahead_tests.cpp
@@ -163,6 +163,38 @@
               !mCell.mWorkers.at("w2")->mGathering);
 }
 
+BOOST_AUTO_TEST_CASE(brief_task_fills_room_after_a_lengthy_one_found_none)
+{
+  AddTimed(1, 16000, 60000);
+  AddTimed(1, 12000, 2000);
+  Place();
+  AddTimed(1, 16000, 1000);
+  const auto lengthy = AddTimed(1, 1000, 8000) + ".0.0.0";
+  const auto brief = AddTimed(1, 1000, 500) + ".0.0.0";
+  Place();
+  BOOST_CHECK(!RunOf(lengthy));
+  BOOST_CHECK(RunOf(brief));
+}
+
+// The step may have one task on each worker; more room does not help it.
+BOOST_AUTO_TEST_CASE(no_room_is_gathered_where_another_limit_holds_a_task_back)
+{
+  auto step = MakeTimed(3, 4000, 5000);
+  step.mMaxPerWorker = 1;
+  auto job = MakeJob("job-apart", step);
+  job.mQueue.mStretch = 10;
+  Add(std::move(job));
+  Place();
+  Advance(Milliseconds(1));
+  const auto lengthy = AddTimed(2, 9000, 8000);
+  Place();
+  for (const auto& [id, it] : mCell.mWorkers) {
+    BOOST_CHECK(!it->mGathering);
+  }
+  BOOST_CHECK(RunOf(lengthy + ".0.0.0"));
+  BOOST_CHECK(RunOf(lengthy + ".0.0.1"));
+}
+
 BOOST_AUTO_TEST_CASE(gathering_for_job_that_became_worthless_is_given_up)
 {
   AddTimed(2, 16000, 60000);
