Pause unreported best-effort runs by the time of the last report

The bound hung on the last contact, which a reply to any order renews: a worker that answered orders and whose reports were missing was never paused. The test of a worker that reports in time sets the time of its report instead of that of the contact, which is the same condition.

--- a/src/cell/include/eelgrasspost/cell/workertypes.h
+++ b/src/cell/include/eelgrasspost/cell/workertypes.h
@@ -108,6 +108,8 @@
   std::map<std::uint64_t, EndRow> mForeignEnds;
   std::int64_t mLastClockMs = 0;
   MonotonicTime mLastContact{};
+  /** When its last report was applied; replies to orders are none. */
+  MonotonicTime mReportedAt{};
   /** When a call to it first failed, other than by a timeout, since the last
    * contact. */
   std::optional<MonotonicTime> mUnreachableSince;
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -310,6 +310,7 @@
   }
   aWorker.mLastClockMs = aReport.mClockMs;
   aWorker.mLastContact = aNow;
+  aWorker.mReportedAt = aNow;
   aWorker.mUnreachableSince.reset();
   aWorker.mNeedsPoll = false;
   aWorker.mIsKnown = true;
--- a/src/cell/internal/runmoves.cpp
+++ b/src/cell/internal/runmoves.cpp
@@ -81,7 +81,7 @@
   }
   for (auto& [id, worker] : aCell.mWorkers) {
     if (worker->mBestEffortCpuMillis == 0 || worker->mServingCpuMillis == 0 ||
-        aNow - worker->mLastContact < limit || !HasTailNearTarget(*worker)) {
+        aNow - worker->mReportedAt < limit || !HasTailNearTarget(*worker)) {
       continue;
     }
     for (auto& [name, run] : worker->mRuns) {
--- a/src/cell/tests/runmoves_tests.cpp
+++ b/src/cell/tests/runmoves_tests.cpp
@@ -104,6 +104,35 @@
   BOOST_TEST(mCell.mUnreportedPauses == 1U);
 }
 
+// Orders that are answered tell nothing about the tails.
+BOOST_AUTO_TEST_CASE(worker_that_answers_orders_without_reports_is_paused)
+{
+  auto& run = AddRun(true);
+  AddServing(0.95);
+  Advance(Milliseconds(1600));
+  mCell.mWorkers.at("w1")->mLastContact = mNow;
+  CheckRuns(mCell, mNow);
+  BOOST_TEST(run.mWantedCpuShare == 0);
+}
+
+BOOST_AUTO_TEST_CASE(paused_run_goes_on_with_the_next_report)
+{
+  auto& run = AddRun(true);
+  AddServing(0.95);
+  Advance(Milliseconds(1600));
+  CheckRuns(mCell, mNow);
+  BOOST_REQUIRE(run.mWantedCpuShare == 0);
+  const auto attempt = run.mAttempt;
+  const auto serving =
+    mCell.mWorkers.at("w1")->mRuns.at("job-2.0.0.0").mAttempt;
+  Report("w1",
+         { { "job-1.0.0.0", attempt, "", 50, 1000 },
+           { "job-2.0.0.0", serving, "", 100, 8 } },
+         {});
+  CheckRuns(mCell, mNow);
+  BOOST_TEST(run.mWantedCpuShare == 100);
+}
+
 BOOST_AUTO_TEST_CASE(worker_silent_with_low_tail_goes_on)
 {
   auto& run = AddRun(true);
@@ -117,7 +146,7 @@
 {
   auto& run = AddRun(true);
   AddServing(0.95);
-  mCell.mWorkers.at("w1")->mLastContact = mNow;
+  mCell.mWorkers.at("w1")->mReportedAt = mNow;
   Advance(Milliseconds(1000));
   CheckRuns(mCell, mNow);
   BOOST_TEST(run.mWantedCpuShare == 100);
