Send no CPU shares to workers that cannot be reached

A pause of a worker that has not reported is most likely for one that cannot be reached: each order failed at once, and the next decision sent it again, with a line in the log. Only where such pauses are on.

--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -126,12 +126,18 @@
 auto CollectCpuShare(const std::string& aName,
                      const Worker& aWorker,
                      Run& aRun,
+                     const CellPolicy& aPolicy,
                      std::vector<Order>& aOrders) -> void
 {
   if (aRun.mPhase != RunPhase::Running || aRun.mCpuShareInFlight ||
       aRun.mCpuShare == aRun.mWantedCpuShare) {
     return;
   }
+  const auto mayBePaused = aPolicy.mMaxUnreported > Milliseconds(0);
+  if (mayBePaused && aWorker.mUnreachableSince) {
+    // The order would fail at once and be sent again.
+    return;
+  }
   aRun.mCpuShareInFlight = true;
   Order order;
   order.mKind = OrderKind::SetCpuShare;
@@ -262,7 +268,7 @@
     }
     for (auto& [name, run] : worker->mRuns) {
       CollectStop(name, *worker, run, aCell.mPolicy, aNow, out);
-      CollectCpuShare(name, *worker, run, out);
+      CollectCpuShare(name, *worker, run, aCell.mPolicy, out);
     }
   }
   PlaceReady(aCell, aNow, out);
--- a/src/cell/tests/runmoves_tests.cpp
+++ b/src/cell/tests/runmoves_tests.cpp
@@ -115,6 +115,17 @@
   BOOST_TEST(run.mWantedCpuShare == 0);
 }
 
+// Each order would fail at once and be sent again.
+BOOST_AUTO_TEST_CASE(worker_that_cannot_be_reached_gets_no_pauses)
+{
+  AddRun(true);
+  AddServing(0.95);
+  Advance(Milliseconds(1600));
+  mCell.mWorkers.at("w1")->mUnreachableSince = mNow;
+  CheckRuns(mCell, mNow);
+  BOOST_CHECK(CollectOrders(mCell, mNow).empty());
+}
+
 BOOST_AUTO_TEST_CASE(paused_run_goes_on_with_the_next_report)
 {
   auto& run = AddRun(true);
