--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -18,7 +18,8 @@
 /** Part of the submissions of a key that may be refused in a second; the others
  * show whether the estimate still holds. */
 constexpr double kMaxRefusedShare = 0.9;
-/** With fewer submissions in a second, all but one may be refused. */
+/** With fewer submissions in a second, that part of this number may be refused.
+ */
 constexpr std::uint32_t kMinAskedForShare = 10;
 constexpr auto kSecond = Milliseconds(1000);
 /** Time after which the shares of a key have fallen to 1/e. */
@@ -27,6 +28,7 @@
 constexpr double kFairDifference = 0.05;
 constexpr auto kMinRetryAfter = Milliseconds(1000);
 constexpr auto kMaxRetryAfter = Milliseconds(30000);
+constexpr auto kMaxUnused = kMaxRetryAfter;
 
 auto RateOf(const CellLoad& aLoad, RoomKind aKind) -> const KindRate&
 {
@@ -48,9 +50,14 @@
 
 /** The highest rate at which a cell may work off its backlog, if the estimates
  * of what waits are too long. Zero if unknown. */
-auto DrainRate(const KindRate& aRate) -> double
+auto DrainRate(const CellLoad& aLoad, RoomKind aKind) -> double
 {
-  return kEstimateError * aRate.mSaturatedRate.value_or(aRate.mCores);
+  const auto& rate = RateOf(aLoad, aKind);
+  // While some tasks wait for a large gap or for few workers, others that fit
+  // may find idle cores. CPU that is left over may be of no use to them.
+  const auto floor = aKind == RoomKind::Reserved ? rate.mCores : 0.0;
+  return kEstimateError *
+         std::max(rate.mSaturatedRate.value_or(rate.mCores), floor);
 }
 
 auto Decay(Share& aShare, MonotonicTime aNow) -> void
@@ -75,6 +82,15 @@
   return aAsked > 0 ? aGranted / aAsked : 1.0;
 }
 
+/** Forgets keys without a submission for so long that the refused callers are
+ * back, and with them that they were refused. */
+auto RemoveUnused(ShareTable& aShares, MonotonicTime aNow) -> void
+{
+  std::erase_if(aShares, [&](const auto& aItem) {
+    return aNow - aItem.second.mAskedAt > kMaxUnused;
+  });
+}
+
 /** How far the granted share of a key is below that of all keys. */
 auto Deficit(const ShareTable& aShares, const Share& aShare) -> double
 {
@@ -128,8 +144,8 @@
 
 auto WaitIn(const KnownLoad& aCell, const JobDemand& aDemand) -> ExpectedWait
 {
-  const auto rate = DrainRate(RateOf(aCell.mLoad, aDemand.mKind));
-  if (aCell.mAge > kMaxReportAge || rate <= 0) {
+  const auto rate = DrainRate(aCell.mLoad, aDemand.mKind);
+  if (!aCell.mIsActive || aCell.mAge > kMaxReportAge || rate <= 0) {
     return {};
   }
   auto ahead = 0.0;
@@ -161,7 +177,9 @@
             ShareTable& aShares,
             MonotonicTime aNow) -> Decision
 {
+  RemoveUnused(aShares, aNow);
   auto& share = aShares[aKey];
+  share.mAskedAt = aNow;
   for (auto& [key, it] : aShares) {
     Decay(it, aNow);
   }
@@ -178,9 +196,6 @@
   auto isKnown = false;
   auto canBeDone = false;
   for (const auto& it : aCells) {
-    if (!it.mIsActive) {
-      continue;
-    }
     const auto wait = WaitIn(it, aDemand);
     canBeDone = canBeDone || wait.mInTime <= bound(out.mMaxWait) ||
                 wait.mLate <= bound(out.mMaxLateWait);
@@ -209,10 +224,13 @@
   aMeter.mDoneCpuMs += aCpuMs;
 }
 
-auto UpdateRate(RateMeter& aMeter, bool aIsSaturated, MonotonicTime aNow)
-  -> void
+auto UpdateRate(RateMeter& aMeter,
+                bool aIsSaturated,
+                Milliseconds aRunTime,
+                MonotonicTime aNow) -> void
 {
-  constexpr auto kPeriod = Milliseconds(1000);
+  constexpr auto kMinPeriod = Milliseconds(1000);
+  constexpr int kRunsPerPeriod = 2;
   constexpr double kWeight = 0.5;
   if (!aIsSaturated || aMeter.mSince == MonotonicTime{}) {
     aMeter = { 0, aNow, std::nullopt };
@@ -220,7 +238,7 @@
   }
   const auto period =
     std::chrono::duration<double, std::milli>(aNow - aMeter.mSince);
-  if (aNow - aMeter.mSince < kPeriod) {
+  if (aNow - aMeter.mSince < std::max(kMinPeriod, kRunsPerPeriod * aRunTime)) {
     return;
   }
   const auto rate = aMeter.mDoneCpuMs / period.count();
--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -11,6 +11,7 @@
 using namespace eelgrasspost::admission;
 
 constexpr double kCores = 100;
+constexpr auto kBriefRun = Milliseconds(100);
 
 /** Cells with a backlog, and jobs that arrive at an entry. */
 struct AdmissionFixture
@@ -210,8 +211,8 @@
 BOOST_AUTO_TEST_CASE(domain_granted_less_than_others_is_favoured)
 {
   const ShareKey favoured{ "queue", "b", 0 };
-  mShares[{ "queue", "a", 0 }] = { 1e6, 1e6, mNow };
-  mShares[favoured] = { 1e6, 0.4e6, mNow };
+  mShares[{ "queue", "a", 0 }] = { 1e6, 1e6, mNow, mNow };
+  mShares[favoured] = { 1e6, 0.4e6, mNow, mNow };
   const auto cells = std::vector{ MakeCell(Backlogged(6500)) };
   BOOST_CHECK(!IsAccepted(cells, MakeDemand(1000)));
   BOOST_CHECK(IsAccepted(cells, MakeDemand(1000), favoured));
@@ -220,14 +221,64 @@
 BOOST_AUTO_TEST_CASE(rate_measured_only_while_work_waits)
 {
   RateMeter meter;
-  UpdateRate(meter, true, mNow);
+  UpdateRate(meter, true, kBriefRun, mNow);
   AddDone(meter, 50000);
   mNow += Milliseconds(1000);
-  UpdateRate(meter, true, mNow);
+  UpdateRate(meter, true, kBriefRun, mNow);
   BOOST_REQUIRE(meter.mRate);
   BOOST_CHECK_CLOSE(*meter.mRate, 50.0, 1e-6);
-  UpdateRate(meter, false, mNow);
+  UpdateRate(meter, false, kBriefRun, mNow);
   BOOST_CHECK(!meter.mRate);
 }
 
+// After an idle time all cores start tasks of 10 s at once, so that no work is
+// done for seconds.
+BOOST_AUTO_TEST_CASE(rate_of_long_tasks_does_not_fall_between_their_ends)
+{
+  constexpr auto kRun = Milliseconds(10000);
+  constexpr auto kTick = Milliseconds(200);
+  RateMeter meter;
+  for (auto time = Milliseconds(0); time < 12 * kRun; time += kTick) {
+    UpdateRate(meter, true, kRun, mNow + time);
+    BOOST_REQUIRE(!meter.mRate || *meter.mRate >= kCores / 2);
+    if (time.count() > 0 && time.count() % kRun.count() == 0) {
+      AddDone(meter, kCores * static_cast<double>(kRun.count()));
+    }
+  }
+  BOOST_CHECK(meter.mRate);
+}
+
+// Tasks of another size or on few workers wait while most cores are idle.
+BOOST_AUTO_TEST_CASE(low_rate_of_reserved_work_refuses_no_job_that_fits)
+{
+  constexpr double kLowRate = kCores / 50;
+  const auto cell = MakeCell(Backlogged(1000), kLowRate);
+  BOOST_CHECK(IsAccepted({ cell }, MakeDemand(1000)));
+}
+
+BOOST_AUTO_TEST_CASE(cell_that_is_being_taken_over_counts_as_room)
+{
+  auto cell = MakeCell(Backlogged(60000));
+  cell.mIsActive = false;
+  BOOST_CHECK(
+    IsAccepted({ MakeCell(Backlogged(60000)), cell }, MakeDemand(1000)));
+}
+
+BOOST_AUTO_TEST_CASE(refusal_long_ago_does_not_lower_the_bound)
+{
+  const auto demand = MakeDemand(1000);
+  BOOST_REQUIRE(!IsAccepted({ MakeCell(Backlogged(6000)) }, demand));
+  mNow += Milliseconds(60000);
+  BOOST_CHECK(IsAccepted({ MakeCell(Backlogged(5300)) }, demand));
+}
+
+BOOST_AUTO_TEST_CASE(shares_of_queues_that_are_gone_are_forgotten)
+{
+  for (auto i = 0; i < 1000; ++i) {
+    mNow += Milliseconds(1000);
+    Ask({ MakeCell(0) }, MakeDemand(1000), { std::to_string(i), "a", 0 });
+  }
+  BOOST_TEST(mShares.size() < 50U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/cell/internal/load.cpp
+++ b/src/cell/internal/load.cpp
@@ -37,6 +37,32 @@
   return out;
 }
 
+/** Whether a task waits for room that any worker may have. */
+auto WaitsForRoom(const Task& aTask) -> bool
+{
+  return aTask.mPhase == TaskPhase::Ready && !aTask.mMayBeRunning &&
+         !RestrictsWorkers(SpecOf(aTask));
+}
+
+/** Whether a worker can be used, or may be as soon as more is known of it. */
+auto MayBeUsable(const CellState& aCell,
+                 const Worker& aWorker,
+                 MonotonicTime aNow) -> bool
+{
+  return MayServe(aCell, aWorker) &&
+         (!aWorker.mIsKnown ||
+          aNow - aWorker.mLastContact < aCell.mPolicy.mSilenceLimit);
+}
+
+auto HasOneService(const CellState& aCell) -> bool
+{
+  const auto& workers = aCell.mWorkers;
+  return std::all_of(workers.begin(), workers.end(), [&](const auto& aItem) {
+    return aItem.second->mRecord.mService ==
+           workers.begin()->second->mRecord.mService;
+  });
+}
+
 using BacklogKey = std::tuple<RoomKind, std::int64_t, std::uint32_t>;
 
 auto AddBacklog(const Job& aJob,
@@ -55,7 +81,7 @@
       backlog.mPriority = priority;
       backlog.mSizeClass = sizeClass;
       for (const auto& it : occurrence->mSteps[i].mTasks) {
-        if (it.mPhase == TaskPhase::Waiting || it.mPhase == TaskPhase::Ready) {
+        if (WaitsForRoom(it)) {
           (aIsLate ? backlog.mLateCpuMs : backlog.mWaitingCpuMs) +=
             CpuMsOf(step);
         }
@@ -73,10 +99,40 @@
     aCell.mReady.begin(), aCell.mReady.end(), [&](const Task* aTask) {
       const auto& step = SpecOf(*aTask);
       return !step.mIsLongRunning && KindOf(step) == aKind &&
-             aNow - aTask->mReadyAt > kWaitForRoom;
+             WaitsForRoom(*aTask) && aNow - aTask->mReadyAt > kWaitForRoom;
     });
 }
 
+/** Mean estimated run time of the short tasks of a kind that run, by the CPU
+ * that they use. */
+auto MeanRunTime(const CellState& aCell, RoomKind aKind) -> Milliseconds
+{
+  auto cpuMs = 0.0;
+  auto cores = 0.0;
+  for (const auto& [id, worker] : aCell.mWorkers) {
+    for (const auto& [name, run] : worker->mRuns) {
+      if (!run.mTask || run.mIsLongRunning ||
+          KindOf(SpecOf(*run.mTask)) != aKind) {
+        continue;
+      }
+      const auto& step = SpecOf(*run.mTask);
+      cpuMs += CpuMsOf(step);
+      cores += static_cast<double>(step.mNeed.mCpuMillis) / kMillisPerCore;
+    }
+  }
+  return Milliseconds(
+    static_cast<std::int64_t>(cores > 0 ? cpuMs / cores : 0.0));
+}
+
+auto UpdateRate(const CellState& aCell,
+                RoomKind aKind,
+                admission::RateMeter& aMeter,
+                MonotonicTime aNow) -> void
+{
+  admission::UpdateRate(
+    aMeter, IsSaturated(aCell, aKind, aNow), MeanRunTime(aCell, aKind), aNow);
+}
+
 } // namespace
 
 auto DemandOf(const JobSpec& aJob, const Queue& aQueue) -> admission::JobDemand
@@ -109,8 +165,11 @@
   -> admission::CellLoad
 {
   admission::CellLoad out;
+  if (!HasOneService(aCell)) {
+    return out;
+  }
   for (const auto& [id, it] : aCell.mWorkers) {
-    if (!IsUsable(aCell, *it, aNow)) {
+    if (!MayBeUsable(aCell, *it, aNow)) {
       continue;
     }
     auto lasting = std::int64_t{ 0 };
@@ -145,10 +204,8 @@
 
 auto UpdateRates(CellState& aCell, MonotonicTime aNow) -> void
 {
-  admission::UpdateRate(
-    aCell.mReservedRate, IsSaturated(aCell, RoomKind::Reserved, aNow), aNow);
-  admission::UpdateRate(
-    aCell.mLeftoverRate, IsSaturated(aCell, RoomKind::Leftover, aNow), aNow);
+  UpdateRate(aCell, RoomKind::Reserved, aCell.mReservedRate, aNow);
+  UpdateRate(aCell, RoomKind::Leftover, aCell.mLeftoverRate, aNow);
 }
 
 auto NoteDone(CellState& aCell, const StepSpec& aStep) -> void
