Start a second run of slow tasks whose step allows it

Cause: a step's `allowDuplicates` was decoded and used nowhere, so a task on a slow worker holds up its job while room is free elsewhere.

The first end done counts and the other run is stopped; if the current run ends otherwise, its duplicate takes its place.

Ruled out: runs without a task for duplicates, as the loss of the current run would make the task ready and wait for the duplicate; two runs kept after a takeover.

--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -122,6 +122,12 @@
     1,
     "1: room is gathered for large tasks that wait, and small ones fill it "
     "until then"),
+  Number("placement",
+         "duplicates",
+         "0",
+         1,
+         "1: slow tasks get a second run where their step allows it and room "
+         "is free"),
   SettingField{ "placement",
                 "checkpoint_s",
                 SettingKind::Decimal,
@@ -190,6 +196,7 @@
   out.mEvacuationMs = values->Integer("bounds", "evacuation_ms");
   out.mHasAdmission = values->Integer("admission", "enabled") != 0;
   out.mLooksAhead = values->Integer("placement", "look_ahead") != 0;
+  out.mStartsDuplicates = values->Integer("placement", "duplicates") != 0;
   out.mCheckpointMs =
     static_cast<std::int64_t>(values->Decimal("placement", "checkpoint_s") *
                               static_cast<double>(kMsPerSecond));
--- a/src/cell/include/eelgrasspost/cell/cellpolicy.h
+++ b/src/cell/include/eelgrasspost/cell/cellpolicy.h
@@ -27,6 +27,8 @@
   Milliseconds mProbation{ 3000 };
   /** Room is gathered for large tasks that wait; see lookahead.h. */
   bool mLooksAhead = false;
+  /** Slow tasks get a second run where their step allows it. */
+  bool mStartsDuplicates = false;
   /** Scheduled occurrences may be opened this much before their time. */
   std::int64_t mEarlyMs = 0;
   /** Delay before new long-running tasks are placed. Tasks that arrive together
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -52,6 +52,8 @@
   /** A task became ready since tasks were last placed. */
   bool mHasNewReady = false;
   MonotonicTime mPlacedAt{};
+  /** When slow tasks were last looked for. */
+  MonotonicTime mSlowTasksSoughtAt{};
   /** When the last new job, not an inherited one, was added. */
   MonotonicTime mLastNewJobAt{};
   /** Events that have not been logged yet; bounded. */
@@ -64,6 +66,9 @@
   std::uint64_t mStalls = 0;
   /** Tasks for which room was gathered before they were started. */
   std::uint64_t mGatheredStarts = 0;
+  /** Second runs of slow tasks, and those of them that were done first. */
+  std::uint64_t mDuplicateStarts = 0;
+  std::uint64_t mDuplicatesFirst = 0;
   /** Best-effort runs that were paused as their worker did not report. */
   std::uint64_t mUnreportedPauses = 0;
 };
--- a/src/cell/include/eelgrasspost/cell/celltypes.h
+++ b/src/cell/include/eelgrasspost/cell/celltypes.h
@@ -400,6 +400,7 @@
   EndWithoutJob,
   ReservationDisplaced,
   GatheredTaskStarted,
+  TaskDuplicated,
 };
 
 /** What a long-running task needs of a worker. */
--- a/src/cell/include/eelgrasspost/cell/jobtypes.h
+++ b/src/cell/include/eelgrasspost/cell/jobtypes.h
@@ -46,6 +46,9 @@
   CrashCount mCrashes;
   std::uint64_t mAttempt = 0;
   std::string mCheckpoint;
+  /** Attempt of the duplicate that this holder has started; 0 for none. There
+   * is at most one. */
+  std::uint64_t mDuplicateAttempt = 0;
   /** The worker of its run; null when it is not placed. */
   Worker* mWorker = nullptr;
   /** The worker on which its last run failed or stalled. */
--- a/src/cell/include/eelgrasspost/cell/workertypes.h
+++ b/src/cell/include/eelgrasspost/cell/workertypes.h
@@ -27,8 +27,11 @@
  * lists its end or the end is certain for another reason. */
 struct Run
 {
-  /** Null when it is not the current run of a task of the cell. */
+  /** Null when it is neither the current run of a task of the cell nor the
+   * duplicate of one. */
   Task* mTask = nullptr;
+  /** A second run of a task whose current run is slow. */
+  bool mIsDuplicate = false;
   std::uint64_t mAttempt = 0;
   RunPhase mPhase = RunPhase::Starting;
   Resources mNeed;
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -57,6 +57,12 @@
  * one that a previous holder started and that is being stopped. */
 auto HasUntrackedRun(const CellState& aCell, const Task& aTask) -> bool;
 
+/** The next attempt number of the holder. */
+auto NextAttempt(CellState& aCell) -> std::uint64_t;
+auto MakeStartOrder(const Task& aTask,
+                    const Worker& aWorker,
+                    std::uint64_t aAttempt) -> Order;
+
 /** Places ready tasks on workers; appends the start orders. */
 auto PlaceReady(CellState& aCell,
                 MonotonicTime aNow,
--- a/src/cell/internal/ends.cpp
+++ b/src/cell/internal/ends.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "cellinternal.h"
+#include "duplicates.h"
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/cell/lookahead.h"
 
@@ -70,6 +71,7 @@
   const auto& spec = SpecOf(aTask);
   NoteDone(aCell, spec);
   if (!spec.mIsGang) {
+    StopBothRuns(aCell, aTask);
     if (aTask.mPhase == TaskPhase::Placed && aTask.mWorker) {
       const auto run = aTask.mWorker->mRuns.find(TaskName(aTask));
       if (run != aTask.mWorker->mRuns.end()) {
@@ -138,6 +140,7 @@
   const auto it = aWorker.mRuns.find(aEnd.mTask);
   const auto isRun =
     it != aWorker.mRuns.end() && it->second.mAttempt == aEnd.mAttempt;
+  const auto isDuplicate = isRun && it->second.mIsDuplicate;
   if (isRun) {
     if (aEnd.mKind == EndKind::Done && it->second.mTask) {
       LearnRunTime(aCell, *it->second.mTask, it->second, aNow);
@@ -168,12 +171,13 @@
     return;
   }
   // The end of an earlier attempt does not end a later one on another worker.
-  if (!aEnd.mCheckpoint.empty()) {
+  if (!aEnd.mCheckpoint.empty() && !isDuplicate) {
     task->mCheckpoint = aEnd.mCheckpoint;
   }
   const auto& spec = SpecOf(*task);
   if (aEnd.mKind == EndKind::Done && !spec.mIsLongRunning) {
     aWorker.mConsecutiveFailures = 0;
+    NoteFirstDone(aCell, *task, aWorker, aEnd.mAttempt);
     ApplyDone(aCell, *task, aNow);
     return;
   }
@@ -185,7 +189,7 @@
     MarkDirty(aCell, *task->mJob);
   }
   if (isCurrent) {
-    MakeReady(aCell, *task, aNow);
+    ReplaceRun(aCell, *task, aNow);
   }
   if (spec.mIsGang) {
     StopGang(*task);
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "cellinternal.h"
+#include "duplicates.h"
 #include "runmoves.h"
 
 namespace eelgrasspost::cell {
@@ -20,7 +21,7 @@
   return isRun ? &run->second : nullptr;
 }
 
-/** Removes the run of a refused start and makes its task ready again. */
+/** Removes the run of a refused start; its task is placed again. */
 auto WithdrawStart(CellState& aCell,
                    Worker& aWorker,
                    const Order& aOrder,
@@ -28,10 +29,12 @@
                    MonotonicTime aNow) -> void
 {
   auto* task = aRun.mTask;
+  const auto isCurrent = task && task->mPhase == TaskPhase::Placed &&
+                         task->mAttempt == aRun.mAttempt;
   EraseRun(aWorker, aOrder.mTask);
-  if (task && task->mPhase == TaskPhase::Placed) {
+  if (isCurrent) {
     task->mNotBefore = aNow + aCell.mPolicy.mRefusalBackoff;
-    MakeReady(aCell, *task, aNow);
+    ReplaceRun(aCell, *task, aNow);
   }
 }
 
@@ -266,6 +269,7 @@
     }
   }
   PlaceReady(aCell, aNow, out);
+  PlaceDuplicates(aCell, aNow, out);
   return out;
 }
 
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -7,6 +7,25 @@
 
 namespace eelgrasspost::cell {
 
+auto NextAttempt(CellState& aCell) -> std::uint64_t
+{
+  return aCell.mAttemptBase + aCell.mNextAttempt++;
+}
+
+auto MakeStartOrder(const Task& aTask,
+                    const Worker& aWorker,
+                    std::uint64_t aAttempt) -> Order
+{
+  Order out;
+  out.mKind = OrderKind::Start;
+  out.mWorker = aWorker.mRecord.mId;
+  out.mTask = TaskName(aTask);
+  out.mAttempt = aAttempt;
+  out.mPayload = aTask.mJob->mStored.mSpec.mPayload;
+  out.mCheckpoint = aTask.mCheckpoint;
+  return out;
+}
+
 namespace {
 
 auto PlaceTask(CellState& aCell,
@@ -26,13 +45,7 @@
   }
   ++aCell.mStarts;
   NoteStart(aCell, aWorker, aTask, aNow);
-  Order order;
-  order.mKind = OrderKind::Start;
-  order.mWorker = aWorker.mRecord.mId;
-  order.mTask = TaskName(aTask);
-  order.mAttempt = aAttempt;
-  order.mPayload = job.mStored.mSpec.mPayload;
-  order.mCheckpoint = aTask.mCheckpoint;
+  auto order = MakeStartOrder(aTask, aWorker, aAttempt);
   if (SpecOf(aTask).mIsLongRunning) {
     RemoveReservation(aCell, order.mTask);
   }
@@ -67,11 +80,6 @@
   return order;
 }
 
-auto NextAttempt(CellState& aCell) -> std::uint64_t
-{
-  return aCell.mAttemptBase + aCell.mNextAttempt++;
-}
-
 /** Places all members of a gang, or none. */
 auto PlaceGang(CellState& aCell,
                Task& aTask,
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -2,6 +2,7 @@
 
 #include "besteffort.h"
 #include "cellinternal.h"
+#include "duplicates.h"
 #include "eelgrasspost/base/text.h"
 #include "workerchoice.h"
 
@@ -9,7 +10,7 @@
 
 namespace {
 
-/** Makes the task of a run that ended without completing it ready again. */
+/** Replaces a run that ended without completing its task. */
 auto RequeueTask(CellState& aCell,
                  Task& aTask,
                  const Worker& aWorker,
@@ -20,7 +21,7 @@
                            aTask.mWorker == &aWorker &&
                            aTask.mAttempt == aAttempt;
   if (isOfThisRun) {
-    MakeReady(aCell, aTask, aNow);
+    ReplaceRun(aCell, aTask, aNow);
   }
 }
 
@@ -38,7 +39,7 @@
   aRun.mLoad = aRow.mLoad;
   if (!aRow.mCheckpoint.empty()) {
     aRun.mCheckpoint = aRow.mCheckpoint;
-    if (aRun.mTask) {
+    if (aRun.mTask && !aRun.mIsDuplicate) {
       aRun.mTask->mCheckpoint = aRow.mCheckpoint;
     }
   }
@@ -85,7 +86,10 @@
   task->mPhase = TaskPhase::Placed;
   task->mWorker = &aWorker;
   task->mAttempt = aRow.mAttempt;
-  task->mMayBeRunning = false;
+  // Workers that have not reported may have the other run of two.
+  task->mMayBeRunning = aCell.mPolicy.mStartsDuplicates &&
+                        SpecOf(*task).mAllowsDuplicates &&
+                        !aCell.mUnreconciledWorkers.empty();
   task->mMayHaveRun = true;
   task->mJob->mHasStarted = true;
   auto run = MakeRun(aCell, *task, aRow.mAttempt, aNow);
--- a/src/cell/internal/workerchoice.cpp
+++ b/src/cell/internal/workerchoice.cpp
@@ -233,13 +233,22 @@
   ToIsolate,
 };
 
+/** Whether two workers are not likely to be slow for the same reason. */
+auto AreApart(const Worker& aLeft, const Worker& aRight) -> bool
+{
+  const auto& labels = aLeft.mRecord.mLabels;
+  return &aLeft != &aRight &&
+         (labels.empty() || labels != aRight.mRecord.mLabels);
+}
+
 auto FindCheapest(CellState& aCell,
                   const Task& aTask,
                   const StepSpec& aSpec,
                   InterferenceTolerance aTolerance,
                   WorkerSearch aSearch,
                   RoomUse aUse,
-                  MonotonicTime aNow) -> Worker*
+                  MonotonicTime aNow,
+                  const Worker* aApartFrom = nullptr) -> Worker*
 {
   const auto& service = aTask.mJob->mStored.mQueue.mService;
   const auto name = aSpec.mIsLongRunning ? TaskName(aTask) : std::string();
@@ -259,7 +268,8 @@
                         CountRunsOfStep(*worker, aTask) >= aSpec.mMaxPerWorker;
     const auto delaysOther = aSearch == WorkerSearch::ForStart &&
                              !MayBackfill(aCell, *worker, aTask, aNow);
-    if (!mayUse || isFull || delaysOther) {
+    const auto isTooClose = aApartFrom && !AreApart(*worker, *aApartFrom);
+    if (!mayUse || isFull || delaysOther || isTooClose) {
       continue;
     }
     const auto cost = PlacementCost(aCell, *worker, aTask, aSpec, aTolerance);
@@ -296,6 +306,21 @@
                       aNow);
 }
 
+auto FindWorkerApartFrom(CellState& aCell,
+                         const Task& aTask,
+                         const Worker& aOther,
+                         MonotonicTime aNow) -> Worker*
+{
+  return FindCheapest(aCell,
+                      aTask,
+                      SpecOf(aTask),
+                      InterferenceTolerance::Avoid,
+                      WorkerSearch::ForStart,
+                      RoomUse::Unreserved,
+                      aNow,
+                      &aOther);
+}
+
 auto FindWorkerToDisplace(CellState& aCell,
                           const Task& aTask,
                           const StepSpec& aSpec,
--- a/src/cell/internal/workerchoice.h
+++ b/src/cell/internal/workerchoice.h
@@ -111,6 +111,13 @@
                 InterferenceTolerance aTolerance,
                 MonotonicTime aNow) -> Worker*;
 
+/** The same for a second run beside the one on the given worker: another worker
+ * whose labels, which name its kind and its rack, are not all the same. */
+auto FindWorkerApartFrom(CellState& aCell,
+                         const Task& aTask,
+                         const Worker& aOther,
+                         MonotonicTime aNow) -> Worker*;
+
 /** The worker with the lowest cost on which a long-running task that has lost
  * its run can start if reservations give way to it; null when there is none. */
 auto FindWorkerToDisplace(CellState& aCell,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -350,6 +350,15 @@
   "none; value is the task's waiting time in ms",
 };
 
+inline constexpr auto kTaskDuplicated = base::LogEvent{
+  969,
+  base::LogLevel::Info,
+  "a slow task got a second run, or one of its two runs has ended",
+  "none; for reason started, value is the time in ms by which the second run "
+  "is expected to end sooner; many that end with other_done use room in vain: "
+  "turn placement.duplicates off",
+};
+
 inline constexpr auto kSubmissionSettled = base::LogEvent{
   975,
   base::LogLevel::Info,
@@ -405,6 +414,7 @@
                                                        kEvacuationWithdrawn,
                                                        kJobNotAdmitted,
                                                        kGatheredTaskStarted,
+                                                       kTaskDuplicated,
                                                        kSubmissionSettled };
 
 /** Returns the log event of a kind of cell event. */
@@ -441,6 +451,8 @@
       return &kReservationDisplaced;
     case cell::CellEventKind::GatheredTaskStarted:
       return &kGatheredTaskStarted;
+    case cell::CellEventKind::TaskDuplicated:
+      return &kTaskDuplicated;
   }
   return &kJobEnded;
 }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -51,6 +51,8 @@
   std::int64_t mEvacuationMs = 0;
   /** Room is gathered for large tasks that wait. */
   bool mLooksAhead = false;
+  /** Slow tasks get a second run where their step allows it. */
+  bool mStartsDuplicates = false;
   /** Work that a stop of a best-effort task may discard, if it saves
    * checkpoints; 0: whether a move is worth that is not weighed. */
   std::int64_t mCheckpointMs = 0;
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -48,6 +48,7 @@
       Milliseconds(mContext.mSettings.mHarmMs / kUnreportedPartOfHarm);
   }
   mState.mPolicy.mLooksAhead = mContext.mSettings.mLooksAhead;
+  mState.mPolicy.mStartsDuplicates = mContext.mSettings.mStartsDuplicates;
   // Half of the limit leaves a margin for clock differences.
   mState.mPolicy.mEarlyMs = mContext.mSettings.mEarlyMs / 2;
   mState.mPolicy.mMaxOverTarget =
