--- a/src/cell/tests/duplicates_tests.cpp
+++ b/src/cell/tests/duplicates_tests.cpp
@@ -1,146 +1,9 @@
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
-#include <optional>
-
-#include "cellfixture.h"
-#include "eelgrasspost/base/text.h"
-#include "eelgrasspost/cell/evacuation.h"
+#include "duplicatesfixture.h"
 
 namespace eelgrasspost::cell::testing {
 
-namespace {
-
-constexpr auto kUsual = Milliseconds(1000);
-
-/** Three workers on three racks, of which w1 has become slow: the task
- * "j.0.0.0" that it runs has done a fifth of its work in twice the usual time.
- */
-struct DuplicatesFixture : CellFixture
-{
-  std::string mTask = "j.0.0.0";
-
-  DuplicatesFixture()
-  {
-    mCell.mPolicy.mStartsDuplicates = true;
-    for (const auto& id : { "w1", "w2", "w3" }) {
-      AddRacked(id, base::Cat("rack-", id));
-    }
-  }
-
-  auto AddRacked(const std::string& aId, std::string aRack) -> Worker&
-  {
-    auto& worker = AddWorker(aId);
-    worker.mRecord.mLabels = { "kind", std::move(aRack) };
-    return worker;
-  }
-
-  static auto MakeTimed(std::int64_t aCpu = 1000) -> StepSpec
-  {
-    auto out = MakeStep(1, aCpu);
-    out.mEstimatedMs = kUsual.count();
-    out.mAllowsDuplicates = true;
-    return out;
-  }
-
-  /** Starts a job of one task on w1. */
-  auto StartOnSlow(StepSpec aStep, const std::string& aId = "j") -> Job&
-  {
-    for (auto& [id, worker] : mCell.mWorkers) {
-      worker->mSuspectUntil = id == "w1" ? MonotonicTime{} : mNow + kUsual;
-    }
-    auto& job = Add(MakeJob(aId, std::move(aStep)));
-    mCell.mHasNewReady = true;
-    BOOST_REQUIRE(Start().size() == 1U);
-    BOOST_REQUIRE(Runs("w1").contains(aId + ".0.0.0"));
-    for (auto& [id, worker] : mCell.mWorkers) {
-      worker->mSuspectUntil = {};
-    }
-    return job;
-  }
-
-  auto Runs(const std::string& aWorker) -> std::unordered_map<std::string, Run>&
-  {
-    return mCell.mWorkers.at(aWorker)->mRuns;
-  }
-
-  auto RowsOf(const std::string& aWorker, double aPercent)
-    -> std::vector<RunningRow>
-  {
-    std::vector<RunningRow> out;
-    for (const auto& [name, run] : Runs(aWorker)) {
-      out.push_back({ name, run.mAttempt, "", aPercent, 0 });
-    }
-    return out;
-  }
-
-  /** Lets w1 run slowly for twice the usual time. */
-  auto RunSlowly() -> void
-  {
-    Advance(2 * kUsual);
-    Report("w1", RowsOf("w1", 20), {});
-    Report("w2", RowsOf("w2", 0), {});
-    Report("w3", RowsOf("w3", 0), {});
-  }
-
-  /** Starts a job on w1 whose run becomes slow and gets a duplicate. */
-  auto Duplicate() -> Order
-  {
-    StartOnSlow(MakeTimed());
-    RunSlowly();
-    const auto orders = Start();
-    BOOST_REQUIRE(orders.size() == 1U);
-    BOOST_REQUIRE(orders[0].mKind == OrderKind::Start);
-    return orders[0];
-  }
-
-  auto End(const std::string& aWorker, EndKind aKind) -> void
-  {
-    auto& worker = *mCell.mWorkers.at(aWorker);
-    const auto attempt = worker.mRuns.at(mTask).mAttempt;
-    Report(
-      aWorker, {}, { { worker.mSeenEnds + 1, mTask, attempt, aKind, "" } });
-  }
-
-  auto Lose(const std::string& aWorker) -> void
-  {
-    DropWorkerRuns(
-      mCell, *mCell.mWorkers.at(aWorker), RunsLostReason::LeaseExpired, mNow);
-  }
-
-  auto TaskOf(const std::string& aName) -> Task&
-  {
-    return *FindTask(mCell, aName);
-  }
-
-  /** Orders at the next search for slow tasks. */
-  auto NextOrders() -> std::vector<Order>
-  {
-    Advance(Milliseconds(300));
-    mCell.mHasNewReady = true;
-    return Start();
-  }
-
-  static auto CountStarts(const std::vector<Order>& aOrders) -> std::ptrdiff_t
-  {
-    return std::count_if(
-      aOrders.begin(), aOrders.end(), [](const Order& aOrder) {
-        return aOrder.mKind == OrderKind::Start;
-      });
-  }
-
-  auto CountEvents(std::string_view aReason) const -> std::ptrdiff_t
-  {
-    return std::count_if(
-      mCell.mEvents.begin(), mCell.mEvents.end(), [&](const CellEvent& aEvent) {
-        return aEvent.mKind == CellEventKind::TaskDuplicated &&
-               aEvent.mReason == aReason;
-      });
-  }
-};
-
-} // namespace
-
 BOOST_FIXTURE_TEST_SUITE(duplicates, DuplicatesFixture)
 
 BOOST_AUTO_TEST_CASE(straggler_on_slow_worker_gets_one_duplicate_elsewhere)
@@ -461,29 +324,15 @@
 
 BOOST_AUTO_TEST_CASE(job_with_run_being_stopped_does_not_migrate)
 {
-  StartOnSlow(MakeTimed());
-  auto& spec = TaskOf(mTask).mJob->mStored.mSpec;
-  spec.mSteps.push_back(MakeStep(1, 16000));
-  spec.mSteps[1].mAfter = { 0 };
-  auto stored = TaskOf(mTask).mJob->mStored;
-  RemoveJob(mCell, "j");
-  End("w1", EndKind::Stopped);
-  stored.mSpec.mId = "k";
-  mTask = "k.0.0.0";
-  for (auto& [id, worker] : mCell.mWorkers) {
-    worker->mSuspectUntil = id == "w1" ? MonotonicTime{} : mNow + kUsual;
-  }
-  Add(stored);
-  BOOST_REQUIRE(CountStarts(NextOrders()) == 1);
+  auto stored = MakeJob("j", MakeTimed());
+  stored.mSpec.mSteps.push_back(MakeStep(1, 20000));
+  stored.mSpec.mSteps[1].mAfter = { 0 };
+  StartOnSlow(std::move(stored));
   RunSlowly();
   const auto orders = Start();
   BOOST_REQUIRE(CountStarts(orders) == 1);
   End(orders[0].mWorker, EndKind::Done);
-  for (auto& [id, worker] : mCell.mWorkers) {
-    worker->mSuspectUntil = mNow + Milliseconds(60000);
-  }
-  auto& job = *FindJob(mCell, "k");
-  job.mIsDirty = false;
+  FindJob(mCell, "j")->mIsDirty = false;
   Advance(Milliseconds(5000));
   BOOST_TEST(FindMigratable(mCell, mNow, Milliseconds(100)).empty());
   End("w1", EndKind::Stopped);
