Send jobs to the cell with the least expected wait

Cause: under load no cell has free capacity or startable tasks, so that the ranking of cells says little; a waiting best-effort job moved only after 1.2 s and only to a cell in which nothing waits.

Ruled out: always the shortest wait, as entries that see the same reports send their jobs to one cell between two of them.

Change: placement.overflow (off by default) compares expected waits from the reported loads, what was sent since and the distance. New jobs that no cell can start at once go to cells of nearly the least wait, at random by id and in proportion to their rates. Waiting jobs move if they are started in half the time and half a second sooner; a job that came from another cell rests for five seconds. Tests without a network: crest in one domain, herds, uneven rates, late and old reports, many cells that see one with room.

--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -122,6 +122,12 @@
     1,
     "1: room is gathered for large tasks that wait, and small ones fill it "
     "until then"),
+  Number("placement",
+         "overflow",
+         "0",
+         1,
+         "1: where no cell has room, jobs go, and waiting ones move, to the "
+         "cell with the least expected wait"),
   SettingField{ "placement",
                 "checkpoint_s",
                 SettingKind::Decimal,
@@ -190,6 +196,7 @@
   out.mEvacuationMs = values->Integer("bounds", "evacuation_ms");
   out.mHasAdmission = values->Integer("admission", "enabled") != 0;
   out.mLooksAhead = values->Integer("placement", "look_ahead") != 0;
+  out.mHasOverflow = values->Integer("placement", "overflow") != 0;
   out.mCheckpointMs =
     static_cast<std::int64_t>(values->Decimal("placement", "checkpoint_s") *
                               static_cast<double>(kMsPerSecond));
--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -80,6 +80,7 @@
   dispatch::kEvacuationWithdrawn,
   dispatch::kJobNotAdmitted,
   dispatch::kGatheredTaskStarted,
+  dispatch::kJobOverflows,
   dispatch::kSubmissionSettled,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -207,6 +207,7 @@
   std::set<std::string> mExcludedCells;
   /** Since its first waiting task became ready. */
   Milliseconds mWaited{ 0 };
+  Lateness mLateness = Lateness::InTime;
 };
 
 /** Jobs without any run of which a task has been ready for more than aWait, the
--- a/src/cell/internal/migration.cpp
+++ b/src/cell/internal/migration.cpp
@@ -76,6 +76,7 @@
       it.mWaited =
         std::chrono::duration_cast<Milliseconds>(aNow - since.at(job));
       it.mCanRunHere = CanRunSteps(aCell, job->mStored, it.mWaitingSteps);
+      it.mLateness = RankJob(*job, aNow).mLateness;
       order.emplace_back(since.at(job), it);
     }
   }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -350,6 +350,14 @@
   "none; value is the task's waiting time in ms",
 };
 
+inline constexpr auto kJobOverflows = base::LogEvent{
+  968,
+  base::LogLevel::Info,
+  "a waiting job is moved to a cell that is expected to start it sooner",
+  "none; expected_wait_ms and expected_wait_there_ms are the waits that were "
+  "compared; 938 tells the outcome",
+};
+
 inline constexpr auto kSubmissionSettled = base::LogEvent{
   975,
   base::LogLevel::Info,
@@ -405,6 +413,7 @@
                                                        kEvacuationWithdrawn,
                                                        kJobNotAdmitted,
                                                        kGatheredTaskStarted,
+                                                       kJobOverflows,
                                                        kSubmissionSettled };
 
 /** Returns the log event of a kind of cell event. */
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -58,6 +58,9 @@
   std::int64_t mRestoreMs = 0;
   /** Jobs that no cell could do while they are of use are refused. */
   bool mHasAdmission = false;
+  /** Jobs go, and waiting ones move, to the cell with the least expected wait.
+   */
+  bool mHasOverflow = false;
   /** Time before a caller's deadline at which the outcome of a submission
    * without a reply is settled in the store; 0 if it stays unknown. */
   std::int64_t mSettleMs = 0;
@@ -91,8 +94,10 @@
   std::int64_t mLargestReservableCpuMillis = 0;
   /** Tasks of each size that could be started at once. */
   cell::TaskCounts mStartable{};
-  /** Empty unless the holder's settings have admission. */
+  /** Empty unless the holder's settings have admission or overflow. */
   admission::CellLoad mLoad;
+  /** What was sent to the cell and may be missing in its load; not sent. */
+  std::vector<admission::Backlog> mSentBacklogs;
   /** Since the holder reported this; not sent. */
   Milliseconds mAge{ 0 };
 
--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -8,6 +8,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "cellchoice.h"
 #include "eelgrasspost/base/eventlog.h"
 #include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
@@ -35,6 +36,8 @@
   std::function<net::Task<JobReply>(JobCommand)> mExecute;
   /** Number of jobs of a queue in all cells that have not started yet. */
   std::function<std::uint64_t(const std::string&)> mPending;
+  /** See DispatchSettings. */
+  bool mHasOverflow = false;
 };
 
 /** Handles the HTTP requests of callers. */
@@ -67,6 +70,10 @@
    * offered again. */
   auto SettleOutcome(Submission& aSubmission)
     -> net::Task<std::optional<CallerResponse>>;
+  /** The cells to which a job is offered, in order. */
+  auto PlanOffersOf(const cell::StoredJob& aJob,
+                    const std::vector<CellStatus>& aCells) const
+    -> std::vector<Offer>;
   auto Accept(const std::string& aId, const std::string& aCell)
     -> CallerResponse;
   auto RefuseAsCancelled() -> CallerResponse;
--- a/src/dispatch/internal/callersubmission.cpp
+++ b/src/dispatch/internal/callersubmission.cpp
@@ -2,12 +2,12 @@
 
 #include "callerhandler.h"
 #include "callerresponses.h"
-#include "cellchoice.h"
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/cell/load.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
+#include "overflow.h"
 #include "storeaccess.h"
 
 namespace eelgrasspost::dispatch {
@@ -62,6 +62,18 @@
   return out;
 }
 
+auto CallerHandler::PlanOffersOf(const cell::StoredJob& aJob,
+                                 const std::vector<CellStatus>& aCells) const
+  -> std::vector<Offer>
+{
+  const auto& spec = aJob.mSpec;
+  if (!mContext.mHasOverflow || !cell::IsSubjectToAdmission(spec)) {
+    return PlanOffers(aCells, spec, mContext.mDomain);
+  }
+  return PlanOffersByWait(
+    aCells, spec, cell::DemandOf(spec, aJob.mQueue), mContext.mDomain);
+}
+
 auto CallerHandler::OfferToCells(Submission& aSubmission,
                                  const std::vector<CellStatus>& aCells)
   -> net::Task<std::optional<CallerResponse>>
@@ -69,8 +81,7 @@
   auto& command = aSubmission.mCommand;
   aSubmission.mIsRefused = false;
   auto isDeclinedByAll = true;
-  for (const auto& it :
-       PlanOffers(aCells, command.mJob.mSpec, mContext.mDomain)) {
+  for (const auto& it : PlanOffersOf(command.mJob, aCells)) {
     command.mCell = it.mCell;
     command.mMustStartAtOnce = it.mMustStartAtOnce;
     command.mTimeoutMs = aSubmission.OfferTimeMs();
--- a/src/dispatch/internal/cellchoice.cpp
+++ b/src/dispatch/internal/cellchoice.cpp
@@ -61,14 +61,14 @@
   return std::any_of(aJob.mSteps.begin(), aJob.mSteps.end(), IsShortReserving);
 }
 
+} // namespace
+
 auto IsInDomain(const std::string& aCell, const std::string& aDomain) -> bool
 {
   return aCell.size() > aDomain.size() && aCell.starts_with(aDomain) &&
          aCell[aDomain.size()] == '/';
 }
 
-} // namespace
-
 auto MakeCellStatus(const cell::CellState& aCell, base::MonotonicTime aNow)
   -> CellStatus
 {
--- a/src/dispatch/internal/cellchoice.h
+++ b/src/dispatch/internal/cellchoice.h
@@ -23,6 +23,9 @@
 auto MakeCellStatus(const cell::CellState& aCell, base::MonotonicTime aNow)
   -> CellStatus;
 
+/** Whether a cell belongs to a failure domain. */
+auto IsInDomain(const std::string& aCell, const std::string& aDomain) -> bool;
+
 /** Share of the short tasks of a job's first steps that a cell could start at
  * once; 1 for a job without such tasks. */
 auto StartableShare(const CellStatus& aCell, const cell::JobSpec& aJob)
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -15,6 +15,7 @@
 #include "eelgrasspost/cell/room.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "hostchoice.h"
+#include "overflow.h"
 #include "refusals.h"
 #include "workercontacts.h"
 
@@ -50,6 +51,11 @@
   std::function<cell::WorkerListState()> mWorkerListState = [] {
     return cell::WorkerListState::Current;
   };
+  /** Plans at most the given number of moves of waiting jobs to cells that are
+   * expected to start them sooner. Not set without overflow. */
+  std::function<std::vector<OverflowMove>(const std::vector<OverflowCandidate>&,
+                                          std::size_t)>
+    mPlanOverflow;
 };
 
 enum class HolderPhase : std::uint8_t
@@ -278,8 +284,14 @@
   auto MigrateJobs() -> void;
   /** Starts the migration of a job if a suitable cell is found. */
   auto TryMigration(cell::MigratableJob aJob) -> bool;
-  auto MigrateJob(cell::MigratableJob aJob, std::string aCell)
-    -> net::Task<void>;
+  /** aMustStartAtOnce: the other cell has to have room for it now. */
+  auto MigrateJob(cell::MigratableJob aJob,
+                  std::string aCell,
+                  bool aMustStartAtOnce) -> net::Task<void>;
+  /** Moves waiting jobs to cells that are expected to start them sooner. */
+  auto OverflowJobs(const std::vector<cell::MigratableJob>& aJobs,
+                    std::size_t aMaxMoves,
+                    MonotonicTime aNow) -> void;
   auto CanStartAtOnce(const cell::StoredJob& aJob) const -> bool;
   auto DropJob(const std::string& aId) -> void;
   auto Cancel(std::string aId, MonotonicTime aDeadline) -> net::Task<JobReply>;
@@ -370,6 +382,8 @@
   Refusals mReservationRefusals;
   /** Cells that declined jobs that were to migrate. */
   Refusals mImportRefusals;
+  /** When jobs came from other cells; see kMoveRestTime. */
+  std::unordered_map<std::string, MonotonicTime> mArrivals;
   MonotonicTime mNextWaitLogAt{};
   /** A request for capacity was refused since waiting tasks were last logged.
    */
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -82,7 +82,8 @@
         [this] { return mConfiguration; },
         [this] { return ReachableCells(); },
         [this](JobCommand aCommand) { return Execute(std::move(aCommand)); },
-        [this](const std::string& aQueue) { return CountPending(aQueue); } })
+        [this](const std::string& aQueue) { return CountPending(aQueue); },
+        mSettings.mHasOverflow })
   , mHttpServer(aPool,
                 HttpOptions(),
                 [this](net::HttpRequest aRequest) {
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -102,6 +102,8 @@
     -> std::shared_ptr<CellHolder>;
 
   auto Execute(JobCommand aCommand) -> net::Task<JobReply>;
+  /** Executes a command at the holder of its cell. */
+  auto Route(JobCommand aCommand) -> net::Task<JobReply>;
   /** Executes a command in a cell that this entry holds. */
   auto ExecuteLocally(JobCommand aCommand) -> net::Task<JobReply>;
   auto HolderAddress(const std::string& aCell) const
@@ -112,6 +114,10 @@
   auto FindEmptierCell(const std::string& aFrom,
                        const cell::MigratableJob& aJob) const
     -> std::optional<std::string>;
+  /** Plans moves of waiting jobs of a cell and records them as sent. */
+  auto PlanMoves(const std::string& aFrom,
+                 const std::vector<OverflowCandidate>& aCandidates,
+                 std::size_t aMaxMoves) const -> std::vector<OverflowMove>;
   auto FindHostCell(const std::string& aFrom, const HostQuery& aQuery) const
     -> std::optional<std::string>;
   auto FindTransferSources(const std::string& aDomain) const
@@ -181,6 +187,9 @@
   };
   /** Expected content of the next heartbeats; choosing a cell adds to it. */
   mutable std::map<std::string, UnreportedWork> mUnreportedWork;
+  /** Jobs that the loads of cells may not include yet; empty without overflow.
+   */
+  mutable SentJobs mSentJobs;
   PendingCounts mPendingCounts;
   Evacuations mEvacuations;
   /** The domains whose evacuation is in force. */
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -264,6 +264,12 @@
     },
     [this, domain = aRow.mDomain] { return FindTransferSources(domain); }
   };
+  if (mSettings.mHasOverflow) {
+    context.mPlanOverflow = [this, cell](const auto& aCandidates,
+                                         std::size_t aMaxMoves) {
+      return PlanMoves(cell, aCandidates, aMaxMoves);
+    };
+  }
   context.mWorkerListState = [this] { return GetWorkerListState(); };
   mLog.Record(kCellClaimed,
               { { "cell", aRow.mName },
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cellchoice.h"
+#include "eelgrasspost/cell/load.h"
 #include "eelgrasspost/net/codec.h"
 
 namespace eelgrasspost::dispatch {
@@ -47,6 +48,7 @@
 {
   const auto now = base::MonotonicClock::now();
   for (const auto& it : aHeartbeat.mCells) {
+    RemoveReported(mSentJobs, it.mName, now);
     const auto sent = mUnreportedWork.find(it.mName);
     if (sent != mUnreportedWork.end() &&
         now - sent->second.mLastAt > kUnreportedWorkTimeout) {
@@ -80,6 +82,26 @@
     }
     AddUnreportedWork(aCommand.mCell, reserving, bestEffort);
   }
+  const auto& spec = aCommand.mJob.mSpec;
+  const auto mayWait =
+    mSettings.mHasOverflow && aCommand.mKind == JobCommandKind::Submit &&
+    !aCommand.mMustStartAtOnce && cell::IsSubjectToAdmission(spec);
+  if (!mayWait) {
+    co_return co_await Route(std::move(aCommand));
+  }
+  const auto demand = cell::DemandOf(spec, aCommand.mJob.mQueue);
+  const auto cell = aCommand.mCell;
+  AddSent(mSentJobs, cell, demand, 1, base::MonotonicClock::now());
+  const auto reply = co_await Route(std::move(aCommand));
+  if (reply.mOutcome != JobOutcome::Done &&
+      reply.mOutcome != JobOutcome::Uncertain) {
+    AddSent(mSentJobs, cell, demand, -1, base::MonotonicClock::now());
+  }
+  co_return reply;
+}
+
+auto DispatchEntry::Route(JobCommand aCommand) -> net::Task<JobReply>
+{
   if (FindHolder(aCommand.mCell)) {
     co_return co_await ExecuteLocally(std::move(aCommand));
   }
@@ -167,6 +189,22 @@
   return out;
 }
 
+auto DispatchEntry::PlanMoves(const std::string& aFrom,
+                              const std::vector<OverflowCandidate>& aCandidates,
+                              std::size_t aMaxMoves) const
+  -> std::vector<OverflowMove>
+{
+  auto out = PlanOverflow(ReachableCells(), aFrom, aCandidates, aMaxMoves);
+  const auto now = base::MonotonicClock::now();
+  for (const auto& it : out) {
+    AddUnreportedWork(
+      it.mCell, it.mJob.mReservingCpuMillis, it.mJob.mBestEffortCpuMillis);
+    AddSent(mSentJobs, it.mCell, it.mDemand, it.mSenders, now);
+    AddSent(mSentJobs, aFrom, it.mDemand, -1, now);
+  }
+  return out;
+}
+
 auto DispatchEntry::FindHostCell(const std::string& aFrom,
                                  const HostQuery& aQuery) const
   -> std::optional<std::string>
@@ -195,6 +233,10 @@
     }
   }
   for (auto& it : out) {
+    if (FindHolder(it.mName)) {
+      RemoveReported(mSentJobs, it.mName, now);
+    }
+    it.mSentBacklogs = SentBacklogs(mSentJobs, it.mName);
     const auto sent = mUnreportedWork.find(it.mName);
     // The status of local cells already includes this work.
     if (sent != mUnreportedWork.end() && !FindHolder(it.mName)) {
--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -2,6 +2,7 @@
 #include "cellholder.h"
 #include "eelgrasspost/base/text.h"
 #include "eelgrasspost/cell/evacuation.h"
+#include "eelgrasspost/cell/load.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
@@ -33,7 +34,10 @@
     return false;
   }
   job->mIsMigrating = true;
-  net::SpawnTask(mContext.mExecutor, MigrateJob(std::move(aJob), *target));
+  // A cell with suitable workers is left only for one that has room now.
+  const auto mustStartAtOnce = aJob.mCanRunHere && !isDelayed;
+  net::SpawnTask(mContext.mExecutor,
+                 MigrateJob(std::move(aJob), *target, mustStartAtOnce));
   return true;
 }
 
@@ -49,19 +53,65 @@
   const auto maxMoves = cell::IsClosed(mState) ? kMigrationsPerTickOfClosedCell
                                                : kMigrationsPerTick;
   std::size_t moves = 0;
-  for (const auto& it : cell::FindMigratable(mState, now, kMigrationDelay)) {
+  const auto jobs = cell::FindMigratable(mState, now, kMigrationDelay);
+  for (const auto& it : jobs) {
     if (moves >= maxMoves) {
       return;
     }
     moves += IsMigrationDue(it) && TryMigration(it) ? 1 : 0;
   }
+  if (mContext.mPlanOverflow && moves < maxMoves) {
+    OverflowJobs(jobs, maxMoves - moves, now);
+  }
+}
+
+auto CellHolder::OverflowJobs(const std::vector<cell::MigratableJob>& aJobs,
+                              std::size_t aMaxMoves,
+                              MonotonicTime aNow) -> void
+{
+  std::erase_if(mArrivals, [&](const auto& aArrival) {
+    return aNow - aArrival.second > kMoveRestTime;
+  });
+  // The expected wait holds for the last jobs in line.
+  std::vector<OverflowCandidate> candidates;
+  for (auto it = aJobs.rbegin();
+       it != aJobs.rend() && candidates.size() < kOverflowCandidatesPerTick;
+       ++it) {
+    const auto* job = cell::FindJob(mState, it->mId);
+    if (job->mIsMigrating || !it->mCanRunHere || mArrivals.contains(it->mId) ||
+        it->mLateness == cell::Lateness::Worthless ||
+        !cell::IsSubjectToAdmission(job->mStored.mSpec)) {
+      continue;
+    }
+    const auto& stored = job->mStored;
+    candidates.push_back({ *it, cell::DemandOf(stored.mSpec, stored.mQueue) });
+    candidates.back().mJob.mExcludedCells = FindRefusingCells(
+      mImportRefusals, NeedsOf(stored, it->mWaitingSteps), aNow);
+  }
+  if (candidates.empty()) {
+    return;
+  }
+  for (auto& it : mContext.mPlanOverflow(candidates, aMaxMoves)) {
+    mContext.mMetrics.FindCounter("jobs_overflowed_total").Add();
+    mContext.mLog.Record(kJobOverflows,
+                         { { "job", it.mJob.mId },
+                           { "from", mRow.mName },
+                           { "to", it.mCell },
+                           { "expected_wait_ms", it.mWaitHere.count() },
+                           { "expected_wait_there_ms", it.mWaitThere.count() },
+                           { "waited_ms", it.mJob.mWaited.count() } });
+    cell::FindJob(mState, it.mJob.mId)->mIsMigrating = true;
+    net::SpawnTask(mContext.mExecutor,
+                   MigrateJob(std::move(it.mJob), it.mCell, false));
+  }
 }
 
 /** The target cell rewrites the job's rows on condition that the rows of this
  * cell are unchanged. While the outcome is unknown the job stays frozen here;
  * storing its progress then shows which of the two writes came first. */
-auto CellHolder::MigrateJob(cell::MigratableJob aJob, std::string aCell)
-  -> net::Task<void>
+auto CellHolder::MigrateJob(cell::MigratableJob aJob,
+                            std::string aCell,
+                            bool aMustStartAtOnce) -> net::Task<void>
 {
   const auto self = shared_from_this();
   const auto& aId = aJob.mId;
@@ -82,8 +132,7 @@
                       rows.mProgressVersion };
   command.mTimeoutMs = kStoreTimeout.count();
   command.mWaitingSteps = aJob.mWaitingSteps;
-  // A cell with suitable workers is left only for one that has room now.
-  command.mMustStartAtOnce = aJob.mCanRunHere && aJob.mWaited.count() > 0;
+  command.mMustStartAtOnce = aMustStartAtOnce;
   const auto needs = NeedsOf(job->mStored, aJob.mWaitingSteps);
   const auto source = command.mSource;
   const auto reply = co_await mContext.mExecute(std::move(command));
@@ -280,6 +329,9 @@
     co_return JobReply{ JobOutcome::Refused };
   }
   mRows[id] = { reply.mVersion, reply.mVersion };
+  if (mContext.mPlanOverflow) {
+    mArrivals[id] = base::MonotonicClock::now();
+  }
   cell::AddJob(mState,
                std::move(aCommand.mJob),
                aCommand.mProgress,
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -344,7 +344,7 @@
     cell::Decay(mState.mInterference,
                 std::chrono::duration<double>(kTickInterval).count());
     cell::RemoveExpiredReservations(mState, now);
-    if (mContext.mSettings.mHasAdmission) {
+    if (mContext.mSettings.mHasAdmission || mContext.mSettings.mHasOverflow) {
       cell::UpdateRates(mState, now);
       mLoad = cell::MeasureLoad(mState, now);
     }
--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -54,6 +54,11 @@
     mFindCapacity = [](const std::string&, const cell::MigratableJob&) {
       return std::optional<std::string>();
     };
+  /** Plans moves of waiting jobs of the given cell; set for overflow. */
+  std::function<std::vector<OverflowMove>(
+    const std::string&,
+    const std::vector<OverflowCandidate>&)>
+    mPlanOverflow;
   /** Executes a command of a holder; replaceable. */
   std::function<net::Task<JobReply>(JobCommand)> mExecute =
     [this](JobCommand aCommand) { return ExecuteInCell(std::move(aCommand)); };
@@ -117,6 +122,12 @@
                                      aCell](const cell::MigratableJob& aJob) {
       return mFindCapacity(aCell, aJob);
     };
+    if (mPlanOverflow) {
+      context.mPlanOverflow = [this, aCell](const auto& aCandidates,
+                                            std::size_t) {
+        return mPlanOverflow(aCell, aCandidates);
+      };
+    }
     CellRow row;
     row.mName = aCell;
     row.mDomain = "a";
