Count first tasks without room as work ahead of a new job

Cause: before anything waits all expected waits are zero, so that a wide job was sent to any cell, also to one that could start few of its tasks.

Change: the part of the first tasks for which a cell reports no room counts as work ahead of the job; cells with much longer waits are no longer chosen by chance.

--- a/src/dispatch/internal/overflow.cpp
+++ b/src/dispatch/internal/overflow.cpp
@@ -92,37 +92,60 @@
 }
 
 /** Orders cells at random by job, so that each is the first one with a
- * probability that is proportional to its rate and falls with its wait. Lower
- * is earlier. */
+ * probability that is proportional to its rate and falls with its wait; those
+ * with much longer waits come after all others. Lower is earlier. */
 auto RandomRank(const std::string& aJob,
                 const std::string& aCell,
                 const CellWait& aWait,
-                Milliseconds aShortest) -> double
+                Milliseconds aShortest) -> std::pair<double, double>
 {
+  constexpr double kMaxExcess = 3;
   constexpr std::uint64_t kSteps = 1'000'003;
   const auto uniform =
     (static_cast<double>(HashOf(base::Cat(aJob, "/", aCell)) % kSteps) + 0.5) /
     static_cast<double>(kSteps);
   const auto tolerance = kNearlyEqual + Scale(aShortest, kNearlyEqualShare);
+  const auto excess = static_cast<double>((aWait.mWait - aShortest).count()) /
+                      static_cast<double>(tolerance.count());
   // The smallest of exponential variables, by logarithms.
-  return std::log(-std::log(uniform)) - std::log(aWait.mRate) +
-         static_cast<double>((aWait.mWait - aShortest).count()) /
-           static_cast<double>(tolerance.count());
+  return { excess > kMaxExcess ? excess : 0.0,
+           std::log(-std::log(uniform)) - std::log(aWait.mRate) + excess };
 }
 
-/** Whether a cell reports room for all first tasks of a job. */
-auto CanStartFirstTasks(const CellStatus& aCell, const cell::JobSpec& aJob)
-  -> bool
+/** Demand of the steps of a job that start first. */
+struct FirstDemand
 {
-  std::int64_t bestEffort = 0;
+  std::int64_t mBestEffortCpuMillis = 0;
+  /** Estimated CPU milliseconds. */
+  double mCpuMs = 0;
+};
+
+auto FirstDemandOf(const cell::JobSpec& aJob) -> FirstDemand
+{
+  constexpr double kMillisPerCore = 1000;
+  FirstDemand out;
   for (const auto& it : aJob.mSteps) {
-    if (it.mAfter.empty() && it.mIsBestEffort) {
-      bestEffort += it.mNeed.mCpuMillis * it.mCount;
+    if (it.mAfter.empty()) {
+      const auto cpuMillis = it.mNeed.mCpuMillis * it.mCount;
+      out.mBestEffortCpuMillis += it.mIsBestEffort ? cpuMillis : 0;
+      out.mCpuMs += static_cast<double>(cpuMillis) / kMillisPerCore *
+                    static_cast<double>(it.mEstimatedMs);
     }
   }
+  return out;
+}
+
+/** Share of a job's first tasks for which a cell reports room. */
+auto RoomShare(const CellStatus& aCell,
+               const cell::JobSpec& aJob,
+               const FirstDemand& aDemand) -> double
+{
   const auto left = aCell.mLeftoverCpuMillis - aCell.mBestEffortCpuMillis;
-  return StartableShare(aCell, aJob) >= 1 &&
-         (bestEffort == 0 || bestEffort <= left);
+  const auto leftShare = aDemand.mBestEffortCpuMillis > 0
+                           ? static_cast<double>(left) /
+                               static_cast<double>(aDemand.mBestEffortCpuMillis)
+                           : 1.0;
+  return std::clamp(std::min(StartableShare(aCell, aJob), leftShare), 0.0, 1.0);
 }
 
 auto BacklogOf(const JobDemand& aDemand, double aTimes) -> admission::Backlog
@@ -235,14 +258,17 @@
                       const std::string& aDomain) -> std::vector<Offer>
 {
   auto out = PlanOffers(aCells, aJob, aDomain);
-  const auto waits = ExpectedWaits(aCells, aDemand, aDomain, false);
+  auto waits = ExpectedWaits(aCells, aDemand, aDomain, false);
+  const auto first = FirstDemandOf(aJob);
   auto isAnyKnown = false;
   auto canAnyStart = false;
   auto shortest = Milliseconds::max();
   for (std::size_t i = 0; i < aCells.size(); ++i) {
     if (IsCandidate(aCells[i])) {
       isAnyKnown = isAnyKnown || waits[i].mIsKnown;
-      canAnyStart = canAnyStart || CanStartFirstTasks(aCells[i], aJob);
+      const auto share = RoomShare(aCells[i], aJob, first);
+      canAnyStart = canAnyStart || share >= 1;
+      waits[i].mWait += TimeFor((1 - share) * first.mCpuMs, waits[i].mRate);
       shortest = std::min(shortest, waits[i].mWait);
     }
   }
@@ -250,7 +276,7 @@
   if (!isAnyKnown || keepsOrder) {
     return out;
   }
-  std::vector<std::pair<double, const CellStatus*>> order;
+  std::vector<std::pair<std::pair<double, double>, const CellStatus*>> order;
   for (std::size_t i = 0; i < aCells.size(); ++i) {
     if (IsCandidate(aCells[i])) {
       order.emplace_back(
--- a/src/dispatch/tests/overflow_tests.cpp
+++ b/src/dispatch/tests/overflow_tests.cpp
@@ -54,6 +54,22 @@
   BOOST_TEST(first() == "b/0");
 }
 
+// Crest of wide jobs before anything waits.
+BOOST_AUTO_TEST_CASE(wide_job_goes_to_the_cell_that_can_start_most_of_it)
+{
+  for (const auto* it : { "a/0", "b/0", "c/0" }) {
+    AddCell(it, 0);
+  }
+  mCells[1].mStartable.fill(60);
+  auto job = MakeJob("job");
+  job.mSteps[0].mCount = 80;
+  for (auto i = 0; i < 20; ++i) {
+    job.mId = base::Cat("job-", i);
+    const auto offers = PlanOffersByWait(mCells, job, MakeDemand(80000), "a");
+    BOOST_TEST(offers.front().mCell == "b/0");
+  }
+}
+
 // Herd of one entry's jobs between two reports.
 BOOST_AUTO_TEST_CASE(jobs_sent_since_the_last_report_spread_over_the_cells)
 {
