Take a worker as it is listed last, after a refused transfer too

Cause, by reading: two places put back a record of a worker that they had copied earlier. A transfer that was refused used the worker as it was listed before the transfer's two commits, and a holder applied the list of its claim when its coroutine ran, over rows that had arrived since. As later rows of a draining worker equal what the entry knows, the cell never got the draining again and kept starting tasks there. The same for a worker that was unlisted meanwhile.

Change: the record of a leaving worker follows the list; workers of a cell are applied before the holder runs; a member that was unlisted during the takeover stays so. A reader of a table that got a full page does not pause.

Doubtful: that heartbeats fill the feed of workers. By the platform's page a row changes only if more than its sequence number does; not measured.

tablewatch_tests did not compile since removals have a version: its callback takes the version now.

--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -89,11 +89,10 @@
 public:
   CellHolder(HolderContext aContext, CellRow aRow, std::uint64_t aRowVersion);
 
-  /** Takes the cell over and manages it until the holder ends. aWorkers are the
-   * listed workers of the cell; aIsPreviousHolderGone tells that the process of
-   * the previous holder is known to have ended. */
-  auto Run(std::vector<cell::WorkerRecord> aWorkers, bool aIsPreviousHolderGone)
-    -> net::Task<void>;
+  /** Takes the cell over and manages it until the holder ends.
+   * aIsPreviousHolderGone: the process of the previous holder is known to have
+   * ended. */
+  auto Run(bool aIsPreviousHolderGone) -> net::Task<void>;
   /** Flushes unsaved progress and stops sending orders; does not change the
    * cell row. */
   auto Shutdown() -> net::Task<void>;
@@ -224,6 +223,7 @@
   auto RequestWorkers() -> void;
   auto RequestWorker(CapacityRequest aRequest) -> net::Task<void>;
   auto TransferWorker(JobCommand aCommand) -> net::Task<JobReply>;
+  auto KeepWorker(const std::string& aWorker) -> void;
   auto LogWaitingTasks() -> void;
   auto LogFreeCapacity(const std::vector<cell::FreeCapacity>& aCapacity)
     -> void;
@@ -347,8 +347,9 @@
   std::set<std::string> mUnresolvedJobs;
   std::map<std::string, std::uint64_t> mMinTokens;
   /** Workers that are being transferred to another cell, or were, until a
-   * transfer returns them. */
-  std::set<std::string> mLeavingWorkers;
+   * transfer returns them, as they were listed last; without a record if they
+   * are not listed any more. */
+  std::map<std::string, std::optional<cell::WorkerRecord>> mLeavingWorkers;
   std::map<std::string, TokenStep> mTokenSteps;
   /** Workers of which the foreign ends are being settled. */
   std::set<std::string> mSettlingWorkers;
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -273,10 +273,9 @@
                   static_cast<std::int64_t>(aIsPreviousHolderGone ? 1 : 0) } });
   auto holder = std::make_shared<CellHolder>(context, aRow, aVersion);
   mHolders[aRow.mName] = holder;
-  std::vector<cell::WorkerRecord> workers;
   for (const auto& [id, it] : mWorkers) {
     if (CellOf(it) == aRow.mName) {
-      workers.push_back(it);
+      holder->UpdateWorker(it);
     }
   }
   for (const auto& [id, it] : mWorkerTransfers) {
@@ -287,8 +286,7 @@
   holder->SetClaimTime(aClaimedAt);
   holder->SetEvacuatedDomains(mEvacuatedDomains);
   BoundEarlierHolders(*holder);
-  net::SpawnTask(mPool.Executor(0),
-                 holder->Run(std::move(workers), aIsPreviousHolderGone));
+  net::SpawnTask(mPool.Executor(0), holder->Run(aIsPreviousHolderGone));
 }
 
 auto DispatchEntry::ReleaseCell(std::string aCell) -> net::Task<void>
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -212,7 +212,7 @@
     const auto isNew = !mState.mWorkers.contains(record->mId);
     auto& worker = isNew ? cell::UpdateWorker(mState, *record, now)
                          : *mState.mWorkers.at(record->mId);
-    worker.mIsListed = !isNew;
+    worker.mIsListed = worker.mIsListed && !isNew;
     worker.mLeasesExpiredAt = leasesExpiredAt;
     if (isNew) {
       worker.mIncarnationStartMs = record->mIncarnationStartMs;
@@ -266,15 +266,11 @@
   co_return isLoaded&& co_await LoadMembers();
 }
 
-auto CellHolder::Run(std::vector<cell::WorkerRecord> aWorkers,
-                     bool aIsPreviousHolderGone) -> net::Task<void>
+auto CellHolder::Run(bool aIsPreviousHolderGone) -> net::Task<void>
 {
   const auto self = shared_from_this();
   mIsPreviousHolderGone = aIsPreviousHolderGone;
   const auto now = base::MonotonicClock::now();
-  for (const auto& it : aWorkers) {
-    cell::UpdateWorker(mState, it, now);
-  }
   while (mPhase == HolderPhase::TakingOver && !co_await TakeOver()) {
     // Discards partial results; the next attempt loads everything again.
     mState.mJobs.clear();
--- a/src/dispatch/internal/holdertransfers.cpp
+++ b/src/dispatch/internal/holdertransfers.cpp
@@ -169,18 +169,14 @@
     mState.mWorkers.at(id)->mIsTransferring = false;
     co_return JobReply{ JobOutcome::Refused };
   }
-  const auto record = mState.mWorkers.at(id)->mRecord;
   // The minimum token stays: the worker refuses lower ones if it returns.
-  mLeavingWorkers.insert(id);
+  mLeavingWorkers[id] = mState.mWorkers.at(id)->mRecord;
   mState.mWorkers.erase(id);
   for (auto n = 0; n < 3 && mMembers.contains(id); ++n) {
     co_await WriteMembers();
   }
   if (mPhase != HolderPhase::Active || mMembers.contains(id)) {
-    if (mPhase == HolderPhase::Active) {
-      mLeavingWorkers.erase(id);
-      UpdateWorker(record);
-    }
+    KeepWorker(id);
     co_return JobReply{ JobOutcome::Refused };
   }
   // A holder that claims this cell afterwards has the worker, as has the cell
@@ -209,16 +205,24 @@
   if (reply.mOutcome == StoreOutcome::Conflict) {
     CheckClaim(reply);
   }
-  if (reply.mOutcome == StoreOutcome::Refused &&
-      mPhase == HolderPhase::Active) {
-    mLeavingWorkers.erase(id);
-    UpdateWorker(record);
+  if (reply.mOutcome == StoreOutcome::Refused) {
+    KeepWorker(id);
   }
   co_return JobReply{ reply.mOutcome == StoreOutcome::Done
                         ? JobOutcome::Done
                         : JobOutcome::Refused };
 }
 
+/** Uses a worker again that was not transferred after all, as it was listed
+ * last. */
+auto CellHolder::KeepWorker(const std::string& aWorker) -> void
+{
+  const auto leaving = mLeavingWorkers.extract(aWorker);
+  if (mPhase == HolderPhase::Active && leaving && leaving.mapped()) {
+    UpdateWorker(*leaving.mapped());
+  }
+}
+
 /** Ends the holder if a conflict shows that its cell was claimed again. */
 auto CellHolder::CheckClaim(const StoreReply& aReply) -> void
 {
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -32,8 +32,10 @@
 
 auto CellHolder::UpdateWorker(const cell::WorkerRecord& aRecord) -> void
 {
-  if (mLeavingWorkers.contains(aRecord.mId)) {
+  if (const auto it = mLeavingWorkers.find(aRecord.mId);
+      it != mLeavingWorkers.end()) {
     // This entry may not have read yet that the worker is in another cell.
+    it->second = aRecord;
     return;
   }
   const auto now = base::MonotonicClock::now();
@@ -65,6 +67,9 @@
 
 auto CellHolder::UnlistWorker(const std::string& aId) -> void
 {
+  if (const auto it = mLeavingWorkers.find(aId); it != mLeavingWorkers.end()) {
+    it->second.reset();
+  }
   cell::UnlistWorker(mState, aId);
   if (mPhase == HolderPhase::Active) {
     // This holder may end before the next tick.
--- a/src/dispatch/internal/tablewatch.cpp
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -149,7 +149,8 @@
     }
     mAfter = std::max(mAfter, reply.mVersion);
     mOnAnswer();
-    if (mPause.count() > 0) {
+    // A reader that is behind would fall further behind by a pause.
+    if (mPause.count() > 0 && reply.mRows.size() < kPageRows) {
       co_await net::Sleep(mPause);
     }
   } else if (reply.mOutcome == StoreOutcome::HistoryTruncated) {
--- a/src/dispatch/internal/tablewatch.h
+++ b/src/dispatch/internal/tablewatch.h
@@ -29,7 +29,8 @@
   /** Called after each successful reply of the store. */
   using OnAnswer = std::function<void()>;
 
-  /** aPause: delay before each call, so that it returns several changes. */
+  /** aPause: delay before each call, so that it returns several changes; not
+   * after a reply with a full page of them. */
   TableWatch(net::IoPool& aPool,
              ISharedStore& aStore,
              std::string aTable,
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -45,6 +45,8 @@
   bool mRefusesFeeds = false;
   /** Delays the replies to the calls of feeds until it is reset. */
   bool mHoldsFeeds = false;
+  /** Rows per reply of a feed; 0 means no limit. */
+  std::size_t mFeedLimit = 0;
   /** Durations of the next range reads, in order. */
   std::deque<Milliseconds> mReadDelays;
   /** Number of range reads so far, without those by which holders check their
@@ -171,6 +173,10 @@
               [](const StoreRow& aLeft, const StoreRow& aRight) {
                 return aLeft.mVersion < aRight.mVersion;
               });
+    if (mFeedLimit > 0 && out.mRows.size() > mFeedLimit) {
+      out.mRows.resize(mFeedLimit);
+      out.mVersion = out.mRows.back().mVersion;
+    }
     co_return out;
   }
 
--- a/src/dispatch/tests/holderfixture.h
+++ b/src/dispatch/tests/holderfixture.h
@@ -122,14 +122,11 @@
     row.mDomain = "a";
     row.mTerm = aTerm;
     auto out = std::make_shared<CellHolder>(context, row, aTerm * 1000);
-    std::vector<cell::WorkerRecord> workers;
-    workers.reserve(aWorkers.size());
     for (const auto& it : aWorkers) {
-      workers.push_back(MakeRecord(it));
+      out->UpdateWorker(MakeRecord(it));
     }
     mPool.Spawn(mPool.Executor(0), WriteCellRow(row, aTerm * 1000));
-    mPool.Spawn(mPool.Executor(0),
-                out->Run(std::move(workers), mIsPreviousHolderGone));
+    mPool.Spawn(mPool.Executor(0), out->Run(mIsPreviousHolderGone));
     return out;
   }
 
--- a/src/dispatch/tests/tablewatch_tests.cpp
+++ b/src/dispatch/tests/tablewatch_tests.cpp
@@ -17,13 +17,14 @@
 struct WatchFixture : PoolFixture
 {
   FakeStore mStore;
-  TableWatch mWatch{ mPool,
-                     mStore,
-                     "members",
-                     Milliseconds(20),
-                     Milliseconds(0) };
+  TableWatch mWatch;
   std::set<std::string> mKeys;
 
+  explicit WatchFixture(Milliseconds aPause = Milliseconds(0))
+    : mWatch(mPool, mStore, "members", Milliseconds(20), aPause)
+  {
+  }
+
   ~WatchFixture() { StopPool(); }
 
   auto Write(const std::string& aKey) -> void
@@ -44,9 +45,10 @@
   {
     mPool.Spawn(
       mPool.Executor(0),
-      mWatch.Run([this](const StoreRow& aRow) { mKeys.insert(aRow.mKey); },
-                 [this](const std::string& aKey) { mKeys.erase(aKey); },
-                 [] {}));
+      mWatch.Run(
+        [this](const StoreRow& aRow) { mKeys.insert(aRow.mKey); },
+        [this](const std::string& aKey, std::uint64_t) { mKeys.erase(aKey); },
+        [] {}));
   }
 
   auto SetActive(bool aIsActive) -> void
@@ -58,6 +60,25 @@
   }
 };
 
+constexpr auto kLongPause = Milliseconds(1000);
+
+struct PausingWatch : WatchFixture
+{
+  PausingWatch()
+    : WatchFixture(kLongPause)
+  {
+  }
+
+  auto WriteRows(int aFirst, int aCount) -> void
+  {
+    StoreTransaction transaction;
+    for (auto i = aFirst; i < aFirst + aCount; ++i) {
+      transaction.mWrites.push_back({ { "members", std::to_string(i) }, "" });
+    }
+    Wait(mStore.Commit(std::move(transaction), {}));
+  }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(tablewatch, WatchFixture)
@@ -108,4 +129,40 @@
   BOOST_TEST((*confirmedAt - startedAt < kPageTime));
 }
 
+// A reader that paused after each reply fell behind by one pause per page while
+// more rows changed than a page holds.
+BOOST_FIXTURE_TEST_CASE(watch_behind_by_several_pages_reads_them_without_pause,
+                        PausingWatch)
+{
+  constexpr auto kPageRows = 500;
+  constexpr auto kPages = 4;
+  Run();
+  BOOST_REQUIRE(Until([&] { return mWatch.IsLoaded(); }));
+  Until([&] {
+    mStore.mFeedLimit = kPageRows;
+    return true;
+  });
+  for (auto i = 0; i < kPages; ++i) {
+    WriteRows(i * kPageRows, kPageRows);
+  }
+  BOOST_REQUIRE(Until([&] { return !mKeys.empty(); }));
+  const auto startedAt = eelgrasspost::base::BootNow();
+  BOOST_REQUIRE(
+    Until([&] { return mKeys.size() == std::size_t(kPages * kPageRows); }));
+  BOOST_TEST((eelgrasspost::base::BootNow() - startedAt < kLongPause));
+}
+
+BOOST_FIXTURE_TEST_CASE(watch_that_has_caught_up_pauses_before_the_next_call,
+                        PausingWatch)
+{
+  Run();
+  BOOST_REQUIRE(Until([&] { return mWatch.IsLoaded(); }));
+  WriteRows(0, 1);
+  BOOST_REQUIRE(Until([&] { return mKeys.size() == 1; }));
+  const auto startedAt = eelgrasspost::base::BootNow();
+  WriteRows(1, 1);
+  BOOST_REQUIRE(Until([&] { return mKeys.size() == 2; }));
+  BOOST_TEST((eelgrasspost::base::BootNow() - startedAt > kLongPause / 2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/workercells_tests.cpp
+++ b/src/dispatch/tests/workercells_tests.cpp
@@ -98,6 +98,70 @@
   });
 }
 
+// The worker was used again as it had been listed before the transfer.
+BOOST_FIXTURE_TEST_CASE(
+  worker_that_drains_during_a_refused_transfer_gets_no_start,
+  HolderFixture)
+{
+  constexpr auto kCommitTime = Milliseconds(200);
+  const auto holder = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] {
+    const auto& workers = holder->State().mWorkers;
+    return workers.contains("w1") && workers.at("w1")->mIsKnown;
+  }));
+  Do([&] {
+    mStore.mFaults = { FakeFault::None, FakeFault::Refuse };
+    mStore.mDelays = { kCommitTime };
+    mPool.Spawn(mPool.Executor(0),
+                [](std::shared_ptr<CellHolder> aHolder) -> net::Task<void> {
+                  co_await aHolder->Execute(MakeTransfer());
+                }(holder));
+  });
+  BOOST_REQUIRE(
+    Until([&] { return !holder->State().mWorkers.contains("w1"); }));
+  Do([&] {
+    mWorkers.mDraining = { "w1" };
+    holder->UpdateWorker(MakeRecord("w1"));
+  });
+  BOOST_REQUIRE(Until([&] { return holder->State().mWorkers.contains("w1"); }));
+  Wait(holder->Execute(MakeSubmission("0000000000000001")));
+  Wait(net::Sleep(kSettlingTime), true);
+
+  Do([&] {
+    BOOST_TEST(mWorkers.mStarts.empty());
+    holder->End();
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(
+  worker_that_leaves_during_a_refused_transfer_is_not_used_again,
+  HolderFixture)
+{
+  constexpr auto kCommitTime = Milliseconds(200);
+  const auto holder = MakeHolder(1);
+  BOOST_REQUIRE(Until([&] {
+    const auto& workers = holder->State().mWorkers;
+    return workers.contains("w1") && workers.at("w1")->mIsKnown;
+  }));
+  Do([&] {
+    mStore.mFaults = { FakeFault::None, FakeFault::Refuse };
+    mStore.mDelays = { kCommitTime };
+    mPool.Spawn(mPool.Executor(0),
+                [](std::shared_ptr<CellHolder> aHolder) -> net::Task<void> {
+                  co_await aHolder->Execute(MakeTransfer());
+                }(holder));
+  });
+  BOOST_REQUIRE(
+    Until([&] { return !holder->State().mWorkers.contains("w1"); }));
+  Do([&] { holder->UnlistWorker("w1"); });
+  Wait(net::Sleep(2 * kCommitTime), true);
+
+  Do([&] {
+    BOOST_TEST(!holder->State().mWorkers.contains("w1"));
+    holder->End();
+  });
+}
+
 // An entry claimed a cell before it had read that a worker had left the cell,
 // and kept the worker.
 BOOST_FIXTURE_TEST_CASE(
