Test outcomes of submissions whose writes are executed late

One to seven writes in a row, of the holder and of the entry that settles, get no reply and are executed after the caller has its response. What the caller was told holds afterwards: a job told as not run is unknown and has not started, an accepted one runs once.

--- a/src/dispatch/tests/submission_tests.cpp
+++ b/src/dispatch/tests/submission_tests.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "cancellationfixture.h"
+#include "eelgrasspost/base/text.h"
 
 namespace eelgrasspost::dispatch::testing {
 
@@ -160,6 +161,32 @@
   BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
 }
 
+BOOST_AUTO_TEST_CASE(writes_executed_late_leave_the_outcome_that_was_told)
+{
+  constexpr std::size_t kMaxLateWrites = 7;
+  std::set<CallerOutcome> seen;
+  for (std::size_t n = 1; n <= kMaxLateWrites; ++n) {
+    const auto id = base::Cat("00000000000000b", n);
+    Do([&] { mStore.mFaults.assign(n, FakeFault::ApplyLate); });
+    const auto outcome = Request("POST", kCallerTimeout, id);
+    seen.insert(outcome);
+    Do([&] { mStore.mFaults.clear(); });
+    // The holder and the entry may go on for a while.
+    Wait(net::Sleep(Milliseconds(500)), true);
+    Do([&] { mStore.ApplyLateCalls(); });
+    const auto state = Request("GET", kCallerTimeout, id);
+    BOOST_TEST_CONTEXT("late writes " << n)
+    {
+      const auto isKnown = state == CallerOutcome::State;
+      BOOST_CHECK(outcome != CallerOutcome::NotRun || !isKnown);
+      BOOST_CHECK(outcome != CallerOutcome::Accepted || isKnown);
+      BOOST_CHECK(mWorkers.CountStarts(id + ".0.0.0") <= (isKnown ? 1U : 0U));
+    }
+  }
+  BOOST_CHECK(seen.contains(CallerOutcome::Accepted));
+  BOOST_CHECK(seen.contains(CallerOutcome::NotRun));
+}
+
 BOOST_AUTO_TEST_CASE(refused_job_cancelled_is_unknown_and_stays_refused)
 {
   LoseSubmissions();
