--- a/src/dispatch/tests/submission_tests.cpp
+++ b/src/dispatch/tests/submission_tests.cpp
@@ -178,6 +178,7 @@
     BOOST_TEST_CONTEXT("late writes " << n)
     {
       const auto isKnown = state == CallerOutcome::State;
+      BOOST_CHECK(outcome != CallerOutcome::NotRun || !isKnown);
       BOOST_CHECK(outcome != CallerOutcome::Accepted || isKnown);
       BOOST_CHECK(mWorkers.CountStarts(id + ".0.0.0") <= (isKnown ? 1U : 0U));
     }
