Test the bounds of a slow run with workers that report

The case for the least gain passed also without that bound: the other workers had not reported for too long to be used. They report now, and a long run of less than twice the usual time has its own case, which was missing.

--- a/src/cell/tests/duplicates_tests.cpp
+++ b/src/cell/tests/duplicates_tests.cpp
@@ -40,8 +40,7 @@
 BOOST_AUTO_TEST_CASE(run_within_spread_of_its_queue_goes_on)
 {
   StartOnSlow(MakeTimed());
-  Advance(kUsual);
-  Report("w1", RowsOf("w1", 60), {});
+  RunFor(kUsual, 60);
   BOOST_TEST(NextOrders().empty());
 }
 
@@ -50,19 +49,29 @@
 {
   mCell.mRunTimeRatios["queue"] = 3.0;
   StartOnSlow(MakeTimed());
-  Advance(2 * kUsual);
-  Report("w1", RowsOf("w1", 40), {});
+  RunFor(2 * kUsual, 40);
   BOOST_TEST(NextOrders().empty());
 }
 
 BOOST_AUTO_TEST_CASE(straggler_near_its_end_goes_on)
 {
   StartOnSlow(MakeTimed());
-  Advance(3 * kUsual);
-  Report("w1", RowsOf("w1", 80), {});
+  RunFor(3 * kUsual, 80);
   BOOST_TEST(NextOrders().empty());
 }
 
+// A new run would end sooner, but this one is not unusual.
+BOOST_AUTO_TEST_CASE(long_run_of_less_than_twice_the_usual_time_goes_on)
+{
+  auto step = MakeTimed();
+  step.mEstimatedMs = 10000;
+  StartOnSlow(step);
+  RunFor(Milliseconds(3000), 16);
+  BOOST_TEST(NextOrders().empty());
+  RunFor(Milliseconds(1000), 17);
+  BOOST_TEST(CountStarts(NextOrders()) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(worker_of_same_rack_gets_no_duplicate)
 {
   for (auto& [id, worker] : mCell.mWorkers) {
--- a/src/cell/tests/duplicatesfixture.h
+++ b/src/cell/tests/duplicatesfixture.h
@@ -82,15 +82,18 @@
     return out;
   }
 
-  /** Lets w1 run slowly for twice the usual time. */
-  auto RunSlowly() -> void
+  /** Lets w1 run for a time, until its runs have done a part of their work. */
+  auto RunFor(Milliseconds aTime, double aPercent) -> void
   {
-    Advance(2 * kUsual);
-    Report("w1", RowsOf("w1", 20), {});
+    Advance(aTime);
+    Report("w1", RowsOf("w1", aPercent), {});
     Report("w2", RowsOf("w2", 0), {});
     Report("w3", RowsOf("w3", 0), {});
   }
 
+  /** Lets w1 run slowly for twice the usual time. */
+  auto RunSlowly() -> void { RunFor(2 * kUsual, 20); }
+
   /** Starts a job on w1 whose run becomes slow and gets a duplicate. */
   auto Duplicate() -> Order
   {
