Tell other holders which of their workers begin to drain

Cause: a holder whose reads of the list of workers are late or fail goes on starting tasks on a worker that others have read as draining. Nothing but its own feed told it.

Change: an entry that reads that a worker of a cell of others begins to drain says so in its heartbeats for 3 s (worker, incarnation, version of the row; 16 a heartbeat, in turn). A holder that hears it closes the worker to starts until its own feed shows that version or a newer one. Log event 972 tells how far behind the holder was. The workers' feed stays active between a claim and the start of the holder, which otherwise read the whole table again.

Failures in tests without a network: a lost datagram, a worker restarted under its id, a stale notice, rows older than the notice, a hundred workers at once. Run: dispatch_drainnotices_tests (14 cases), dispatch_workercells_tests (5), dispatch_evacuations_tests (14), dispatch_takeover_tests (22). Not run with this change: dispatch_tests, dispatch_entry_tests, the tests of the catalogue.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -80,6 +80,7 @@
   dispatch::kEvacuationWithdrawn,
   dispatch::kJobNotAdmitted,
   dispatch::kGatheredTaskStarted,
+  dispatch::kDrainHeard,
   dispatch::kSubmissionSettled,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -350,6 +350,14 @@
   "none; value is the task's waiting time in ms",
 };
 
+inline constexpr auto kDrainHeard = base::LogEvent{
+  972,
+  base::LogLevel::Info,
+  "a peer has read that a worker drains before this entry has",
+  "none if rare; otherwise this entry reads the list of workers late: "
+  "confirmed_ms is the age of its last reply",
+};
+
 inline constexpr auto kSubmissionSettled = base::LogEvent{
   975,
   base::LogLevel::Info,
@@ -405,6 +413,7 @@
                                                        kEvacuationWithdrawn,
                                                        kJobNotAdmitted,
                                                        kGatheredTaskStarted,
+                                                       kDrainHeard,
                                                        kSubmissionSettled };
 
 /** Returns the log event of a kind of cell event. */
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -177,6 +177,21 @@
   }
 };
 
+/** Tells that the platform lists a worker as draining. */
+struct DrainNotice
+{
+  std::string mWorker;
+  std::int64_t mIncarnationStartMs = 0;
+  /** Version of the store at which the worker's row was written. */
+  std::uint64_t mVersion = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mWorker, mIncarnationStartMs, mVersion);
+  }
+};
+
 /** Datagram that an entry sends to its peers periodically. */
 struct Heartbeat
 {
@@ -195,6 +210,8 @@
   std::vector<EndedClaim> mEndedClaims;
   /** For entries whose view of the operator's requests is older. */
   std::vector<EvacuationNotice> mEvacuations;
+  /** For holders whose view of the platform's list of workers is older. */
+  std::vector<DrainNotice> mDraining;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
@@ -202,6 +219,7 @@
     archive(mName, mIncarnation, mDomain, mPeers, mCpuShare);
     archive(mIsLeaving, mReachesStore);
     archive(mCells, mPending, mEstimates, mEndedClaims, mEvacuations);
+    archive(mDraining);
   }
 };
 
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -7,6 +7,7 @@
 #include "callerhandler.h"
 #include "cellholder.h"
 #include "claiming.h"
+#include "drainnotices.h"
 #include "eelgrasspost/dispatch/dispatchmodule.h"
 #include "eelgrasspost/net/iopool.h"
 #include "evacuations.h"
@@ -52,6 +53,7 @@
   auto OnControlRow(const StoreRow& aRow) -> void;
   auto OnCellRow(const CellRow& aRow, std::uint64_t aVersion) -> void;
   auto OnWorkerRow(const StoreRow& aRow) -> void;
+  auto OnDrainNotices(const Heartbeat& aHeartbeat) -> void;
   auto GetWorkerListState() const -> cell::WorkerListState;
   auto WriteEntryRow() -> net::Task<void>;
 
@@ -124,7 +126,7 @@
                          std::int64_t aBestEffortCpuMillis) const -> void;
   auto HandleHeartbeat(const Heartbeat& aHeartbeat) -> void;
   auto CountPending(const std::string& aQueue) const -> std::uint64_t;
-  auto MakeHeartbeat() const -> Heartbeat;
+  auto MakeHeartbeat() -> Heartbeat;
   auto IsReady() const -> bool;
   auto HandleSignals() -> net::Task<void>;
   auto Leave() -> net::Task<void>;
@@ -163,6 +165,7 @@
   };
   std::map<std::string, WorkerTransfer> mWorkerTransfers;
   std::map<std::string, cell::WorkerRecord> mWorkers;
+  DrainNotices mDrainNotices;
   MonotonicTime mWorkersChangedAt;
   std::map<std::string, std::shared_ptr<CellHolder>> mHolders;
   /** Claims that have ended, by the versions of their rows: those of this entry
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -118,8 +118,10 @@
       mayClaim ? CellsToClaim(view) : std::vector<std::string>();
     const auto mustCreateLayout =
       !mLayouts.contains(mSettings.mDomain) && IsFirstClaimant(view);
+    // A cell that is claimed and not taken over yet needs the list as well.
     mWorkerWatch.SetActive(!mHolders.empty() || !claims.empty() ||
-                           mustCreateLayout);
+                           !mCellsInTransition.empty() ||
+                           !mCellsInAdoption.empty() || mustCreateLayout);
     if (mWorkerWatch.IsLoaded()) {
       ManageLayouts(view, now);
       for (const auto& it : claims) {
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -55,6 +55,7 @@
   }
   RecordPending(mPendingCounts, aHeartbeat);
   OnEvacuationNotices(aHeartbeat.mEvacuations);
+  OnDrainNotices(aHeartbeat);
   for (const auto& [name, it] : mHolders) {
     it->ImportEstimates(aHeartbeat.mEstimates);
   }
@@ -220,7 +221,7 @@
   return out + dispatch::CountPending(mPendingCounts, own, HashOf(aQueue));
 }
 
-auto DispatchEntry::MakeHeartbeat() const -> Heartbeat
+auto DispatchEntry::MakeHeartbeat() -> Heartbeat
 {
   Heartbeat out;
   out.mName = mSettings.mName;
@@ -258,6 +259,7 @@
   for (const auto& [domain, it] : mEvacuations) {
     out.mEvacuations.push_back(it);
   }
+  out.mDraining = TakeNotices(mDrainNotices, base::MonotonicClock::now());
   const auto now = base::BootNow();
   for (const auto& [version, it] : mOwnClaimEnds) {
     const auto since =
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -159,14 +159,51 @@
   if (isNew) {
     mWorkersChangedAt = base::MonotonicClock::now();
   }
+  ApplyHeard(mDrainNotices, *record, aRow.mVersion);
   const auto isChanged = isNew || HasChanged(known, *record);
+  const auto beginsToDrain = known.mState == cell::WorkerState::Ready &&
+                             record->mState == cell::WorkerState::Draining;
   known = *std::move(record);
   if (!isChanged) {
     return;
   }
-  if (const auto name = CellOf(known)) {
-    if (const auto holder = FindHolder(*name)) {
-      holder->UpdateWorker(known);
+  const auto name = CellOf(known);
+  const auto holder = name ? FindHolder(*name) : nullptr;
+  if (holder) {
+    holder->UpdateWorker(known);
+  } else if (beginsToDrain) {
+    NoteDraining(
+      mDrainNotices, known, aRow.mVersion, base::MonotonicClock::now());
+  }
+}
+
+auto DispatchEntry::OnDrainNotices(const Heartbeat& aHeartbeat) -> void
+{
+  if (mHolders.empty()) {
+    return;
+  }
+  for (const auto& it : aHeartbeat.mDraining) {
+    const auto known = mWorkers.find(it.mWorker);
+    const auto isNews =
+      known != mWorkers.end() &&
+      HearNotice(mDrainNotices, it, known->second, mWorkerWatch.KnownVersion());
+    if (!isNews) {
+      continue;
+    }
+    known->second.mState = cell::WorkerState::Draining;
+    const auto name = CellOf(known->second);
+    if (const auto holder = name ? FindHolder(*name) : nullptr) {
+      holder->UpdateWorker(known->second);
+      const auto confirmed = std::chrono::duration_cast<Milliseconds>(
+        base::BootNow() - mWorkerWatch.ConfirmedAt());
+      mLog.Record(kDrainHeard,
+                  { { "cell", *name },
+                    { "worker", it.mWorker },
+                    { "peer", aHeartbeat.mName },
+                    { "version", static_cast<std::int64_t>(it.mVersion) },
+                    { "read_version",
+                      static_cast<std::int64_t>(mWorkerWatch.KnownVersion()) },
+                    { "confirmed_ms", confirmed.count() } });
     }
   }
 }
@@ -190,6 +227,7 @@
   co_await mWorkerWatch.Run([this](const StoreRow& aRow) { OnWorkerRow(aRow); },
                             [this](const std::string& aKey, std::uint64_t) {
                               mWorkers.erase(aKey);
+                              ForgetWorker(mDrainNotices, aKey);
                               for (const auto& [name, it] : mHolders) {
                                 it->UnlistWorker(aKey);
                               }
