Close only cells with workers of an evacuated domain

Cause: review: while any domain was evacuated, a cell without usable workers for another reason counted as closed; with few domains submissions could be refused at once during a takeover. The test fails before.

--- a/src/cell/internal/evacuation.cpp
+++ b/src/cell/internal/evacuation.cpp
@@ -33,11 +33,15 @@
 
 auto IsClosed(const CellState& aCell) -> bool
 {
-  return !aCell.mEvacuatedDomains.empty() &&
-         std::none_of(
-           aCell.mWorkers.begin(),
-           aCell.mWorkers.end(),
-           [&](const auto& aItem) { return MayServe(aCell, *aItem.second); });
+  const auto& workers = aCell.mWorkers;
+  return std::any_of(workers.begin(),
+                     workers.end(),
+                     [&](const auto& aItem) {
+                       return IsEvacuated(aCell, *aItem.second);
+                     }) &&
+         std::none_of(workers.begin(), workers.end(), [&](const auto& aItem) {
+           return MayServe(aCell, *aItem.second);
+         });
 }
 
 auto SummarizeEvacuation(const CellState& aCell) -> EvacuationSummary
--- a/src/cell/tests/evacuation_tests.cpp
+++ b/src/cell/tests/evacuation_tests.cpp
@@ -122,6 +122,13 @@
   BOOST_CHECK(!IsClosed(mCell));
 }
 
+BOOST_AUTO_TEST_CASE(cell_without_workers_of_an_evacuated_domain_is_not_closed)
+{
+  Evacuate({ "b" });
+  mCell.mWorkers.at("w1")->mRecord.mState = WorkerState::Draining;
+  BOOST_CHECK(!IsClosed(mCell));
+}
+
 BOOST_AUTO_TEST_CASE(waiting_job_of_closed_cell_may_leave_it)
 {
   Add(MakeJob("0000000000000001", MakeStep(4)));
