--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -80,12 +80,9 @@
   dispatch::kEvacuationWithdrawn,
   dispatch::kJobNotAdmitted,
   dispatch::kGatheredTaskStarted,
-<<<<<<< HEAD
   dispatch::kJobOverflows,
   dispatch::kTaskDuplicated,
-=======
   dispatch::kDrainHeard,
->>>>>>> feeds
   dispatch::kSubmissionSettled,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -350,7 +350,6 @@
   "none; value is the task's waiting time in ms",
 };
 
-<<<<<<< HEAD
 inline constexpr auto kJobOverflows = base::LogEvent{
   968,
   base::LogLevel::Info,
@@ -359,22 +358,21 @@
   "compared; 938 tells the outcome",
 };
 
-inline constexpr auto kTaskDuplicated = base::LogEvent
-{
-  969, base::LogLevel::Info,
-    "a slow task got a second run, or one of its two runs has ended",
-    "none; for reason started, value is the time in ms by which the second run "
-    "is expected to end sooner; many that end with other_done use room in "
-    "vain: "
-    "turn placement.duplicates off",
-=======
+inline constexpr auto kTaskDuplicated = base::LogEvent{
+  969,
+  base::LogLevel::Info,
+  "a slow task got a second run, or one of its two runs has ended",
+  "none; for reason started, value is the time in ms by which the second run "
+  "is expected to end sooner; many that end with other_done use room in vain: "
+  "turn placement.duplicates off",
+};
+
 inline constexpr auto kDrainHeard = base::LogEvent{
   972,
   base::LogLevel::Info,
   "a peer has read that a worker drains before this entry has",
   "none if rare; otherwise this entry reads the list of workers late: "
   "confirmed_ms is the age of its last reply",
->>>>>>> feeds
 };
 
 inline constexpr auto kSubmissionSettled = base::LogEvent{
@@ -432,12 +430,9 @@
                                                        kEvacuationWithdrawn,
                                                        kJobNotAdmitted,
                                                        kGatheredTaskStarted,
-<<<<<<< HEAD
                                                        kJobOverflows,
                                                        kTaskDuplicated,
-=======
                                                        kDrainHeard,
->>>>>>> feeds
                                                        kSubmissionSettled };
 
 /** Returns the log event of a kind of cell event. */
