Check a configuration before it is sent

Change: the command check-configuration prints errors, queues that no request can select, contradictions, and with --in-force what a configuration changes; exit codes 0, 1 and 2.

--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -7,6 +7,7 @@
 
 #include <cxxopts.hpp>
 
+#include "configcommand.h"
 #include "dispatchcommand.h"
 #include "dispatchsettings.h"
 #include "eelgrasspost/base/jsonfields.h"
@@ -29,6 +30,9 @@
   "  dispatch --settings FILE         run an entry on the users' platform\n"
   "  check-settings [dispatch] --settings FILE\n"
   "                                   check a settings file\n"
+  "  check-configuration FILE [--in-force FILE]\n"
+  "                                   check a configuration of the platform\n"
+  "                                   and show what it changes\n"
   "  settings [dispatch]              list all settings\n"
   "  log-events                       list all numbered log events\n"
   "  note plan FILE --entry IP:PORT [--against REVISION]\n"
@@ -60,6 +64,7 @@
   std::string mEntry;
   std::string mOperator;
   std::string mAgainst;
+  std::string mInForce;
   std::string mSince;
   std::string mActor;
   std::string mObject;
@@ -75,6 +80,7 @@
     "entry", "IP:PORT of an entry", cxxopts::value<std::string>())(
     "operator", "name of the operator", cxxopts::value<std::string>())(
     "against", "revision to plan against", cxxopts::value<std::string>())(
+    "in-force", "file to compare with", cxxopts::value<std::string>())(
     "since", "oldest change to list", cxxopts::value<std::string>())(
     "actor", "who made the change", cxxopts::value<std::string>())(
     "object", "what was changed", cxxopts::value<std::string>())(
@@ -99,6 +105,7 @@
     out.mEntry = text("entry");
     out.mOperator = text("operator");
     out.mAgainst = text("against");
+    out.mInForce = text("in-force");
     out.mSince = text("since");
     out.mActor = text("actor");
     out.mObject = text("object");
@@ -300,6 +307,9 @@
   if (command == "check-settings" || command == "check-settings dispatch") {
     return CheckSettings(*arguments);
   }
+  if (words.size() == 2 && words[0] == "check-configuration") {
+    return CheckConfigurationFile(words[1], arguments->mInForce);
+  }
   if (command == "load") {
     return RunLoadCommand(arguments->mLoad);
   }
--- a/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
@@ -224,6 +224,8 @@
 {
   std::uint64_t mVersion = 0;
   std::vector<cell::Queue> mQueues;
+  /** Names of the services whose workers run the queues' tasks. */
+  std::vector<std::string> mServices;
   std::uint64_t mBodyLimit = 262144;
 };
 
