--- a/src/cell/include/eelgrasspost/cell/load.h
+++ b/src/cell/include/eelgrasspost/cell/load.h
@@ -13,9 +13,9 @@
  * ends by itself. */
 auto IsSubjectToAdmission(const JobSpec& aJob) -> bool;
 
-/** The accepted work that waits for room in a cell and how fast it is done. Work
- * of jobs that are done too late to be of use does not count. Empty, so that
- * nothing is refused, if the workers belong to several services. */
+/** The accepted work that waits for room in a cell and how fast it is done.
+ * Work of jobs that are done too late to be of use does not count. Empty, so
+ * that nothing is refused, if the workers belong to several services. */
 auto MeasureLoad(const CellState& aCell, MonotonicTime aNow)
   -> admission::CellLoad;
 
--- a/src/cell/internal/load.cpp
+++ b/src/cell/internal/load.cpp
@@ -129,10 +129,8 @@
                 admission::RateMeter& aMeter,
                 MonotonicTime aNow) -> void
 {
-  admission::UpdateRate(aMeter,
-                        IsSaturated(aCell, aKind, aNow),
-                        MeanRunTime(aCell, aKind),
-                        aNow);
+  admission::UpdateRate(
+    aMeter, IsSaturated(aCell, aKind, aNow), MeanRunTime(aCell, aKind), aNow);
 }
 
 } // namespace
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -153,9 +153,8 @@
         aSpec.mNeed.mCpuMillis >= spec.mNeed.mCpuMillis &&
         aSpec.mNeed.mMemoryMb >= spec.mNeed.mMemoryMb &&
         aSpec.mNeed.mAccelerators >= spec.mNeed.mAccelerators;
-      const auto endsSooner =
-        aOther.mRunTime > Milliseconds(0) &&
-        ExpectedRunTime(aCell, aTask) < aOther.mRunTime;
+      const auto endsSooner = aOther.mRunTime > Milliseconds(0) &&
+                              ExpectedRunTime(aCell, aTask) < aOther.mRunTime;
       return (isSameStep || isSimilar) && aOther.mTolerance >= aTolerance &&
              !endsSooner;
     });
--- a/src/dispatch/tests/tablewatch_tests.cpp
+++ b/src/dispatch/tests/tablewatch_tests.cpp
@@ -44,9 +44,10 @@
   {
     mPool.Spawn(
       mPool.Executor(0),
-      mWatch.Run([this](const StoreRow& aRow) { mKeys.insert(aRow.mKey); },
-                 [this](const std::string& aKey, std::uint64_t) { mKeys.erase(aKey); },
-                 [] {}));
+      mWatch.Run(
+        [this](const StoreRow& aRow) { mKeys.insert(aRow.mKey); },
+        [this](const std::string& aKey, std::uint64_t) { mKeys.erase(aKey); },
+        [] {}));
   }
 
   auto SetActive(bool aIsActive) -> void
