--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -25,9 +25,6 @@
   base::EventLog& mLog;
   std::uint32_t mPartitions = 4;
   std::string mDomain;
-  /** See DispatchSettings. */
-  std::int64_t mSettleMs = 0;
-  bool mHasAdmission = false;
   /** Returns null before the first configuration. */
   std::function<std::shared_ptr<const Configuration>()> mConfiguration;
   /** Status of the reachable cells, held locally or by peers. */
@@ -36,7 +33,9 @@
   std::function<net::Task<JobReply>(JobCommand)> mExecute;
   /** Number of jobs of a queue in all cells that have not started yet. */
   std::function<std::uint64_t(const std::string&)> mPending;
-  /** See DispatchSettings. */
+  // See DispatchSettings.
+  std::int64_t mSettleMs = 0;
+  bool mHasAdmission = false;
   bool mHasOverflow = false;
 };
 
--- a/src/dispatch/tests/cancellationfixture.h
+++ b/src/dispatch/tests/cancellationfixture.h
@@ -101,12 +101,12 @@
       mLog,
       kPartitions,
       "a",
-      aSettleMs,
-      aHasAdmission,
       [] { return std::make_shared<const Configuration>(); },
       [this] { return OfferedCells(); },
       [this](JobCommand aCommand) { return mExecute(std::move(aCommand)); },
-      [](const std::string&) { return std::uint64_t{ 0 }; } });
+      [](const std::string&) { return std::uint64_t{ 0 }; },
+      aSettleMs,
+      aHasAdmission });
     mPool.Spawn(mPool.Executor(0), EndStoppedRuns());
   }
 
