--- a/src/dispatch/tests/cancellationfixture.h
+++ b/src/dispatch/tests/cancellationfixture.h
@@ -81,11 +81,14 @@
   /** Evacuations close all of them. */
   bool mAreClosed = false;
   admission::CellLoad mLoad;
+  /** Backlogs of single cells. */
+  std::map<std::string, std::vector<admission::Backlog>> mBacklogs;
   bool mIsOver = false;
 
   /** See DispatchSettings. */
   explicit CallersAndCells(std::int64_t aSettleMs = 0,
-                           bool aHasAdmission = false)
+                           bool aHasAdmission = false,
+                           bool aHasOverflow = false)
   {
     const auto submission = MakeSubmission(kId);
     mFormats.mQueue = submission.mJob.mQueue;
@@ -106,7 +109,8 @@
       [] { return std::make_shared<const Configuration>(); },
       [this] { return OfferedCells(); },
       [this](JobCommand aCommand) { return mExecute(std::move(aCommand)); },
-      [](const std::string&) { return std::uint64_t{ 0 }; } });
+      [](const std::string&) { return std::uint64_t{ 0 }; },
+      aHasOverflow });
     mPool.Spawn(mPool.Executor(0), EndStoppedRuns());
   }
 
@@ -130,6 +134,10 @@
       status.mIsActive = true;
       status.mIsClosed = mAreClosed;
       status.mLoad = mLoad;
+      if (const auto backlogs = mBacklogs.find(it);
+          backlogs != mBacklogs.end()) {
+        status.mLoad.mBacklogs = backlogs->second;
+      }
       status.mCapacityCpuMillis = 16000;
       status.mFreeCpuMillis = 16000;
       out.push_back(status);
--- a/src/dispatch/tests/overflowmoves_tests.cpp
+++ b/src/dispatch/tests/overflowmoves_tests.cpp
@@ -256,6 +256,12 @@
 
 BOOST_FIXTURE_TEST_SUITE(holders, FullCells)
 
+BOOST_AUTO_TEST_CASE(load_is_reported_without_admission)
+{
+  BOOST_TEST(
+    Until([&] { return mFirst->GetStatus().mLoad.mReserved.mCores == 1.0; }));
+}
+
 // Only cells that could start the job at once accepted it.
 BOOST_AUTO_TEST_CASE(waiting_job_moves_to_a_full_cell_and_rests_there)
 {
