--- a/src/admission/include/eelgrasspost/admission/admission.h
+++ b/src/admission/include/eelgrasspost/admission/admission.h
@@ -18,6 +18,10 @@
   Milliseconds mLate{ 0 };
 };
 
+/** The waits in a cell that does the given CPU milliseconds per millisecond. */
+auto WaitAtRate(const CellLoad& aLoad, const JobDemand& aDemand, double aRate)
+  -> ExpectedWait;
+
 /** The shortest waits if all estimates of run times may be too long by a factor
  * of two. Zero for a cell of which too little is known. */
 auto WaitIn(const KnownLoad& aCell, const JobDemand& aDemand) -> ExpectedWait;
--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -142,22 +142,28 @@
 
 } // namespace
 
-auto WaitIn(const KnownLoad& aCell, const JobDemand& aDemand) -> ExpectedWait
+auto WaitAtRate(const CellLoad& aLoad, const JobDemand& aDemand, double aRate)
+  -> ExpectedWait
 {
-  const auto rate = DrainRate(aCell.mLoad, aDemand.mKind);
-  if (!aCell.mIsActive || aCell.mAge > kMaxReportAge || rate <= 0) {
-    return {};
-  }
   auto ahead = 0.0;
   auto late = 0.0;
-  for (const auto& it : aCell.mLoad.mBacklogs) {
+  for (const auto& it : aLoad.mBacklogs) {
     if (it.mKind == aDemand.mKind && it.mPriority <= aDemand.mPriority) {
       ahead += Precedes(it, aDemand) ? it.mWaitingCpuMs : 0.0;
       late += it.mWaitingCpuMs + it.mLateCpuMs;
     }
   }
-  return { Milliseconds(static_cast<std::int64_t>(ahead / rate)),
-           Milliseconds(static_cast<std::int64_t>(late / rate)) };
+  return { Milliseconds(static_cast<std::int64_t>(ahead / aRate)),
+           Milliseconds(static_cast<std::int64_t>(late / aRate)) };
+}
+
+auto WaitIn(const KnownLoad& aCell, const JobDemand& aDemand) -> ExpectedWait
+{
+  const auto rate = DrainRate(aCell.mLoad, aDemand.mKind);
+  if (!aCell.mIsActive || aCell.mAge > kMaxReportAge || rate <= 0) {
+    return {};
+  }
+  return WaitAtRate(aCell.mLoad, aDemand, rate);
 }
 
 auto SizeClassOf(double aCpuMs) -> std::uint32_t
--- a/src/dispatch/internal/overflow.cpp
+++ b/src/dispatch/internal/overflow.cpp
@@ -68,14 +68,11 @@
                   double aRate,
                   bool aIsLate) -> Milliseconds
 {
-  admission::KnownLoad known{ aCell.mLoad, Milliseconds(0), true };
-  auto& load = known.mLoad;
-  (aDemand.mKind == RoomKind::Reserved ? load.mReserved : load.mLeftover)
-    .mSaturatedRate = aRate;
+  auto load = aCell.mLoad;
   load.mBacklogs.insert(load.mBacklogs.end(),
                         aCell.mSentBacklogs.begin(),
                         aCell.mSentBacklogs.end());
-  const auto wait = admission::WaitIn(known, aDemand);
+  const auto wait = admission::WaitAtRate(load, aDemand, aRate);
   return std::max(Milliseconds(0), aIsLate ? wait.mLate : wait.mInTime);
 }
 
