--- a/src/configcheck/internal/configcheck.cpp
+++ b/src/configcheck/internal/configcheck.cpp
@@ -1,6 +1,7 @@
 #include "eelgrasspost/configcheck/configcheck.h"
 
 #include <algorithm>
+#include <cctype>
 #include <map>
 
 #include "eelgrasspost/base/text.h"
@@ -110,9 +111,10 @@
   std::map<std::pair<std::string, std::string>, const Queue*> seen;
   for (const auto& it : aConfiguration.mQueues) {
     auto host = it.mHost;
-    std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
-      return static_cast<char>(std::tolower(c));
-    });
+    std::transform(
+      host.begin(), host.end(), host.begin(), [](unsigned char aChar) {
+        return static_cast<char>(std::tolower(aChar));
+      });
     const auto [first, isNew] =
       seen.emplace(std::pair(host, it.mPathPrefix), &it);
     if (!isNew) {
