--- a/review/standins-2/large-job.cpp
+++ b/review/standins-2/large-job.cpp
@@ -12,8 +12,8 @@
 constexpr int kLargeTasks = 2000;
 constexpr int kLargeMs = 45000;
 constexpr std::int64_t kTrafficMs = 36000;
-/** Short jobs that take the memory at first, so that the large job's tasks start
- * one after the other. */
+/** Short jobs that take the memory at first, so that the large job's tasks
+ * start one after the other. */
 constexpr int kEarlierJobs = 3 * kWorkers;
 constexpr std::int64_t kFinishMs = 14000;
 
@@ -64,12 +64,12 @@
       JobBody(std::to_string(ms), { { 1, 100, 20000, ms } }));
   }
   SleepMs(500);
-  const auto large = entries[0]->Send(
-    "POST",
-    kHost,
-    "/runs/" + JobId(0xb1, 0),
-    JobBody(std::to_string(kLargeMs) + " saves",
-            { { kLargeTasks, 20, 180, kLargeMs, {}, true } }));
+  const auto large =
+    entries[0]->Send("POST",
+                     kHost,
+                     "/runs/" + JobId(0xb1, 0),
+                     JobBody(std::to_string(kLargeMs) + " saves",
+                             { { kLargeTasks, 20, 180, kLargeMs, {}, true } }));
   if (large.mStatus != 200) {
     return 2;
   }
@@ -152,19 +152,21 @@
       entries[i % entries.size()]->Send("GET", kHost, "/checks/" + id);
     notDone += answer.mBody.find("done") == std::string::npos ? 1 : 0;
     const auto found = before.find(id);
-    const auto doneTasks = found == before.end() ? 0 : found->second.mDone.size();
-    const auto isIdle = doneTasks < 12 &&
-                        (found == before.end() || found->second.mRunning.empty()) &&
-                        !startedMeanwhile.contains(id);
+    const auto doneTasks =
+      found == before.end() ? 0 : found->second.mDone.size();
+    const auto isIdle =
+      doneTasks < 12 &&
+      (found == before.end() || found->second.mRunning.empty()) &&
+      !startedMeanwhile.contains(id);
     idle += isIdle ? 1 : 0;
   }
   const auto inUse = running() / 5;
   const auto text =
     std::to_string(numAccepted) + " of " + std::to_string(accepted.size()) +
-    " ordinary jobs accepted; " +
-    std::to_string(idle) + " had tasks left and nothing running for 3 s, " +
-    std::to_string(notDone) + " not shown as done; at most " +
-    std::to_string(inUse) + " of 96 cores in use; the store refused " +
+    " ordinary jobs accepted; " + std::to_string(idle) +
+    " had tasks left and nothing running for 3 s, " + std::to_string(notDone) +
+    " not shown as done; at most " + std::to_string(inUse) +
+    " of 96 cores in use; the store refused " +
     std::to_string(deployment.mStore.Refused()) + " calls";
   return Finish(idle > 0, "LOST: " + text);
 }
--- a/review/standins-2/long-work.cpp
+++ b/review/standins-2/long-work.cpp
@@ -50,11 +50,11 @@
       step.mFills = isSurvey;
       step.mLabel = "b";
       const auto id = JobId(isSurvey ? 0xc2 : 0xc1, i);
-      const auto answer =
-        entries[i % entries.size()]->Send("POST",
-                                          kHost,
-                                          (isSurvey ? "/surveys/" : "/plans/") + id,
-                                          JobBody(std::to_string(duration), { step }));
+      const auto answer = entries[i % entries.size()]->Send(
+        "POST",
+        kHost,
+        (isSurvey ? "/surveys/" : "/plans/") + id,
+        JobBody(std::to_string(duration), { step }));
       if (answer.mStatus == 200) {
         ids.push_back(id);
         tasks[id] = step.mCount;
@@ -107,11 +107,12 @@
     entries[0]->Send(
       "GET", kHost, (id[7] == '1' ? "/plans/" : "/surveys/") + id);
   }
-  const auto text =
-    std::to_string(idle) + " of " + std::to_string(ids.size()) +
-    " accepted jobs had nothing running for over 3 s, " +
-    std::to_string(longest) + " ms at most, with at most 1.2 of its 16 cores in use; " +
-    std::to_string(starts) + " starts for " + std::to_string(2 * ids.size()) +
-    " tasks, " + std::to_string(done) + " done";
+  const auto text = std::to_string(idle) + " of " + std::to_string(ids.size()) +
+                    " accepted jobs had nothing running for over 3 s, " +
+                    std::to_string(longest) +
+                    " ms at most, with at most 1.2 of its 16 cores in use; " +
+                    std::to_string(starts) + " starts for " +
+                    std::to_string(2 * ids.size()) + " tasks, " +
+                    std::to_string(done) + " done";
   return Finish(idle > 0, "LOST: " + text);
 }
--- a/review/standins-2/many-queues.cpp
+++ b/review/standins-2/many-queues.cpp
@@ -1,6 +1,6 @@
-// Case "many queues": the configuration grows by 700 routes, and clients hand in
-// a job to each of the new queues. Without the trouble they hand in the same jobs
-// to the one queue that there is.
+// Case "many queues": the configuration grows by 700 routes, and clients hand
+// in a job to each of the new queues. Without the trouble they hand in the same
+// jobs to the one queue that there is.
 
 #include "rig.h"
 
@@ -27,22 +27,23 @@
   if (hasTrouble) {
     for (int i = 0; i < kJobs; ++i) {
       const auto name = "queue" + std::to_string(i);
-      routes.push_back(
-        Route(name, kHost, "/" + name + "/", 1, 3, 2.0, 120000));
+      routes.push_back(Route(name, kHost, "/" + name + "/", 1, 3, 2.0, 120000));
     }
     gRecord.Add("the configuration grows by %d routes", kJobs);
   }
   PutConfiguration(deployment.mStore, 2, routes);
   SleepMs(3000);
   const auto prefix = [&](int aJob) {
-    return hasTrouble ? "/queue" + std::to_string(aJob) + "/" : std::string("/base/");
+    return hasTrouble ? "/queue" + std::to_string(aJob) + "/"
+                      : std::string("/base/");
   };
 
   // A long job takes all 128 cores; the jobs after it wait.
-  const auto first = entries[0]->Send("POST",
-                                      kHost,
-                                      "/base/" + JobId(0xd1, 0),
-                                      JobBody("50000", { { 64, 2000, 256, 50000 } }));
+  const auto first =
+    entries[0]->Send("POST",
+                     kHost,
+                     "/base/" + JobId(0xd1, 0),
+                     JobBody("50000", { { 64, 2000, 256, 50000 } }));
   if (first.mStatus != 200) {
     return 2;
   }
@@ -68,11 +69,11 @@
     accepted.push_back(std::make_unique<std::atomic<bool>>(false));
     clients.emplace_back([&, i, flag = accepted.back().get()] {
       for (int k = 0; k < 4 && !*flag; ++k) {
-        const auto answer =
-          entries[(i + k) % entries.size()]->Send("POST",
-                                                  kHost,
-                                                  prefix(i) + JobId(0xd2, i),
-                                                  JobBody("500", { { 1, 2000, 64, 500 } }));
+        const auto answer = entries[(i + k) % entries.size()]->Send(
+          "POST",
+          kHost,
+          prefix(i) + JobId(0xd2, i),
+          JobBody("500", { { 1, 2000, 64, 500 } }));
         *flag = answer.mStatus == 200;
       }
     });
@@ -129,7 +130,6 @@
                     " counts are under half, at " +
                     std::to_string(wrongEntries.size()) +
                     " of 3 entries; the cell's row changed " +
-                    std::to_string(claims) +
-                    " times, with no entry disturbed";
+                    std::to_string(claims) + " times, with no entry disturbed";
   return Finish(wrong > 0, "MIXED: " + text);
 }
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -1,8 +1,8 @@
 #pragma once
 
 // Stand-ins of the users' platform for the cases of the second review: a store,
-// workers and clients, written after PROTOCOL.md. All of them run in the process
-// of a case; entries of the project run as separate processes.
+// workers and clients, written after PROTOCOL.md. All of them run in the
+// process of a case; entries of the project run as separate processes.
 
 #include <arpa/inet.h>
 #include <atomic>
@@ -258,14 +258,15 @@
   auto at = aTarget.find('?');
   while (at != std::string::npos) {
     const auto end = aTarget.find('&', at + 1);
-    const auto pair = aTarget.substr(
-      at + 1, end == std::string::npos ? end : end - at - 1);
+    const auto pair =
+      aTarget.substr(at + 1, end == std::string::npos ? end : end - at - 1);
     const auto equals = pair.find('=');
     std::string value;
     const auto raw = pair.substr(equals + 1);
     for (std::size_t i = 0; i < raw.size(); ++i) {
       if (raw[i] == '%' && i + 2 < raw.size()) {
-        value += static_cast<char>(std::stoi(raw.substr(i + 1, 2), nullptr, 16));
+        value +=
+          static_cast<char>(std::stoi(raw.substr(i + 1, 2), nullptr, 16));
         i += 2;
       } else {
         value += raw[i];
@@ -452,9 +453,8 @@
     const auto& expected = body.at("expectedRev").as_array();
     const auto& writes = body.at("writes").as_array();
     const auto& removals = body.at("remove").as_array();
-    auto isTooLarge =
-      aText.size() > 1'000'000 ||
-      expected.size() + writes.size() + removals.size() > 100;
+    auto isTooLarge = aText.size() > 1'000'000 ||
+                      expected.size() + writes.size() + removals.size() > 100;
     for (const auto& it : writes) {
       isTooLarge = isTooLarge ||
                    Unbase64(Text(it.as_object(), "value")).size() > mRowBytes;
@@ -473,9 +473,8 @@
       const auto key = KeyOf(it.as_object());
       const auto row = mRows.find(key);
       const auto version = row == mRows.end() ? 0 : row->second.mVersion;
-      isConflict =
-        isConflict || version != static_cast<std::uint64_t>(
-                                   Int(it.as_object(), "schemaVer"));
+      isConflict = isConflict || version != static_cast<std::uint64_t>(
+                                              Int(it.as_object(), "schemaVer"));
       if (row != mRows.end()) {
         rows.push_back(ToJson(key, row->second));
       }
@@ -525,19 +524,20 @@
   auto Feed(std::map<std::string, std::string>& aQuery) -> Response
   {
     const auto after = std::stoull(aQuery["after"]);
-    const auto wait = aQuery["waitMs"].empty() ? 0 : std::stol(aQuery["waitMs"]);
+    const auto wait =
+      aQuery["waitMs"].empty() ? 0 : std::stol(aQuery["waitMs"]);
     const auto until = Clock::now() + Ms(wait);
     std::unique_lock lock(mMutex);
     json::array rows;
     while (true) {
       std::map<Key, std::uint64_t> changed;
-      const auto first = std::upper_bound(
-        mHistory.begin(),
-        mHistory.end(),
-        after,
-        [](std::uint64_t aLeft, const Change& aItem) {
-          return aLeft < aItem.mVersion;
-        });
+      const auto first =
+        std::upper_bound(mHistory.begin(),
+                         mHistory.end(),
+                         after,
+                         [](std::uint64_t aLeft, const Change& aItem) {
+                           return aLeft < aItem.mVersion;
+                         });
       for (auto it = first; it != mHistory.end(); ++it) {
         if (it->mKey.mTable == aQuery["table"]) {
           changed[it->mKey] = it->mVersion;
@@ -550,7 +550,8 @@
       std::sort(order.begin(), order.end());
       for (const auto& [version, key] : order) {
         const auto row = mRows.find(key);
-        auto out = ToJson(key, row == mRows.end() ? Row{ {}, version } : row->second);
+        auto out =
+          ToJson(key, row == mRows.end() ? Row{ {}, version } : row->second);
         if (row == mRows.end()) {
           out["removed"] = true;
         }
@@ -702,8 +703,8 @@
     mIsUp = true;
     mBornMs = WallMs();
     mBeganAt = Clock::now();
-    const auto port = mServer.Start(
-      mOptions.mIp, mPort, [this](const Request& aRequest) {
+    const auto port =
+      mServer.Start(mOptions.mIp, mPort, [this](const Request& aRequest) {
         return Handle(aRequest);
       });
     mPort = port;
@@ -719,8 +720,7 @@
   auto Register() -> void
   {
     json::object row{ { "backend", mOptions.mService },
-                      { "address",
-                        mOptions.mIp + ":" + std::to_string(mPort) },
+                      { "address", mOptions.mIp + ":" + std::to_string(mPort) },
                       { "zone", mOptions.mZone },
                       { "version", "1" },
                       { "slots", 8 },
@@ -762,7 +762,8 @@
     gRuns.Add(mOptions.mId, aTask, run.mAttempt, aHow);
     mChanged.notify_all();
   }
-  /** The newest checkpoint: one with each checkpointS of work, and at a stop. */
+  /** The newest checkpoint: one with each checkpointS of work, and at a stop.
+   */
   auto SavedOf(const Run& aRun, bool aIsStop) const -> std::string
   {
     const auto worked = static_cast<std::int64_t>(aRun.mWorkedMs);
@@ -772,7 +773,8 @@
       return {};
     }
     char out[32];
-    std::snprintf(out, sizeof(out), "%08xb87a21d9", static_cast<unsigned>(saved));
+    std::snprintf(
+      out, sizeof(out), "%08xb87a21d9", static_cast<unsigned>(saved));
     return out;
   }
   auto EndDueRuns() -> void
@@ -905,23 +907,22 @@
     -> Response
   {
     const auto cursor = Int(aBody, "ackCursor");
-    std::erase_if(mEnds, [&](const End& aEnd) { return aEnd.mNumber <= cursor; });
+    std::erase_if(mEnds,
+                  [&](const End& aEnd) { return aEnd.mNumber <= cursor; });
     if (const auto deadline = Int(aBody, "deadlineMs"); deadline > 0) {
       Extend(deadline);
     }
     const auto until =
       Clock::now() + Ms(std::min<std::int64_t>(2000, Int(aBody, "waitMs")));
-    mChanged.wait_until(
-      aLock, until, [&] { return !mEnds.empty() || !mIsUp; });
+    mChanged.wait_until(aLock, until, [&] { return !mEnds.empty() || !mIsUp; });
     json::array running;
     for (const auto& [task, run] : mRuns) {
       const auto percent =
         run.mDurationMs == 0
           ? 100
-          : std::min<std::int64_t>(99,
-                                   100 *
-                                     static_cast<std::int64_t>(run.mWorkedMs) /
-                                     run.mDurationMs);
+          : std::min<std::int64_t>(
+              99,
+              100 * static_cast<std::int64_t>(run.mWorkedMs) / run.mDurationMs);
       running.push_back(
         json::array{ task, run.mAttempt, SavedOf(run, false), percent, 0 });
     }
@@ -930,8 +931,8 @@
       if (finished.size() == 500) {
         break;
       }
-      finished.push_back(json::array{
-        it.mNumber, it.mTask, it.mAttempt, it.mHow, it.mSaved });
+      finished.push_back(
+        json::array{ it.mNumber, it.mTask, it.mAttempt, it.mHow, it.mSaved });
     }
     return Reply({ { "running", running }, { "finished", finished } });
   }
@@ -1088,7 +1089,9 @@
   auto Terminate() -> void
   {
     Signal(SIGTERM);
-    WaitUntil([this] { return mPid <= 0 || ::waitpid(mPid, nullptr, WNOHANG) == mPid; }, 6000);
+    WaitUntil(
+      [this] { return mPid <= 0 || ::waitpid(mPid, nullptr, WNOHANG) == mPid; },
+      6000);
     Kill();
   }
   auto Start() -> void
@@ -1098,29 +1101,31 @@
     };
     const auto path = mFolder + "/" + mOptions.mName + ".ini";
     std::ofstream out(path);
-    out << "[entry]\nname = " << mOptions.mName
-        << "\nfailure_domain = " << mOptions.mZone
-        << "\ncpu_share = " << mOptions.mCpuShare << "\n\n[listen]\nhttp = "
-        << at(mHttp) << "\nreadiness = " << at(mReadiness)
-        << "\npeers = " << at(mPeers) << "\nmetrics = " << at(mMetrics)
-        << "\n\n[platform]\nstore = " << mOptions.mStore
-        << "\nstore_writes_per_s = " << mOptions.mWritesPerS
-        << "\nstore_part_writes_per_s = 150\n\n"
-           "[bounds]\nlease_ms = 6000\nearly_ms = 250\nharm_ms = 4000\n"
-           "grace_s = 6\ndrain_ms = 2000\ncapacity_ms = 3000\nstatus_s = 120\n\n"
-           "[submission]\nsettle_ms = 700\n\n[admission]\nenabled = 1\n\n"
-           "[placement]\nlook_ahead = 1\noverflow = 0\nduplicates = 0\n"
-           "checkpoint_s = 1\nrestore_ms = 250\n";
+    out
+      << "[entry]\nname = " << mOptions.mName
+      << "\nfailure_domain = " << mOptions.mZone
+      << "\ncpu_share = " << mOptions.mCpuShare
+      << "\n\n[listen]\nhttp = " << at(mHttp)
+      << "\nreadiness = " << at(mReadiness) << "\npeers = " << at(mPeers)
+      << "\nmetrics = " << at(mMetrics)
+      << "\n\n[platform]\nstore = " << mOptions.mStore
+      << "\nstore_writes_per_s = " << mOptions.mWritesPerS
+      << "\nstore_part_writes_per_s = 150\n\n"
+         "[bounds]\nlease_ms = 6000\nearly_ms = 250\nharm_ms = 4000\n"
+         "grace_s = 6\ndrain_ms = 2000\ncapacity_ms = 3000\nstatus_s = 120\n\n"
+         "[submission]\nsettle_ms = 700\n\n[admission]\nenabled = 1\n\n"
+         "[placement]\nlook_ahead = 1\noverflow = 0\nduplicates = 0\n"
+         "checkpoint_s = 1\nrestore_ms = 250\n";
     out.close();
     const char* program = std::getenv("EELGRASSPOST");
-    const std::string binary = program ? program : "target/src/app/eelgrasspost";
+    const std::string binary =
+      program ? program : "target/src/app/eelgrasspost";
     const auto log = mFolder + "/" + mOptions.mName + ".log";
     gRecord.Add("%s: started", mOptions.mName.c_str());
     mPid = ::fork();
     if (mPid == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int fd =
-        ::open(log.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
+      const int fd = ::open(log.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
       ::dup2(fd, 1);
       ::dup2(fd, 2);
       ::execl(binary.c_str(),
@@ -1167,8 +1172,8 @@
             const std::string& aBody = {},
             std::int64_t aTimeoutMs = 3000) -> Answer
   {
-    auto out = Call(
-      mOptions.mIp, mHttp, aMethod, aHost, aTarget, aBody, aTimeoutMs);
+    auto out =
+      Call(mOptions.mIp, mHttp, aMethod, aHost, aTarget, aBody, aTimeoutMs);
     gRecord.Add("client: %s %s%s at %s -> %d %s",
                 aMethod.c_str(),
                 aHost.c_str(),
@@ -1214,13 +1219,14 @@
 inline auto PutConfiguration(Store& aStore, int aVersion, json::array aRoutes)
   -> void
 {
-  json::object out{ { "version", aVersion },
-                    { "routes", std::move(aRoutes) },
-                    { "services",
-                      json::array{ json::object{ { "name", "service" },
-                                                 { "rejectsOverload",
-                                                   false } } } },
-                    { "limits", json::object{ { "maxBodyBytes", 262144 } } } };
+  json::object out{
+    { "version", aVersion },
+    { "routes", std::move(aRoutes) },
+    { "services",
+      json::array{
+        json::object{ { "name", "service" }, { "rejectsOverload", false } } } },
+    { "limits", json::object{ { "maxBodyBytes", 262144 } } }
+  };
   aStore.Put("op", "config", json::serialize(out));
 }
 
@@ -1292,7 +1298,8 @@
 {
 public:
   Folder()
-    : mPath((std::filesystem::temp_directory_path() / "review-2-XXXXXX").string())
+    : mPath(
+        (std::filesystem::temp_directory_path() / "review-2-XXXXXX").string())
   {
     if (!::mkdtemp(mPath.data())) {
       std::exit(2);
@@ -1317,9 +1324,8 @@
   Deployment(int aEntries, int aWorkers, WorkerOptions aOptions = {})
   {
     // Cases that run at the same time use different addresses.
-    const auto net =
-      "127." + std::to_string(100 + ::getpid() / 200 % 100) + "." +
-      std::to_string(::getpid() % 200) + ".";
+    const auto net = "127." + std::to_string(100 + ::getpid() / 200 % 100) +
+                     "." + std::to_string(::getpid() % 200) + ".";
     mStoreAddress = mStore.Start(net + "1");
     for (int i = 0; i < aWorkers; ++i) {
       auto options = aOptions;
@@ -1348,9 +1354,9 @@
       it->Start();
     }
     const auto areReady = [this] {
-      return std::all_of(mEntries.begin(), mEntries.end(), [](const auto& aEntry) {
-        return aEntry->IsReady();
-      });
+      return std::all_of(mEntries.begin(),
+                         mEntries.end(),
+                         [](const auto& aEntry) { return aEntry->IsReady(); });
     };
     if (!WaitUntil(areReady, 20000)) {
       gRecord.Add("the entries didn't become ready");
--- a/review/standins-2/settings-change.cpp
+++ b/review/standins-2/settings-change.cpp
@@ -21,21 +21,17 @@
   const auto hasTrouble = HasTrouble();
   Deployment deployment(3, 6);
   auto& entries = deployment.mEntries;
-  PutConfiguration(
-    deployment.mStore,
-    1,
-    { Route("plans", kHost, "/plans/", 1, 4, 2.0, 60000) });
+  PutConfiguration(deployment.mStore,
+                   1,
+                   { Route("plans", kHost, "/plans/", 1, 4, 2.0, 60000) });
   deployment.Start();
   const auto target = [](int aJob) { return "/plans/" + JobId(0xa1, aJob); };
 
   std::vector<int> accepted;
   std::int64_t lastAcceptedAt = 0;
   for (int i = 0; i < kJobs; ++i) {
-    const auto answer =
-      entries[i % entries.size()]->Send("POST",
-                                        kHost,
-                                        target(i),
-                                        JobBody("25000", { { 3, 500, 256, 25000 } }));
+    const auto answer = entries[i % entries.size()]->Send(
+      "POST", kHost, target(i), JobBody("25000", { { 3, 500, 256, 25000 } }));
     if (answer.mStatus == 200) {
       accepted.push_back(i);
       lastAcceptedAt = NowMs();
--- a/review/standins-2/waiting-gang.cpp
+++ b/review/standins-2/waiting-gang.cpp
@@ -1,5 +1,5 @@
-// Case "waiting gang": large jobs come at once. They are gangs that have to wait
-// until a job before them is done.
+// Case "waiting gang": large jobs come at once. They are gangs that have to
+// wait until a job before them is done.
 
 #include "rig.h"
 
@@ -27,10 +27,11 @@
                      Route("checks", kHost, "/checks/", 0, 2, 1.5, 20000) });
   deployment.Start();
   // 32 of 128 cores are taken until the end.
-  const auto first = entries[0]->Send("POST",
-                                      kHost,
-                                      "/checks/" + JobId(0xe1, 0),
-                                      JobBody("70000", { { 16, 2000, 256, 70000 } }));
+  const auto first =
+    entries[0]->Send("POST",
+                     kHost,
+                     "/checks/" + JobId(0xe1, 0),
+                     JobBody("70000", { { 16, 2000, 256, 70000 } }));
   if (first.mStatus != 200) {
     return 2;
   }
@@ -78,8 +79,9 @@
   for (auto& it : entries) {
     exited += it->HasExited() ? 1 : 0;
   }
-  const auto text = std::to_string(unanswered) + " of " + std::to_string(asked) +
-                    " questions got no answer within 3 s, with no disruption; " +
-                    std::to_string(exited) + " processes ended";
+  const auto text =
+    std::to_string(unanswered) + " of " + std::to_string(asked) +
+    " questions got no answer within 3 s, with no disruption; " +
+    std::to_string(exited) + " processes ended";
   return Finish(unanswered > 0, "Fault: " + text);
 }
