Log what the store refuses, and the largest row of it

Change: event 976, at most once a second, has the number of items, the bytes, the key and the size of the largest row, and the store's answer; store_refused_commits_total counts the transactions.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -84,6 +84,7 @@
   dispatch::kTaskDuplicated,
   dispatch::kDrainHeard,
   dispatch::kSubmissionSettled,
+  dispatch::kCommitRefused,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -384,6 +384,15 @@
   "outcome is unknown",
 };
 
+inline constexpr auto kCommitRefused = base::LogEvent{
+  976,
+  base::LogLevel::Warn,
+  "the store refuses a transaction",
+  "see the reason; largest_row_bytes tells whether a row is too large, and "
+  "largest_row of which job or worker it is; refused counts the transactions "
+  "since the last such line",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -433,7 +442,8 @@
                                                        kJobOverflows,
                                                        kTaskDuplicated,
                                                        kDrainHeard,
-                                                       kSubmissionSettled };
+                                                       kSubmissionSettled,
+                                                       kCommitRefused };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/internal/storeaccess.cpp
+++ b/src/dispatch/internal/storeaccess.cpp
@@ -1,5 +1,7 @@
 #include "storeaccess.h"
 
+#include <utility>
+
 #include <boost/asio/this_coro.hpp>
 
 #include "eelgrasspost/base/text.h"
@@ -16,6 +18,7 @@
 constexpr auto kProbeInterval = Milliseconds(500);
 /** About twice the time that a slow store takes for a read. */
 constexpr auto kProbeTimeout = Milliseconds(800);
+constexpr auto kRefusalLogInterval = Milliseconds(1000);
 
 auto IsAnswer(StoreOutcome aOutcome) -> bool
 {
@@ -38,6 +41,7 @@
   , mReads(aMetrics.FindCounter("store_calls_total{use=\"read\"}"))
   , mFailures(aMetrics.FindCounter("store_failures_total"))
   , mRelayed(aMetrics.FindCounter("store_relayed_total"))
+  , mRefusedCommits(aMetrics.FindCounter("store_refused_commits_total"))
   , mCommitTime(aMetrics.FindHistogram("store_commit_time_us"))
   , mCommitBatcher([this](StoreTransaction aTransaction,
                           MonotonicTime aDeadline) -> net::Task<StoreReply> {
@@ -97,6 +101,10 @@
                             .count()));
   }
   RecordOutcome(reply, sentAt);
+  if (aRelay.mKind == RelayKind::Commit &&
+      reply.mOutcome == StoreOutcome::Refused) {
+    RecordRefusal(aRelay.mTransaction, reply);
+  }
   if (reply.mOutcome == StoreOutcome::Unknown && !mIsProbing) {
     // The connection may have gone silent while the store responds on others.
     net::SpawnTask(co_await net::asio::this_coro::executor, Probe());
@@ -126,6 +134,41 @@
   }
 }
 
+auto StoreAccess::RecordRefusal(const StoreTransaction& aTransaction,
+                                const StoreReply& aReply) -> void
+{
+  mRefusedCommits.Add();
+  ++mUnloggedRefusals;
+  const auto now = base::MonotonicClock::now();
+  if (now < mNextRefusalLogAt) {
+    return;
+  }
+  mNextRefusalLogAt = now + kRefusalLogInterval;
+  std::size_t bytes = 0;
+  const RowWrite* largest = nullptr;
+  for (const auto& it : aTransaction.mWrites) {
+    bytes += it.mValue.size();
+    if (!largest || it.mValue.size() > largest->mValue.size()) {
+      largest = &it;
+    }
+  }
+  const auto items = aTransaction.mExpected.size() +
+                     aTransaction.mWrites.size() +
+                     aTransaction.mRemovals.size();
+  mLog.Record(
+    kCommitRefused,
+    { { "partition", aTransaction.mPartition },
+      { "items", static_cast<std::int64_t>(items) },
+      { "bytes", static_cast<std::int64_t>(bytes) },
+      { "largest_row",
+        largest ? base::Cat(largest->mRow.mTable, " ", largest->mRow.mKey)
+                : std::string() },
+      { "largest_row_bytes",
+        static_cast<std::int64_t>(largest ? largest->mValue.size() : 0) },
+      { "refused", std::exchange(mUnloggedRefusals, 0) },
+      { "reason", aReply.mError } });
+}
+
 auto StoreAccess::CallThroughPeer(const StoreRelay& aRelay,
                                   MonotonicTime aDeadline)
   -> net::Task<StoreReply>
--- a/src/dispatch/internal/storeaccess.h
+++ b/src/dispatch/internal/storeaccess.h
@@ -51,6 +51,8 @@
     -> net::Task<StoreReply>;
   auto FindRelayPeer() const -> const Peer*;
   auto RecordOutcome(const StoreReply& aReply, MonotonicTime aSentAt) -> void;
+  auto RecordRefusal(const StoreTransaction& aTransaction,
+                     const StoreReply& aReply) -> void;
 
   ISharedStore& mDirect;
   net::MessageClient& mMessages;
@@ -60,11 +62,14 @@
   base::Counter& mReads;
   base::Counter& mFailures;
   base::Counter& mRelayed;
+  base::Counter& mRefusedCommits;
   base::Histogram& mCommitTime;
   CommitBatcher mCommitBatcher;
   std::uint32_t mConsecutiveFailures = 0;
   MonotonicTime mLastAttemptAt{};
   bool mIsProbing = false;
+  MonotonicTime mNextRefusalLogAt{};
+  std::int64_t mUnloggedRefusals = 0;
 };
 
 } // namespace eelgrasspost::dispatch
