Tell what the store will never accept from what it refuses for now

Cause: the adapter maps each status from 400 up, but 410 and 412, to StoreOutcome::Refused. A transaction that breaks a limit of the store (400, 413) looks like one that comes too soon (429, 503): StoreAccess counts it as a failure, so that two of them turn the entry away from the store, and sends it once more through a peer. CommitBatcher fails the other transactions that it has merged with it.

Change: StoreOutcome::Rejected, at the end of the enumeration, as the value is sent between entries. The counter of event 976 has the label "until".

Ruled out: counting bytes before the call in StoreAccess. It does not know which job is at fault, and the store may have further limits.

Two tests of table watches wrote 500 rows in one call to set up; they apply them without a call, and check the same.

--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -388,9 +388,9 @@
   976,
   base::LogLevel::Warn,
   "the store refuses a transaction",
-  "see the reason; largest_row_bytes tells whether a row is too large, and "
-  "largest_row of which job or worker it is; refused counts the transactions "
-  "since the last such line",
+  "until tells whether it may accept it later; largest_row_bytes tells whether "
+  "a row is too large, and largest_row of which job or worker it is; refused "
+  "counts the transactions since the last such line",
 };
 
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
--- a/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
@@ -95,14 +95,25 @@
   Done,
   /** An expected version did not match; nothing was changed. */
   Conflict,
-  /** The store refused the call; nothing was changed. */
+  /** The store refused the call for now; nothing was changed. */
   Refused,
   /** The change feed no longer contains the requested version. */
   HistoryTruncated,
   /** No reply: a write may have been applied, or may be applied later. */
   Unknown,
+  /** The call breaks a limit of the store, which refuses it at any time;
+   * nothing was changed. */
+  Rejected,
 };
 
+/** Whether a call changed nothing and will change nothing. */
+inline auto HadNoEffect(StoreOutcome aOutcome) -> bool
+{
+  return aOutcome == StoreOutcome::Conflict ||
+         aOutcome == StoreOutcome::Refused ||
+         aOutcome == StoreOutcome::Rejected;
+}
+
 struct StoreReply
 {
   StoreOutcome mOutcome = StoreOutcome::Unknown;
--- a/src/dispatch/internal/commitbatcher.cpp
+++ b/src/dispatch/internal/commitbatcher.cpp
@@ -240,13 +240,15 @@
   const auto took = std::chrono::duration_cast<Milliseconds>(
     base::MonotonicClock::now() - sentAt);
   aPartition.mCommitTime = (aPartition.mCommitTime * 3 + took) / 4;
-  if (aBatch.size() == 1 || reply.mOutcome != StoreOutcome::Conflict) {
+  const auto isOfOne = reply.mOutcome == StoreOutcome::Conflict ||
+                       reply.mOutcome == StoreOutcome::Rejected;
+  if (aBatch.size() == 1 || !isOfOne) {
     for (const auto& it : aBatch) {
       it->Complete(reply);
     }
     co_return;
   }
-  // Finds the conflicting transaction by bisection.
+  // Finds the transaction at fault by bisection.
   const auto middle = static_cast<std::ptrdiff_t>(aBatch.size() / 2);
   auto second = Batch(aBatch.begin() + middle, aBatch.end());
   aBatch.resize(aBatch.size() / 2);
--- a/src/dispatch/internal/holderreturns.cpp
+++ b/src/dispatch/internal/holderreturns.cpp
@@ -219,8 +219,7 @@
   if (reply.mOutcome == StoreOutcome::Conflict) {
     CheckFence(reply);
   }
-  if (reply.mOutcome == StoreOutcome::Conflict ||
-      reply.mOutcome == StoreOutcome::Refused) {
+  if (HadNoEffect(reply.mOutcome)) {
     co_return JobReply{ JobOutcome::Refused };
   }
   job = FindOwnJob(id);
--- a/src/dispatch/internal/holderstorage.cpp
+++ b/src/dispatch/internal/holderstorage.cpp
@@ -398,6 +398,7 @@
       }
       break;
     case StoreOutcome::Refused:
+    case StoreOutcome::Rejected:
       mMembers = before;
       break;
     case StoreOutcome::Conflict:
--- a/src/dispatch/internal/holdertransfers.cpp
+++ b/src/dispatch/internal/holdertransfers.cpp
@@ -205,7 +205,8 @@
   if (reply.mOutcome == StoreOutcome::Conflict) {
     CheckClaim(reply);
   }
-  if (reply.mOutcome == StoreOutcome::Refused) {
+  if (reply.mOutcome == StoreOutcome::Refused ||
+      reply.mOutcome == StoreOutcome::Rejected) {
     KeepWorker(id);
   }
   co_return JobReply{ reply.mOutcome == StoreOutcome::Done
--- a/src/dispatch/internal/storeaccess.cpp
+++ b/src/dispatch/internal/storeaccess.cpp
@@ -23,7 +23,8 @@
 auto IsAnswer(StoreOutcome aOutcome) -> bool
 {
   return aOutcome == StoreOutcome::Done || aOutcome == StoreOutcome::Conflict ||
-         aOutcome == StoreOutcome::HistoryTruncated;
+         aOutcome == StoreOutcome::HistoryTruncated ||
+         aOutcome == StoreOutcome::Rejected;
 }
 
 } // namespace
@@ -41,7 +42,10 @@
   , mReads(aMetrics.FindCounter("store_calls_total{use=\"read\"}"))
   , mFailures(aMetrics.FindCounter("store_failures_total"))
   , mRelayed(aMetrics.FindCounter("store_relayed_total"))
-  , mRefusedCommits(aMetrics.FindCounter("store_refused_commits_total"))
+  , mRefusedCommits(
+      aMetrics.FindCounter("store_refused_commits_total{until=\"later\"}"))
+  , mRejectedCommits(
+      aMetrics.FindCounter("store_refused_commits_total{until=\"never\"}"))
   , mCommitTime(aMetrics.FindHistogram("store_commit_time_us"))
   , mCommitBatcher([this](StoreTransaction aTransaction,
                           MonotonicTime aDeadline) -> net::Task<StoreReply> {
@@ -102,7 +106,8 @@
   }
   RecordOutcome(reply, sentAt);
   if (aRelay.mKind == RelayKind::Commit &&
-      reply.mOutcome == StoreOutcome::Refused) {
+      (reply.mOutcome == StoreOutcome::Refused ||
+       reply.mOutcome == StoreOutcome::Rejected)) {
     RecordRefusal(aRelay.mTransaction, reply);
   }
   if (reply.mOutcome == StoreOutcome::Unknown && !mIsProbing) {
@@ -137,7 +142,8 @@
 auto StoreAccess::RecordRefusal(const StoreTransaction& aTransaction,
                                 const StoreReply& aReply) -> void
 {
-  mRefusedCommits.Add();
+  const auto isRejected = aReply.mOutcome == StoreOutcome::Rejected;
+  (isRejected ? mRejectedCommits : mRefusedCommits).Add();
   ++mUnloggedRefusals;
   const auto now = base::MonotonicClock::now();
   if (now < mNextRefusalLogAt) {
@@ -157,7 +163,8 @@
                      aTransaction.mRemovals.size();
   mLog.Record(
     kCommitRefused,
-    { { "partition", aTransaction.mPartition },
+    { { "until", isRejected ? "never" : "later" },
+      { "partition", aTransaction.mPartition },
       { "items", static_cast<std::int64_t>(items) },
       { "bytes", static_cast<std::int64_t>(bytes) },
       { "largest_row",
--- a/src/dispatch/internal/storeaccess.h
+++ b/src/dispatch/internal/storeaccess.h
@@ -63,6 +63,7 @@
   base::Counter& mFailures;
   base::Counter& mRelayed;
   base::Counter& mRefusedCommits;
+  base::Counter& mRejectedCommits;
   base::Histogram& mCommitTime;
   CommitBatcher mCommitBatcher;
   std::uint32_t mConsecutiveFailures = 0;
--- a/src/dispatch/tests/commitbatcher_tests.cpp
+++ b/src/dispatch/tests/commitbatcher_tests.cpp
@@ -86,6 +86,21 @@
   }
 }
 
+// Guards against submissions that fail because another one, which the store
+// never accepts, was sent in the same transaction.
+BOOST_AUTO_TEST_CASE(submission_that_breaks_a_limit_of_the_store_fails_alone)
+{
+  const std::string longKey(FakeStore::kMaxKeyBytes + 1, 'k');
+  Create("first", Milliseconds(2000));
+  for (const auto& it : { std::string("a"), longKey, std::string("b") }) {
+    Create(it, Milliseconds(2000));
+  }
+  BOOST_TEST((OutcomeOf(longKey) == StoreOutcome::Rejected));
+  for (const auto* it : { "first", "a", "b" }) {
+    BOOST_TEST((OutcomeOf(it) == StoreOutcome::Done));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(same_row_twice_is_written_once)
 {
   Create("first", Milliseconds(2000));
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <tuple>
 #include <vector>
@@ -24,12 +26,20 @@
   ApplyLate,
 };
 
-/** In-memory store with transactions, range reads and feeds. */
+/** In-memory store with transactions, range reads and feeds, and with the
+ * limits that the platform's store has. */
 class FakeStore final : public ISharedStore
 {
 public:
   using Key = std::tuple<std::string, std::string, std::string>;
 
+  static constexpr std::size_t kMaxKeyBytes = 200;
+  static constexpr std::size_t kMaxRowBytes = 65536;
+  static constexpr std::size_t kMaxItems = 100;
+  static constexpr std::size_t kMaxCallBytes = 1'000'000;
+  static constexpr std::size_t kMaxRowsPerReply = 500;
+  static constexpr std::size_t kMaxReplyBytes = 1'000'000;
+
   std::map<Key, StoreRow> mRows;
   std::uint64_t mVersion = 0;
   /** Faults of the next commits, in order. */
@@ -52,6 +62,13 @@
   /** Number of range reads so far, without those by which holders check their
    * claims. */
   std::size_t mReads = 0;
+  /** Transactions that are rejected although they keep the limits. */
+  std::function<bool(const StoreTransaction&)> mRejects;
+  std::size_t mRejected = 0;
+  /** Size of the transactions so far, without those that were rejected. */
+  std::size_t mCommits = 0;
+  std::size_t mWrittenRows = 0;
+  std::size_t mWrittenBytes = 0;
   /** Calls that are still to be applied. */
   std::vector<StoreTransaction> mLateCalls;
   /** Removals, as feeds report them. */
@@ -95,6 +112,11 @@
                                                 : StoreOutcome::Unknown;
       co_return out;
     }
+    if (BreaksLimit(aTransaction) || (mRejects && mRejects(aTransaction))) {
+      ++mRejected;
+      out.mOutcome = StoreOutcome::Rejected;
+      co_return out;
+    }
     if (fault == FakeFault::ApplyLate) {
       mLateCalls.push_back(std::move(aTransaction));
       co_return out;
@@ -126,6 +148,7 @@
     }
     out.mOutcome = StoreOutcome::Done;
     out.mVersion = mVersion;
+    std::size_t bytes = 0;
     for (const auto& [key, it] : mRows) {
       const auto isInRange =
         it.mTable == aQuery.mTable && it.mPartition == aQuery.mPartition &&
@@ -134,7 +157,12 @@
       if (!isInRange) {
         continue;
       }
-      if (aQuery.mLimit > 0 && out.mRows.size() == aQuery.mLimit) {
+      bytes += EncodedSize(it.mKey, it.mValue);
+      const auto isFull =
+        (aQuery.mLimit > 0 && out.mRows.size() == aQuery.mLimit) ||
+        out.mRows.size() == kMaxRowsPerReply ||
+        (!out.mRows.empty() && bytes > kMaxReplyBytes);
+      if (isFull) {
         out.mHasMore = true;
         break;
       }
@@ -180,6 +208,35 @@
     co_return out;
   }
 
+  /** Bytes of a row in a call, in which its value is base64. */
+  static auto EncodedSize(const std::string& aKey, const std::string& aValue)
+    -> std::size_t
+  {
+    constexpr std::size_t kFieldNames = 60;
+    return kFieldNames + aKey.size() + (aValue.size() + 2) / 3 * 4;
+  }
+
+  static auto BreaksLimit(const StoreTransaction& aTransaction) -> bool
+  {
+    auto items = aTransaction.mExpected.size() + aTransaction.mRemovals.size();
+    std::size_t bytes = 0;
+    auto isTooLarge = false;
+    for (const auto& it : aTransaction.mWrites) {
+      ++items;
+      bytes += EncodedSize(it.mRow.mKey, it.mValue);
+      isTooLarge = isTooLarge || it.mValue.size() > kMaxRowBytes ||
+                   it.mRow.mKey.size() > kMaxKeyBytes;
+    }
+    for (const auto& it : aTransaction.mExpected) {
+      bytes += EncodedSize(it.mRow.mKey, "");
+      isTooLarge = isTooLarge || it.mRow.mKey.size() > kMaxKeyBytes;
+    }
+    for (const auto& it : aTransaction.mRemovals) {
+      bytes += EncodedSize(it.mKey, "");
+    }
+    return isTooLarge || items > kMaxItems || bytes > kMaxCallBytes;
+  }
+
   auto Apply(const StoreTransaction& aTransaction) -> StoreReply
   {
     StoreReply out;
@@ -197,7 +254,10 @@
       return out;
     }
     ++mVersion;
+    ++mCommits;
     for (const auto& it : aTransaction.mWrites) {
+      ++mWrittenRows;
+      mWrittenBytes += it.mValue.size();
       mRows[{ it.mRow.mTable, aTransaction.mPartition, it.mRow.mKey }] = {
         it.mRow.mTable,
         aTransaction.mPartition,
--- a/src/dispatch/tests/storeaccess_tests.cpp
+++ b/src/dispatch/tests/storeaccess_tests.cpp
@@ -70,6 +70,54 @@
   FakeStore mStore;
 };
 
+/** An entry that reaches the store, and a peer that reaches it as well. */
+struct LimitFixture : PoolFixture
+{
+  FakeStore mStore;
+  base::Metrics mMetrics;
+  base::EventLog mLog{ "entry" };
+  net::MessageServer mServer{ mPool };
+  net::MessageClient mMessages{ 1, "127.0.0.1" };
+  Peers mPeers{ mPool, "entry", "a" };
+  net::DatagramSocket mPeerSocket{ mPool };
+  StoreAccess mAccess{ mStore, mMessages, mPeers, mMetrics, mLog };
+  std::atomic<int> mRelayed{ 0 };
+
+  LimitFixture()
+  {
+    net::RegisterTypedHandler<StoreRelay, StoreReply>(
+      mServer, net::MessageKind::StoreRelay, [this](const StoreRelay& aRelay) {
+        ++mRelayed;
+        return mStore.Commit(aRelay.mTransaction, {});
+      });
+    Heartbeat heartbeat;
+    heartbeat.mName = "peer";
+    heartbeat.mIncarnation = 1;
+    heartbeat.mReachesStore = true;
+    heartbeat.mPeers = mServer.Listen({ "127.0.0.1", 0 }).value();
+    const auto address =
+      mPeers.Bind({ "127.0.0.1", 0 }, [](const Heartbeat&) {}).value();
+    mPeerSocket.Bind({ "127.0.0.1", 0 }, [](std::string_view) {}).value();
+    BOOST_REQUIRE(Until([&, bytes = net::Encode(heartbeat)] {
+      mPeerSocket.Send(address, bytes);
+      const auto* peer = mPeers.Find("peer");
+      return peer && mPeers.IsAlive(*peer, base::MonotonicClock::now());
+    }));
+  }
+  ~LimitFixture() { StopPool(); }
+
+  auto WriteRow(std::size_t aBytes) -> StoreOutcome
+  {
+    StoreTransaction transaction;
+    transaction.mPartition = "p";
+    transaction.mWrites = { { { "t", "k" }, std::string(aBytes, 'v') } };
+    return Wait(
+             mAccess.Commit(std::move(transaction),
+                            base::MonotonicClock::now() + Milliseconds(1000)))
+      .mOutcome;
+  }
+};
+
 struct SilentFeedFixture : PoolFixture
 {
   SilentFeedStore mStore;
@@ -178,3 +226,20 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(rows_over_the_limit_of_the_store, LimitFixture)
+
+// Guards against an entry that turns away from a store which responds, as it
+// sends rows that the store never accepts.
+BOOST_AUTO_TEST_CASE(store_that_rejects_a_row_stays_reachable)
+{
+  for (auto i = 0; i < 4; ++i) {
+    BOOST_TEST(
+      (WriteRow(FakeStore::kMaxRowBytes + 1) == StoreOutcome::Rejected));
+  }
+  BOOST_TEST(mAccess.IsDirectlyReachable());
+  BOOST_TEST(mRelayed == 0);
+  BOOST_TEST((WriteRow(FakeStore::kMaxRowBytes) == StoreOutcome::Done));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/tablewatch_tests.cpp
+++ b/src/dispatch/tests/tablewatch_tests.cpp
@@ -41,6 +41,19 @@
     Wait(mStore.Commit(std::move(transaction), {}));
   }
 
+  /** Adds rows, at one version, as many writers would: a call has fewer. */
+  auto WriteRows(int aFirst, int aCount) -> void
+  {
+    StoreTransaction transaction;
+    for (auto i = aFirst; i < aFirst + aCount; ++i) {
+      transaction.mWrites.push_back({ { "members", std::to_string(i) }, "" });
+    }
+    Until([&] {
+      mStore.Apply(transaction);
+      return true;
+    });
+  }
+
   auto Run() -> void
   {
     mPool.Spawn(
@@ -68,15 +81,6 @@
     : WatchFixture(kLongPause)
   {
   }
-
-  auto WriteRows(int aFirst, int aCount) -> void
-  {
-    StoreTransaction transaction;
-    for (auto i = aFirst; i < aFirst + aCount; ++i) {
-      transaction.mWrites.push_back({ { "members", std::to_string(i) }, "" });
-    }
-    Wait(mStore.Commit(std::move(transaction), {}));
-  }
 };
 
 } // namespace
@@ -111,11 +115,7 @@
 BOOST_AUTO_TEST_CASE(watch_of_several_pages_is_confirmed_as_of_the_first)
 {
   constexpr auto kPageTime = Milliseconds(200);
-  StoreTransaction transaction;
-  for (auto i = 0; i < 501; ++i) {
-    transaction.mWrites.push_back({ { "members", std::to_string(i) }, "" });
-  }
-  Wait(mStore.Commit(std::move(transaction), {}));
+  WriteRows(0, 501);
   mStore.mReadDelays = { kPageTime, kPageTime };
   const auto startedAt = eelgrasspost::base::BootNow();
   Run();
