Store each job for itself when the store rejects the state of another

Cause: a flush puts up to 14 jobs into one transaction and repeats it as it is. One row that the store never takes refuses the others with it. A flush that does not succeed as a whole acknowledges no end of any worker; once a worker lists 500 ends, later ones are not seen, and nothing starts there any more.

Change: a rejected transaction is halved until the job at fault stands alone (event 977 names it, with its bytes); that one is set aside, and sent again after 5 s or with its final state. Each worker remembers to which jobs its unstored ends belong; ends are acknowledged up to the first one of a job that is not stored. If the ends of jobs that are set aside are all that a full list of a worker has, they are released (event 978), as the other jobs there would stand still.

Ruled out: acknowledging the ends of the job at once. A next holder would run its tasks again; that is accepted only where all other work would stop.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -85,6 +85,8 @@
   dispatch::kDrainHeard,
   dispatch::kSubmissionSettled,
   dispatch::kCommitRefused,
+  dispatch::kJobSetAside,
+  dispatch::kEndsReleased,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -169,6 +169,11 @@
                      MonotonicTime aNow) -> bool;
 /** The highest number up to which the ends of a worker need no other cell. */
 auto HighestSettledEnd(const Worker& aWorker) -> std::uint64_t;
+/** Ends up to a number are stored, but those of the given jobs, and may be
+ * acknowledged up to the first one that is not. */
+auto NoteStoredEnds(Worker& aWorker,
+                    std::uint64_t aNumber,
+                    const std::set<std::string>& aUnstoredJobs) -> void;
 /** aDetail: the reason for an order that was not executed, for the log. */
 auto ApplyOutcome(CellState& aCell,
                   const Order& aOrder,
--- a/src/cell/include/eelgrasspost/cell/workertypes.h
+++ b/src/cell/include/eelgrasspost/cell/workertypes.h
@@ -107,6 +107,10 @@
   std::uint64_t mSeenEnds = 0;
   /** Ends up to this number are stored and may be acknowledged. */
   std::uint64_t mStoredEnds = 0;
+  /** The jobs of the ends that are not stored, by number. */
+  std::map<std::uint64_t, std::string> mUnstoredEnds;
+  /** It lists as many ends as it can. */
+  bool mMayHaveMoreEnds = false;
   /** Ends, by number, of jobs that the cell does not have. */
   std::map<std::uint64_t, EndRow> mForeignEnds;
   std::int64_t mLastClockMs = 0;
--- a/src/cell/internal/ends.cpp
+++ b/src/cell/internal/ends.cpp
@@ -159,6 +159,9 @@
     AddForeignEnd(aCell, aWorker, aEnd);
     return;
   }
+  if (!IsHostedJob(*task->mJob)) {
+    aWorker.mUnstoredEnds[aEnd.mNumber] = task->mJob->mStored.mSpec.mId;
+  }
   if (IsFinal(task->mJob->mState)) {
     return;
   }
@@ -235,4 +238,17 @@
                       aWorker.mForeignEnds.begin()->first - 1);
 }
 
+auto NoteStoredEnds(Worker& aWorker,
+                    std::uint64_t aNumber,
+                    const std::set<std::string>& aUnstoredJobs) -> void
+{
+  auto& ends = aWorker.mUnstoredEnds;
+  std::erase_if(ends, [&](const auto& aItem) {
+    return aItem.first <= aNumber && !aUnstoredJobs.contains(aItem.second);
+  });
+  const auto stored =
+    ends.empty() ? aNumber : std::min(aNumber, ends.begin()->first - 1);
+  aWorker.mStoredEnds = std::max(aWorker.mStoredEnds, stored);
+}
+
 } // namespace eelgrasspost::cell
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -204,6 +204,8 @@
   }
   aWorker.mSeenEnds = 0;
   aWorker.mStoredEnds = 0;
+  aWorker.mUnstoredEnds.clear();
+  aWorker.mMayHaveMoreEnds = false;
   aWorker.mForeignEnds.clear();
   aWorker.mLastClockMs = 0;
   MarkReconciled(aCell,
@@ -322,6 +324,7 @@
       aSentAt >= *aWorker.mMayHaveRestartedSince) {
     aWorker.mMayHaveRestartedSince.reset();
   }
+  aWorker.mMayHaveMoreEnds = aReport.mMayHaveMoreEnds;
   for (const auto& it : aReport.mEnds) {
     if (it.mNumber > aWorker.mSeenEnds) {
       aWorker.mSeenEnds = it.mNumber;
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -393,6 +393,23 @@
   "counts the transactions since the last such line",
 };
 
+inline constexpr auto kJobSetAside = base::LogEvent{
+  977,
+  base::LogLevel::Error,
+  "the store will never take the state of a job as it is; the job goes on, and "
+  "the ends of its runs are not acknowledged",
+  "report it as a fault; see the reason and what breaks a limit of the store; "
+  "other jobs are not affected; after a takeover its tasks may run again",
+};
+
+inline constexpr auto kEndsReleased = base::LogEvent{
+  978,
+  base::LogLevel::Error,
+  "ends are acknowledged that are not stored, as they keep a worker from "
+  "listing later ones",
+  "see 977 of the job; after a takeover its tasks may run again",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -443,7 +460,9 @@
                                                        kTaskDuplicated,
                                                        kDrainHeard,
                                                        kSubmissionSettled,
-                                                       kCommitRefused };
+                                                       kCommitRefused,
+                                                       kJobSetAside,
+                                                       kEndsReleased };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -15,6 +15,7 @@
 #include "eelgrasspost/cell/room.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "hostchoice.h"
+#include "jobupdate.h"
 #include "overflow.h"
 #include "refusals.h"
 #include "workercontacts.h"
@@ -197,8 +198,20 @@
   /** The same for the writes that end a job. */
   auto AppendFinalState(StoreTransaction& aTransaction, const cell::Job& aJob)
     -> void;
+  auto MakeUpdate(const std::string& aId) -> std::optional<JobUpdate>;
+  /** Whether all jobs are stored or set aside. */
   auto FlushPartition(std::uint32_t aPartition, std::vector<std::string> aJobs)
     -> net::Task<bool>;
+  auto CommitUpdates(std::uint32_t aPartition, std::vector<JobUpdate> aUpdates)
+    -> net::Task<bool>;
+  auto ApplyCommit(const JobUpdate& aUpdate, const StoreReply& aReply) -> void;
+  auto NoteStoredProgress(const JobUpdate& aUpdate,
+                          JobRows& aRows,
+                          std::uint64_t aVersion) -> void;
+  auto SetAside(const JobUpdate& aUpdate, const StoreReply& aReply) -> void;
+  auto RetrySetAsideJobs(MonotonicTime aNow) -> void;
+  auto ReleaseHeldBackEnds() -> void;
+  auto HighestStorableEnd(const cell::Worker& aWorker) const -> std::uint64_t;
   auto UpdateCommitTime(MonotonicTime aSentAt) -> void;
   auto WriteMembers() -> net::Task<void>;
   /** Removes the rows of workers that have left. */
@@ -395,6 +408,10 @@
   std::size_t mNextExportedEstimate = 0;
   bool mIsDecisionScheduled = false;
   bool mIsFlushUrgent = false;
+  /** Jobs whose state the current flush, or the last one, has not stored. */
+  std::set<std::string> mUnstoredJobs;
+  /** Jobs whose state the store has rejected, until it is stored. */
+  std::map<std::string, SetAsideJob> mSetAsideJobs;
   bool mIsFlushing = false;
   /** Smoothed duration of a commit; the flush delay grows with it. */
   Milliseconds mCommitTime{ 10 };
--- a/src/dispatch/internal/holderends.cpp
+++ b/src/dispatch/internal/holderends.cpp
@@ -136,7 +136,9 @@
   }
   ScheduleDecision();
   // A flush also ends a job whose last task this was.
-  const auto isStored = co_await Flush();
+  co_await Flush();
+  job = FindOwnJob(id);
+  const auto isStored = mFinished.contains(id) || (job && !job->mIsDirty);
   co_return JobReply{ isStored && mPhase == HolderPhase::Active
                         ? JobOutcome::Done
                         : JobOutcome::Uncertain };
--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -187,6 +187,7 @@
 auto CellHolder::DropJob(const std::string& aId) -> void
 {
   mRows.erase(aId);
+  mSetAsideJobs.erase(aId);
   cell::RemoveJob(mState, aId);
 }
 
--- a/src/dispatch/internal/holderworkers.cpp
+++ b/src/dispatch/internal/holderworkers.cpp
@@ -18,6 +18,16 @@
   mFlushTimer->cancel();
 }
 
+auto CellHolder::Shutdown() -> net::Task<void>
+{
+  const auto self = shared_from_this();
+  mIsShuttingDown = true;
+  if (mPhase == HolderPhase::Active) {
+    co_await Flush();
+  }
+  End();
+}
+
 /** A worker refused a call, as it has seen a higher token. */
 auto CellHolder::EndAsRefused(const WorkerCall& aCall) -> void
 {
@@ -285,7 +295,7 @@
   LogEvents();
   auto needsFlush = !mState.mDirty.empty();
   for (auto& [id, it] : mState.mWorkers) {
-    needsFlush = needsFlush || cell::HighestSettledEnd(*it) > it->mStoredEnds;
+    needsFlush = needsFlush || HighestStorableEnd(*it) > it->mStoredEnds;
     if (!it->mForeignEnds.empty() && mSettlingWorkers.insert(id).second) {
       net::SpawnTask(mContext.mExecutor, SettleForeignEnds(id));
     }
@@ -354,6 +364,7 @@
       mLoad = cell::MeasureLoad(mState, now);
     }
     RemoveDepartedMembers(now);
+    RetrySetAsideJobs(now);
     CheckClaimIfDue(now);
     MigrateJobs();
     RequestWorkers();
