Store the progress of a job in pieces of a bounded size

Cause: a job's progress was one row with about 61 bytes for each task that is not done and has a checkpoint, a failure, a crash or a host, and nothing compared it with the 65,536 bytes of a row. Each flush wrote all of it again.

Change: the tasks of a job are numbered, and each 128 of them have a row of their own in the table "pieces"; tasks mark the piece that they change, and a flush writes these and the head. The head carries the version that all writes of the job expect. Changes that one transaction does not take follow in further ones, hosted tasks last; ends are acknowledged after the last. Pieces that are done have no row. A migration moves the head and leaves the pieces. A job with up to 128 tasks has one row, as before and in the same format. Rows of the version before are read and replaced by pieces. Checkpoints that no row holds are left out (event 979); progress that cannot be read is no reason to run a job again (event 980). The members of a gang are completed when they are read, as their pieces may be written by several transactions.

Ruled out: a larger limit or a shorter encoding (the class stays); versions for each piece (an item more a piece, and the head orders all writes already); keys by cell (a migration would rewrite all pieces in one transaction).

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -87,6 +87,8 @@
   dispatch::kCommitRefused,
   dispatch::kJobSetAside,
   dispatch::kEndsReleased,
+  dispatch::kCheckpointsNotStored,
+  dispatch::kProgressUnreadable,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/cell/include/eelgrasspost/cell/cellstate.h
+++ b/src/cell/include/eelgrasspost/cell/cellstate.h
@@ -121,8 +121,10 @@
 /** Finds a task by its name; null when the cell doesn't have it. */
 auto FindTask(CellState& aCell, std::string_view aName) -> Task*;
 auto FindTask(Job& aJob, const TaskPosition& aPosition) -> Task*;
-/** Marks a job whose progress has to be stored. */
+/** Marks a job whose state has to be stored. */
 auto MarkDirty(CellState& aCell, Job& aJob) -> void;
+/** Marks a task whose progress has to be stored. */
+auto MarkDirty(CellState& aCell, Task& aTask) -> void;
 
 auto RankJob(const Job& aJob, MonotonicTime aNow) -> JobRank;
 
--- a/src/cell/include/eelgrasspost/cell/jobtypes.h
+++ b/src/cell/include/eelgrasspost/cell/jobtypes.h
@@ -117,6 +117,8 @@
   /** The decided state; callers see it once it is stored. */
   JobState mState = JobState::Queued;
   bool mIsDirty = false;
+  /** Pieces of its progress that have to be stored; see progresspieces.h. */
+  std::set<std::uint64_t> mChangedPieces;
   /** It is migrating to another cell; none of its tasks is started. */
   bool mIsMigrating = false;
   /** At least one of its tasks has been started. */
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -21,6 +21,9 @@
 auto OccurrenceCount(const JobSpec& aSpec) -> std::uint32_t;
 /** Applies the stored progress to a job that is being added. */
 auto ApplyProgress(Job& aJob, const JobProgress& aProgress) -> void;
+/** Whether something is stored of a task that is not done. */
+auto HasProgress(const Task& aTask) -> bool;
+auto ProgressOf(const Task& aTask) -> TaskProgress;
 
 /** Queues a task for placement. */
 auto MakeReady(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void;
--- a/src/cell/internal/crashes.cpp
+++ b/src/cell/internal/crashes.cpp
@@ -128,7 +128,7 @@
                base::NameOf(kCrashEvidenceNames, evidence),
                static_cast<double>(crashes) });
     job.mHasUnstoredCrashes = true;
-    MarkDirty(aCell, job);
+    MarkDirty(aCell, task);
     const auto& policy = aCell.mPolicy;
     if (task.mCrashes.mConfirmed >= policy.mMaxConfirmedCrashes ||
         crashes >= policy.mMaxCrashes) {
--- a/src/cell/internal/ends.cpp
+++ b/src/cell/internal/ends.cpp
@@ -47,11 +47,12 @@
     for (auto& it : StepOf(aTask).mTasks) {
       if (&it != &aTask) {
         it.mFailedAttempts.push_back(aAttempt);
+        MarkDirty(aCell, it);
       }
     }
   }
   counted.push_back(aAttempt);
-  MarkDirty(aCell, job);
+  MarkDirty(aCell, aTask);
   const auto failures = static_cast<std::int64_t>(counted.size());
   if (failures >= job.mStored.mQueue.mMaxAttempts) {
     job.mState = JobState::Failed;
@@ -189,7 +190,7 @@
     CountFailure(aCell, aWorker.mRecord.mId, *task, aEnd.mAttempt);
   }
   if (!task->mCheckpoint.empty()) {
-    MarkDirty(aCell, *task->mJob);
+    MarkDirty(aCell, *task);
   }
   if (isCurrent) {
     ReplaceRun(aCell, *task, aNow);
--- a/src/cell/internal/hostedtasks.cpp
+++ b/src/cell/internal/hostedtasks.cpp
@@ -19,7 +19,7 @@
   RemoveReservation(aCell, TaskName(aTask));
   aTask.mPhase = TaskPhase::Remote;
   aTask.mHostCell = aHost;
-  MarkDirty(aCell, *aTask.mJob);
+  MarkDirty(aCell, aTask);
 }
 
 auto TakeTaskBack(CellState& aCell,
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -2,6 +2,7 @@
 
 #include "cellinternal.h"
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/cell/progresspieces.h"
 #include "joblength.h"
 
 namespace eelgrasspost::cell {
@@ -122,6 +123,12 @@
   aCell.mDirty.insert(aJob.mStored.mSpec.mId);
 }
 
+auto MarkDirty(CellState& aCell, Task& aTask) -> void
+{
+  aTask.mJob->mChangedPieces.insert(PieceOf(aTask));
+  MarkDirty(aCell, *aTask.mJob);
+}
+
 auto MakeReady(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void
 {
   aTask.mPhase = TaskPhase::Ready;
@@ -182,7 +189,7 @@
   aTask.mMayBeRunning = false;
   aTask.mCheckpoint.clear();
   ++occurrence.mSteps[aTask.mStep].mDone;
-  MarkDirty(aCell, job);
+  MarkDirty(aCell, aTask);
   OpenSteps(aCell, job, occurrence, aNow);
   CheckOccurrenceDone(aCell, job, occurrence);
 }
--- a/src/cell/internal/progress.cpp
+++ b/src/cell/internal/progress.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include "cellinternal.h"
 
@@ -67,6 +68,23 @@
   }
 }
 
+/** The members of a gang end and fail together, but their progress may be in
+ * rows that are not written at one time. */
+auto CompleteGang(StepProgress& aStep) -> void
+{
+  std::set<std::uint64_t> failed;
+  for (const auto& it : aStep.mTasks) {
+    failed.insert(it.mFailedAttempts.begin(), it.mFailedAttempts.end());
+  }
+  const auto isDone = aStep.mDone > 0;
+  for (auto& it : aStep.mTasks) {
+    it.mFailedAttempts.assign(failed.begin(), failed.end());
+    if (isDone) {
+      MarkDone(aStep, it);
+    }
+  }
+}
+
 /** Nothing if no task of the step is done. */
 auto DoneTasksOf(std::uint32_t aOccurrence,
                  std::uint32_t aStep,
@@ -125,6 +143,28 @@
   for (const auto& it : aProgress.mTasks) {
     ApplyTask(aJob, it);
   }
+  const auto& steps = aJob.mStored.mSpec.mSteps;
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+      if (steps[i].mIsGang) {
+        CompleteGang(occurrence->mSteps[i]);
+      }
+    }
+  }
+}
+
+auto HasProgress(const Task& aTask) -> bool
+{
+  return !aTask.mFailedAttempts.empty() || !aTask.mCheckpoint.empty() ||
+         !aTask.mHostCell.empty() || IsSuspect(aTask);
+}
+
+auto ProgressOf(const Task& aTask) -> TaskProgress
+{
+  return { aTask.mOccurrence,     aTask.mStep,
+           aTask.mIndex,          false,
+           aTask.mFailedAttempts, aTask.mCheckpoint,
+           aTask.mHostCell,       aTask.mCrashes };
 }
 
 auto ProgressOf(const Job& aJob) -> JobProgress
@@ -141,18 +181,8 @@
         out.mDoneTasks.push_back(*std::move(done));
       }
       for (const auto& it : step.mTasks) {
-        const auto hasProgress = !it.mFailedAttempts.empty() ||
-                                 !it.mCheckpoint.empty() ||
-                                 !it.mHostCell.empty() || IsSuspect(it);
-        if (hasProgress && it.mPhase != TaskPhase::Done) {
-          out.mTasks.push_back({ it.mOccurrence,
-                                 it.mStep,
-                                 it.mIndex,
-                                 false,
-                                 it.mFailedAttempts,
-                                 it.mCheckpoint,
-                                 it.mHostCell,
-                                 it.mCrashes });
+        if (HasProgress(it) && it.mPhase != TaskPhase::Done) {
+          out.mTasks.push_back(ProgressOf(it));
         }
       }
     }
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -410,6 +410,22 @@
   "see 977 of the job; after a takeover its tasks may run again",
 };
 
+inline constexpr auto kCheckpointsNotStored = base::LogEvent{
+  979,
+  base::LogLevel::Warn,
+  "checkpoints are too long to be stored with the progress of their job",
+  "none; after a takeover the tasks may start from an earlier point; use "
+  "shorter checkpoints",
+};
+
+inline constexpr auto kProgressUnreadable = base::LogEvent{
+  980,
+  base::LogLevel::Error,
+  "the stored progress of a job cannot be decoded; no task of it is started",
+  "check whether a later version has written it, and start that one; the rows "
+  "are kept",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -462,7 +478,9 @@
                                                        kSubmissionSettled,
                                                        kCommitRefused,
                                                        kJobSetAside,
-                                                       kEndsReleased };
+                                                       kEndsReleased,
+                                                       kCheckpointsNotStored,
+                                                       kProgressUnreadable };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -6,6 +6,7 @@
 
 #include <cereal/types/array.hpp>
 
+#include "eelgrasspost/cell/progresspieces.h"
 #include "eelgrasspost/cell/room.h"
 #include "eelgrasspost/dispatch/iplatform.h"
 
@@ -31,6 +32,8 @@
   double mStoreWritesPerS = 600;
   /** Transactions per second that one partition of the store accepts. */
   double mStorePartitionWritesPerS = 150;
+  /** Largest value of a row of the store, in bytes. */
+  std::int64_t mStoreRowBytes = 65536;
   // Time limits that the platform sets, in milliseconds.
   /** Longest lease that a worker grants. */
   std::int64_t mLeaseMs = 6000;
@@ -359,11 +362,18 @@
   std::uint64_t mJobVersion = 0;
   /** 0 if there is no progress row. */
   std::uint64_t mProgressVersion = 0;
+  /** Rows of the pieces of its progress, which a migration leaves as they are;
+   * 0 if there are none. */
+  std::uint64_t mGeneration = 0;
+  std::vector<std::uint64_t> mPieces;
+  /** Pieces of which all tasks are done. */
+  std::vector<cell::PieceRange> mDonePieces;
 
   template<class Archive>
   auto serialize(Archive& archive) -> void
   {
     archive(mCell, mFenceVersion, mJobVersion, mProgressVersion);
+    archive(mGeneration, mPieces, mDonePieces);
   }
 };
 
@@ -464,6 +474,8 @@
 inline constexpr std::string_view kIdTable = "ids";
 inline constexpr std::string_view kJobTable = "jobs";
 inline constexpr std::string_view kProgressTable = "progress";
+/** Pieces of the progress of jobs with many tasks. */
+inline constexpr std::string_view kPieceTable = "pieces";
 inline constexpr std::string_view kMemberTable = "members";
 
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -15,6 +15,7 @@
 #include "eelgrasspost/cell/room.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "hostchoice.h"
+#include "jobrows.h"
 #include "jobupdate.h"
 #include "overflow.h"
 #include "refusals.h"
@@ -68,14 +69,6 @@
   Ended,
 };
 
-/** Versions of a job's rows in the store, as this holder last wrote them. */
-struct JobRows
-{
-  std::uint64_t mJobVersion = 0;
-  /** 0 if there is no progress row. */
-  std::uint64_t mProgressVersion = 0;
-};
-
 /** What a holder knows about the row of a worker in the table of members. */
 struct MemberRow
 {
@@ -191,13 +184,38 @@
 
   auto FlushLoop() -> net::Task<void>;
   auto Flush() -> net::Task<bool>;
-  /** Adds the writes of a job's progress and of the rows of its hosted jobs,
-   * and the versions that they expect. */
-  auto AppendProgress(StoreTransaction& aTransaction, const cell::Job& aJob)
-    -> void;
-  /** The same for the writes that end a job. */
-  auto AppendFinalState(StoreTransaction& aTransaction, const cell::Job& aJob)
+  /** Adds the versions that a job's rows must have. */
+  auto AppendRowVersions(StoreTransaction& aTransaction,
+                         const std::string& aId) const -> void;
+  auto LimitCheckpoints(const std::string& aId,
+                        std::vector<cell::TaskProgress>& aTasks) -> void;
+  auto MakeProgressUpdate(cell::Job& aJob) -> JobUpdate;
+  auto MakeFinalUpdate(cell::Job& aJob) -> JobUpdate;
+  auto AppendChangedPieces(JobUpdate& aUpdate,
+                           cell::Job& aJob,
+                           const std::vector<RowWrite>& aHostRows) -> void;
+  auto AppendPiece(StoreTransaction& aTransaction,
+                   const cell::Job& aJob,
+                   std::uint64_t aPiece) -> void;
+  auto AppendReturnedTasks(StoreTransaction& aTransaction,
+                           const cell::Job& aJob,
+                           const std::string& aHost,
+                           const std::vector<cell::TaskPosition>& aTasks)
     -> void;
+  auto MayHost(const cell::Task& aTask, const std::string& aHost) const -> bool;
+  auto NoteStoredProgress(const JobUpdate& aUpdate,
+                          JobRows& aRows,
+                          std::uint64_t aVersion) -> void;
+  auto PieceQuery(const std::string& aId, std::uint64_t aGeneration) const
+    -> RangeQuery;
+  auto RemoveRows(std::string aId, std::uint64_t aGeneration)
+    -> net::Task<void>;
+  auto LoadPieces(LoadedJob& aJob,
+                  std::map<std::uint64_t, cell::ProgressPiece>& aPieces)
+    -> net::Task<bool>;
+  auto LoadProgress(LoadedJob& aJob) -> net::Task<bool>;
+  auto LoadProgressOfAll(std::vector<LoadedJob>& aJobs) -> net::Task<bool>;
+  auto AddLoadedJob(LoadedJob aJob, bool aIsInherited) -> void;
   auto MakeUpdate(const std::string& aId) -> std::optional<JobUpdate>;
   /** Whether all jobs are stored or set aside. */
   auto FlushPartition(std::uint32_t aPartition, std::vector<std::string> aJobs)
@@ -205,9 +223,6 @@
   auto CommitUpdates(std::uint32_t aPartition, std::vector<JobUpdate> aUpdates)
     -> net::Task<bool>;
   auto ApplyCommit(const JobUpdate& aUpdate, const StoreReply& aReply) -> void;
-  auto NoteStoredProgress(const JobUpdate& aUpdate,
-                          JobRows& aRows,
-                          std::uint64_t aVersion) -> void;
   auto SetAside(const JobUpdate& aUpdate, const StoreReply& aReply) -> void;
   auto RetrySetAsideJobs(MonotonicTime aNow) -> void;
   auto ReleaseHeldBackEnds() -> void;
@@ -225,6 +240,8 @@
   auto FinishJob(const std::string& aId, cell::JobState aState) -> void;
 
   auto Submit(JobCommand aCommand) -> net::Task<JobReply>;
+  auto EncodeImportedProgress(const JobCommand& aCommand)
+    -> std::optional<std::string>;
   auto ImportJob(JobCommand aCommand) -> net::Task<JobReply>;
   auto ResolveImport(std::string aId) -> net::Task<void>;
   /** Adds a job with the progress that the store has of it, unless it has been
@@ -366,6 +383,9 @@
    * member any more. */
   MonotonicTime mMemberWritesSettledAt{};
   std::unordered_map<std::string, JobRows> mRows;
+  /** Jobs that have ended and whose rows are to be removed once this holder is
+   * active, with the generation of their pieces. */
+  std::map<std::string, std::uint64_t> mEndedJobs;
   /** Final states of jobs, kept for the status retention time. */
   std::unordered_map<std::string, cell::JobState> mFinished;
   std::deque<std::pair<MonotonicTime, std::string>> mFinishedOrder;
--- a/src/dispatch/internal/holderflush.cpp
+++ b/src/dispatch/internal/holderflush.cpp
@@ -102,48 +102,6 @@
   co_return isOk;
 }
 
-auto CellHolder::AppendProgress(StoreTransaction& aTransaction,
-                                const cell::Job& aJob) -> void
-{
-  const auto& id = aJob.mStored.mSpec.mId;
-  const auto& rows = mRows[id];
-  const auto progress = RowKey{ std::string(kProgressTable), JobKey(id) };
-  const auto stored = RowKey{ std::string(kJobTable), JobKey(id) };
-  aTransaction.mExpected.push_back({ progress, rows.mProgressVersion });
-  aTransaction.mExpected.push_back({ stored, rows.mJobVersion });
-  aTransaction.mWrites.push_back(
-    { progress, net::Encode(cell::ProgressOf(aJob)) });
-  for (const auto& [host, tasks] : cell::RemoteTasksByHost(aJob)) {
-    auto hostedJob = aJob.mStored;
-    hostedJob.mHostedTasks = tasks;
-    aTransaction.mWrites.push_back(
-      { { std::string(kJobTable), base::Cat(host, "/", id) },
-        net::Encode(hostedJob) });
-  }
-}
-
-auto CellHolder::AppendFinalState(StoreTransaction& aTransaction,
-                                  const cell::Job& aJob) -> void
-{
-  const auto& id = aJob.mStored.mSpec.mId;
-  const auto& rows = mRows[id];
-  const auto progress = RowKey{ std::string(kProgressTable), JobKey(id) };
-  const auto stored = RowKey{ std::string(kJobTable), JobKey(id) };
-  aTransaction.mExpected.push_back({ progress, rows.mProgressVersion });
-  aTransaction.mExpected.push_back({ stored, rows.mJobVersion });
-  aTransaction.mRemovals.push_back(stored);
-  if (rows.mProgressVersion > 0) {
-    aTransaction.mRemovals.push_back(progress);
-  }
-  const auto row = JobIdRow{ mRow.mName, aJob.mState, base::WallClockMs() };
-  aTransaction.mWrites.push_back(
-    { { std::string(kIdTable), id }, net::Encode(row) });
-  for (const auto& [host, tasks] : cell::RemoteTasksByHost(aJob)) {
-    aTransaction.mRemovals.push_back(
-      { std::string(kJobTable), base::Cat(host, "/", id) });
-  }
-}
-
 /** The changes that store a job's state; nothing if there is nothing to store,
  * or not yet. */
 auto CellHolder::MakeUpdate(const std::string& aId) -> std::optional<JobUpdate>
@@ -156,6 +114,7 @@
     // The cell that owns the job stores its progress.
     mState.mDirty.erase(aId);
     job->mIsDirty = false;
+    job->mChangedPieces.clear();
     cell::MarkCrashesStored(*job);
     ReportGivenUpJob(*job);
     return std::nullopt;
@@ -167,17 +126,12 @@
     mState.mDirty.erase(aId);
     return std::nullopt;
   }
-  JobUpdate out;
-  out.mId = aId;
-  out.mState = job->mState;
-  out.mIsFinal = isFinal;
-  if (isFinal) {
-    AppendFinalState(out.mChanges, *job);
-  } else {
-    AppendProgress(out.mChanges, *job);
-  }
-  mState.mDirty.erase(aId);
-  job->mIsDirty = false;
+  auto out = isFinal ? MakeFinalUpdate(*job) : MakeProgressUpdate(*job);
+  mRows.at(aId).mIsBeingWritten = true;
+  if (out.mIsComplete) {
+    mState.mDirty.erase(aId);
+    job->mIsDirty = false;
+  }
   return out;
 }
 
@@ -188,8 +142,9 @@
   auto isOk = true;
   std::vector<JobUpdate> batch;
   TransactionSize size;
-  for (const auto& it : aJobs) {
-    auto update = MakeUpdate(it);
+  for (std::size_t i = 0; i < aJobs.size(); ++i) {
+    const auto id = aJobs[i];
+    auto update = MakeUpdate(id);
     if (!update) {
       continue;
     }
@@ -200,8 +155,19 @@
         co_await CommitUpdates(aPartition, std::exchange(batch, {})) && isOk;
       size = {};
     }
+    const auto isComplete = update->mIsComplete;
     size = size + added;
     batch.push_back(*std::move(update));
+    if (!isComplete) {
+      // The next changes of the job expect the version that this write makes.
+      const auto isStored =
+        co_await CommitUpdates(aPartition, std::exchange(batch, {}));
+      size = {};
+      isOk = isOk && isStored;
+      if (isStored) {
+        aJobs.push_back(id);
+      }
+    }
   }
   if (!batch.empty()) {
     isOk = co_await CommitUpdates(aPartition, std::move(batch)) && isOk;
@@ -224,6 +190,8 @@
   for (const auto& it : aUpdates) {
     AppendChanges(transaction, it.mChanges);
   }
+  const auto size = SizeOf(transaction);
+  const auto rows = transaction.mWrites.size();
   const auto sentAt = base::MonotonicClock::now();
   const auto sentAtBoot = mContext.mBootNow();
   const auto reply =
@@ -231,6 +199,9 @@
   UpdateCommitTime(sentAt);
   if (reply.mOutcome == StoreOutcome::Done) {
     NoteFencedWrite(sentAtBoot);
+    mContext.mMetrics.FindCounter("progress_rows_written_total").Add(rows);
+    mContext.mMetrics.FindCounter("progress_bytes_written_total")
+      .Add(size.mBytes);
   }
   if (mPhase == HolderPhase::Ended) {
     co_return false;
@@ -264,10 +235,16 @@
   const auto& id = aUpdate.mId;
   auto* job = cell::FindJob(mState, id);
   const auto rows = mRows.find(id);
+  if (rows != mRows.end()) {
+    rows->second.mIsBeingWritten = false;
+  }
   if (aReply.mOutcome == StoreOutcome::Done) {
     if (aUpdate.mIsFinal) {
       mUnstoredJobs.erase(id);
       FinishJob(id, aUpdate.mState);
+      if (aUpdate.mLeavesRows) {
+        net::SpawnTask(mContext.mExecutor, RemoveRows(id, aUpdate.mGeneration));
+      }
     } else if (rows != mRows.end()) {
       NoteStoredProgress(aUpdate, rows->second, aReply.mVersion);
     }
@@ -276,6 +253,7 @@
   mUnstoredJobs.insert(id);
   if (job) {
     job->mIsDirty = true;
+    job->mChangedPieces.insert(aUpdate.mPieces.begin(), aUpdate.mPieces.end());
     mState.mDirty.insert(id);
   }
   if (aReply.mOutcome == StoreOutcome::Rejected) {
@@ -311,6 +289,15 @@
                                     std::uint64_t aVersion) -> void
 {
   aRows.mProgressVersion = aVersion;
+  for (const auto it : aUpdate.mPieces) {
+    if (cell::IsInRanges(aRows.mDonePieces, it)) {
+      aRows.mPieces.erase(it);
+    }
+  }
+  if (!aUpdate.mIsComplete) {
+    return;
+  }
+  aRows.mEarlierProgress.clear();
   mUnstoredJobs.erase(aUpdate.mId);
   mSetAsideJobs.erase(aUpdate.mId);
   if (auto* job = cell::FindJob(mState, aUpdate.mId); job && !job->mIsDirty) {
--- a/src/dispatch/internal/holderhosting.cpp
+++ b/src/dispatch/internal/holderhosting.cpp
@@ -229,6 +229,11 @@
   if (!mayMove) {
     co_return;
   }
+  if (!MayHost(*task, *host)) {
+    mHostRefusals.push_back(
+      { *host, { NeedOf(cell::NeedOf(*task)) }, now + kRefusingHostDelay });
+    co_return;
+  }
   const auto id = task->mJob->mStored.mSpec.mId;
   cell::MoveTaskToHost(mState, *task, *host);
   ScheduleDecision();
--- a/src/dispatch/internal/holdermigration.cpp
+++ b/src/dispatch/internal/holdermigration.cpp
@@ -120,16 +120,24 @@
     co_return;
   }
   const auto& rows = mRows.at(aId);
+  if (IsInPieces(job->mStored) && (job->mIsDirty || rows.mIsBeingWritten ||
+                                   !rows.mEarlierProgress.empty())) {
+    // Its pieces stay where they are and have to be complete.
+    job->mIsMigrating = false;
+    co_return;
+  }
   JobCommand command;
   command.mKind = JobCommandKind::ImportJob;
   command.mCell = aCell;
   command.mJobId = aId;
   command.mJob = job->mStored;
   command.mProgress = cell::ProgressOf(*job);
-  command.mSource = { mRow.mName,
-                      mFences.at(PartitionOf(aId)),
-                      rows.mJobVersion,
-                      rows.mProgressVersion };
+  command.mSource = {
+    mRow.mName,       mFences.at(PartitionOf(aId)),
+    rows.mJobVersion, rows.mProgressVersion,
+    rows.mGeneration, { rows.mPieces.begin(), rows.mPieces.end() },
+    rows.mDonePieces
+  };
   command.mTimeoutMs = kStoreTimeout.count();
   command.mWaitingSteps = aJob.mWaitingSteps;
   command.mMustStartAtOnce = aMustStartAtOnce;
@@ -221,26 +229,19 @@
   if (!progressRow) {
     co_return false;
   }
-  cell::JobProgress progress;
-  if (progressRow->mVersion > 0) {
-    auto decoded = DecodeProgress(progressRow->mValue);
-    if (!decoded.ok()) {
-      co_return false;
-    }
-    progress = *std::move(decoded);
-  }
-  if (mPhase != HolderPhase::Active) {
+  LoadedJob loaded;
+  loaded.mJob = *std::move(job);
+  loaded.mRows.mJobVersion = row->mVersion;
+  loaded.mRows.mProgressVersion = progressRow->mVersion;
+  loaded.mProgressValue = progressRow->mValue;
+  const auto isLoaded = co_await LoadProgress(loaded);
+  if (!isLoaded || loaded.mHasEnded || loaded.mIsDamaged ||
+      mPhase != HolderPhase::Active) {
     co_return false;
   }
   // Runs refer to the tasks of a job that was added meanwhile.
   if (!cell::FindJob(mState, aId) && !mFinished.contains(aId)) {
-    mRows[aId] = { row->mVersion, progressRow->mVersion };
-    cell::AddJob(mState,
-                 *std::move(job),
-                 progress,
-                 false,
-                 base::MonotonicClock::now(),
-                 base::WallClockMs());
+    AddLoadedJob(std::move(loaded), false);
     ScheduleDecision();
   }
   co_return true;
@@ -265,6 +266,24 @@
   co_return std::move(reply.mRows[0]);
 }
 
+/** The progress row of an imported job; nothing if it has none yet. */
+auto CellHolder::EncodeImportedProgress(const JobCommand& aCommand)
+  -> std::optional<std::string>
+{
+  const auto& origin = aCommand.mSource;
+  if (origin.mGeneration != 0) {
+    ProgressHeadRow head;
+    head.mHead = { origin.mGeneration, {}, origin.mDonePieces };
+    return net::Encode(head);
+  }
+  if (IsInPieces(aCommand.mJob)) {
+    return std::nullopt;
+  }
+  auto progress = aCommand.mProgress;
+  LimitCheckpoints(aCommand.mJobId, progress.mTasks);
+  return net::Encode(progress);
+}
+
 auto CellHolder::ImportJob(JobCommand aCommand) -> net::Task<JobReply>
 {
   const auto& id = aCommand.mJobId;
@@ -308,9 +327,12 @@
     JobIdRow{ mRow.mName, cell::JobState::Queued, base::WallClockMs() };
   transaction.mWrites = { { { std::string(kIdTable), id }, net::Encode(row) },
                           { { std::string(kJobTable), JobKey(id) },
-                            net::Encode(aCommand.mJob) },
-                          { { std::string(kProgressTable), JobKey(id) },
-                            net::Encode(aCommand.mProgress) } };
+                            net::Encode(aCommand.mJob) } };
+  if (auto progress = EncodeImportedProgress(aCommand)) {
+    transaction.mWrites.push_back(
+      { { std::string(kProgressTable), JobKey(id) }, *std::move(progress) });
+  }
+  const auto hasProgressRow = transaction.mWrites.size() > 2;
   mUnresolvedJobs.insert(id);
   const auto reply = co_await mContext.mStore.Commit(
     std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
@@ -329,7 +351,11 @@
   if (reply.mOutcome != StoreOutcome::Done) {
     co_return JobReply{ JobOutcome::Refused };
   }
-  mRows[id] = { reply.mVersion, reply.mVersion };
+  mRows[id] = { reply.mVersion,
+                hasProgressRow ? reply.mVersion : 0,
+                origin.mGeneration,
+                { origin.mPieces.begin(), origin.mPieces.end() },
+                origin.mDonePieces };
   if (mContext.mPlanOverflow) {
     mArrivals[id] = base::MonotonicClock::now();
   }
--- a/src/dispatch/internal/holderreturns.cpp
+++ b/src/dispatch/internal/holderreturns.cpp
@@ -17,6 +17,8 @@
 constexpr auto kReservedReturnDelay = Milliseconds(3000);
 /** Interval between two attempts to return a task. */
 constexpr auto kReturnRetryInterval = Milliseconds(1000);
+/** Tasks of one job that are returned in one transaction. */
+constexpr std::size_t kMaxReturnedTasks = 24;
 
 } // namespace
 
@@ -38,12 +40,15 @@
       (now - it->mReadyAt > kReservedReturnDelay &&
        mContext.mFindHostCell(
          { cell::SpecOf(*it).mNeed, {}, {}, false, true }));
-    if (isDue) {
-      byJob[it->mJob->mStored.mSpec.mId].push_back(
-        { it->mOccurrence, it->mStep, it->mIndex });
+    auto& tasks = byJob[it->mJob->mStored.mSpec.mId];
+    if (isDue && tasks.size() < kMaxReturnedTasks) {
+      tasks.push_back({ it->mOccurrence, it->mStep, it->mIndex });
     }
   }
   for (auto& [id, tasks] : byJob) {
+    if (tasks.empty()) {
+      continue;
+    }
     auto* job = cell::FindJob(mState, id);
     for (const auto& it : tasks) {
       cell::FindTask(*job, it)->mIsReturning = true;
@@ -189,7 +194,8 @@
     }
   }
   if (tasks.empty() || tasks.size() != aCommand.mJob.mHostedTasks.size() ||
-      mIsShuttingDown || !CanSendOrders() || cell::IsFinal(job->mState)) {
+      mIsShuttingDown || !CanSendOrders() || cell::IsFinal(job->mState) ||
+      !mRows.at(id).mEarlierProgress.empty()) {
     co_return JobReply{ JobOutcome::Refused };
   }
   const auto partition = PartitionOf(id);
@@ -204,10 +210,8 @@
   for (auto* it : tasks) {
     it->mHostCell.clear();
   }
-  AppendProgress(transaction, *job);
-  if (!cell::RemoteTasksByHost(*job).contains(host.mCell)) {
-    transaction.mRemovals.push_back(hostJob);
-  }
+  AppendReturnedTasks(
+    transaction, *job, host.mCell, aCommand.mJob.mHostedTasks);
   for (auto* it : tasks) {
     it->mHostCell = host.mCell;
   }
@@ -229,7 +233,9 @@
   if (reply.mOutcome != StoreOutcome::Done) {
     // The next write of the progress assigns the tasks to the host cell again,
     // which may have read that they were returned.
-    cell::MarkDirty(mState, *job);
+    for (const auto& it : aCommand.mJob.mHostedTasks) {
+      cell::MarkDirty(mState, *cell::FindTask(*job, it));
+    }
     ScheduleDecision();
     net::SpawnTask(mContext.mExecutor, NotifyHostWhenStored(id, host.mCell));
     co_return JobReply{ JobOutcome::Uncertain };
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -11,7 +11,6 @@
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
-#include "progressrow.h"
 #include "storeaccess.h"
 #include "whenall.h"
 
@@ -167,22 +166,25 @@
   for (const auto& it : *progress) {
     byKey[it.mKey] = &it;
   }
-  const auto now = base::MonotonicClock::now();
+  std::vector<LoadedJob> loaded;
   for (const auto& it : *jobs) {
     auto job = net::Decode<cell::StoredJob>(it.mValue);
     if (!job.ok()) {
       continue;
     }
-    auto& rows = mRows[job->mSpec.mId];
-    rows.mJobVersion = it.mVersion;
-    cell::JobProgress done;
+    auto& added = loaded.emplace_back();
+    added.mJob = *std::move(job);
+    added.mRows.mJobVersion = it.mVersion;
     if (const auto found = byKey.find(it.mKey); found != byKey.end()) {
-      rows.mProgressVersion = found->second->mVersion;
-      if (auto decoded = DecodeProgress(found->second->mValue); decoded.ok()) {
-        done = *std::move(decoded);
-      }
+      added.mRows.mProgressVersion = found->second->mVersion;
+      added.mProgressValue = found->second->mValue;
     }
-    cell::AddJob(mState, *std::move(job), done, true, now, base::WallClockMs());
+  }
+  if (!co_await LoadProgressOfAll(loaded)) {
+    co_return false;
+  }
+  for (auto& it : loaded) {
+    AddLoadedJob(std::move(it), true);
   }
   co_return true;
 }
@@ -278,6 +280,7 @@
     mState.mReady.clear();
     mState.mDirty.clear();
     mRows.clear();
+    mEndedJobs.clear();
     mFences.clear();
     co_await net::Sleep(kRetryInterval);
   }
@@ -329,6 +332,9 @@
       net::SpawnTask(mContext.mExecutor, NotifyHost(id, host));
     }
   }
+  for (const auto& [id, generation] : std::exchange(mEndedJobs, {})) {
+    net::SpawnTask(mContext.mExecutor, RemoveRows(id, generation));
+  }
   net::SpawnTask(mContext.mExecutor, FlushLoop());
   ScheduleDecision();
   co_await Tick();
--- a/src/dispatch/internal/jobupdate.h
+++ b/src/dispatch/internal/jobupdate.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
+#include <vector>
 
 #include "eelgrasspost/base/clock.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
@@ -14,6 +16,13 @@
   std::string mId;
   cell::JobState mState = cell::JobState::Running;
   bool mIsFinal = false;
+  /** The changes that are left take further transactions if not set. */
+  bool mIsComplete = true;
+  /** Pieces of the progress that are written or removed. */
+  std::vector<std::uint64_t> mPieces;
+  /** Rows of pieces of the generation are still to be removed afterwards. */
+  bool mLeavesRows = false;
+  std::uint64_t mGeneration = 0;
   /** Without the partition and its fence. */
   StoreTransaction mChanges;
 };
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -65,6 +65,7 @@
   /** Transactions that are rejected although they keep the limits. */
   std::function<bool(const StoreTransaction&)> mRejects;
   std::size_t mRejected = 0;
+  std::size_t mConflicts = 0;
   /** Size of the transactions so far, without those that were rejected. */
   std::size_t mCommits = 0;
   std::size_t mWrittenRows = 0;
@@ -250,6 +251,7 @@
       }
     }
     if (isConflict) {
+      ++mConflicts;
       out.mOutcome = StoreOutcome::Conflict;
       return out;
     }
