Refuse jobs at once that no row of the store can hold

A job whose row is too large was answered with 503, so that its caller came back for ever.

Cause: the row of a job was written without a look at its size, as was the row of the tasks that another cell hosts, which has the job and 12 bytes a task.

Change: a job that does not fit, with one hosted task, is a bad request (400) with both figures.

Ruled out: a limit of steps in the adapter; labels, images and the spec count too.

Tests: job_that_no_row_of_the_store_holds_is_a_bad_request failed before (the store rejected the row, and the caller was told to come back); task_whose_row_would_be_too_large_is_not_hosted.

--- a/src/app/internal/dispatchsettings.cpp
+++ b/src/app/internal/dispatchsettings.cpp
@@ -30,6 +30,9 @@
 constexpr std::int64_t kMaxCores = 1024;
 constexpr std::int64_t kMaxCheckpointS = 3600;
 constexpr std::int64_t kMaxPerSecond = 1'000'000;
+/** A piece of a job's progress needs this much. */
+constexpr std::int64_t kMinRowBytes = 32768;
+constexpr std::int64_t kMaxRowBytes = 450'000;
 
 constexpr auto kFields = std::array{
   Required("entry", "name", SettingKind::Text, "name of this entry"),
@@ -73,6 +76,13 @@
          "150",
          kMaxPerSecond,
          "transactions per second that one part of the store accepts"),
+  SettingField{ "platform",
+                "store_row_bytes",
+                SettingKind::Integer,
+                "65536",
+                kMinRowBytes,
+                kMaxRowBytes,
+                "largest value of a row of the store, in bytes" },
   Number("bounds",
          "lease_ms",
          "6000",
@@ -193,6 +203,7 @@
     static_cast<double>(values->Integer("platform", "store_writes_per_s"));
   out.mStorePartitionWritesPerS =
     static_cast<double>(values->Integer("platform", "store_part_writes_per_s"));
+  out.mStoreRowBytes = values->Integer("platform", "store_row_bytes");
   out.mLeaseMs = values->Integer("bounds", "lease_ms");
   out.mEarlyMs = values->Integer("bounds", "early_ms");
   out.mHarmMs = values->Integer("bounds", "harm_ms");
--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -37,6 +37,7 @@
   std::int64_t mSettleMs = 0;
   bool mHasAdmission = false;
   bool mHasOverflow = false;
+  std::int64_t mStoreRowBytes = 65536;
 };
 
 /** Handles the HTTP requests of callers. */
@@ -59,6 +60,8 @@
   auto Submit(const CallerRequest& aRequest,
               const std::string& aBody,
               MonotonicTime aDeadline) -> net::Task<CallerResponse>;
+  auto CheckSize(const cell::Queue& aQueue, const cell::JobSpec& aSpec) const
+    -> std::optional<CallerResponse>;
   struct Submission;
   /** Offers a job to cells, one after the other, until one has accepted it;
    * nothing if none has. */
--- a/src/dispatch/internal/callersubmission.cpp
+++ b/src/dispatch/internal/callersubmission.cpp
@@ -22,6 +22,8 @@
 /** With less time left than this, the retry is left to the caller. */
 constexpr std::int64_t kMinRetryBudgetMs = 250;
 constexpr auto kSettleRetryInterval = Milliseconds(40);
+/** Encoded size of the position of a task that another cell hosts. */
+constexpr std::int64_t kHostedTaskBytes = 12;
 /** At most half of the time until a caller's deadline is left for settling. */
 constexpr std::int64_t kSettleDivisor = 2;
 
@@ -124,6 +126,29 @@
   co_return std::nullopt;
 }
 
+/** A job that no row of the store can hold is never accepted. */
+auto CallerHandler::CheckSize(const cell::Queue& aQueue,
+                              const cell::JobSpec& aSpec) const
+  -> std::optional<CallerResponse>
+{
+  const auto bytes =
+    static_cast<std::int64_t>(
+      net::Encode(cell::StoredJob{ aSpec, aQueue, 0, {} }).size()) +
+    kHostedTaskBytes;
+  if (bytes <= mContext.mStoreRowBytes) {
+    return std::nullopt;
+  }
+  CallerResponse out;
+  out.mOutcome = CallerOutcome::BadRequest;
+  out.mError = base::Cat("the job takes ",
+                         bytes,
+                         " bytes in the store, which holds at most ",
+                         mContext.mStoreRowBytes,
+                         "; give it fewer steps or a shorter spec, or split "
+                         "it");
+  return out;
+}
+
 auto CallerHandler::Submit(const CallerRequest& aRequest,
                            const std::string& aBody,
                            MonotonicTime aDeadline) -> net::Task<CallerResponse>
@@ -135,6 +160,9 @@
     out.mError = std::string(base::MessageOf(spec.status()));
     co_return out;
   }
+  if (auto refusal = CheckSize(*aRequest.mQueue, *spec)) {
+    co_return *std::move(refusal);
+  }
   Submission submission;
   submission.mDeadline = aDeadline;
   submission.mSettleMs = std::min(
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -83,7 +83,8 @@
         [this](const std::string& aQueue) { return CountPending(aQueue); },
         mSettings.mSettleMs,
         mSettings.mHasAdmission,
-        mSettings.mHasOverflow })
+        mSettings.mHasOverflow,
+        mSettings.mStoreRowBytes })
   , mHttpServer(aPool,
                 HttpOptions(),
                 [this](net::HttpRequest aRequest) {
--- a/src/dispatch/tests/hosting_tests.cpp
+++ b/src/dispatch/tests/hosting_tests.cpp
@@ -8,6 +8,7 @@
 using namespace eelgrasspost;
 using namespace eelgrasspost::dispatch;
 using dispatch::testing::FakeFault;
+using dispatch::testing::FakeStore;
 using dispatch::testing::HolderFixture;
 
 /** Time in which a long-running task without a run has to be at work again. */
@@ -114,16 +115,18 @@
     StopPool();
   }
 
-  auto Submit() -> void
+  static auto MakeTwoTasks() -> JobCommand
   {
-    auto submission = MakeSubmission(kId);
-    auto& step = submission.mJob.mSpec.mSteps[0];
+    auto out = MakeSubmission(kId);
+    auto& step = out.mJob.mSpec.mSteps[0];
     step.mCount = 2;
     step.mNeed.mCpuMillis = 10000;
     step.mIsLongRunning = true;
-    Wait(mOwner->Execute(submission));
+    return out;
   }
 
+  auto Submit() -> void { Wait(mOwner->Execute(MakeTwoTasks())); }
+
   auto IsStartedWithinLimit() -> bool
   {
     const auto end = base::MonotonicClock::now() + kRestartLimit;
@@ -185,6 +188,23 @@
   BOOST_TEST(IsStartedWithinLimit());
 }
 
+// Guards against a job that is never stored again, as the row of its hosted
+// tasks is larger than a row of the store.
+BOOST_AUTO_TEST_CASE(task_whose_row_would_be_too_large_is_not_hosted)
+{
+  Do([&] { mHostCells = { "b/0" }; });
+  auto submission = MakeTwoTasks();
+  auto& spec = submission.mJob.mSpec;
+  const auto bytes = net::Encode(submission.mJob).size();
+  spec.mPayload = std::string(FakeStore::kMaxRowBytes - bytes - 5, 'p');
+  Wait(mOwner->Execute(submission));
+  Wait(net::Sleep(Milliseconds(2000)), true);
+  Do([&] {
+    BOOST_TEST(mWorkers.mStarts.size() == 1U);
+    BOOST_TEST(mStore.mRejected == 0U);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(hosting, HostedTask)
--- a/src/dispatch/tests/submission_tests.cpp
+++ b/src/dispatch/tests/submission_tests.cpp
@@ -112,6 +112,20 @@
   BOOST_CHECK_EQUAL(CountRows(kJobTable), 0);
 }
 
+// Guards against a job that is refused for now although the store can never
+// hold it, so that its caller comes back for ever.
+BOOST_AUTO_TEST_CASE(job_that_no_row_of_the_store_holds_is_a_bad_request)
+{
+  Do([&] {
+    auto& steps = mFormats.mSpec.mSteps;
+    steps.resize(1000, steps[0]);
+  });
+  BOOST_CHECK(Submit() == CallerOutcome::BadRequest);
+  BOOST_CHECK_EQUAL(mStore.mRejected, 0U);
+  Do([&] { mFormats.mSpec.mSteps.resize(100); });
+  BOOST_CHECK(Submit() == CallerOutcome::Accepted);
+}
+
 BOOST_AUTO_TEST_CASE(submission_received_after_refusal_is_not_accepted)
 {
   LoseSubmissions();
