--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -89,6 +89,7 @@
   dispatch::kEndsReleased,
   dispatch::kCheckpointsNotStored,
   dispatch::kProgressUnreadable,
+  dispatch::kWorkerRowIgnored,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -426,6 +426,13 @@
   "are kept",
 };
 
+inline constexpr auto kWorkerRowIgnored = base::LogEvent{
+  981,
+  base::LogLevel::Warn,
+  "a row in the platform's list of workers is ignored",
+  "find out which program writes it; what was known of the worker holds",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -480,7 +487,8 @@
                                                        kJobSetAside,
                                                        kEndsReleased,
                                                        kCheckpointsNotStored,
-                                                       kProgressUnreadable };
+                                                       kProgressUnreadable,
+                                                       kWorkerRowIgnored };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -153,6 +153,11 @@
 {
   auto record = mPlatform.mFormats.DecodeWorker(aRow.mKey, aRow.mValue);
   if (!record.ok()) {
+    // What is known of the worker holds until it writes its row again.
+    mLog.Record(
+      kWorkerRowIgnored,
+      { { "worker", aRow.mKey },
+        { "reason", std::string(base::MessageOf(record.status())) } });
     return;
   }
   auto& known = mWorkers[aRow.mKey];
