Use the workers beside one whose row the store rejects

Cause: the rows of all new members of a cell are written in one transaction, and a rejected one is repeated as it is. A key of over 200 bytes, the cell's name and the worker's id, keeps out all workers that come with or after it.

Change: after a rejection half as many rows are sent, until the one at fault stands alone. That worker gets no orders and its row is sent again after 30 s (event 982); the number of rows doubles with each success.

Ruled out: to compare the key with 200 bytes. The store may reject a row for other reasons.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -90,6 +90,7 @@
   dispatch::kCheckpointsNotStored,
   dispatch::kProgressUnreadable,
   dispatch::kWorkerRowIgnored,
+  dispatch::kMemberRejected,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchlogevents.h
@@ -433,6 +433,15 @@
   "find out which program writes it; what was known of the worker holds",
 };
 
+inline constexpr auto kMemberRejected = base::LogEvent{
+  982,
+  base::LogLevel::Error,
+  "the store will never take the row of a worker as a member of its cell; the "
+  "worker gets no orders",
+  "give the worker a shorter id, or see the reason; other workers are not "
+  "affected",
+};
+
 inline constexpr auto kDispatchLogEvents = std::array{ kEntryStarted,
                                                        kStopRequested,
                                                        kReloadRequested,
@@ -488,7 +497,8 @@
                                                        kEndsReleased,
                                                        kCheckpointsNotStored,
                                                        kProgressUnreadable,
-                                                       kWorkerRowIgnored };
+                                                       kWorkerRowIgnored,
+                                                       kMemberRejected };
 
 /** Returns the log event of a kind of cell event. */
 inline auto FindLogEvent(cell::CellEventKind aKind) -> const base::LogEvent*
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -233,6 +233,8 @@
   auto RemoveDepartedMembers(MonotonicTime aNow) -> void;
   auto ReadUncertainMembers() -> net::Task<bool>;
   auto WriteChangedMembers() -> net::Task<void>;
+  auto RejectMember(const std::string& aWorker, const StoreReply& aReply)
+    -> void;
   /** Whether the next holder learns of the worker from its row. */
   auto IsMember(const std::string& aWorker) const -> bool;
   auto CheckFence(const StoreReply& aReply) -> void;
@@ -378,6 +380,11 @@
   std::set<std::string> mPolledWorkers;
   std::map<std::string, MemberRow> mMembers;
   bool mIsWritingMembers = false;
+  /** Rows in the next write; fewer after the store has rejected one. */
+  std::size_t mMemberRowLimit = 100;
+  /** Workers whose rows the store rejects, until when they are not sent again.
+   */
+  std::map<std::string, MonotonicTime> mRejectedMembers;
   MonotonicTime mNextMemberRemovalAt{};
   /** Until then, a write without a reply may add the row of a worker that is no
    * member any more. */
--- a/src/dispatch/internal/holdermembers.cpp
+++ b/src/dispatch/internal/holdermembers.cpp
@@ -2,6 +2,7 @@
 
 #include "cellholder.h"
 #include "eelgrasspost/base/text.h"
+#include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
@@ -14,6 +15,10 @@
 constexpr auto kPollInterval = Milliseconds(5);
 /** Minimum time between two removals of rows of departed workers. */
 constexpr auto kMemberRemovalInterval = Milliseconds(500);
+/** Rows of members in one transaction, of which each takes two of 100 items. */
+constexpr std::size_t kMaxMemberRows = 45;
+/** A row that the store has rejected is not sent again for this time. */
+constexpr auto kRejectedMemberTime = Milliseconds(30000);
 
 } // namespace
 
@@ -91,10 +96,13 @@
   std::vector<std::string> written;
   std::vector<std::string> removed;
   auto addsRows = false;
-  // Each row takes two of the 100 items of a transaction.
-  constexpr std::size_t kMaxRows = 45;
+  const auto now = base::MonotonicClock::now();
+  std::erase_if(mRejectedMembers,
+                [&](const auto& aItem) { return now >= aItem.second; });
+  const auto maxRows = std::min(mMemberRowLimit, kMaxMemberRows);
   for (const auto& [id, it] : mState.mWorkers) {
-    if (!IsMember(id) && written.size() < kMaxRows) {
+    if (!IsMember(id) && !mRejectedMembers.contains(id) &&
+        written.size() < maxRows) {
       const auto key = RowKey{ std::string(kMemberTable), JobKey(id) };
       auto& row = mMembers[id];
       row.mIsUncertain = true;
@@ -106,7 +114,7 @@
   }
   for (auto& [id, it] : mMembers) {
     if (!mState.mWorkers.contains(id) &&
-        written.size() + removed.size() < kMaxRows) {
+        written.size() + removed.size() < maxRows) {
       const auto key = RowKey{ std::string(kMemberTable), JobKey(id) };
       it.mIsUncertain = true;
       removed.push_back(id);
@@ -129,10 +137,18 @@
       for (const auto& it : removed) {
         mMembers.erase(it);
       }
+      mMemberRowLimit = std::min(2 * maxRows, kMaxMemberRows);
       break;
     case StoreOutcome::Refused:
+      mMembers = before;
+      break;
     case StoreOutcome::Rejected:
       mMembers = before;
+      // The row at fault is found by halving; the others are written then.
+      mMemberRowLimit = std::max<std::size_t>(1, written.size() / 2);
+      if (written.size() == 1 && removed.empty()) {
+        RejectMember(written[0], reply);
+      }
       break;
     case StoreOutcome::Conflict:
       CheckFence(reply);
@@ -144,4 +160,15 @@
   }
 }
 
+/** A worker without a row gets no orders; see IsMember. */
+auto CellHolder::RejectMember(const std::string& aWorker,
+                              const StoreReply& aReply) -> void
+{
+  mRejectedMembers[aWorker] = base::MonotonicClock::now() + kRejectedMemberTime;
+  mContext.mLog.Record(kMemberRejected,
+                       { { "cell", mRow.mName },
+                         { "worker", aWorker },
+                         { "reason", aReply.mError } });
+}
+
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/tests/storelimits_tests.cpp
+++ b/src/dispatch/tests/storelimits_tests.cpp
@@ -7,6 +7,7 @@
 
 using namespace eelgrasspost;
 using namespace eelgrasspost::dispatch;
+using dispatch::testing::FakeStore;
 using dispatch::testing::HolderFixture;
 
 constexpr auto kSettlingTime = Milliseconds(300);
@@ -120,3 +121,30 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against workers that get no orders, as the store rejects the row of
+// another one that came with them.
+BOOST_FIXTURE_TEST_SUITE(rejected_member, HolderFixture)
+
+BOOST_AUTO_TEST_CASE(workers_beside_one_with_a_long_id_are_used)
+{
+  // With the name of the cell, the key of its row is too long.
+  const std::string longId(FakeStore::kMaxKeyBytes - 3, 'w');
+  std::vector<std::string> workers = { longId };
+  for (auto i = 0; i < 20; ++i) {
+    workers.push_back("w" + std::to_string(i));
+  }
+  const auto holder = MakeHolder(1, "a/0", workers);
+  BOOST_TEST(Until([&] { return CountRows(kMemberTable) == 20; }));
+  Wait(holder->Execute(MakeSubmission("0000000000000001")));
+  BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 1; }));
+  const auto rejected = mStore.mRejected;
+  Wait(net::Sleep(2 * kSettlingTime), true);
+  Do([&] {
+    BOOST_TEST(mStore.mRejected == rejected);
+    BOOST_TEST(mWorkers.mStarts[0].mWorker != longId);
+    holder->End();
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
