Write the rows of all hosts when hosted tasks are returned

Cause: since the progress is stored in pieces, a return wrote the row of the returning host only, but all of the job's progress. If that has a task that was moved to another host just before, and the holder ends before its next flush, the next holder takes the task as hosted, and the host never finds it in its row: the task would not run again.

--- a/src/dispatch/internal/holderprogress.cpp
+++ b/src/dispatch/internal/holderprogress.cpp
@@ -204,14 +204,16 @@
     LimitCheckpoints(id, progress.mTasks);
     aTransaction.mWrites.push_back({ progressKey, net::Encode(progress) });
   }
+  // The progress may contain a move to another host that is not stored yet; the
+  // next holder must find the row of that host as well.
   auto remote = cell::RemoteTasksByHost(aJob);
-  if (const auto it = remote.find(aHost); it != remote.end()) {
-    aTransaction.mWrites.push_back(
-      MakeHostRow(aJob, aHost, std::move(it->second)));
-  } else {
+  if (!remote.contains(aHost)) {
     aTransaction.mRemovals.push_back(
       { std::string(kJobTable), base::Cat(aHost, "/", id) });
   }
+  for (auto& [host, tasks] : remote) {
+    aTransaction.mWrites.push_back(MakeHostRow(aJob, host, std::move(tasks)));
+  }
 }
 
 /** Whether the rows of a job's hosted tasks keep the limits of the store if a
