Test that a return writes the rows of all hosts

Change: holder_ends_after_a_return_moved_task_has_its_host_row: a task moves to a third cell, the write of that takes long, a return of another task overtakes it, and the holder ends. The row of the third cell has to be there.

--- a/src/dispatch/tests/hosting_tests.cpp
+++ b/src/dispatch/tests/hosting_tests.cpp
@@ -67,6 +67,37 @@
     Do([&] { mWorkers.End(mTask, cell::EndKind::Stopped); });
   }
 
+  auto FindRow(std::string_view aTable, const std::string& aKey)
+    -> const StoreRow*
+  {
+    for (const auto& [key, it] : mStore.mRows) {
+      if (it.mTable == aTable && it.mKey == aKey) {
+        return &it;
+      }
+    }
+    return nullptr;
+  }
+
+  /** The command by which the host cell returns its task. */
+  auto MakeReturn() -> JobCommand
+  {
+    JobCommand out;
+    out.mKind = JobCommandKind::ReturnTasks;
+    out.mCell = "a/0";
+    out.mJobId = kId;
+    out.mJob.mHostedTasks = { { 0, 0, 1 } };
+    out.mTimeoutMs = 3000;
+    out.mSource.mCell = "b/0";
+    Do([&] {
+      const auto& row = *FindRow(kJobTable, "b/0/" + std::string(kId));
+      out.mSource.mJobVersion = row.mVersion;
+      const auto* fence =
+        mStore.Find(std::string(kFenceTable), row.mPartition, "b/0");
+      out.mSource.mFenceVersion = fence->mVersion;
+    });
+    return out;
+  }
+
   auto IsRunningOn(const std::string& aWorker) -> bool
   {
     return mWorkers.mRunning.contains(mTask) &&
@@ -234,6 +265,46 @@
   Do([&] { BOOST_TEST(mWorkers.mOverlaps == 0U); });
 }
 
+// Guards against a task that never runs again: a return stored that the task is
+// hosted elsewhere, but not the row from which that host learns of it.
+BOOST_AUTO_TEST_CASE(holder_ends_after_a_return_moved_task_has_its_host_row)
+{
+  // The other task moves to "c/0", and the write of that move takes long.
+  Do([&] {
+    mHostCells = { "c/0" };
+    auto record = MakeRecord("w1");
+    record.mState = cell::WorkerState::Draining;
+    mOwner->UpdateWorker(record);
+  });
+  BOOST_REQUIRE(Until([&] { return !mWorkers.mStops.empty(); }));
+  Do(
+    [&] { mWorkers.End(std::string(kId) + ".0.0.0", cell::EndKind::Stopped); });
+  BOOST_REQUIRE(Until([&] {
+    const auto& job = *mOwner->State().mJobs.at(kId);
+    const auto& task = job.mOccurrences.at(0)->mSteps[0].mTasks[0];
+    if (task.mPhase != cell::TaskPhase::Remote) {
+      return false;
+    }
+    mStore.mDelays = { Milliseconds(800) };
+    return true;
+  }));
+  BOOST_REQUIRE(Until([&] { return mStore.mDelays.empty(); }));
+
+  const auto reply = Wait(mOwner->Execute(MakeReturn()));
+  Do([&] { mOwner->End(); });
+  Wait(net::Sleep(Milliseconds(1000)), true);
+
+  BOOST_REQUIRE((reply.mOutcome == JobOutcome::Done));
+  Do([&] {
+    const auto* row = FindRow(kJobTable, "c/0/" + std::string(kId));
+    BOOST_TEST(row != nullptr);
+    if (row) {
+      const auto hosted = net::Decode<cell::StoredJob>(row->mValue);
+      BOOST_TEST(hosted->mHostedTasks.size() == 1U);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(return_whose_write_has_no_reply_task_runs_in_one_cell)
 {
   for (const auto fault : { FakeFault::LoseReply, FakeFault::LoseCall }) {
