Put the log events of the store into a header of their own

A share in eighths is a percentage now (87 in place of 87.5), and the limit of member rows starts without a figure of its own. No other behaviour changes.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrasspost/batch/batchlogevents.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
+#include "eelgrasspost/dispatch/storelogevents.h"
 #include "eelgrasspost/idempotency/idempotencylogevents.h"
 #include "eelgrasspost/net/netlogevents.h"
 #include "eelgrasspost/ownership/ownershiplogevents.h"
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -381,7 +382,7 @@
   std::map<std::string, MemberRow> mMembers;
   bool mIsWritingMembers = false;
   /** Rows in the next write; fewer after the store has rejected one. */
-  std::size_t mMemberRowLimit = 100;
+  std::size_t mMemberRowLimit = std::numeric_limits<std::size_t>::max();
   /** Workers whose rows the store rejects, until when they are not sent again.
    */
   std::map<std::string, MonotonicTime> mRejectedMembers;
--- a/src/dispatch/internal/holdermembers.cpp
+++ b/src/dispatch/internal/holdermembers.cpp
@@ -2,7 +2,7 @@
 
 #include "cellholder.h"
 #include "eelgrasspost/base/text.h"
-#include "eelgrasspost/dispatch/dispatchlogevents.h"
+#include "eelgrasspost/dispatch/storelogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
--- a/src/dispatch/internal/holderprogress.cpp
+++ b/src/dispatch/internal/holderprogress.cpp
@@ -2,7 +2,7 @@
 
 #include "cellholder.h"
 #include "eelgrasspost/base/text.h"
-#include "eelgrasspost/dispatch/dispatchlogevents.h"
+#include "eelgrasspost/dispatch/storelogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
@@ -16,8 +16,8 @@
 
 /** Ranges of done pieces that a progress row lists, of 16 bytes each. */
 constexpr std::size_t kMaxDoneRanges = 500;
-/** Part of a row that the tasks of one piece may take, in eighths. */
-constexpr std::size_t kTaskEighths = 7;
+/** Share of a row that the tasks of one piece may take. */
+constexpr std::int64_t kTaskPercent = 87;
 /** Rows of pieces that are removed in one transaction. */
 constexpr std::uint32_t kRemovalsPerTransaction = 90;
 /** Jobs whose pieces are read at one time. */
@@ -76,9 +76,8 @@
                                   std::vector<cell::TaskProgress>& aTasks)
   -> void
 {
-  const auto maxBytes =
-    static_cast<std::size_t>(mContext.mSettings.mStoreRowBytes) / 8 *
-    kTaskEighths;
+  const auto maxBytes = static_cast<std::size_t>(
+    mContext.mSettings.mStoreRowBytes * kTaskPercent / 100);
   const auto n = cell::LimitCheckpoints(aTasks, maxBytes);
   if (n > 0) {
     mContext.mMetrics.FindCounter("checkpoints_not_stored_total").Add(n);
--- a/src/dispatch/internal/storeaccess.cpp
+++ b/src/dispatch/internal/storeaccess.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include "eelgrasspost/base/text.h"
-#include "eelgrasspost/dispatch/dispatchlogevents.h"
+#include "eelgrasspost/dispatch/storelogevents.h"
 #include "eelgrasspost/net/iopool.h"
 
 namespace eelgrasspost::dispatch {
