Tell of ignored heartbeats, cells that change hands and counted jobs

Change: events 983 to 986 and the counters heartbeats_dropped_total, entry_rows_ignored_total, cell_changes_total and cells_unstable_total. No decision changes.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrasspost/batch/batchlogevents.h"
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
+#include "eelgrasspost/dispatch/peerlogevents.h"
 #include "eelgrasspost/dispatch/storelogevents.h"
 #include "eelgrasspost/idempotency/idempotencylogevents.h"
 #include "eelgrasspost/net/netlogevents.h"
@@ -92,6 +93,10 @@
   dispatch::kProgressUnreadable,
   dispatch::kWorkerRowIgnored,
   dispatch::kMemberRejected,
+  dispatch::kHeartbeatDropped,
+  dispatch::kCellChangedHands,
+  dispatch::kCellUnstable,
+  dispatch::kPendingCounted,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/dispatch/internal/claiming.cpp
+++ b/src/dispatch/internal/claiming.cpp
@@ -137,6 +137,21 @@
                     : std::max(aKnownUntil, aNow + kConfirmationTimeout);
 }
 
+auto NoteChange(CellChanges& aChanges, MonotonicTime aNow) -> bool
+{
+  auto& times = aChanges.mTimes;
+  std::erase_if(
+    times, [&](MonotonicTime aTime) { return aTime + kUnstableWindow < aNow; });
+  times.push_back(aNow);
+  const auto wasTold = aChanges.mToldAt != MonotonicTime{} &&
+                       aChanges.mToldAt + kUnstableWindow > aNow;
+  if (times.size() <= kMaxStableChanges || wasTold) {
+    return false;
+  }
+  aChanges.mToldAt = aNow;
+  return true;
+}
+
 auto EarlierClaimsEndAt(const std::vector<EarlierClaim>& aClaims,
                         const FindClaimEnd& aFindEnd) -> base::BootTime
 {
--- a/src/dispatch/internal/claiming.h
+++ b/src/dispatch/internal/claiming.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -62,6 +63,21 @@
                             base::BootTime aKnownUntil,
                             base::BootTime aNow) -> base::BootTime;
 
+/** The times at which a cell changed hands lately. */
+struct CellChanges
+{
+  std::deque<MonotonicTime> mTimes;
+  MonotonicTime mToldAt{};
+};
+
+inline constexpr auto kUnstableWindow = Milliseconds(10000);
+/** A restart of the holder and one of its successor cause two changes. */
+inline constexpr std::size_t kMaxStableChanges = 4;
+
+/** Returns whether an operator should be told of the changes: there are many,
+ * and none was told for a while. */
+auto NoteChange(CellChanges& aChanges, MonotonicTime aNow) -> bool;
+
 /** A claim of a cell before its latest one. */
 struct EarlierClaim
 {
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -53,7 +53,7 @@
   , mLog(mSettings.mName)
   , mMessages(aPool.Size(), mSettings.mPeers.mIp)
   , mMessageServer(aPool)
-  , mPeers(aPool, mSettings.mName, mSettings.mDomain)
+  , mPeers(aPool, mSettings.mName, mSettings.mDomain, mMetrics, mLog)
   , mStore(mPlatform.mStore, mMessages, mPeers, mMetrics, mLog)
   , mConfigurationWatch(aPool,
                         mStore,
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -39,6 +39,7 @@
     base::BootTime mReadAt{};
     base::BootTime mEarlierHoldersActUntil{};
     std::vector<EarlierClaim> mEarlierClaims;
+    CellChanges mChanges;
   };
   /** The end of a claim, as its holder states it. */
   struct ClaimEnd
@@ -52,6 +53,9 @@
   auto WatchWorkers() -> net::Task<void>;
   auto OnControlRow(const StoreRow& aRow) -> void;
   auto OnCellRow(const CellRow& aRow, std::uint64_t aVersion) -> void;
+  auto LogCellChange(KnownCell& aKnown,
+                     const CellRow& aNext,
+                     bool aIsHolderGone) -> void;
   auto OnWorkerRow(const StoreRow& aRow) -> void;
   auto OnDrainNotices(const Heartbeat& aHeartbeat) -> void;
   auto GetWorkerListState() const -> cell::WorkerListState;
@@ -133,7 +137,7 @@
                          std::int64_t aReservedCpuMillis,
                          std::int64_t aBestEffortCpuMillis) const -> void;
   auto HandleHeartbeat(const Heartbeat& aHeartbeat) -> void;
-  auto CountPending(const std::string& aQueue) const -> std::uint64_t;
+  auto CountPending(const std::string& aQueue) -> std::uint64_t;
   auto MakeHeartbeat() -> Heartbeat;
   auto IsReady() const -> bool;
   auto HandleSignals() -> net::Task<void>;
--- a/src/dispatch/internal/entryclaims.cpp
+++ b/src/dispatch/internal/entryclaims.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "eelgrasspost/dispatch/peerlogevents.h"
 #include "holdertimes.h"
 
 namespace eelgrasspost::dispatch {
@@ -41,6 +42,34 @@
   }
 }
 
+auto DispatchEntry::LogCellChange(KnownCell& aKnown,
+                                  const CellRow& aNext,
+                                  bool aIsHolderGone) -> void
+{
+  if (aKnown.mVersion == 0) {
+    return;
+  }
+  mMetrics.FindCounter("cell_changes_total").Add();
+  mLog.Record(
+    kCellChangedHands,
+    { { "cell", aNext.mName },
+      { "term", static_cast<std::int64_t>(aNext.mTerm) },
+      { "former", aKnown.mRow.mHolder },
+      { "former_incarnation",
+        static_cast<std::int64_t>(aKnown.mRow.mHolderIncarnation) },
+      { "former_ended", static_cast<std::int64_t>(aIsHolderGone ? 1 : 0) },
+      { "holder", aNext.mHolder },
+      { "incarnation", static_cast<std::int64_t>(aNext.mHolderIncarnation) } });
+  if (NoteChange(aKnown.mChanges, base::MonotonicClock::now())) {
+    mMetrics.FindCounter("cells_unstable_total").Add();
+    mLog.Record(
+      kCellUnstable,
+      { { "cell", aNext.mName },
+        { "changes", static_cast<std::int64_t>(aKnown.mChanges.mTimes.size()) },
+        { "within_ms", kUnstableWindow.count() } });
+  }
+}
+
 auto DispatchEntry::FindEndOfClaim(const EarlierClaim& aClaim) const
   -> std::optional<base::BootTime>
 {
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 
 #include "cellchoice.h"
+#include "eelgrasspost/base/text.h"
 #include "eelgrasspost/cell/load.h"
+#include "eelgrasspost/dispatch/peerlogevents.h"
 #include "eelgrasspost/net/codec.h"
 
 namespace eelgrasspost::dispatch {
@@ -248,19 +250,37 @@
   return out;
 }
 
-auto DispatchEntry::CountPending(const std::string& aQueue) const
-  -> std::uint64_t
+auto DispatchEntry::CountPending(const std::string& aQueue) -> std::uint64_t
 {
   std::uint64_t out = 0;
   std::set<std::string> own;
+  std::string cells;
   for (const auto& [name, it] : mHolders) {
     // The jobs of a cell that is being taken over are not all loaded yet.
     if (it->Phase() == HolderPhase::Active) {
-      out += cell::CountPending(it->State(), aQueue);
+      const auto count = cell::CountPending(it->State(), aQueue);
+      out += count;
       own.insert(name);
+      cells += base::Cat(cells.empty() ? "" : " ", name, "=", count);
     }
   }
-  return out + dispatch::CountPending(mPendingCounts, own, HashOf(aQueue));
+  const auto queue = HashOf(aQueue);
+  const auto now = base::MonotonicClock::now();
+  for (const auto& [name, it] : mPendingCounts) {
+    const auto count = it.mCounts.find(queue);
+    if (!own.contains(name) && count != it.mCounts.end()) {
+      const auto age =
+        std::chrono::duration_cast<Milliseconds>(now - it.mReportedAt).count();
+      cells +=
+        base::Cat(cells.empty() ? "" : " ", name, "=", count->second, "@", age);
+    }
+  }
+  out += dispatch::CountPending(mPendingCounts, own, queue);
+  mLog.Record(kPendingCounted,
+              { { "queue", aQueue },
+                { "pending", static_cast<std::int64_t>(out) },
+                { "cells", cells } });
+  return out;
 }
 
 auto DispatchEntry::MakeHeartbeat() -> Heartbeat
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -93,6 +93,7 @@
   const auto until = EarlierHoldersActUntil(
     aRow, isHolderGone, known.mEarlierHoldersActUntil, now);
   NoteEarlierClaim(known, aRow, now);
+  LogCellChange(known, aRow, isHolderGone);
   known.mRow = aRow;
   known.mPreviousVersion = known.mVersion;
   known.mVersion = aVersion;
--- a/src/dispatch/internal/peers.cpp
+++ b/src/dispatch/internal/peers.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "eelgrasspost/dispatch/peerlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
 
@@ -14,6 +15,8 @@
 constexpr auto kUnresponsivePeerTimeout = Milliseconds(10000);
 /** Every eighth heartbeat is an infrequent one. */
 constexpr std::uint64_t kInfrequentInterval = 8;
+/** Of the ignored heartbeats of a peer, one in this number is logged. */
+constexpr std::uint64_t kLoggedDropInterval = 32;
 
 auto NoteIncarnation(Peer& aPeer, std::uint64_t aIncarnation) -> void
 {
@@ -36,8 +39,18 @@
          (isInfrequent && aTarget.mHoldsCells);
 }
 
-Peers::Peers(net::IoPool& aPool, std::string aName, std::string aDomain)
+Peers::Peers(net::IoPool& aPool,
+             std::string aName,
+             std::string aDomain,
+             base::Metrics& aMetrics,
+             base::EventLog& aLog)
   : mSocket(aPool)
+  , mLog(aLog)
+  , mUndecodable(
+      aMetrics.FindCounter("heartbeats_dropped_total{reason=\"undecodable\"}"))
+  , mEarlier(aMetrics.FindCounter(
+      "heartbeats_dropped_total{reason=\"earlier_incarnation\"}"))
+  , mEarlierRows(aMetrics.FindCounter("entry_rows_ignored_total"))
   , mName(std::move(aName))
   , mDomain(std::move(aDomain))
   , mTimer(aPool.Executor(0))
@@ -55,13 +68,20 @@
 auto Peers::Receive(std::string_view aBytes) -> void
 {
   auto heartbeat = net::Decode<Heartbeat>(aBytes);
-  if (!heartbeat.ok() || heartbeat->mName == mName) {
+  if (!heartbeat.ok()) {
+    mUndecodable.Add();
+    return;
+  }
+  if (heartbeat->mName == mName) {
     return;
   }
   auto& peer = mPeers[heartbeat->mName];
   if (heartbeat->mIncarnation < peer.mLastHeartbeat.mIncarnation) {
+    mEarlier.Add();
+    Drop(peer, *heartbeat);
     return;
   }
+  peer.mDropped = 0;
   NoteIncarnation(peer, heartbeat->mIncarnation);
   peer.mRow = { heartbeat->mName,
                 heartbeat->mIncarnation,
@@ -75,6 +95,21 @@
   peer.mLastHeartbeat.mEstimates.clear();
 }
 
+auto Peers::Drop(Peer& aPeer, const Heartbeat& aHeartbeat) -> void
+{
+  ++aPeer.mDropped;
+  // The first one, then one in about ten seconds.
+  if (aPeer.mDropped % kLoggedDropInterval == 1) {
+    mLog.Record(
+      kHeartbeatDropped,
+      { { "peer", aHeartbeat.mName },
+        { "incarnation", static_cast<std::int64_t>(aHeartbeat.mIncarnation) },
+        { "known_incarnation",
+          static_cast<std::int64_t>(aPeer.mRow.mIncarnation) },
+        { "dropped", static_cast<std::int64_t>(aPeer.mDropped) } });
+  }
+}
+
 auto Peers::Update(const EntryRow& aRow) -> void
 {
   if (aRow.mName == mName) {
@@ -85,6 +120,8 @@
     NoteIncarnation(peer, aRow.mIncarnation);
     peer.mRow = aRow;
     peer.mRowReadAt = base::MonotonicClock::now();
+  } else {
+    mEarlierRows.Add();
   }
 }
 
--- a/src/dispatch/internal/peers.h
+++ b/src/dispatch/internal/peers.h
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "eelgrasspost/base/bootclock.h"
+#include "eelgrasspost/base/eventlog.h"
+#include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "eelgrasspost/net/datagram.h"
 
@@ -23,6 +25,8 @@
   MonotonicTime mRowReadAt{};
   /** When its current incarnation was first known. */
   base::BootTime mIncarnationSeenAt{};
+  /** Heartbeats that were ignored since the last one that was not. */
+  std::uint64_t mDropped = 0;
 };
 
 /** An entry is considered dead after four missed heartbeats. */
@@ -56,7 +60,11 @@
   using MakeHeartbeat = std::function<Heartbeat()>;
   using OnHeartbeat = std::function<void(const Heartbeat&)>;
 
-  Peers(net::IoPool& aPool, std::string aName, std::string aDomain);
+  Peers(net::IoPool& aPool,
+        std::string aName,
+        std::string aDomain,
+        base::Metrics& aMetrics,
+        base::EventLog& aLog);
 
   /** Returns the address on which heartbeats are received. */
   auto Bind(const net::Address& aAddress, OnHeartbeat aOnHeartbeat)
@@ -74,11 +82,16 @@
 
 private:
   auto Receive(std::string_view aBytes) -> void;
+  auto Drop(Peer& aPeer, const Heartbeat& aHeartbeat) -> void;
   /** Returns the number of recipients. */
   auto Send(const Heartbeat& aHeartbeat, std::uint64_t aNumber) -> std::size_t;
 
   net::DatagramSocket mSocket;
   OnHeartbeat mOnHeartbeat;
+  base::EventLog& mLog;
+  base::Counter& mUndecodable;
+  base::Counter& mEarlier;
+  base::Counter& mEarlierRows;
   std::string mName;
   std::string mDomain;
   std::map<std::string, Peer> mPeers;
--- a/src/dispatch/internal/pendingcounts.cpp
+++ b/src/dispatch/internal/pendingcounts.cpp
@@ -2,7 +2,9 @@
 
 namespace eelgrasspost::dispatch {
 
-auto RecordPending(PendingCounts& aCounts, const Heartbeat& aHeartbeat) -> void
+auto RecordPending(PendingCounts& aCounts,
+                   const Heartbeat& aHeartbeat,
+                   MonotonicTime aNow) -> void
 {
   for (std::size_t i = 0; i < aHeartbeat.mCells.size(); ++i) {
     const auto& status = aHeartbeat.mCells[i];
@@ -12,6 +14,7 @@
       continue;
     }
     known.mToken = status.mToken;
+    known.mReportedAt = aNow;
     known.mCounts.clear();
     for (const auto& it : aHeartbeat.mPending) {
       if (it.mCell == i) {
--- a/src/dispatch/internal/pendingcounts.h
+++ b/src/dispatch/internal/pendingcounts.h
@@ -14,6 +14,7 @@
 {
   /** Version of the cell's row by which that holder had claimed the cell. */
   std::uint64_t mToken = 0;
+  MonotonicTime mReportedAt{};
   /** Number of waiting jobs by the hash of their queue. */
   std::map<std::uint64_t, std::uint32_t> mCounts;
 };
@@ -24,7 +25,9 @@
 
 /** Records the counts of a heartbeat. A holder that takes its cell over does
  * not know all jobs yet; the counts of the previous one stay. */
-auto RecordPending(PendingCounts& aCounts, const Heartbeat& aHeartbeat) -> void;
+auto RecordPending(PendingCounts& aCounts,
+                   const Heartbeat& aHeartbeat,
+                   MonotonicTime aNow = base::MonotonicClock::now()) -> void;
 
 /** The jobs of a queue that wait in other cells than the given ones. */
 auto CountPending(const PendingCounts& aCounts,
--- a/src/dispatch/tests/storeaccess_tests.cpp
+++ b/src/dispatch/tests/storeaccess_tests.cpp
@@ -78,7 +78,7 @@
   base::EventLog mLog{ "entry" };
   net::MessageServer mServer{ mPool };
   net::MessageClient mMessages{ 1, "127.0.0.1" };
-  Peers mPeers{ mPool, "entry", "a" };
+  Peers mPeers{ mPool, "entry", "a", mMetrics, mLog };
   net::DatagramSocket mPeerSocket{ mPool };
   StoreAccess mAccess{ mStore, mMessages, mPeers, mMetrics, mLog };
   std::atomic<int> mRelayed{ 0 };
@@ -124,7 +124,7 @@
   base::Metrics mMetrics;
   base::EventLog mLog{ "entry" };
   net::MessageClient mMessages{ 1, "127.0.0.1" };
-  Peers mPeers{ mPool, "entry", "a" };
+  Peers mPeers{ mPool, "entry", "a", mMetrics, mLog };
   StoreAccess mAccess{ mStore, mMessages, mPeers, mMetrics, mLog };
 
   ~SilentFeedFixture() { StopPool(); }
@@ -138,7 +138,7 @@
   base::EventLog mLog{ "cut-off" };
   net::MessageServer mServer{ mPool };
   net::MessageClient mMessages{ 1, "127.0.0.1" };
-  Peers mPeers{ mPool, "cut-off", "a" };
+  Peers mPeers{ mPool, "cut-off", "a", mMetrics, mLog };
   net::DatagramSocket mPeerSocket{ mPool };
   StoreAccess mAccess{ mUnreachableStore, mMessages, mPeers, mMetrics, mLog };
 
