Register incarnations of entries in the store instead of taking the clock

Cause: the incarnation was the wall clock at the start. Peers ignored the heartbeats and the row of a process with a lower one than its predecessor; its claims looked like those of a process that has ended, and were claimed at once and claimed back. A holder that is replaced every 50 ms is never active when it sends a heartbeat, so the counts of others stay those of one long gone.

Change: a conditional write of the entry's row registers an incarnation above that of the row before; until then an entry claims nothing and its heartbeats name 0. PeerIdentity decides from which process a heartbeat or a row is, and compares registered incarnations only. A cell whose row names a process that has not been heard counts as held for 1.2 s after the row was read. A row that another writer changes is written again.

Why it works: of two processes of one name the store has accepted the later one's number after the former's, whatever the clocks say.

--- a/src/dispatch/include/eelgrasspost/dispatch/peerlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/peerlogevents.h
@@ -36,4 +36,27 @@
   "the report in ms",
 };
 
+inline constexpr auto kEntryRegistered = base::LogEvent{
+  987,
+  base::LogLevel::Info,
+  "the entry has registered its incarnation in the store and may claim cells",
+  "none; former_incarnation is that of the row before; if clock_ms is lower, "
+  "the clock of the VM was set back or the former one was ahead",
+};
+
+inline constexpr auto kPeerFollowed = base::LogEvent{
+  988,
+  base::LogLevel::Info,
+  "another process of an entry is heard from now on",
+  "none; incarnation 0 means that it has not registered yet",
+};
+
+inline constexpr auto kEntryRowReplaced = base::LogEvent{
+  989,
+  base::LogLevel::Warn,
+  "another writer has changed or removed the row of this entry; it is written "
+  "again",
+  "find out which program writes it, or whether two processes use this name",
+};
+
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/claiming.cpp
+++ b/src/dispatch/internal/claiming.cpp
@@ -29,10 +29,15 @@
   if (aCell.mHolder.empty()) {
     return false;
   }
-  if (const auto* live = FindLive(aView, aCell.mHolder)) {
+  const auto* live = FindLive(aView, aCell.mHolder);
+  if (live && live->mIncarnation >= aCell.mHolderIncarnation) {
     return live->mIncarnation == aCell.mHolderIncarnation;
   }
-  return aView.mSinceStart < kClaimDelay;
+  // The row names a process that has not been heard; its heartbeats may be
+  // under way.
+  const auto read = aView.mSinceRead.find(aCell.mName);
+  return aView.mSinceStart < kClaimDelay ||
+         (read != aView.mSinceRead.end() && read->second < kClaimDelay);
 }
 
 /** Whether this entry's holder of a cell has ended, though the cell is still
@@ -66,8 +71,8 @@
                       aCandidate.mName);
   };
   for (const auto& it : aView.mLive) {
-    const auto fits =
-      !it.mIsLeaving && (!aInDomain || it.mDomain == aCell.mDomain);
+    const auto fits = !it.mIsLeaving && it.mIncarnation > 0 &&
+                      (!aInDomain || it.mDomain == aCell.mDomain);
     if (fits && (!best || rank(it) < rank(*best))) {
       best = &it;
     }
--- a/src/dispatch/internal/claiming.h
+++ b/src/dispatch/internal/claiming.h
@@ -16,6 +16,7 @@
 struct ClaimCandidate
 {
   std::string mName;
+  /** 0 until it is registered; it holds and claims nothing before. */
   std::uint64_t mIncarnation = 0;
   std::string mDomain;
   bool mIsLeaving = false;
@@ -33,6 +34,8 @@
   /** Live entries including this one. */
   std::vector<ClaimCandidate> mLive;
   std::vector<CellRow> mCells;
+  /** Time since the rows of the cells were read. */
+  std::map<std::string, Milliseconds> mSinceRead;
   /** Time since this entry started, and time since the last heartbeat from each
    * other domain. */
   Milliseconds mSinceStart{ 0 };
--- a/src/dispatch/internal/controlkeys.h
+++ b/src/dispatch/internal/controlkeys.h
@@ -10,6 +10,7 @@
 // Keys of the control table.
 
 inline constexpr std::string_view kCellPrefix = "cell/";
+inline constexpr std::string_view kEntryPrefix = "entry/";
 inline constexpr std::string_view kTransferPrefix = "lent/";
 
 inline auto CellKey(std::string_view aCell) -> std::string
@@ -17,6 +18,11 @@
   return base::Cat(kCellPrefix, aCell);
 }
 
+inline auto EntryKey(std::string_view aEntry) -> std::string
+{
+  return base::Cat(kEntryPrefix, aEntry);
+}
+
 inline auto TransferKey(std::string_view aWorker) -> std::string
 {
   return base::Cat(kTransferPrefix, aWorker);
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -47,7 +47,6 @@
   : mPool(aPool)
   , mSettings(std::move(aSettings))
   , mPlatform(aPlatform)
-  , mIncarnation(static_cast<std::uint64_t>(base::WallClockMs()))
   , mPartitions(PartitionCount(mSettings))
   , mStartedAt(base::MonotonicClock::now())
   , mLog(mSettings.mName)
@@ -151,7 +150,7 @@
   net::SpawnTask(executor, WatchConfiguration());
   net::SpawnTask(executor, WatchControl());
   net::SpawnTask(executor, WatchWorkers());
-  net::SpawnTask(executor, WriteEntryRow());
+  net::SpawnTask(executor, RegisterEntry());
   net::SpawnTask(executor, mPeers.Run([this] {
     auto out = MakeHeartbeat();
     // The counts stay known if another entry takes a cell over.
@@ -162,7 +161,6 @@
   net::SpawnTask(executor, FlushLog());
   mLog.Record(kEntryStarted,
               { { "domain", mSettings.mDomain },
-                { "incarnation", static_cast<std::int64_t>(mIncarnation) },
                 { "http", net::ToString(mSettings.mHttp) },
                 { "peers", net::ToString(mSettings.mPeers) },
                 { "store", net::ToString(mSettings.mStore) },
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -41,6 +41,15 @@
     std::vector<EarlierClaim> mEarlierClaims;
     CellChanges mChanges;
   };
+  struct RegisteredRow
+  {
+    /** Whether there is a row that can be decoded. */
+    bool mIsReadable = false;
+    /** Without such a row, the highest one that a cell names. */
+    std::uint64_t mIncarnation = 0;
+    /** 0 if there is no row. */
+    std::uint64_t mVersion = 0;
+  };
   /** The end of a claim, as its holder states it. */
   struct ClaimEnd
   {
@@ -52,6 +61,7 @@
   auto WatchControl() -> net::Task<void>;
   auto WatchWorkers() -> net::Task<void>;
   auto OnControlRow(const StoreRow& aRow) -> void;
+  auto OnEntryRow(const StoreRow& aRow) -> void;
   auto OnCellRow(const CellRow& aRow, std::uint64_t aVersion) -> void;
   auto LogCellChange(KnownCell& aKnown,
                      const CellRow& aNext,
@@ -59,7 +69,16 @@
   auto OnWorkerRow(const StoreRow& aRow) -> void;
   auto OnDrainNotices(const Heartbeat& aHeartbeat) -> void;
   auto GetWorkerListState() const -> cell::WorkerListState;
-  auto WriteEntryRow() -> net::Task<void>;
+  /** Registers this process under a higher incarnation than all before it. */
+  auto RegisterEntry() -> net::Task<void>;
+  /** Returns the entry's row in the store, or nothing if it cannot be read. */
+  auto ReadEntryRow() -> net::Task<std::optional<RegisteredRow>>;
+  /** Returns the highest incarnation of this entry that a cell names. */
+  auto ReadHeldIncarnation() -> net::Task<std::optional<std::uint64_t>>;
+  auto WriteEntryRow(std::uint64_t aIncarnation, std::uint64_t aVersion)
+    -> net::Task<StoreReply>;
+  /** Writes the row again if another writer has changed or removed it. */
+  auto KeepEntryRow() -> net::Task<void>;
 
   auto FollowsEvacuations() const -> bool;
   auto OnEvacuationRequested(const std::string& aDomain, std::uint64_t aVersion)
@@ -147,7 +166,8 @@
   net::IoPool& mPool;
   DispatchSettings mSettings;
   PlatformInterfaces mPlatform;
-  std::uint64_t mIncarnation;
+  /** 0 until it is registered. */
+  std::uint64_t mIncarnation = 0;
   std::uint32_t mPartitions;
   MonotonicTime mStartedAt;
   base::BootTime mBootStartedAt = base::BootNow();
@@ -210,6 +230,8 @@
   std::set<std::string> mCellsInAdoption;
   std::set<std::string> mLayoutsInCreation;
   bool mIsLeaving = false;
+  std::uint64_t mEntryRowVersion = 0;
+  bool mIsKeepingEntryRow = false;
 };
 
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/entrycells.cpp
+++ b/src/dispatch/internal/entrycells.cpp
@@ -28,7 +28,7 @@
     return aRow.mHolderIncarnation != mIncarnation;
   }
   const auto* peer = mPeers.Find(aRow.mHolder);
-  return peer && peer->mRow.mIncarnation > aRow.mHolderIncarnation;
+  return peer && HasEnded(peer->mIdentity, aRow.mHolderIncarnation);
 }
 
 auto DispatchEntry::MakeClaimView(MonotonicTime aNow) const -> ClaimView
@@ -53,7 +53,7 @@
     }
     if (mPeers.IsAlive(it, aNow)) {
       out.mLive.push_back({ name,
-                            it.mRow.mIncarnation,
+                            PresentIncarnation(it.mIdentity),
                             it.mRow.mDomain,
                             it.mLastHeartbeat.mIsLeaving,
                             it.mLastHeartbeat.mCells.size(),
@@ -64,8 +64,11 @@
       out.mAwaitsLargerEntry = true;
     }
   }
+  const auto bootNow = base::BootNow();
   for (const auto& [name, it] : mCells) {
     out.mCells.push_back(it.mRow);
+    out.mSinceRead[name] =
+      std::chrono::duration_cast<Milliseconds>(bootNow - it.mReadAt);
   }
   out.mUnheldClaimDelay = MaxLocalDuration(LeaseTime(mSettings)) + kLeaseMargin;
   for (const auto& [name, since] : mUnheldSince) {
@@ -113,7 +116,8 @@
     const auto view = MakeClaimView(now);
     // A holder must not start anything before it knows what is evacuated.
     const auto mayClaim =
-      !mIsLeaving && (!FollowsEvacuations() || mConfigurationWatch.IsLoaded());
+      !mIsLeaving && mIncarnation > 0 &&
+      (!FollowsEvacuations() || mConfigurationWatch.IsLoaded());
     const auto claims =
       mayClaim ? CellsToClaim(view) : std::vector<std::string>();
     const auto mustCreateLayout =
--- a/src/dispatch/internal/entryclaims.cpp
+++ b/src/dispatch/internal/entryclaims.cpp
@@ -85,11 +85,9 @@
       aClaim.mHolderIncarnation != mIncarnation) {
     return mBootStartedAt;
   }
-  // A later incarnation shows that the process of the claim has ended.
   const auto* peer = mPeers.Find(aClaim.mHolder);
-  if (peer && peer->mRow.mIncarnation > aClaim.mHolderIncarnation) {
-    // The clock from which incarnations are taken may have jumped.
-    return std::max(peer->mIncarnationSeenAt, aClaim.mReadAt);
+  if (peer && HasEnded(peer->mIdentity, aClaim.mHolderIncarnation)) {
+    return std::max(peer->mIdentity.mSeenAt, aClaim.mReadAt);
   }
   return std::nullopt;
 }
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -60,10 +60,8 @@
 
 auto DispatchEntry::OnControlRow(const StoreRow& aRow) -> void
 {
-  if (aRow.mKey.starts_with("entry/")) {
-    if (auto row = net::Decode<EntryRow>(aRow.mValue); row.ok()) {
-      mPeers.Update(*row);
-    }
+  if (aRow.mKey.starts_with(kEntryPrefix)) {
+    OnEntryRow(aRow);
   } else if (aRow.mKey.starts_with("layout/")) {
     if (auto row = net::Decode<LayoutRow>(aRow.mValue); row.ok()) {
       mLayouts[row->mDomain] = *row;
@@ -128,9 +126,10 @@
   co_await mControlWatch.Run(
     [this](const StoreRow& aRow) { OnControlRow(aRow); },
     [this](const std::string& aKey, std::uint64_t) {
-      constexpr std::string_view kPrefix = "entry/";
-      if (aKey.starts_with(kPrefix)) {
-        mPeers.Remove(aKey.substr(kPrefix.size()));
+      if (aKey == EntryKey(mSettings.mName)) {
+        net::SpawnTask(mPool.Executor(0), KeepEntryRow());
+      } else if (aKey.starts_with(kEntryPrefix)) {
+        mPeers.Remove(aKey.substr(kEntryPrefix.size()));
       }
     },
     onAnswer);
@@ -242,27 +241,6 @@
                             [] {});
 }
 
-auto DispatchEntry::WriteEntryRow() -> net::Task<void>
-{
-  const auto row = EntryRow{ mSettings.mName,
-                             mIncarnation,
-                             mSettings.mDomain,
-                             mSettings.mPeers,
-                             mSettings.mCpuShare };
-  while (true) {
-    StoreTransaction transaction;
-    transaction.mWrites.push_back(
-      { { std::string(kControlTable), "entry/" + mSettings.mName },
-        net::Encode(row) });
-    const auto reply = co_await mStore.Commit(
-      std::move(transaction), base::MonotonicClock::now() + kStoreTimeout);
-    if (reply.mOutcome == StoreOutcome::Done) {
-      co_return;
-    }
-    co_await net::Sleep(kRetryInterval);
-  }
-}
-
 /** Reads all transfers of workers. */
 auto DispatchEntry::ReadTransfers() -> net::Task<bool>
 {
--- a/src/dispatch/internal/peers.cpp
+++ b/src/dispatch/internal/peers.cpp
@@ -18,13 +18,6 @@
 /** Of the ignored heartbeats of a peer, one in this number is logged. */
 constexpr std::uint64_t kLoggedDropInterval = 32;
 
-auto NoteIncarnation(Peer& aPeer, std::uint64_t aIncarnation) -> void
-{
-  if (aPeer.mRow.mIncarnation != aIncarnation) {
-    aPeer.mIncarnationSeenAt = base::BootNow();
-  }
-}
-
 } // namespace
 
 auto MustSendHeartbeat(const HeartbeatTarget& aTarget,
@@ -50,6 +43,8 @@
       aMetrics.FindCounter("heartbeats_dropped_total{reason=\"undecodable\"}"))
   , mEarlier(aMetrics.FindCounter(
       "heartbeats_dropped_total{reason=\"earlier_incarnation\"}"))
+  , mUnproved(
+      aMetrics.FindCounter("heartbeats_dropped_total{reason=\"unproved\"}"))
   , mEarlierRows(aMetrics.FindCounter("entry_rows_ignored_total"))
   , mName(std::move(aName))
   , mDomain(std::move(aDomain))
@@ -76,13 +71,15 @@
     return;
   }
   auto& peer = mPeers[heartbeat->mName];
-  if (heartbeat->mIncarnation < peer.mLastHeartbeat.mIncarnation) {
-    mEarlier.Add();
-    Drop(peer, *heartbeat);
+  const auto isSilent = !IsAlive(peer, base::MonotonicClock::now());
+  const auto source = NoteHeartbeat(
+    peer.mIdentity, heartbeat->mIncarnation, isSilent, base::BootNow());
+  if (source == HeartbeatSource::Earlier ||
+      source == HeartbeatSource::Unproved) {
+    Drop(peer, *heartbeat, source);
     return;
   }
   peer.mDropped = 0;
-  NoteIncarnation(peer, heartbeat->mIncarnation);
   peer.mRow = { heartbeat->mName,
                 heartbeat->mIncarnation,
                 heartbeat->mDomain,
@@ -90,13 +87,24 @@
                 heartbeat->mCpuShare };
   peer.mLastHeartbeat = *std::move(heartbeat);
   peer.mLastHeartbeatAt = base::MonotonicClock::now();
+  if (source == HeartbeatSource::Later) {
+    mLog.Record(
+      kPeerFollowed,
+      { { "peer", peer.mRow.mName },
+        { "incarnation", static_cast<std::int64_t>(peer.mIdentity.mHeard) },
+        { "latest_incarnation",
+          static_cast<std::int64_t>(peer.mIdentity.mLatest) } });
+  }
   mOnHeartbeat(peer.mLastHeartbeat);
   // The cells have stored the estimates.
   peer.mLastHeartbeat.mEstimates.clear();
 }
 
-auto Peers::Drop(Peer& aPeer, const Heartbeat& aHeartbeat) -> void
+auto Peers::Drop(Peer& aPeer,
+                 const Heartbeat& aHeartbeat,
+                 HeartbeatSource aSource) -> void
 {
+  (aSource == HeartbeatSource::Earlier ? mEarlier : mUnproved).Add();
   ++aPeer.mDropped;
   // The first one, then one in about ten seconds.
   if (aPeer.mDropped % kLoggedDropInterval == 1) {
@@ -105,7 +113,7 @@
       { { "peer", aHeartbeat.mName },
         { "incarnation", static_cast<std::int64_t>(aHeartbeat.mIncarnation) },
         { "known_incarnation",
-          static_cast<std::int64_t>(aPeer.mRow.mIncarnation) },
+          static_cast<std::int64_t>(aPeer.mIdentity.mLatest) },
         { "dropped", static_cast<std::int64_t>(aPeer.mDropped) } });
   }
 }
@@ -116,8 +124,7 @@
     return;
   }
   auto& peer = mPeers[aRow.mName];
-  if (aRow.mIncarnation >= peer.mRow.mIncarnation) {
-    NoteIncarnation(peer, aRow.mIncarnation);
+  if (NoteRow(peer.mIdentity, aRow.mIncarnation, base::BootNow())) {
     peer.mRow = aRow;
     peer.mRowReadAt = base::MonotonicClock::now();
   } else {
--- a/src/dispatch/internal/peers.h
+++ b/src/dispatch/internal/peers.h
@@ -12,19 +12,19 @@
 #include "eelgrasspost/base/metrics.h"
 #include "eelgrasspost/dispatch/dispatchtypes.h"
 #include "eelgrasspost/net/datagram.h"
+#include "peeridentity.h"
 
 namespace eelgrasspost::dispatch {
 
 /** Another entry, as known from its row and its heartbeats. */
 struct Peer
 {
+  PeerIdentity mIdentity;
   EntryRow mRow;
   Heartbeat mLastHeartbeat;
   /** Time of the last heartbeat; the epoch if there was none. */
   MonotonicTime mLastHeartbeatAt{};
   MonotonicTime mRowReadAt{};
-  /** When its current incarnation was first known. */
-  base::BootTime mIncarnationSeenAt{};
   /** Heartbeats that were ignored since the last one that was not. */
   std::uint64_t mDropped = 0;
 };
@@ -82,7 +82,8 @@
 
 private:
   auto Receive(std::string_view aBytes) -> void;
-  auto Drop(Peer& aPeer, const Heartbeat& aHeartbeat) -> void;
+  auto Drop(Peer& aPeer, const Heartbeat& aHeartbeat, HeartbeatSource aSource)
+    -> void;
   /** Returns the number of recipients. */
   auto Send(const Heartbeat& aHeartbeat, std::uint64_t aNumber) -> std::size_t;
 
@@ -91,6 +92,7 @@
   base::EventLog& mLog;
   base::Counter& mUndecodable;
   base::Counter& mEarlier;
+  base::Counter& mUnproved;
   base::Counter& mEarlierRows;
   std::string mName;
   std::string mDomain;
