Use workers whose ids are too long for the keys of their rows

Callers saw: accepted jobs of a service never start if the ids of its sound workers have 192 bytes or more (LOST).

Cause: the row of a member has the key CELL/ID, the row of a transfer lent/ID, and the store takes keys of 200 bytes at most, though ids may have as many.

Change: WorkerKey puts a digest in place of an id that is too long; the value names the worker, as before. workers_beside_one_with_a_long_id_are_used asserted that such a worker gets no orders, which was the fault; the case goes on with a row that the store rejects for another reason, with the same checks.

Tests: workers_with_long_ids (dispatch_storelimits), of which all three cases fail without the digest.

--- a/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/iplatform.h
@@ -37,6 +37,9 @@
   }
 };
 
+/** Longest key of a row, in bytes. */
+inline constexpr std::size_t kMaxKeyBytes = 200;
+
 /** Identifies a row within the partition of a transaction. */
 struct RowKey
 {
--- a/src/dispatch/internal/cellholder.h
+++ b/src/dispatch/internal/cellholder.h
@@ -339,6 +339,7 @@
   auto PartitionOf(std::string_view aId) const -> std::uint32_t;
   auto FenceOf(std::uint32_t aPartition) const -> RowExpectation;
   auto JobKey(std::string_view aId) const -> std::string;
+  auto MemberKey(std::string_view aWorker) const -> std::string;
 
   /** A worker's clock, as of its last reply. */
   struct WorkerClock
--- a/src/dispatch/internal/controlkeys.h
+++ b/src/dispatch/internal/controlkeys.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "eelgrasspost/base/text.h"
+#include "workerkeys.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -25,7 +26,7 @@
 
 inline auto TransferKey(std::string_view aWorker) -> std::string
 {
-  return base::Cat(kTransferPrefix, aWorker);
+  return WorkerKey(kTransferPrefix, aWorker);
 }
 
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/holdermembers.cpp
+++ b/src/dispatch/internal/holdermembers.cpp
@@ -7,6 +7,7 @@
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
 #include "storeaccess.h"
+#include "workerkeys.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -22,6 +23,11 @@
 
 } // namespace
 
+auto CellHolder::MemberKey(std::string_view aWorker) const -> std::string
+{
+  return WorkerKey(mRow.mName + "/", aWorker);
+}
+
 auto CellHolder::IsMember(const std::string& aWorker) const -> bool
 {
   const auto it = mMembers.find(aWorker);
@@ -76,7 +82,7 @@
   }
   for (auto& [id, it] : mMembers) {
     if (it.mIsUncertain) {
-      const auto found = versions.find(JobKey(id));
+      const auto found = versions.find(MemberKey(id));
       it.mVersion = found == versions.end() ? 0 : found->second;
     }
   }
@@ -103,7 +109,7 @@
   for (const auto& [id, it] : mState.mWorkers) {
     if (!IsMember(id) && !mRejectedMembers.contains(id) &&
         written.size() < maxRows) {
-      const auto key = RowKey{ std::string(kMemberTable), JobKey(id) };
+      const auto key = RowKey{ std::string(kMemberTable), MemberKey(id) };
       auto& row = mMembers[id];
       row.mIsUncertain = true;
       addsRows = addsRows || row.mVersion == 0;
@@ -115,7 +121,7 @@
   for (auto& [id, it] : mMembers) {
     if (!mState.mWorkers.contains(id) &&
         written.size() + removed.size() < maxRows) {
-      const auto key = RowKey{ std::string(kMemberTable), JobKey(id) };
+      const auto key = RowKey{ std::string(kMemberTable), MemberKey(id) };
       it.mIsUncertain = true;
       removed.push_back(id);
       transaction.mExpected.push_back({ key, it.mVersion });
