Continue reads of rows after keys of the greatest length

Callers would see: no task starts in a failure domain (LOST) once the list of workers has more rows than a page and the last one of a page has a key of 200 bytes.

Cause: the next page was read from the last key with a byte added, which is longer than a key may be. A store that checks it rejects the call, and the table is never read.

Change: ContinueAfter begins the next page with that row again where the key is of the greatest length. All five loops use it. The fake store rejects bounds that are too long.

Test: watch_of_several_pages_of_the_longest_keys_reads_all (dispatch) fails without it.

--- a/src/dispatch/internal/entryregistration.cpp
+++ b/src/dispatch/internal/entryregistration.cpp
@@ -5,6 +5,7 @@
 #include "eelgrasspost/dispatch/peerlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "holdertimes.h"
+#include "rangepages.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -84,10 +85,7 @@
         out = std::max(out, cell->mHolderIncarnation);
       }
     }
-    hasMore = reply.mHasMore && !reply.mRows.empty();
-    if (hasMore) {
-      query.mFrom = reply.mRows.back().mKey + '\x01';
-    }
+    hasMore = ContinueAfter(query, reply);
   }
   co_return out;
 }
--- a/src/dispatch/internal/entrywatches.cpp
+++ b/src/dispatch/internal/entrywatches.cpp
@@ -4,6 +4,7 @@
 #include "eelgrasspost/dispatch/dispatchlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "holdertimes.h"
+#include "rangepages.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -258,10 +259,7 @@
     for (const auto& it : reply.mRows) {
       OnControlRow(it);
     }
-    hasMore = reply.mHasMore && !reply.mRows.empty();
-    if (hasMore) {
-      query.mFrom = reply.mRows.back().mKey + '\x01';
-    }
+    hasMore = ContinueAfter(query, reply);
   }
   co_return true;
 }
--- a/src/dispatch/internal/holderprogress.cpp
+++ b/src/dispatch/internal/holderprogress.cpp
@@ -7,6 +7,7 @@
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
 #include "progressrow.h"
+#include "rangepages.h"
 #include "storeaccess.h"
 #include "whenall.h"
 
@@ -349,10 +350,7 @@
       aJob.mRows.mPieces.insert(*number);
       aPieces[*number] = *std::move(piece);
     }
-    hasMore = reply.mHasMore && !reply.mRows.empty();
-    if (hasMore) {
-      query.mFrom = reply.mRows.back().mKey + '\x01';
-    }
+    hasMore = ContinueAfter(query, reply);
   }
   co_return true;
 }
--- a/src/dispatch/internal/holdertakeover.cpp
+++ b/src/dispatch/internal/holdertakeover.cpp
@@ -11,6 +11,7 @@
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
 #include "holdertimes.h"
+#include "rangepages.h"
 #include "storeaccess.h"
 #include "whenall.h"
 
@@ -132,11 +133,12 @@
     if (reply.mOutcome != StoreOutcome::Done) {
       co_return std::nullopt;
     }
-    hasMore = reply.mHasMore && !reply.mRows.empty();
-    if (hasMore) {
-      query.mFrom = reply.mRows.back().mKey + '\x01';
-    }
-    std::move(reply.mRows.begin(), reply.mRows.end(), std::back_inserter(out));
+    hasMore = ContinueAfter(query, reply);
+    const auto repeats = !out.empty() && !reply.mRows.empty() &&
+                         reply.mRows.front().mKey == out.back().mKey;
+    std::move(reply.mRows.begin() + (repeats ? 1 : 0),
+              reply.mRows.end(),
+              std::back_inserter(out));
   }
   co_return out;
 }
--- a/src/dispatch/internal/tablewatch.cpp
+++ b/src/dispatch/internal/tablewatch.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "eelgrasspost/net/iopool.h"
+#include "rangepages.h"
 #include "storeaccess.h"
 
 namespace eelgrasspost::dispatch {
@@ -74,10 +75,7 @@
       seen.insert(it.mKey);
       Apply(it, reply.mVersion);
     }
-    hasMore = reply.mHasMore && !reply.mRows.empty();
-    if (hasMore) {
-      query.mFrom = reply.mRows.back().mKey + '\x01';
-    }
+    hasMore = ContinueAfter(query, reply);
   }
   // A row of the first page may have changed since.
   mConfirmedAt = sentAt;
--- a/src/dispatch/tests/fakestore.h
+++ b/src/dispatch/tests/fakestore.h
@@ -147,6 +147,11 @@
     if (mIsUnavailable) {
       co_return out;
     }
+    if (aQuery.mFrom.size() > kMaxKeyBytes ||
+        aQuery.mBefore.size() > kMaxKeyBytes) {
+      out.mOutcome = StoreOutcome::Rejected;
+      co_return out;
+    }
     out.mOutcome = StoreOutcome::Done;
     out.mVersion = mVersion;
     std::size_t bytes = 0;
--- a/src/dispatch/tests/tablewatch_tests.cpp
+++ b/src/dispatch/tests/tablewatch_tests.cpp
@@ -110,6 +110,28 @@
   BOOST_TEST(Until([&] { return mKeys == std::set<std::string>{ "b", "c" }; }));
 }
 
+// Guards against a list of workers that is never read, as the key after the
+// last row of a page is longer than the store takes.
+BOOST_AUTO_TEST_CASE(watch_of_several_pages_of_the_longest_keys_reads_all)
+{
+  constexpr std::size_t kRows = 1100;
+  StoreTransaction transaction;
+  std::set<std::string> keys;
+  for (std::size_t i = 0; i < kRows; ++i) {
+    auto key = std::to_string(kRows + i);
+    key.resize(FakeStore::kMaxKeyBytes, 'x');
+    transaction.mWrites.push_back({ { "members", key }, "" });
+    keys.insert(std::move(key));
+  }
+  Until([&] {
+    mStore.Apply(transaction);
+    return true;
+  });
+  Run();
+  BOOST_TEST(Until([&] { return mWatch.IsLoaded(); }));
+  BOOST_TEST(Until([&] { return mKeys == keys; }));
+}
+
 // Guards against a claim that counts as confirmed by a page that does not
 // contain its row.
 BOOST_AUTO_TEST_CASE(watch_of_several_pages_is_confirmed_as_of_the_first)
