Keep the runs of a worker when another one answers an order for it

Callers would see: a long-running task runs twice (TWICE) after the list of workers names a wrong address for its worker, at which another worker listens.

Cause: ApplyStart and ApplyStop took each 421 as proof that the worker has left its address. It proves who answered, not that the worker was ever there. PollWorker made that check. The time in a 421, on another worker's clock, went into the worker's clock.

Change: SendOrder withdraws an order that gets 421 from an address at which the worker has not replied, and the worker is polled before its next order. The time in a 421 is ignored.

Test: wrongly_listed_worker (dispatch_reports).

--- a/src/dispatch/internal/holderorders.cpp
+++ b/src/dispatch/internal/holderorders.cpp
@@ -110,7 +110,7 @@
     UpdateClock(aOrder.mWorker, 0, now);
     cell::NoteLateStart(*found->second, call.mDeadline);
   }
-  const auto reply = co_await mContext.mWorkers.Send(call, aOrder, leaseEnd);
+  auto reply = co_await mContext.mWorkers.Send(call, aOrder, leaseEnd);
   if (aOrder.mKind == cell::OrderKind::Start &&
       reply.mOutcome == cell::OrderOutcome::Unknown) {
     if (const auto it = mState.mWorkers.find(aOrder.mWorker);
@@ -130,6 +130,17 @@
     }
     co_return;
   }
+  if (reply.mOutcome == cell::OrderOutcome::OtherIncarnation) {
+    // The clock is that of the worker that replied.
+    reply.mClockMs = 0;
+    const auto it = mState.mWorkers.find(aOrder.mWorker);
+    if (it != mState.mWorkers.end() &&
+        it->second->mRepliedFrom != call.mAddress) {
+      // The worker has never replied there; its runs may go on elsewhere.
+      reply.mOutcome = cell::OrderOutcome::Restarted;
+      it->second->mIsKnown = false;
+    }
+  }
   const auto isWithoutReply =
     reply.mOutcome == cell::OrderOutcome::Unknown ||
     reply.mOutcome == cell::OrderOutcome::Restarted ||
--- a/src/dispatch/tests/fakeworkers.h
+++ b/src/dispatch/tests/fakeworkers.h
@@ -111,6 +111,12 @@
       co_await net::Sleep(Milliseconds(100));
       co_return OrderReply{ cell::OrderOutcome::Unknown };
     }
+    if (!IsAtAddress(aCall)) {
+      // Another worker replies, with the time on its own clock.
+      constexpr std::int64_t kOtherClockMs = 3'600'000;
+      co_return OrderReply{ cell::OrderOutcome::OtherIncarnation,
+                            kOtherClockMs };
+    }
     if (!IsForIncarnation(aCall)) {
       co_return OrderReply{ cell::OrderOutcome::Restarted };
     }
@@ -121,6 +127,12 @@
     co_return Execute(aCall, aOrder);
   }
 
+  auto IsAtAddress(const WorkerCall& aCall) const -> bool
+  {
+    const auto it = mPorts.find(aCall.mWorker);
+    return it == mPorts.end() || it->second == aCall.mAddress.mPort;
+  }
+
   /** Executes the held orders, which were not answered. */
   auto ExecuteHeldOrders() -> void
   {
@@ -206,8 +218,7 @@
       // The connection has ended with the former incarnation.
       co_return out;
     }
-    if (mPorts.contains(aCall.mWorker) &&
-        mPorts.at(aCall.mWorker) != aCall.mAddress.mPort) {
+    if (!IsAtAddress(aCall)) {
       out.mOutcome = cell::OrderOutcome::OtherIncarnation;
       co_return out;
     }
--- a/src/dispatch/tests/reports_tests.cpp
+++ b/src/dispatch/tests/reports_tests.cpp
@@ -92,6 +92,86 @@
   Do([&] { holder->End(); });
 }
 
+/** A long-running task on w1, of which the list names a wrong address, at which
+ * another worker replies. */
+struct WronglyListedWorker : HolderFixture
+{
+  const std::string mRunning = "0000000000000001";
+  std::shared_ptr<CellHolder> mHolder;
+
+  WronglyListedWorker()
+  {
+    mWorkers.mHasRealClock = true;
+    mWorkers.mWaitsForEnds = true;
+    mWorkers.mPorts = { { "w1", 1 }, { "w2", 2 } };
+    mWorkers.mDraining = { "w2" };
+    mHolder = MakeHolder(1, "a/0", { "w1", "w2" });
+    BOOST_REQUIRE(Until([&] { return CountRows(kMemberTable) == 2; }));
+    auto submission = MakeSubmission(mRunning);
+    submission.mJob.mSpec.mSteps[0].mIsLongRunning = true;
+    Wait(mHolder->Execute(submission));
+    BOOST_REQUIRE(Until([&] { return mWorkers.mStarts.size() == 1; }));
+    // The holder has heard that it runs.
+    Wait(net::Sleep(Milliseconds(1000)), true);
+    Do([&] {
+      auto record = MakeRecord("w1");
+      record.mAddress.mPort = 9;
+      mHolder->UpdateWorker(record);
+    });
+  }
+
+  ~WronglyListedWorker()
+  {
+    Do([&] { mHolder->End(); });
+    StopPool();
+  }
+
+  auto AdmitOtherWorker() -> void
+  {
+    Do([&] {
+      mWorkers.mDraining.clear();
+      mHolder->UpdateWorker(MakeRecord("w2"));
+    });
+    Wait(net::Sleep(2 * kSettlingTime), true);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(wrongly_listed_worker, WronglyListedWorker)
+
+// Guards against TWICE: the runs of a worker counted as lost, as another one
+// replied to a start at the address that the list had wrong.
+BOOST_AUTO_TEST_CASE(start_answered_by_another_worker_runs_of_the_worker_stay)
+{
+  Wait(mHolder->Execute(MakeSubmission("0000000000000002")));
+  Wait(net::Sleep(kSettlingTime), true);
+  AdmitOtherWorker();
+
+  BOOST_TEST(mWorkers.mOverlaps == 0U);
+  Do([&] {
+    BOOST_TEST(
+      mHolder->State().mWorkers.at("w1")->mRuns.contains(mRunning + ".0.0.0"));
+  });
+  // The other job is not lost with the start.
+  BOOST_TEST(Until([&] { return mWorkers.mStarts.size() == 2; }));
+}
+
+// The same for a stop.
+BOOST_AUTO_TEST_CASE(stop_answered_by_another_worker_is_sent_again)
+{
+  JobCommand cancel;
+  cancel.mKind = JobCommandKind::Cancel;
+  cancel.mCell = "a/0";
+  cancel.mJobId = mRunning;
+  cancel.mTimeoutMs = 3000;
+  Wait(mHolder->Execute(cancel));
+  Wait(net::Sleep(kSettlingTime), true);
+  BOOST_TEST(mWorkers.mStops.empty());
+  Do([&] { mHolder->UpdateWorker(MakeRecord("w1")); });
+  BOOST_TEST(Until([&] { return !mWorkers.mStops.empty(); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against a second run of a task whose worker has moved to another
 // address since its member's row was written.
 BOOST_FIXTURE_TEST_SUITE(moved_worker, HolderFixture)
