Give each attempt of a task a number above those it had in other cells

Cause: a job that moves to another cell keeps the numbers of its failed attempts, by which a failure that is listed twice counts once. Both cells number attempts by the term of their holder and a counter, so the second failure had the number of the first and wasn't counted.

Ruled out: numbers made of the claim's version, which no two claims share: a job that moves to a cell with an older claim would get lower numbers, which workers refuse.

Change: NextAttempt is above all attempts of the task that the cell knows of.

Tests: two cases in cell (takeover_tests), which both fail without it.

--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -61,7 +61,7 @@
 auto HasUntrackedRun(const CellState& aCell, const Task& aTask) -> bool;
 
 /** The next attempt number of the holder. */
-auto NextAttempt(CellState& aCell) -> std::uint64_t;
+auto NextAttempt(CellState& aCell, const Task& aTask) -> std::uint64_t;
 auto MakeStartOrder(const Task& aTask,
                     const Worker& aWorker,
                     std::uint64_t aAttempt) -> Order;
--- a/src/cell/internal/duplicates.cpp
+++ b/src/cell/internal/duplicates.cpp
@@ -141,7 +141,7 @@
                     MonotonicTime aNow) -> Order
 {
   auto& task = *aSlow.mTask;
-  const auto attempt = NextAttempt(aCell);
+  const auto attempt = NextAttempt(aCell, task);
   task.mDuplicateAttempt = attempt;
   ++aCell.mStarts;
   ++aCell.mDuplicateStarts;
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -7,9 +7,15 @@
 
 namespace eelgrasspost::cell {
 
-auto NextAttempt(CellState& aCell) -> std::uint64_t
+auto NextAttempt(CellState& aCell, const Task& aTask) -> std::uint64_t
 {
-  return aCell.mAttemptBase + aCell.mNextAttempt++;
+  auto out = aCell.mAttemptBase + aCell.mNextAttempt++;
+  // Another cell may have used the numbers of this one for the same task.
+  out = std::max({ out, aTask.mAttempt + 1, aTask.mDuplicateAttempt + 1 });
+  for (const auto it : aTask.mFailedAttempts) {
+    out = std::max(out, it + 1);
+  }
+  return out;
 }
 
 auto MakeStartOrder(const Task& aTask,
@@ -96,7 +102,10 @@
     return;
   }
   const auto& spec = SpecOf(aTask);
-  const auto attempt = NextAttempt(aCell);
+  std::uint64_t attempt = 0;
+  for (const auto& it : tasks) {
+    attempt = std::max(attempt, NextAttempt(aCell, it));
+  }
   std::vector<Order> orders;
   for (auto& it : tasks) {
     it.mCheckpoint = tasks.front().mCheckpoint;
@@ -206,7 +215,7 @@
 {
   const auto& spec = SpecOf(aTask);
   if (auto* worker = FindWorker(aCell, aTask, spec, aTolerance, aNow)) {
-    return PlaceTask(aCell, aTask, *worker, NextAttempt(aCell), aNow);
+    return PlaceTask(aCell, aTask, *worker, NextAttempt(aCell, aTask), aNow);
   }
   const auto isolated = static_cast<std::size_t>(std::count_if(
     aCell.mWorkers.begin(), aCell.mWorkers.end(), [&](const auto& aItem) {
@@ -286,7 +295,7 @@
         DisplaceReservations(aCell, *worker, NeedOf(*it), aNow);
       }
       aOrders.push_back(
-        PlaceTask(aCell, *it, *worker, NextAttempt(aCell), aNow));
+        PlaceTask(aCell, *it, *worker, NextAttempt(aCell, *it), aNow));
       continue;
     }
     NoteHeldBack(aCell, *it);
--- a/src/cell/tests/takeover_tests.cpp
+++ b/src/cell/tests/takeover_tests.cpp
@@ -40,6 +40,50 @@
     job.mOccurrences.at(0)->mSteps[0].mTasks[0].mFailedAttempts.size() == 2U);
 }
 
+// Guards against BUDGET: a task started after maxAttempts failures, as it had
+// failed in another cell under the number that this cell gave its next attempt.
+BOOST_AUTO_TEST_CASE(task_that_failed_in_another_cell_fails_under_a_new_attempt)
+{
+  AddWorker("w1");
+  const auto next = mCell.mAttemptBase + mCell.mNextAttempt;
+  JobProgress progress;
+  progress.mTasks.push_back({ 0, 0, 0, false, { next }, "" });
+  auto moved = MakeJob("j", MakeStep(1));
+  moved.mQueue.mMaxAttempts = 2;
+  auto& job = Add(moved, progress);
+
+  const auto orders = Start();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].mAttempt > next);
+  Report(
+    "w1", {}, { { 1, "j.0.0.0", orders[0].mAttempt, EndKind::Failed, "" } });
+
+  BOOST_TEST((job.mState == JobState::Failed));
+  BOOST_TEST(Start().empty());
+}
+
+// Guards against a start that the worker refuses, as its number is not above
+// that of a run that ended there.
+BOOST_AUTO_TEST_CASE(task_that_starts_again_has_a_higher_attempt)
+{
+  AddWorker("w1");
+  const auto later = mCell.mAttemptBase + 1000;
+  JobProgress progress;
+  progress.mTasks.push_back({ 0, 0, 0, false, { later }, "" });
+  Add(MakeJob("j", MakeStep(1)), progress);
+
+  const auto first = Start();
+  BOOST_REQUIRE(first.size() == 1U);
+  Report(
+    "w1", {}, { { 1, "j.0.0.0", first[0].mAttempt, EndKind::Stopped, "" } });
+  Advance(Milliseconds(1000));
+  const auto second = Start();
+
+  BOOST_REQUIRE(second.size() == 1U);
+  BOOST_TEST(first[0].mAttempt > later);
+  BOOST_TEST(second[0].mAttempt > first[0].mAttempt);
+}
+
 BOOST_AUTO_TEST_CASE(inheritedtask_end_of_earlier_attempt_still_waits)
 {
   mCell.mUnreconciledWorkers = { "w1", "w2" };
