Count a job as started once a worker has executed a start

Cause: PlaceTask set mHasStarted and the state before the worker had answered; WithdrawStart and the undoing of a gang left both set.

Change: mHasStarted follows from an accepted start, a listed run or an end. A start without an answer shows the job as running and leaves it pending. The class: something is taken for proved that was only asked for.

--- a/src/cell/include/eelgrasspost/cell/jobtypes.h
+++ b/src/cell/include/eelgrasspost/cell/jobtypes.h
@@ -121,7 +121,7 @@
   std::set<std::uint64_t> mChangedPieces;
   /** It is migrating to another cell; none of its tasks is started. */
   bool mIsMigrating = false;
-  /** At least one of its tasks has been started. */
+  /** A worker has executed a start of at least one of its tasks. */
   bool mHasStarted = false;
   /** Crashes were counted that are not stored yet. */
   bool mHasUnstoredCrashes = false;
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -25,6 +25,11 @@
 auto HasProgress(const Task& aTask) -> bool;
 auto ProgressOf(const Task& aTask) -> TaskProgress;
 
+/** Records that a worker has executed a start of one of a job's tasks. */
+auto NoteStarted(Job& aJob) -> void;
+/** Records that one may have been executed; the job stays pending. */
+auto NoteMayHaveStarted(Job& aJob) -> void;
+
 /** Queues a task for placement. */
 auto MakeReady(CellState& aCell, Task& aTask, MonotonicTime aNow) -> void;
 
--- a/src/cell/internal/ends.cpp
+++ b/src/cell/internal/ends.cpp
@@ -166,7 +166,7 @@
   if (IsFinal(task->mJob->mState)) {
     return;
   }
-  task->mJob->mHasStarted = true;
+  NoteStarted(*task->mJob);
   task->mMayHaveRun = true;
   const auto isCurrent = task->mPhase == TaskPhase::Placed &&
                          task->mWorker == &aWorker &&
@@ -217,7 +217,7 @@
   if (isOver) {
     return true;
   }
-  aJob.mHasStarted = true;
+  NoteStarted(aJob);
   task->mMayHaveRun = true;
   if (aEnd.mIsDone) {
     ApplyDone(aCell, *task, aNow);
--- a/src/cell/internal/jobs.cpp
+++ b/src/cell/internal/jobs.cpp
@@ -318,6 +318,19 @@
   return out;
 }
 
+auto NoteStarted(Job& aJob) -> void
+{
+  aJob.mHasStarted = true;
+  NoteMayHaveStarted(aJob);
+}
+
+auto NoteMayHaveStarted(Job& aJob) -> void
+{
+  if (aJob.mState == JobState::Queued) {
+    aJob.mState = JobState::Running;
+  }
+}
+
 auto HasRun(const Job& aJob) -> bool
 {
   for (const auto& [number, occurrence] : aJob.mOccurrences) {
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -60,6 +60,9 @@
       return;
     case OrderOutcome::Unknown:
       aWorker.mSuspectUntil = aNow + kSuspectTime;
+      if (aRun.mTask) {
+        NoteMayHaveStarted(*aRun.mTask->mJob);
+      }
       if (aRun.mPhase == RunPhase::Starting) {
         // Once a stop is answered, the worker refuses the start even if that
         // arrives later.
@@ -208,6 +211,13 @@
                   MonotonicTime aNow,
                   std::string_view aDetail) -> void
 {
+  const auto isExecutedStart =
+    aOrder.mKind == OrderKind::Start && aOutcome == OrderOutcome::Done;
+  if (isExecutedStart) {
+    if (auto* task = FindTask(aCell, aOrder.mTask)) {
+      NoteStarted(*task->mJob);
+    }
+  }
   Worker* worker = nullptr;
   auto* run = FindRun(aCell, aOrder, worker);
   if (!worker) {
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -45,10 +45,6 @@
   aTask.mAttempt = aAttempt;
   aTask.mMayHaveRun = true;
   auto& job = *aTask.mJob;
-  job.mHasStarted = true;
-  if (job.mState == JobState::Queued) {
-    job.mState = JobState::Running;
-  }
   ++aCell.mStarts;
   NoteStart(aCell, aWorker, aTask, aNow);
   auto order = MakeStartOrder(aTask, aWorker, aAttempt);
--- a/src/cell/internal/reports.cpp
+++ b/src/cell/internal/reports.cpp
@@ -37,6 +37,9 @@
     aRun.mPercentMovedAt = aNow;
   }
   aRun.mLoad = aRow.mLoad;
+  if (aRun.mTask) {
+    NoteStarted(*aRun.mTask->mJob);
+  }
   if (!aRow.mCheckpoint.empty()) {
     aRun.mCheckpoint = aRow.mCheckpoint;
     if (aRun.mTask && !aRun.mIsDuplicate) {
@@ -91,7 +94,7 @@
                         SpecOf(*task).mAllowsDuplicates &&
                         !aCell.mUnreconciledWorkers.empty();
   task->mMayHaveRun = true;
-  task->mJob->mHasStarted = true;
+  NoteStarted(*task->mJob);
   auto run = MakeRun(aCell, *task, aRow.mAttempt, aNow);
   run.mStartedAt = {};
   run.mPhase = RunPhase::Running;
