Keep the number of partitions in the store

Cause: the number of partitions by which a job's rows are found followed from two settings of each process, so entries disagreed on where a job is. Ruled out: lost rows; they are in the store, in other partitions.

Change: the number is a row of the control table, written under the condition that there is none. It is read before the entry claims cells, answers for a job or is ready. Without a readable row the partitions with fences are counted. The class: a place is compared before both sides have proved what names it.

--- a/src/app/internal/logcatalog.cpp
+++ b/src/app/internal/logcatalog.cpp
@@ -100,6 +100,7 @@
   dispatch::kEntryRegistered,
   dispatch::kPeerFollowed,
   dispatch::kEntryRowReplaced,
+  dispatch::kPartitionsAgreed,
   idempotency::kRecordFailed,
   idempotency::kMalformedRecord,
   idempotency::kSweepFailed,
--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -281,6 +281,19 @@
   }
 };
 
+/** Control table row that holds the number of partitions over which the rows of
+ * jobs are spread. It does not change once jobs are stored. */
+struct PartitionsRow
+{
+  std::uint32_t mCount = 0;
+
+  template<class Archive>
+  auto serialize(Archive& archive) -> void
+  {
+    archive(mCount);
+  }
+};
+
 /** Row that makes a job's id unique and keeps its last stored state. */
 struct JobIdRow
 {
--- a/src/dispatch/include/eelgrasspost/dispatch/peerlogevents.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/peerlogevents.h
@@ -59,4 +59,13 @@
   "find out which program writes it, or whether two processes use this name",
 };
 
+inline constexpr auto kPartitionsAgreed = base::LogEvent{
+  990,
+  base::LogLevel::Info,
+  "the entry has read or written over how many parts of the store jobs are "
+  "spread",
+  "none; if parts differs from configured, the settings have changed since the "
+  "first jobs were stored: the parts stay, the limits on writes follow",
+};
+
 } // namespace eelgrasspost::dispatch
--- a/src/dispatch/internal/callerhandler.cpp
+++ b/src/dispatch/internal/callerhandler.cpp
@@ -59,7 +59,7 @@
 auto CallerHandler::PartitionOf(const std::string& aId) const -> std::string
 {
   return PartitionName(
-    static_cast<std::uint32_t>(HashOf(aId) % mContext.mPartitions));
+    static_cast<std::uint32_t>(HashOf(aId) % mContext.mPartitions()));
 }
 
 auto CallerHandler::WasPrevented(const Location& aLocation) -> bool
@@ -160,6 +160,10 @@
     out.mError = "no queue has this host and path";
     co_return out;
   }
+  const auto isAboutJob = request->mKind != CallerRequestKind::CountPending;
+  if (isAboutJob && mContext.mPartitions() == 0) {
+    co_return MakeNotRunResponse("the store has not been reached yet; retry");
+  }
   const auto startedAt = base::MonotonicClock::now();
   const auto deadline = startedAt + request->mTimeout;
   switch (request->mKind) {
--- a/src/dispatch/internal/callerhandler.h
+++ b/src/dispatch/internal/callerhandler.h
@@ -23,7 +23,8 @@
   ISharedStore& mStore;
   base::Metrics& mMetrics;
   base::EventLog& mLog;
-  std::uint32_t mPartitions = 4;
+  /** Number of partitions of the store; 0 while it is not known. */
+  std::function<std::uint32_t()> mPartitions;
   std::string mDomain;
   /** Returns null before the first configuration. */
   std::function<std::shared_ptr<const Configuration>()> mConfiguration;
--- a/src/dispatch/internal/controlkeys.h
+++ b/src/dispatch/internal/controlkeys.h
@@ -13,6 +13,7 @@
 inline constexpr std::string_view kCellPrefix = "cell/";
 inline constexpr std::string_view kEntryPrefix = "entry/";
 inline constexpr std::string_view kTransferPrefix = "lent/";
+inline constexpr std::string_view kPartitionsKey = "partitions";
 
 inline auto CellKey(std::string_view aCell) -> std::string
 {
--- a/src/dispatch/internal/dispatchentry.cpp
+++ b/src/dispatch/internal/dispatchentry.cpp
@@ -25,13 +25,6 @@
 constexpr auto kLogInterval = Milliseconds(100);
 constexpr auto kConnectionCheckInterval = Milliseconds(50);
 
-auto PartitionCount(const DispatchSettings& aSettings) -> std::uint32_t
-{
-  const auto partitions = aSettings.mStoreWritesPerS /
-                          std::max(1.0, aSettings.mStorePartitionWritesPerS);
-  return std::max(1U, static_cast<std::uint32_t>(partitions));
-}
-
 auto HttpOptions() -> net::HttpServerOptions
 {
   net::HttpServerOptions out;
@@ -47,7 +40,6 @@
   : mPool(aPool)
   , mSettings(std::move(aSettings))
   , mPlatform(aPlatform)
-  , mPartitions(PartitionCount(mSettings))
   , mStartedAt(base::MonotonicClock::now())
   , mLog(mSettings.mName)
   , mMessages(aPool.Size(), mSettings.mPeers.mIp)
@@ -74,7 +66,7 @@
         mStore,
         mMetrics,
         mLog,
-        mPartitions,
+        [this] { return mPartitions; },
         mSettings.mDomain,
         [this] { return mConfiguration; },
         [this] { return ReachableCells(); },
@@ -164,7 +156,6 @@
                 { "http", net::ToString(mSettings.mHttp) },
                 { "peers", net::ToString(mSettings.mPeers) },
                 { "store", net::ToString(mSettings.mStore) },
-                { "parts", static_cast<std::int64_t>(mPartitions) },
                 { "lease_ms", mSettings.mLeaseMs } });
   return absl::OkStatus();
 }
--- a/src/dispatch/internal/dispatchentry.h
+++ b/src/dispatch/internal/dispatchentry.h
@@ -69,6 +69,14 @@
   auto OnWorkerRow(const StoreRow& aRow) -> void;
   auto OnDrainNotices(const Heartbeat& aHeartbeat) -> void;
   auto GetWorkerListState() const -> cell::WorkerListState;
+  /** Sets the number of partitions to that in the store. The first entry of all
+   * writes it. */
+  auto AgreeOnPartitions() -> net::Task<void>;
+  auto TryAgreeOnPartitions(std::uint32_t aConfigured)
+    -> net::Task<StoreOutcome>;
+  /** Returns the partitions that existing cells have used, or nothing if they
+   * cannot be read. */
+  auto CountUsedPartitions() -> net::Task<std::optional<std::uint32_t>>;
   /** Registers this process under a higher incarnation than all before it. */
   auto RegisterEntry() -> net::Task<void>;
   /** Returns the entry's row in the store, or nothing if it cannot be read. */
@@ -168,7 +176,9 @@
   PlatformInterfaces mPlatform;
   /** 0 until it is registered. */
   std::uint64_t mIncarnation = 0;
-  std::uint32_t mPartitions;
+  /** Number of parts of the store that jobs are spread over; 0 until it has
+   * been read. */
+  std::uint32_t mPartitions = 0;
   MonotonicTime mStartedAt;
   base::BootTime mBootStartedAt = base::BootNow();
   base::Metrics mMetrics;
--- a/src/dispatch/internal/entryregistration.cpp
+++ b/src/dispatch/internal/entryregistration.cpp
@@ -11,6 +11,7 @@
 
 auto DispatchEntry::RegisterEntry() -> net::Task<void>
 {
+  co_await AgreeOnPartitions();
   const auto clockMs = static_cast<std::uint64_t>(base::WallClockMs());
   while (mIncarnation == 0) {
     const auto former = co_await ReadEntryRow();
--- a/src/dispatch/internal/entryrouting.cpp
+++ b/src/dispatch/internal/entryrouting.cpp
@@ -333,7 +333,7 @@
 
 auto DispatchEntry::IsReady() const -> bool
 {
-  if (mIsLeaving || !mConfiguration) {
+  if (mIsLeaving || !mConfiguration || mPartitions == 0) {
     return false;
   }
   const auto cells = ReachableCells();
--- a/src/dispatch/tests/cancellationevents_tests.cpp
+++ b/src/dispatch/tests/cancellationevents_tests.cpp
@@ -60,7 +60,7 @@
       mCells.mStore,
       mCells.mMetrics,
       mCells.mLog,
-      2,
+      [] { return 2U; },
       "a",
       [] { return std::make_shared<const Configuration>(); },
       [this] { return StatusOfCells(); },
--- a/src/dispatch/tests/cancellationfixture.h
+++ b/src/dispatch/tests/cancellationfixture.h
@@ -102,7 +102,7 @@
       mStore,
       mMetrics,
       mLog,
-      kPartitions,
+      [] { return kPartitions; },
       "a",
       [] { return std::make_shared<const Configuration>(); },
       [this] { return OfferedCells(); },
--- a/src/dispatch/tests/entryfixture.h
+++ b/src/dispatch/tests/entryfixture.h
@@ -79,6 +79,8 @@
   std::unique_ptr<IDispatchEntry> mEntry;
   std::int64_t mLeaseMs = 6000;
   std::int64_t mEvacuationMs = 0;
+  /** A new store gets a partition for each 100. */
+  double mStoreWritesPerS = 100;
 
   ~EntryFixture() { StopPool(); }
 
@@ -142,8 +144,7 @@
     settings.mCapacityMs = kCapacityMs;
     settings.mLeaseMs = mLeaseMs;
     settings.mEvacuationMs = mEvacuationMs;
-    // One partition.
-    settings.mStoreWritesPerS = 100;
+    settings.mStoreWritesPerS = mStoreWritesPerS;
     settings.mStorePartitionWritesPerS = 100;
     mEntry = MakeDispatchEntry(mPool, settings, { mStore, mWorkers, mFormats });
     BOOST_REQUIRE(mEntry->Start().ok());
--- a/src/dispatch/tests/registration_tests.cpp
+++ b/src/dispatch/tests/registration_tests.cpp
@@ -57,8 +57,8 @@
   /** Faults of the first writes of the entry. */
   auto FailCommitsOfEntry(std::deque<FakeFault> aFaults) -> void
   {
-    // StartEntry writes two rows before.
-    aFaults.insert(aFaults.begin(), 2, FakeFault::None);
+    // StartEntry writes two rows before, and the entry the partitions.
+    aFaults.insert(aFaults.begin(), 3, FakeFault::None);
     mStore.mFaults = std::move(aFaults);
   }
 
