Allow runs the time that a percent of their task takes

Cause: a run whose percent doesn't change for a fixed time counted as one that stands still. Workers list whole percents, which change every 2.4 s here.

Change: the limit is at least three times the expected time of a percent. As estimates may be far too low, it doubles with each restart of a task after two. Tasks of which three percents take less than the former limits are judged as before.

--- a/src/cell/include/eelgrasspost/cell/cellpolicy.h
+++ b/src/cell/include/eelgrasspost/cell/cellpolicy.h
@@ -12,7 +12,7 @@
   /** Longest lease that workers grant, in ms (bound maxHoldMs). */
   std::int64_t mLeaseMs = 6000;
   /** A run whose percentage does not change for this time is restarted on
-   * another worker. */
+   * another worker; longer for tasks of which a percent takes longer. */
   Milliseconds mStallLimit{ 1500 };
   /** The same for best-effort and long-running tasks. */
   Milliseconds mLongStallLimit{ 4000 };
--- a/src/cell/include/eelgrasspost/cell/jobtypes.h
+++ b/src/cell/include/eelgrasspost/cell/jobtypes.h
@@ -51,6 +51,8 @@
   std::uint64_t mDuplicateAttempt = 0;
   /** The worker of its run; null when it is not placed. */
   Worker* mWorker = nullptr;
+  /** Number of its runs that were stopped as they stood still. */
+  std::uint32_t mStalls = 0;
   /** The worker on which its last run failed or stalled. */
   std::string mAvoidedWorker;
   /** The cell that runs a task in phase Remote; empty for hosted jobs. */
--- a/src/cell/internal/orders.cpp
+++ b/src/cell/internal/orders.cpp
@@ -2,6 +2,7 @@
 
 #include "cellinternal.h"
 #include "duplicates.h"
+#include "eelgrasspost/cell/lookahead.h"
 #include "runmoves.h"
 
 namespace eelgrasspost::cell {
@@ -154,6 +155,30 @@
   aOrders.push_back(std::move(order));
 }
 
+/** A run may need this many times as long for a percent as its expected
+ * duration gives. */
+constexpr int kSlowestPace = 3;
+/** Restarts of a task that stood still before its limit grows. */
+constexpr std::uint32_t kStallsAtFirstLimit = 2;
+constexpr std::uint32_t kMaxLimitDoublings = 10;
+
+/** How long a run's percent, a whole number, may stay the same. */
+auto StallLimit(const CellState& aCell, const Run& aRun) -> Milliseconds
+{
+  constexpr int kAllPercent = 100;
+  const auto& task = *aRun.mTask;
+  const auto least = aRun.mIsBestEffort || aRun.mIsLongRunning
+                       ? aCell.mPolicy.mLongStallLimit
+                       : aCell.mPolicy.mStallLimit;
+  const auto limit =
+    std::max(least, ExpectedRunTime(aCell, task) * kSlowestPace / kAllPercent);
+  // The estimate may be far too low, so that each run seems to stand still.
+  const auto doublings = task.mStalls < kStallsAtFirstLimit
+                           ? 0
+                           : task.mStalls - kStallsAtFirstLimit + 1;
+  return limit * (1U << std::min(doublings, kMaxLimitDoublings));
+}
+
 /** Whether a run has made no progress for longer than its limit. */
 auto IsStalled(const CellState& aCell, const Run& aRun, MonotonicTime aNow)
   -> bool
@@ -162,10 +187,7 @@
       (aRun.mIsLongRunning && aRun.mPercent >= 100)) {
     return false;
   }
-  const auto limit = aRun.mIsBestEffort || aRun.mIsLongRunning
-                       ? aCell.mPolicy.mLongStallLimit
-                       : aCell.mPolicy.mStallLimit;
-  return aNow - aRun.mPercentMovedAt > limit;
+  return aNow - aRun.mPercentMovedAt > StallLimit(aCell, aRun);
 }
 
 auto CheckRun(CellState& aCell, Worker& aWorker, Run& aRun, MonotonicTime aNow)
@@ -178,6 +200,7 @@
     aNow - aWorker.mLastContact < aCell.mPolicy.mSilenceLimit;
   if (hasContact && IsStalled(aCell, aRun, aNow)) {
     ++aCell.mStalls;
+    ++aRun.mTask->mStalls;
     aRun.mTask->mAvoidedWorker = aWorker.mRecord.mId;
     aWorker.mProbationUntil = aNow + aCell.mPolicy.mProbation;
     AddEvent(aCell,
