Try a gang that waits for room once in a round

Cause: each ready member of a gang searched workers for all its members, started them and undid that, so that a round took time with the square of their number. The undone starts were logged as starts (event 930) and counted on the workers. Ruled out: the store and other entries, which a count of pending jobs doesn't need.

Change: a gang is tried once in a round and again after 50 us a member; its size is compared with the free room first; room is taken for all members before any of them is placed, and given back with the workers' state if one finds none.

--- a/src/cell/include/eelgrasspost/cell/jobtypes.h
+++ b/src/cell/include/eelgrasspost/cell/jobtypes.h
@@ -100,6 +100,8 @@
   std::vector<Task> mTasks;
   std::uint32_t mDone = 0;
   bool mIsOpen = false;
+  /** If the step is a gang that found no room: when it is tried again. */
+  MonotonicTime mNextTryAt{};
 };
 
 struct Occurrence
--- a/src/cell/internal/cellinternal.h
+++ b/src/cell/internal/cellinternal.h
@@ -126,6 +126,11 @@
 /** Whether not every worker of the service may run the tasks of a step, or not
  * any number of them, so that a cell's free CPU tells little about it. */
 auto RestrictsWorkers(const StepSpec& aStep) -> bool;
+/** The most tasks of a step for which there is unreserved room now. */
+auto CountStartableNow(const CellState& aCell,
+                       const std::string& aService,
+                       const StepSpec& aStep,
+                       MonotonicTime aNow) -> std::int64_t;
 /** Whether a worker of the cell may get runs once it is free and replies. */
 auto MayServe(const CellState& aCell, const Worker& aWorker) -> bool;
 /** Counts a task that found no worker, if an evacuation is in force. */
--- a/src/cell/internal/placing.cpp
+++ b/src/cell/internal/placing.cpp
@@ -82,46 +82,84 @@
   return order;
 }
 
+/** Time between two tries to place a gang, for each member: a try looks at all
+ * workers for each. */
+constexpr auto kGangRetryPerMember = std::chrono::microseconds(50);
+
+/** Room that was taken on a worker, and what the worker's state was before. */
+struct TakenRoom
+{
+  Worker* mWorker = nullptr;
+  MonotonicTime mLastStartAt{};
+  MonotonicTime mIsolatedUntil{};
+};
+
+/** Takes room for all members of a gang, or for none. */
+auto TakeRoomForGang(CellState& aCell,
+                     std::vector<Task>& aTasks,
+                     MonotonicTime aNow) -> std::vector<TakenRoom>
+{
+  std::vector<TakenRoom> out;
+  for (auto& it : aTasks) {
+    auto* worker =
+      FindWorker(aCell, it, SpecOf(it), ToleranceOf(it, aNow), aNow);
+    if (!worker) {
+      break;
+    }
+    out.push_back({ worker, worker->mLastStartAt, worker->mIsolatedUntil });
+    InsertRun(*worker, TaskName(it), MakeRun(aCell, it, 0, aNow));
+    NoteStart(aCell, *worker, it, aNow);
+  }
+  if (out.size() == aTasks.size()) {
+    return out;
+  }
+  while (!out.empty()) {
+    const auto& last = out.back();
+    last.mWorker->mLastStartAt = last.mLastStartAt;
+    last.mWorker->mIsolatedUntil = last.mIsolatedUntil;
+    EraseRun(*last.mWorker, TaskName(aTasks[out.size() - 1]));
+    out.pop_back();
+  }
+  return out;
+}
+
 /** Places all members of a gang, or none. */
 auto PlaceGang(CellState& aCell,
                Task& aTask,
                MonotonicTime aNow,
                std::vector<Order>& aOrders) -> void
 {
-  auto& tasks =
-    aTask.mJob->mOccurrences.at(aTask.mOccurrence)->mSteps[aTask.mStep].mTasks;
+  auto& step =
+    aTask.mJob->mOccurrences.at(aTask.mOccurrence)->mSteps[aTask.mStep];
+  if (aNow < step.mNextTryAt) {
+    return;
+  }
+  // The other members, which follow in this round, are not tried again.
+  step.mNextTryAt =
+    aNow + kGangRetryPerMember * static_cast<std::int64_t>(step.mTasks.size());
+  const auto& spec = SpecOf(aTask);
+  const auto mayFit =
+    spec.mIsLongRunning ||
+    CountStartableNow(aCell, aTask.mJob->mStored.mQueue.mService, spec, aNow) >=
+      static_cast<std::int64_t>(step.mTasks.size());
   const auto areReady =
-    std::all_of(tasks.begin(), tasks.end(), [&](const Task& aMember) {
-      return MayStart(aMember, aNow) && !HasUntrackedRun(aCell, aMember);
-    });
+    mayFit &&
+    std::all_of(
+      step.mTasks.begin(), step.mTasks.end(), [&](const Task& aMember) {
+        return MayStart(aMember, aNow) && !HasUntrackedRun(aCell, aMember);
+      });
   if (!areReady) {
     return;
   }
-  const auto& spec = SpecOf(aTask);
   std::uint64_t attempt = 0;
-  for (const auto& it : tasks) {
+  for (auto& it : step.mTasks) {
+    it.mCheckpoint = step.mTasks.front().mCheckpoint;
     attempt = std::max(attempt, NextAttempt(aCell, it));
   }
-  std::vector<Order> orders;
-  for (auto& it : tasks) {
-    it.mCheckpoint = tasks.front().mCheckpoint;
-    auto* worker = FindWorker(aCell, it, spec, ToleranceOf(it, aNow), aNow);
-    if (!worker) {
-      break;
-    }
-    orders.push_back(PlaceTask(aCell, it, *worker, attempt, aNow));
-  }
-  if (orders.size() == tasks.size()) {
-    std::move(orders.begin(), orders.end(), std::back_inserter(aOrders));
-    return;
-  }
-  for (const auto& it : orders) {
-    auto& worker = *aCell.mWorkers.at(it.mWorker);
-    auto* task = worker.mRuns.at(it.mTask).mTask;
-    EraseRun(worker, it.mTask);
-    task->mPhase = TaskPhase::Ready;
-    task->mWorker = nullptr;
-    --aCell.mStarts;
+  const auto taken = TakeRoomForGang(aCell, step.mTasks, aNow);
+  for (std::size_t i = 0; i < taken.size(); ++i) {
+    aOrders.push_back(
+      PlaceTask(aCell, step.mTasks[i], *taken[i].mWorker, attempt, aNow));
   }
 }
 
--- a/src/cell/internal/suitability.cpp
+++ b/src/cell/internal/suitability.cpp
@@ -27,6 +27,8 @@
   return std::min(out, static_cast<std::int64_t>(aStep.mCount));
 }
 
+} // namespace
+
 auto CountStartableNow(const CellState& aCell,
                        const std::string& aService,
                        const StepSpec& aStep,
@@ -50,8 +52,6 @@
   return out;
 }
 
-} // namespace
-
 auto RestrictsWorkers(const StepSpec& aStep) -> bool
 {
   return !aStep.mRequiredLabel.empty() || aStep.mMaxPerWorker > 0 ||
