Send the counts of many queues in several datagrams

Cause: a heartbeat with the counts of some hundred queues is longer than the 8 KB that receivers read; cut off, it can't be decoded, and its sender is taken for lost. Ruled out: load of the processor; the case holds with as many jobs in one queue.

Receivers read datagrams of any length; heartbeats_oversized_total counts those that are too long to be sent.

--- a/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
+++ b/src/dispatch/include/eelgrasspost/dispatch/dispatchtypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -213,7 +214,11 @@
   bool mIsLeaving = false;
   bool mReachesStore = false;
   std::vector<CellStatus> mCells;
+  /** Those of the queues whose hashes are in the range below. A queue of the
+   * range that is not listed has no waiting jobs. */
   std::vector<PendingCount> mPending;
+  std::uint64_t mFirstQueueHash = 0;
+  std::uint64_t mLastQueueHash = std::numeric_limits<std::uint64_t>::max();
   /** A subset of the estimates; successive heartbeats cycle through all. */
   std::vector<InterferenceEstimate> mEstimates;
   /** Its own claims that have ended a short time ago. */
@@ -228,7 +233,8 @@
   {
     archive(mName, mIncarnation, mDomain, mPeers, mCpuShare);
     archive(mIsLeaving, mReachesStore);
-    archive(mCells, mPending, mEstimates, mEndedClaims, mEvacuations);
+    archive(mCells, mPending, mFirstQueueHash, mLastQueueHash);
+    archive(mEstimates, mEndedClaims, mEvacuations);
     archive(mDraining);
   }
 };
--- a/src/dispatch/internal/peers.cpp
+++ b/src/dispatch/internal/peers.cpp
@@ -6,6 +6,7 @@
 #include "eelgrasspost/dispatch/peerlogevents.h"
 #include "eelgrasspost/net/codec.h"
 #include "eelgrasspost/net/iopool.h"
+#include "heartbeatparts.h"
 
 namespace eelgrasspost::dispatch {
 
@@ -45,6 +46,7 @@
       "heartbeats_dropped_total{reason=\"earlier_incarnation\"}"))
   , mUnproved(
       aMetrics.FindCounter("heartbeats_dropped_total{reason=\"unproved\"}"))
+  , mOversized(aMetrics.FindCounter("heartbeats_oversized_total"))
   , mEarlierRows(aMetrics.FindCounter("entry_rows_ignored_total"))
   , mName(std::move(aName))
   , mDomain(std::move(aDomain))
@@ -157,7 +159,13 @@
 auto Peers::Send(const Heartbeat& aHeartbeat, std::uint64_t aNumber)
   -> std::size_t
 {
-  const auto bytes = net::Encode(aHeartbeat);
+  std::vector<std::string> datagrams;
+  for (const auto& it : SplitHeartbeat(aHeartbeat)) {
+    datagrams.push_back(net::Encode(it));
+    if (datagrams.back().size() > net::kMaxDatagramBytes) {
+      mOversized.Add();
+    }
+  }
   const auto holdsCells = !aHeartbeat.mCells.empty();
   mSentAt = base::MonotonicClock::now();
   if (!holdsCells) {
@@ -179,7 +187,9 @@
       std::chrono::duration_cast<Milliseconds>(mSentAt - heardAt)
     };
     if (MustSendHeartbeat(target, holdsCells, aNumber)) {
-      mSocket.Send(it.mRow.mPeers, bytes);
+      for (const auto& bytes : datagrams) {
+        mSocket.Send(it.mRow.mPeers, bytes);
+      }
       ++out;
     }
   }
--- a/src/dispatch/internal/peers.h
+++ b/src/dispatch/internal/peers.h
@@ -93,6 +93,7 @@
   base::Counter& mUndecodable;
   base::Counter& mEarlier;
   base::Counter& mUnproved;
+  base::Counter& mOversized;
   base::Counter& mEarlierRows;
   std::string mName;
   std::string mDomain;
--- a/src/dispatch/internal/pendingcounts.cpp
+++ b/src/dispatch/internal/pendingcounts.cpp
@@ -15,7 +15,8 @@
     }
     known.mToken = status.mToken;
     known.mReportedAt = aNow;
-    known.mCounts.clear();
+    known.mCounts.erase(known.mCounts.lower_bound(aHeartbeat.mFirstQueueHash),
+                        known.mCounts.upper_bound(aHeartbeat.mLastQueueHash));
     for (const auto& it : aHeartbeat.mPending) {
       if (it.mCell == i) {
         known.mCounts[it.mQueueHash] = it.mCount;
--- a/src/dispatch/internal/pendingcounts.h
+++ b/src/dispatch/internal/pendingcounts.h
@@ -23,7 +23,8 @@
  * its jobs go on waiting. */
 using PendingCounts = std::map<std::string, CellPending>;
 
-/** Records the counts of a heartbeat. A holder that takes its cell over does
+/** Records the counts of a heartbeat, or of a part of it; those of other queues
+ * stay. A holder that takes its cell over does
  * not know all jobs yet; the counts of the previous one stay. */
 auto RecordPending(PendingCounts& aCounts,
                    const Heartbeat& aHeartbeat,
--- a/src/framework/net/include/eelgrasspost/net/datagram.h
+++ b/src/framework/net/include/eelgrasspost/net/datagram.h
@@ -12,8 +12,8 @@
 
 namespace eelgrasspost::net {
 
-/** Size of the receive buffer; longer datagrams are cut off. */
-inline constexpr std::size_t kMaxDatagramBytes = 8 * 1024;
+/** Longest datagram of UDP over IPv4; longer ones are not sent. */
+inline constexpr std::size_t kMaxDatagramBytes = 65507;
 
 /** A UDP socket that is used on thread 0 of a pool. */
 class DatagramSocket
