--- a/src/cell/tests/gangs_tests.cpp
+++ b/src/cell/tests/gangs_tests.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 
 #include <boost/test/unit_test.hpp>
@@ -25,9 +26,10 @@
 
   auto HasEvent(CellEventKind aKind) const -> bool
   {
-    return std::any_of(mCell.mEvents.begin(),
-                       mCell.mEvents.end(),
-                       [&](const auto& it) { return it.mKind == aKind; });
+    return std::any_of(
+      mCell.mEvents.begin(), mCell.mEvents.end(), [&](const CellEvent& aEvent) {
+        return aEvent.mKind == aKind;
+      });
   }
 };
 
@@ -109,9 +111,10 @@
 
   BOOST_TEST(orders.size() == 2000U);
   BOOST_TEST((job.mState == JobState::Running));
-  BOOST_TEST(std::all_of(orders.begin(), orders.end(), [&](const Order& it) {
-    return it.mAttempt == orders[0].mAttempt;
-  }));
+  BOOST_TEST(
+    std::all_of(orders.begin(), orders.end(), [&](const Order& aOrder) {
+      return aOrder.mAttempt == orders[0].mAttempt;
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/heartbeatparts_tests.cpp
+++ b/src/dispatch/tests/heartbeatparts_tests.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <random>
 
 #include <boost/test/unit_test.hpp>
@@ -87,10 +88,12 @@
   Peers sender(mPool, "holder", "a", mMetrics, mLog);
   Peers receiver(mPool, "entry", "a", mMetrics, mLog);
   const auto local = *net::ParseAddress("127.0.0.1:0");
-  const auto address =
-    receiver
-      .Bind(local, [&](const Heartbeat& it) { RecordPending(counts, it); })
-      .value();
+  const auto address = receiver
+                         .Bind(local,
+                               [&](const Heartbeat& aHeartbeat) {
+                                 RecordPending(counts, aHeartbeat);
+                               })
+                         .value();
   mHeartbeat.mPeers = sender.Bind(local, [](const Heartbeat&) {}).value();
   Wait([&]() -> net::Task<bool> {
     sender.Update({ "entry", 1, "a", address, 1 });
